--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters: the published protocols behind the ports.
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Administration API.
--- /dev/null
+++ b/src/bin/coriandertide-node.rs
@@ -0,0 +1,3 @@
+//! Daemon of an entry instance.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/coriandertide.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! Assembles a node from its settings.
--- /dev/null
+++ b/src/decision/mod.rs
@@ -0,0 +1,3 @@
+//! Pure decisions: each takes its state, an event and the time, and returns commands.
+
+pub mod routing;
--- /dev/null
+++ b/src/links/mod.rs
@@ -0,0 +1,1 @@
+//! Partner links between nodes.
--- /dev/null
+++ b/src/ports/mod.rs
@@ -0,0 +1,16 @@
+//! Traits at the edges of a process, and the messages that cross them.
+
+pub mod instance_list;
+pub mod kv_store;
+pub mod log_service;
+pub mod model_engine;
+pub mod plain_service;
+
+pub use instance_list::{InstanceKind, InstanceList, InstanceRecord, InstanceState};
+pub use kv_store::KvStore;
+pub use log_service::{LogPage, LogRecord, LogService, LogStream};
+pub use model_engine::{
+    CacheEvent, CacheEventPage, EngineFrame, EngineOrder, EngineOrderKind, EngineRequest,
+    FrameStream, LoadReport, LoadedModel, ModelEngine, OrderOutcome,
+};
+pub use plain_service::{PlainService, ServiceCall, ServiceResponse};
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings file of a node.
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! Traffic threads: accept, admit, route, relay and retry.
--- /dev/null
+++ b/src/types/error.rs
@@ -0,0 +1,72 @@
+//! Error of an exchange with a peer: the step, the peer, and whether the request was delivered.
+
+use smol_str::SmolStr;
+use std::fmt;
+use strum::{Display, IntoStaticStr};
+
+/// Result of an exchange with a peer.
+pub type PeerResult<T> = Result<T, PeerError>;
+
+/// Step of an exchange at which an error arose.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// Opening the connection.
+    Connect,
+    /// Sending the request.
+    Send,
+    /// Waiting for the head of the response.
+    ReadHead,
+    /// Reading the body or the stream.
+    ReadBody,
+    /// Decoding what was read.
+    Decode,
+    /// The peer answered with a refusal.
+    Refused,
+}
+
+/// What the sender knows about the delivery of a failed request.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Delivery {
+    /// No byte of the request can have reached the peer.
+    NotSent,
+    /// The peer may have acted on the request.
+    Unknown,
+    /// The peer refused the request and says that it did not act.
+    Refused,
+}
+
+/// Error of an exchange with a peer.
+#[derive(Debug)]
+pub struct PeerError {
+    /// Step at which the exchange failed.
+    pub step: Step,
+    /// Address or name of the peer.
+    pub peer: SmolStr,
+    /// What is known about the delivery of the request.
+    pub delivery: Delivery,
+    /// Underlying error.
+    pub source: anyhow::Error,
+}
+
+impl PeerError {
+    /// Returns an error at `step` with `peer`.
+    pub fn new(
+        step: Step,
+        peer: impl Into<SmolStr>,
+        delivery: Delivery,
+        source: impl Into<anyhow::Error>,
+    ) -> Self {
+        Self { step, peer: peer.into(), delivery, source: source.into() }
+    }
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { step, peer, delivery, source } = self;
+        write!(f, "step={step} peer={peer} delivery={delivery} error=\"{source:#}\"")
+    }
+}
+
+impl std::error::Error for PeerError {}
--- /dev/null
+++ b/src/types/faults.rs
@@ -0,0 +1,48 @@
+//! Faults found while raw input is checked, each with its path in the input.
+
+use smol_str::SmolStr;
+use std::fmt;
+
+/// One fault in an input.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Path of the faulty value, such as `workspaces.survey.requests_per_s`.
+    pub path: SmolStr,
+    /// What is wrong with it.
+    pub message: String,
+}
+
+/// All faults found in an input, in the order in which they were found.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl Faults {
+    /// Adds a fault at `path`.
+    pub fn add(&mut self, path: impl Into<SmolStr>, message: impl Into<String>) {
+        self.0.push(Fault { path: path.into(), message: message.into() });
+    }
+
+    /// Adds `message` at `path` unless `holds`.
+    pub fn require(&mut self, holds: bool, path: impl Into<SmolStr>, message: impl Into<String>) {
+        if !holds {
+            self.add(path, message);
+        }
+    }
+
+    /// Returns `value` if no fault was found.
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, Fault { path, message }) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(f, "{separator}{path}: {message}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
--- /dev/null
+++ b/src/types/ids.rs
@@ -0,0 +1,30 @@
+//! Aliases for the ids that the parts exchange.
+
+use smol_str::SmolStr;
+
+/// Name of an availability zone.
+pub type AvailabilityZone = SmolStr;
+/// Id of a configuration edit, chosen by its author; finds an edit whose answer was lost.
+pub type EditId = SmolStr;
+/// Idempotency key that a caller gives with a non-idempotent request.
+pub type IdempotencyKey = SmolStr;
+/// Number that a backend server changes whenever it comes back empty.
+pub type Incarnation = u64;
+/// Id of one run of a node process; a restarted node has a new one.
+pub type InstanceId = SmolStr;
+/// Offset of a record on the platform's log.
+pub type LogOffset = u64;
+/// Name of a model.
+pub type ModelId = SmolStr;
+/// Id of a request, unique over all nodes.
+pub type RequestId = SmolStr;
+/// Revision of a document section: the log offset of the edit that set it.
+pub type Revision = u64;
+/// Name of a backend server.
+pub type ServerId = SmolStr;
+/// Name of a plain service.
+pub type ServiceId = SmolStr;
+/// Version of a model's weights.
+pub type WeightsVersion = SmolStr;
+/// Name of a workspace.
+pub type WorkspaceId = SmolStr;
--- /dev/null
+++ b/src/types/priority.rs
@@ -0,0 +1,36 @@
+//! Priority of a request.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// Priority of a request; later variants are served first and shed last.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    EnumIter,
+    EnumString,
+    Eq,
+    Hash,
+    IntoStaticStr,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Priority {
+    /// Work that nobody waits for.
+    Batch,
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// A person waits for the answer.
+    Interactive,
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the backend servers, each on its own loopback port.
