feat(adapters): settings, HTTP client and server, adapters of all ports

Cause: the whole path needs the edges of a node. Change: checked settings; one-connection HTTP exchanges driven by the reader, so that dropping one cancels upstream; adapters of log, instance list, engine, plain service and KV store. Conclusion: the control and traffic threads can be built on these.

--- /dev/null
+++ b/src/adapters/http_client.rs
@@ -0,0 +1,153 @@
+//! HTTP/1.1 exchanges with a peer, one connection each.
+//!
+//! The connection is driven by whoever reads the response and closes when the [`Exchange`] is
+//! dropped, which tells the peer that nobody waits any more.
+
+use super::deadline::within;
+use crate::types::{Delivery, PeerError, PeerResult, Step};
+use bytes::{Bytes, BytesMut};
+use futures_lite::future::poll_fn;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, Connection};
+use serde::de::DeserializeOwned;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use smol_str::{SmolStr, ToSmolStr};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// Time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+type Driver = Pin<Box<Connection<FuturesIo<TcpStream>, Full<Bytes>>>>;
+
+/// Response under way.
+pub struct Exchange {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    peer: SmolStr,
+    body: Incoming,
+    driver: Option<Driver>,
+}
+
+/// Sends `request` to `address` and returns once the head of the response has arrived.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> PeerResult<Exchange> {
+    let peer = address.to_smolstr();
+    let stream = connect(address, &peer, deadline).await?;
+    let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|error| PeerError::new(Step::Connect, peer.clone(), Delivery::NotSent, error))?;
+    let mut driver: Option<Driver> = Some(Box::pin(connection));
+    let mut response = Box::pin(sender.send_request(request));
+    let head = poll_fn(|cx| {
+        drive(&mut driver, cx);
+        response.as_mut().poll(cx)
+    });
+    let failed = |error: anyhow::Error| {
+        PeerError::new(Step::ReadHead, peer.clone(), Delivery::Unknown, error)
+    };
+    let head = within(deadline, head).await.map_err(|error| failed(error.into()))?;
+    let (parts, body) = head.map_err(|error| failed(error.into()))?.into_parts();
+    Ok(Exchange { status: parts.status, headers: parts.headers, peer, body, driver })
+}
+
+async fn connect(address: SocketAddr, peer: &SmolStr, deadline: Instant) -> PeerResult<TcpStream> {
+    let failed = |error: anyhow::Error| {
+        PeerError::new(Step::Connect, peer.clone(), Delivery::NotSent, error)
+    };
+    let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let stream = within(deadline, TcpStream::connect(address))
+        .await
+        .map_err(|error| failed(error.into()))?
+        .map_err(|error| failed(error.into()))?;
+    stream.set_nodelay(true).map_err(|error| failed(error.into()))?;
+    Ok(stream)
+}
+
+fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
+    let Some(connection) = driver else { return };
+    if connection.as_mut().poll(cx).is_ready() {
+        *driver = None;
+    }
+}
+
+impl Exchange {
+    /// Returns the next data of the body, or none at its end.
+    pub async fn next_data(&mut self, deadline: Instant) -> PeerResult<Option<Bytes>> {
+        let next = poll_fn(|cx| self.poll_data(cx));
+        match within(deadline, next).await {
+            Ok(result) => result,
+            Err(error) => Err(self.error(Step::ReadBody, error.into())),
+        }
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<PeerResult<Option<Bytes>>> {
+        drive(&mut self.driver, cx);
+        loop {
+            let frame = match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(frame) => frame,
+            };
+            match frame {
+                None => return Poll::Ready(Ok(None)),
+                Some(Err(error)) => {
+                    return Poll::Ready(Err(self.error(Step::ReadBody, error.into())));
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Ok(Some(data)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body, at most `limit_bytes`.
+    pub async fn read_all(&mut self, limit_bytes: usize, deadline: Instant) -> PeerResult<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(data) = self.next_data(deadline).await? {
+            if whole.len() + data.len() > limit_bytes {
+                let error = anyhow::anyhow!("body exceeds {limit_bytes} bytes");
+                return Err(self.error(Step::ReadBody, error));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Returns an error of this exchange after the request was sent.
+    pub fn error(&self, step: Step, source: anyhow::Error) -> PeerError {
+        PeerError::new(step, self.peer.clone(), Delivery::Unknown, source)
+    }
+
+    /// Returns an error that says the peer refused the request without acting on it.
+    pub fn refusal(&self, source: anyhow::Error) -> PeerError {
+        PeerError::new(Step::Refused, self.peer.clone(), Delivery::Refused, source)
+    }
+}
+
+/// Sends `request` and decodes the JSON body of a successful response.
+pub async fn fetch_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> PeerResult<T> {
+    let mut exchange = send(address, request, deadline).await?;
+    let body = exchange.read_all(limit_bytes, deadline).await?;
+    if !exchange.status.is_success() {
+        let error = anyhow::anyhow!("status {}", exchange.status);
+        return Err(exchange.error(Step::Refused, error));
+    }
+    serde_json::from_slice(&body).map_err(|error| exchange.error(Step::Decode, error.into()))
+}
--- /dev/null
+++ b/src/adapters/http_server.rs
@@ -0,0 +1,118 @@
+//! HTTP/1.1 listener: accepts connections, bounds heads, and closes gracefully.
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::Executor;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// Body of a response.
+pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Response to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// Future of a response.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
+
+/// Function that answers requests.
+pub type Handler = Arc<dyn Fn(Request<Incoming>) -> ReplyFuture + Send + Sync>;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Milliseconds that a caller may take to send a head.
+    pub head_timeout_ms: u64,
+}
+
+/// Least read buffer that hyper accepts.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Binds `address` at once, so that its port is known before the listener serves.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(smol::Async::new(listener)?.into())
+}
+
+/// Accepts connections until `drain` closes; open connections then finish their requests.
+///
+/// Connections are tasks on `executor`, which is held weakly so that dropping it drops them.
+pub async fn serve(
+    listener: TcpListener,
+    executor: Weak<Executor<'static>>,
+    handler: Handler,
+    limits: ServerLimits,
+    drain: Receiver<Infallible>,
+) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            let _closed = drain.recv().await;
+            None
+        };
+        let stream = match accepted.or(stopped).await {
+            None => return,
+            Some(Ok((stream, _peer))) => stream,
+            Some(Err(error)) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                smol::Timer::after(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let Some(executor) = executor.upgrade() else { return };
+        executor
+            .spawn(serve_connection(stream, Arc::clone(&handler), limits, drain.clone()))
+            .detach();
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    handler: Handler,
+    limits: ServerLimits,
+    drain: Receiver<Infallible>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let reply = handler(request);
+        async move { Ok::<_, Infallible>(reply.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let finished = async { Some(connection.as_mut().await) };
+    let draining = async {
+        let _closed = drain.recv().await;
+        None
+    };
+    let result = match finished.or(draining).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("event=connection_ended error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/src/adapters/kv_store.rs
@@ -0,0 +1,54 @@
+//! Store of kept KV cache over HTTP.
+
+use super::http_client::fetch_json;
+use crate::ports::KvStore;
+use crate::types::PeerResult;
+use async_trait::async_trait;
+use http::Request;
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Most bytes of an answer.
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Client of the KV store.
+#[derive(Clone, Debug)]
+pub struct HttpKvStore {
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+#[derive(Serialize)]
+struct KeptQuery<'a> {
+    prefix_keys: &'a [u64],
+}
+
+#[derive(Deserialize)]
+struct KeptReply {
+    kept_tokens: Vec<u32>,
+}
+
+impl HttpKvStore {
+    /// Returns a client of the store at `address`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { address, timeout }
+    }
+}
+
+#[async_trait]
+impl KvStore for HttpKvStore {
+    async fn kept_tokens(&self, prefix_keys: &[u64]) -> PeerResult<Vec<u32>> {
+        let body = serde_json::to_vec(&KeptQuery { prefix_keys }).expect("numbers encode");
+        let request = Request::post("/kept")
+            .header("host", self.address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .expect("a valid request");
+        let deadline = Instant::now() + self.timeout;
+        let reply: KeptReply =
+            fetch_json(self.address, request, ANSWER_LIMIT_BYTES, deadline).await?;
+        Ok(reply.kept_tokens)
+    }
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,1 +1,16 @@
-//! Adapters: the published protocols behind the ports.
+//! Adapters: the published protocols behind the ports, over HTTP/1.1.
+
+pub mod deadline;
+pub mod http_client;
+pub mod http_server;
+pub mod instance_list;
+pub mod kv_store;
+pub mod log_service;
+pub mod model_engine;
+pub mod plain_service;
+
+pub use instance_list::HttpInstanceList;
+pub use kv_store::HttpKvStore;
+pub use log_service::HttpLogService;
+pub use model_engine::HttpModelEngine;
+pub use plain_service::HttpPlainService;
--- a/src/ports/model_engine.rs
+++ b/src/ports/model_engine.rs
@@ -1,5 +1,6 @@
 //! Port of a model engine.
 
+use crate::decision::routing::PrefixLevel;
 use crate::types::{
     Incarnation, LogOffset, ModelId, PeerResult, Priority, RequestId, WeightsVersion,
 };
@@ -25,6 +26,8 @@
     pub weights_version: WeightsVersion,
     /// Number of the first frame wanted; frames before it have reached the caller.
     pub resume_from_frame: u64,
+    /// Levels of the prompt, outermost first.
+    pub prefix_levels: Vec<PrefixLevel>,
     /// Prefix keys that the engine should import from the KV store first, outermost level first.
     pub import_keys: Vec<u64>,
     /// Milliseconds that the engine may take for the whole request.
--- a/src/ports/plain_service.rs
+++ b/src/ports/plain_service.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// Call to a plain service.
 #[derive(Clone, Debug)]
@@ -35,5 +36,10 @@
 #[async_trait]
 pub trait PlainService: Send + Sync {
     /// Sends `call` to the server at `address` and returns its whole response.
-    async fn call(&self, address: SocketAddr, call: ServiceCall) -> PeerResult<ServiceResponse>;
+    async fn call(
+        &self,
+        address: SocketAddr,
+        call: ServiceCall,
+        deadline: Instant,
+    ) -> PeerResult<ServiceResponse>;
 }
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,136 @@
+//! Checks raw settings and reports every fault with its path in the file.
+
+use super::raw::{
+    RawControlSettings, RawLimitSettings, RawListenSettings, RawPlatformSettings, RawSettings,
+};
+use super::{ControlSettings, LimitSettings, ListenSettings, PlatformSettings, Settings};
+use crate::decision::routing::RoutingPolicy;
+use crate::types::Faults;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Least length of the partner key in bytes.
+const LEAST_PARTNER_KEY_BYTES: usize = 16;
+
+/// Most traffic threads of a node.
+const MOST_TRAFFIC_THREADS: usize = 64;
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = Faults;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        faults.require(!raw.instance_name.is_empty(), "instance_name", "must not be empty");
+        faults.require(!raw.availability_zone.is_empty(), "availability_zone", "must not be empty");
+        faults.require(
+            raw.partner_key.len() >= LEAST_PARTNER_KEY_BYTES,
+            "partner_key",
+            format!("must have at least {LEAST_PARTNER_KEY_BYTES} bytes"),
+        );
+        faults.require(
+            (1..=MOST_TRAFFIC_THREADS).contains(&raw.traffic_threads),
+            "traffic_threads",
+            format!("must be from 1 to {MOST_TRAFFIC_THREADS}"),
+        );
+        let settings = Settings {
+            instance_name: raw.instance_name,
+            availability_zone: raw.availability_zone,
+            listen: check_listen(&raw.listen, &mut faults),
+            platform: check_platform(&raw.platform, &mut faults),
+            partner_key: raw.partner_key,
+            routing_policy: check_policy(&raw.routing_policy, &mut faults),
+            limits: check_limits(&raw.limits, &mut faults),
+            traffic_threads: raw.traffic_threads,
+            control: check_control(&raw.control, &mut faults),
+        };
+        faults.into_result(settings)
+    }
+}
+
+fn check_listen(raw: &RawListenSettings, faults: &mut Faults) -> ListenSettings {
+    ListenSettings {
+        callers: check_address("listen.callers", &raw.callers, faults),
+        admin: check_address("listen.admin", &raw.admin, faults),
+        partners: check_address("listen.partners", &raw.partners, faults),
+    }
+}
+
+fn check_platform(raw: &RawPlatformSettings, faults: &mut Faults) -> PlatformSettings {
+    PlatformSettings {
+        log: check_address("platform.log", &raw.log, faults),
+        instance_list: check_address("platform.instance_list", &raw.instance_list, faults),
+        kv_store: raw
+            .kv_store
+            .as_ref()
+            .map(|address| check_address("platform.kv_store", address, faults)),
+    }
+}
+
+fn check_policy(raw: &str, faults: &mut Faults) -> RoutingPolicy {
+    raw.parse().unwrap_or_else(|_| {
+        faults.add("routing_policy", format!("`{raw}` is not a routing policy"));
+        RoutingPolicy::default()
+    })
+}
+
+fn check_limits(raw: &RawLimitSettings, faults: &mut Faults) -> LimitSettings {
+    let sizes = [
+        ("limits.head_bytes", raw.head_bytes),
+        ("limits.body_bytes", raw.body_bytes),
+        ("limits.answer_bytes", raw.answer_bytes),
+    ];
+    for (path, bytes) in sizes {
+        faults.require(bytes >= 1024, path, "must be at least 1024");
+    }
+    let times = [
+        ("limits.read_timeout_ms", raw.read_timeout_ms),
+        ("limits.request_timeout_ms", raw.request_timeout_ms),
+        ("limits.frame_timeout_ms", raw.frame_timeout_ms),
+        ("limits.drain_timeout_ms", raw.drain_timeout_ms),
+    ];
+    for (path, period_ms) in times {
+        faults.require(period_ms > 0, path, "must be above 0");
+    }
+    faults.require(
+        raw.drain_timeout_ms >= raw.request_timeout_ms,
+        "limits.drain_timeout_ms",
+        "must not be below limits.request_timeout_ms, or a drain would cut requests",
+    );
+    LimitSettings {
+        head_bytes: raw.head_bytes,
+        body_bytes: raw.body_bytes,
+        answer_bytes: raw.answer_bytes,
+        read_timeout_ms: raw.read_timeout_ms,
+        request_timeout_ms: raw.request_timeout_ms,
+        frame_timeout_ms: raw.frame_timeout_ms,
+        drain_timeout_ms: raw.drain_timeout_ms,
+    }
+}
+
+fn check_control(raw: &RawControlSettings, faults: &mut Faults) -> ControlSettings {
+    let periods = [
+        ("control.log_period_ms", raw.log_period_ms),
+        ("control.instance_list_period_ms", raw.instance_list_period_ms),
+        ("control.load_period_ms", raw.load_period_ms),
+        ("control.exchange_timeout_ms", raw.exchange_timeout_ms),
+        ("control.poll_bytes_per_s", u64::from(raw.poll_bytes_per_s)),
+        ("control.link_bytes_per_s", u64::from(raw.link_bytes_per_s)),
+    ];
+    for (path, value) in periods {
+        faults.require(value > 0, path, "must be above 0");
+    }
+    ControlSettings {
+        log_period_ms: raw.log_period_ms,
+        instance_list_period_ms: raw.instance_list_period_ms,
+        load_period_ms: raw.load_period_ms,
+        exchange_timeout_ms: raw.exchange_timeout_ms,
+        poll_bytes_per_s: raw.poll_bytes_per_s,
+        link_bytes_per_s: raw.link_bytes_per_s,
+    }
+}
+
+fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
+    raw.parse().unwrap_or_else(|_| {
+        faults.add(path, format!("`{raw}` is not an ip:port address"));
+        SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0))
+    })
+}
