feat(traffic): accept, route, relay, resume and retry

Cause: a caller's request has to reach a server and its answer to come back whole. Change: dispatch, authentication, model requests with numbered frames and resume, plain service calls sent at most once where the document says so, retry budget, control loop.

--- /dev/null
+++ b/src/control/event.rs
@@ -0,0 +1,68 @@
+//! Events of the control thread.
+
+use crate::decision::routing::AnswerFeedback;
+use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
+use crate::types::{PeerError, ServerId};
+use std::time::Instant;
+
+/// Event of the control thread.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// Time for periodic work.
+    Tick,
+    /// Records of a log stream were read.
+    LogRead {
+        /// Stream.
+        stream: LogStream,
+        /// Records and bounds of the stream.
+        page: LogPage,
+        /// When the read was sent.
+        asked_at: Instant,
+    },
+    /// A read of a log stream failed.
+    LogFailed {
+        /// Stream.
+        stream: LogStream,
+        /// Error.
+        error: PeerError,
+    },
+    /// The instance list was read.
+    Instances(Vec<InstanceRecord>),
+    /// A backend server reported its load.
+    Load {
+        /// Server.
+        server: ServerId,
+        /// Report.
+        report: LoadReport,
+        /// When the report was asked for.
+        asked_at: Instant,
+    },
+    /// A backend server did not report its load.
+    LoadFailed {
+        /// Server.
+        server: ServerId,
+        /// Error.
+        error: PeerError,
+    },
+    /// A backend server published cache events.
+    CacheEvents {
+        /// Server.
+        server: ServerId,
+        /// Events.
+        page: CacheEventPage,
+    },
+    /// A traffic thread reports.
+    Traffic(TrafficReport),
+}
+
+/// What traffic threads report; reports are dropped while the channel is full.
+#[derive(Debug)]
+pub enum TrafficReport {
+    /// A server completed an answer.
+    Answer(AnswerFeedback),
+    /// An attempt on a server failed.
+    AttemptFailed {
+        /// Server.
+        server: ServerId,
+    },
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,41 @@
 //! The control thread: owns all control state and publishes immutable snapshots.
+//!
+//! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
+//! loop applies the events, so that no state is shared.
+
+pub mod context;
+pub mod event;
+pub mod log_tail;
+pub mod polls;
+pub mod snapshot;
+pub mod state;
+
+pub use context::ControlContext;
+pub use event::{ControlEvent, TrafficReport};
+pub use snapshot::{KeyIndex, Snapshot};
+pub use state::ControlState;
+
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Period of the control loop's own work.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Applies events until their channel closes.
+pub async fn run(mut state: ControlState, events: Receiver<ControlEvent>) {
+    let mut next_tick_at = Instant::now() + TICK_PERIOD;
+    loop {
+        let received = async { events.recv().await.ok() };
+        let tick = async {
+            Timer::at(next_tick_at).await;
+            Some(ControlEvent::Tick)
+        };
+        let Some(event) = received.or(tick).await else { return };
+        if matches!(event, ControlEvent::Tick) {
+            next_tick_at = Instant::now() + TICK_PERIOD;
+        }
+        state.handle(event, Instant::now());
+    }
+}
--- /dev/null
+++ b/src/control/snapshot.rs
@@ -0,0 +1,42 @@
+//! Snapshot of the control state that traffic threads decide on.
+
+use crate::decision::routing::RoutingView;
+use crate::document::Document;
+use crate::types::WorkspaceId;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Immutable snapshot of the control state.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Document in force, none before the first one is known.
+    pub document: Option<Arc<Document>>,
+    /// Workspaces by key hash.
+    pub keys: Arc<KeyIndex>,
+    /// View for routing decisions.
+    pub routing: RoutingView,
+    /// Live nodes, this one included.
+    pub live_nodes: u32,
+}
+
+/// Workspaces by the hash of their bearer keys.
+#[derive(Clone, Debug, Default)]
+pub struct KeyIndex {
+    workspaces: HashMap<SmolStr, WorkspaceId>,
+}
+
+impl KeyIndex {
+    /// Returns the index of `document`.
+    pub fn new(document: &Document) -> Self {
+        let pairs = document.workspaces.iter().flat_map(|(name, workspace)| {
+            workspace.key_hashes.iter().map(|hash| (hash.clone(), name.clone()))
+        });
+        Self { workspaces: pairs.collect() }
+    }
+
+    /// Returns the workspace whose key has the SHA-256 `hash`.
+    pub fn workspace(&self, hash: &str) -> Option<&WorkspaceId> {
+        self.workspaces.get(hash)
+    }
+}
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,100 @@
+//! State of the control thread and the dispatch of its events.
+
+use super::snapshot::KeyIndex;
+use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
+use crate::decision::routing::{RoutingEvent, RoutingState};
+use crate::document::Document;
+use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogStream};
+use arc_swap::ArcSwap;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// All state of the control thread.
+pub struct ControlState {
+    pub(super) context: ControlContext,
+    pub(super) routing: RoutingState,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) keys: Arc<KeyIndex>,
+    pub(super) live_nodes: u32,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+}
+
+impl ControlState {
+    /// Returns the state of a node that knows nothing yet.
+    pub fn new(context: ControlContext, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
+        Self {
+            context,
+            routing: RoutingState::default(),
+            document: None,
+            keys: Arc::default(),
+            live_nodes: 1,
+            snapshot,
+        }
+    }
+
+    /// Starts the periodic exchanges.
+    pub fn start(&self) {
+        let context = &self.context;
+        context.spawn(log_tail::follow(context.clone(), LogStream::Configuration));
+        context.spawn(polls::poll_instance_list(context.clone()));
+    }
+
+    /// Applies `event` and publishes the snapshot that follows from it.
+    pub fn handle(&mut self, event: ControlEvent, now: Instant) {
+        match event {
+            ControlEvent::Tick => {}
+            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
+            ControlEvent::LogFailed { stream, error } => {
+                log::warn!("event=log_read_failed stream={stream} {error}");
+            }
+            ControlEvent::Instances(instances) => self.apply_instances(&instances, now),
+            ControlEvent::Load { server, report, asked_at } => {
+                self.routing.apply(RoutingEvent::Load { server, report, asked_at }, now);
+            }
+            ControlEvent::LoadFailed { server, error } => {
+                log::warn!("event=load_report_failed server={server} {error}");
+                self.routing.apply(RoutingEvent::ServerFailed { server }, now);
+            }
+            ControlEvent::CacheEvents { server, page } => {
+                self.routing.apply(RoutingEvent::CacheEvents { server, page }, now);
+            }
+            ControlEvent::Traffic(report) => self.apply_traffic(report, now),
+        }
+        self.publish();
+    }
+
+    /// Puts `document` in force.
+    pub fn put_in_force(&mut self, document: Arc<Document>, now: Instant) {
+        log::info!("event=document_in_force offset={}", document.offset);
+        self.keys = Arc::new(KeyIndex::new(&document));
+        self.routing.apply(RoutingEvent::Document(Arc::clone(&document)), now);
+        self.document = Some(document);
+    }
+
+    fn apply_instances(&mut self, instances: &[InstanceRecord], now: Instant) {
+        let leaving = instances
+            .iter()
+            .filter(|instance| instance.kind == InstanceKind::BackendServer)
+            .filter(|instance| instance.state == InstanceState::Leaving)
+            .map(|instance| instance.name.clone())
+            .collect();
+        self.routing.apply(RoutingEvent::Leaving(leaving), now);
+    }
+
+    fn apply_traffic(&mut self, report: TrafficReport, now: Instant) {
+        let event = match report {
+            TrafficReport::Answer(feedback) => RoutingEvent::Answer(feedback),
+            TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
+        };
+        self.routing.apply(event, now);
+    }
+
+    fn publish(&self) {
+        self.snapshot.store(Arc::new(Snapshot {
+            document: self.document.clone(),
+            keys: Arc::clone(&self.keys),
+            routing: self.routing.view(),
+            live_nodes: self.live_nodes,
+        }));
+    }
+}
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -4,6 +4,7 @@
 //! the [`RoutingView`] it publishes.
 
 pub mod messages;
+pub mod prefix;
 
 pub use messages::*;
 
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -102,6 +102,7 @@
         read_timeout_ms: raw.read_timeout_ms,
         request_timeout_ms: raw.request_timeout_ms,
         frame_timeout_ms: raw.frame_timeout_ms,
+        drain_grace_ms: raw.drain_grace_ms,
         drain_timeout_ms: raw.drain_timeout_ms,
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -71,6 +71,8 @@
     pub request_timeout_ms: u64,
     /// Milliseconds without a frame after which an attempt is given up.
     pub frame_timeout_ms: u64,
+    /// Milliseconds for which a draining node still accepts calls after readiness has gone.
+    pub drain_grace_ms: u64,
     /// Milliseconds that a draining node waits for running requests.
     pub drain_timeout_ms: u64,
 }
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -95,6 +95,8 @@
     pub request_timeout_ms: u64,
     /// Milliseconds without a frame after which an attempt is given up.
     pub frame_timeout_ms: u64,
+    /// Milliseconds for which a draining node still accepts calls after readiness has gone.
+    pub drain_grace_ms: u64,
     /// Milliseconds that a draining node waits for running requests.
     pub drain_timeout_ms: u64,
 }
@@ -108,6 +110,7 @@
             read_timeout_ms: 10_000,
             request_timeout_ms: 60_000,
             frame_timeout_ms: 5_000,
+            drain_grace_ms: 2_000,
             drain_timeout_ms: 70_000,
         }
     }
--- /dev/null
+++ b/src/traffic/generation_request.rs
@@ -0,0 +1,207 @@
+//! Checked form of a model request.
+
+use super::{Failure, FailureCode};
+use crate::control::Snapshot;
+use crate::decision::routing::PrefixLevel;
+use crate::decision::routing::prefix::{PrefixScope, prompt_levels};
+use crate::document::Document;
+use crate::types::{ModelId, Priority, RequestId, WeightsVersion, WorkspaceId};
+use bytes::Bytes;
+use http::HeaderMap;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::time::Instant;
+
+/// Header that names a priority.
+pub const PRIORITY_HEADER: &str = "x-priority";
+
+/// Endpoint of a model request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endpoint {
+    /// Chat completions.
+    ChatCompletions,
+    /// Completions.
+    Completions,
+}
+
+impl Endpoint {
+    /// Returns the path of the endpoint.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::ChatCompletions => "/v1/chat/completions",
+            Self::Completions => "/v1/completions",
+        }
+    }
+}
+
+/// Checked model request.
+#[derive(Clone, Debug)]
+pub struct GenerationRequest {
+    /// Id.
+    pub id: RequestId,
+    /// Endpoint.
+    pub endpoint: Endpoint,
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Model.
+    pub model: ModelId,
+    /// Weights in force when the request arrived; all attempts use them.
+    pub weights_version: WeightsVersion,
+    /// Body for the engine, a stream with usage.
+    pub body: Value,
+    /// Levels of the prompt, outermost first.
+    pub levels: Vec<PrefixLevel>,
+    /// Most tokens that the caller wants.
+    pub max_tokens: u32,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// Whether the caller wants usage in the stream.
+    pub include_usage: bool,
+    /// Priority.
+    pub priority: Priority,
+    /// When the request is given up.
+    pub deadline: Instant,
+}
+
+/// Fields of a body that the router reads; all others are passed on.
+#[derive(Deserialize)]
+struct BodyFields {
+    model: ModelId,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(default)]
+    n: Option<u32>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+}
+
+#[derive(Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+/// Tokens that are expected of a request that names no bound.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Raw model request.
+pub struct RawGenerationRequest<'a> {
+    /// Id.
+    pub id: RequestId,
+    /// Endpoint.
+    pub endpoint: Endpoint,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Headers.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: &'a Bytes,
+    /// When the request is given up.
+    pub deadline: Instant,
+}
+
+impl GenerationRequest {
+    /// Checks `raw` against the document in force.
+    pub fn check(raw: RawGenerationRequest<'_>, snapshot: &Snapshot) -> Result<Self, Failure> {
+        let document = snapshot.document.as_deref().ok_or_else(not_ready)?;
+        let mut body: Value = serde_json::from_slice(raw.body).map_err(|error| {
+            Failure::not_run(FailureCode::InvalidJson, format!("the body is not JSON: {error}"))
+        })?;
+        let fields = BodyFields::deserialize(&body).map_err(|error| invalid(error.to_string()))?;
+        if fields.n.is_some_and(|n| n != 1) {
+            return Err(invalid("n: only 1 is supported"));
+        }
+        check_prompt(raw.endpoint, &body)?;
+        let weights_version = find_weights(document, &fields.model)?;
+        let priority = find_priority(document, &raw.workspace, raw.headers)?;
+        let scope = PrefixScope {
+            workspace: &raw.workspace,
+            model: &fields.model,
+            weights_version: &weights_version,
+        };
+        let levels = prompt_levels(scope, &body);
+        body["stream"] = json!(true);
+        body["stream_options"] = json!({ "include_usage": true });
+        let max_tokens = fields.max_completion_tokens.or(fields.max_tokens);
+        Ok(Self {
+            id: raw.id,
+            endpoint: raw.endpoint,
+            workspace: raw.workspace,
+            model: fields.model,
+            weights_version,
+            body,
+            levels,
+            max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            stream: fields.stream,
+            include_usage: fields.stream_options.unwrap_or_default().include_usage,
+            priority,
+            deadline: raw.deadline,
+        })
+    }
+
+    /// Returns the estimated tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.levels.last().map_or(0, |level| level.tokens)
+    }
+}
+
+/// Returns the failure of a node without a document.
+pub fn not_ready() -> Failure {
+    Failure::not_run(FailureCode::NotReady, "the node has no configuration yet")
+}
+
+fn invalid(message: impl Into<String>) -> Failure {
+    Failure::not_run(FailureCode::InvalidRequest, message)
+}
+
+fn check_prompt(endpoint: Endpoint, body: &Value) -> Result<(), Failure> {
+    match endpoint {
+        Endpoint::ChatCompletions => check_messages(&body["messages"]),
+        Endpoint::Completions if body["prompt"].is_string() => Ok(()),
+        Endpoint::Completions => Err(invalid("prompt: must be a string")),
+    }
+}
+
+fn check_messages(messages: &Value) -> Result<(), Failure> {
+    let messages = messages.as_array().filter(|messages| !messages.is_empty());
+    let messages = messages.ok_or_else(|| invalid("messages: must be a list that is not empty"))?;
+    for (index, message) in messages.iter().enumerate() {
+        if !message["role"].is_string() {
+            return Err(invalid(format!("messages[{index}].role: must be a string")));
+        }
+        if !message["content"].is_string() && !message["content"].is_array() {
+            return Err(invalid(format!("messages[{index}].content: must be text or its parts")));
+        }
+    }
+    Ok(())
+}
+
+fn find_weights(document: &Document, model: &ModelId) -> Result<WeightsVersion, Failure> {
+    if let Some(found) = document.models.get(model) {
+        return Ok(found.weights_version.clone());
+    }
+    let base = document.models.values().find(|base| base.adapters.contains(model));
+    base.map(|base| base.weights_version.clone()).ok_or_else(|| {
+        Failure::not_run(FailureCode::ModelNotFound, format!("model `{model}` is not served"))
+    })
+}
+
+fn find_priority(
+    document: &Document,
+    workspace: &WorkspaceId,
+    headers: &HeaderMap,
+) -> Result<Priority, Failure> {
+    let workspace = document.workspaces.get(workspace).ok_or_else(not_ready)?;
+    let Some(named) = headers.get(PRIORITY_HEADER) else {
+        return Ok(workspace.default_priority);
+    };
+    let named = named.to_str().ok().and_then(|named| named.parse::<Priority>().ok());
+    let named = named.ok_or_else(|| {
+        invalid(format!("{PRIORITY_HEADER}: must be batch, normal or interactive"))
+    })?;
+    Ok(named.min(workspace.highest_priority))
+}
--- /dev/null
+++ b/src/traffic/handlers/health.rs
@@ -0,0 +1,23 @@
+//! Liveness and readiness.
+
+use crate::adapters::http_server::Reply;
+use crate::traffic::TrafficContext;
+use crate::traffic::reply::text_reply;
+use http::StatusCode;
+use std::sync::atomic::Ordering;
+
+/// Answers that the process runs.
+pub fn live() -> Reply {
+    text_reply(StatusCode::OK, "ok\n")
+}
+
+/// Answers whether the node takes new calls: it has a document and does not drain.
+pub fn ready(context: &TrafficContext) -> Reply {
+    if context.draining.load(Ordering::Acquire) {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
+    }
+    if context.snapshot.load().document.is_none() {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+    }
+    text_reply(StatusCode::OK, "ready\n")
+}
--- /dev/null
+++ b/src/traffic/handlers/mod.rs
@@ -0,0 +1,7 @@
+//! Handlers of callers' requests, one module an endpoint.
+
+pub mod health;
+pub mod metrics;
+pub mod models;
+pub mod service_call;
+pub mod text_generation;
--- /dev/null
+++ b/src/traffic/handlers/service_call.rs
@@ -0,0 +1,181 @@
+//! Calls to plain services beside the model engines.
+
+use crate::adapters::http_server::Reply;
+use crate::decision::retry::{self, FailedAttempt, RetryDecision};
+use crate::document::{Service, ServiceServer};
+use crate::ports::{ServiceCall, ServiceResponse};
+use crate::traffic::authenticate::authenticate;
+use crate::traffic::generation_request::not_ready;
+use crate::traffic::reply::full_body;
+use crate::traffic::{Failure, FailureCode, TrafficContext, body};
+use crate::types::{Delivery, PeerError, RequestId};
+use http::{HeaderMap, Method, Request, Response};
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use std::time::{Duration, Instant};
+
+/// Headers of a call that are passed on.
+const REQUEST_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", "user-agent"];
+
+/// Headers of a response that are passed back.
+const RESPONSE_HEADERS: [&str; 3] = ["content-type", "etag", "location"];
+
+/// Time after which a caller should come back when no attempt succeeded.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Answers a call below `/services/{name}/`.
+pub async fn handle(
+    context: &TrafficContext,
+    request: Request<Incoming>,
+) -> Result<Reply, Failure> {
+    let arrived_at = Instant::now();
+    let snapshot = context.snapshot.load_full();
+    let document = snapshot.document.as_ref().ok_or_else(not_ready)?;
+    let (parts, incoming) = request.into_parts();
+    authenticate(&parts.headers, &snapshot)?;
+    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let (name, path) = split_target(target)?;
+    let service = document.services.get(name).ok_or_else(|| {
+        Failure::not_run(FailureCode::ServiceNotFound, format!("service `{name}` is not served"))
+    })?;
+    let limits = context.settings.limits;
+    let read_deadline = arrived_at + Duration::from_millis(limits.read_timeout_ms);
+    let body = body::read(incoming, limits.body_bytes, read_deadline).await?;
+    let id = context.new_request_id();
+    let call = ServiceCall {
+        method: parts.method,
+        path: path.into(),
+        headers: call_headers(&parts.headers, &id),
+        body,
+    };
+    let deadline = arrived_at + Duration::from_millis(service.timeout_ms);
+    let servers = rank_servers(service, &context.settings.availability_zone, &id);
+    let response = if is_non_idempotent(service, &call.method, &call.path) {
+        call_once(context, &servers, &call, deadline).await
+    } else {
+        call_with_retries(context, &servers, &call, deadline).await
+    }?;
+    Ok(reply(response))
+}
+
+fn split_target(target: &str) -> Result<(&str, &str), Failure> {
+    let below = target.strip_prefix("/services/").unwrap_or_default();
+    let end = below.find(['/', '?']).unwrap_or(below.len());
+    let (name, path) = below.split_at(end);
+    if path.starts_with('/') {
+        return Ok((name, path));
+    }
+    let message = "the path must be /services/{name}/…";
+    Err(Failure::not_run(FailureCode::UnknownPath, message))
+}
+
+fn call_headers(headers: &HeaderMap, id: &RequestId) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for name in REQUEST_HEADERS {
+        if let Some(value) = headers.get(name) {
+            passed.insert(name, value.clone());
+        }
+    }
+    passed.insert("x-request-id", id.parse().expect("a request id is a header value"));
+    passed
+}
+
+fn is_non_idempotent(service: &Service, method: &Method, path: &str) -> bool {
+    service.non_idempotent.iter().any(|pattern| {
+        pattern.method == method.as_str() && path.starts_with(pattern.path_prefix.as_str())
+    })
+}
+
+/// Orders servers: own availability zone first, each part turned by the request id.
+fn rank_servers(service: &Service, own_zone: &str, id: &RequestId) -> Vec<ServiceServer> {
+    let mut servers = service.servers.clone();
+    let turn = |server: &ServiceServer| {
+        xxhash_rust::xxh3::xxh3_64_with_seed(
+            server.name.as_bytes(),
+            xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+        )
+    };
+    servers.sort_by_key(|server| (server.availability_zone != own_zone, turn(server)));
+    servers
+}
+
+/// Sends a non-idempotent call at most once: to another server only if no byte can have been sent.
+async fn call_once(
+    context: &TrafficContext,
+    servers: &[ServiceServer],
+    call: &ServiceCall,
+    deadline: Instant,
+) -> Result<ServiceResponse, Failure> {
+    let mut last_error = None;
+    for server in servers {
+        log_service_call(call, server, "at_most_once");
+        match context.services.call(server.address, call.clone(), deadline).await {
+            Ok(response) => return Ok(response),
+            Err(error) if error.delivery == Delivery::NotSent => last_error = Some(error),
+            Err(error) => return Err(unknown_outcome(&error)),
+        }
+    }
+    Err(not_run(last_error))
+}
+
+async fn call_with_retries(
+    context: &TrafficContext,
+    servers: &[ServiceServer],
+    call: &ServiceCall,
+    deadline: Instant,
+) -> Result<ServiceResponse, Failure> {
+    context.retry_budget().earn(Instant::now());
+    let mut last_error: Option<PeerError> = None;
+    let mut any_unknown = false;
+    for (attempts, server) in (1..).zip(servers) {
+        log_service_call(call, server, "idempotent");
+        let error = match context.services.call(server.address, call.clone(), deadline).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        any_unknown |= error.delivery == Delivery::Unknown;
+        let failed = FailedAttempt { attempts, delivery: error.delivery, deadline };
+        last_error = Some(error);
+        let decision = retry::decide(failed, &mut context.retry_budget(), Instant::now());
+        if matches!(decision, RetryDecision::GiveUp(_)) {
+            break;
+        }
+    }
+    match last_error {
+        Some(error) if any_unknown => Err(unknown_outcome(&error)),
+        last_error => Err(not_run(last_error)),
+    }
+}
+
+fn log_service_call(call: &ServiceCall, server: &ServiceServer, kind: &str) {
+    log::info!(
+        "event=service_routed server={} method={} path={} kind={kind}",
+        server.name,
+        call.method,
+        call.path
+    );
+}
+
+fn unknown_outcome(error: &PeerError) -> Failure {
+    log::warn!("event=service_call_failed {error}");
+    let message = "the call was sent, its outcome is unknown";
+    Failure::unknown(FailureCode::UpstreamFailed, message)
+}
+
+fn not_run(error: Option<PeerError>) -> Failure {
+    let detail = error.map_or_else(SmolStr::default, |error| smol_str::format_smolstr!("{error}"));
+    log::warn!("event=service_call_not_run {detail}");
+    Failure::not_run(FailureCode::NoServer, "no server of the service can be reached")
+        .retry_at(Instant::now() + RETRY_AFTER)
+}
+
+fn reply(response: ServiceResponse) -> Reply {
+    let mut reply = Response::new(full_body(response.body));
+    *reply.status_mut() = response.status;
+    for name in RESPONSE_HEADERS {
+        if let Some(value) = response.headers.get(name) {
+            reply.headers_mut().insert(name, value.clone());
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/src/traffic/handlers/text_generation.rs
@@ -0,0 +1,191 @@
+//! Model requests: chat completions and completions, streamed or whole.
+
+use crate::adapters::http_server::Reply;
+use crate::traffic::authenticate::authenticate;
+use crate::traffic::generation::{Generation, Part, Usage};
+use crate::traffic::generation_request::{Endpoint, GenerationRequest, RawGenerationRequest};
+use crate::traffic::reply::{event_stream_reply, failure_body, json_reply};
+use crate::traffic::{Failure, FailureCode, TrafficContext, body};
+use bytes::Bytes;
+use futures_lite::stream;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Event that ends a complete stream.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Answers a model request.
+pub async fn handle(
+    context: Arc<TrafficContext>,
+    endpoint: Endpoint,
+    request: Request<Incoming>,
+) -> Result<Reply, Failure> {
+    let arrived_at = Instant::now();
+    let limits = context.settings.limits;
+    let (parts, incoming) = request.into_parts();
+    let workspace = authenticate(&parts.headers, &context.snapshot.load())?;
+    let read_deadline = arrived_at + Duration::from_millis(limits.read_timeout_ms);
+    let body = body::read(incoming, limits.body_bytes, read_deadline).await?;
+    let raw = RawGenerationRequest {
+        id: context.new_request_id(),
+        endpoint,
+        workspace,
+        headers: &parts.headers,
+        body: &body,
+        deadline: arrived_at + Duration::from_millis(limits.request_timeout_ms),
+    };
+    let request = GenerationRequest::check(raw, &context.snapshot.load())?;
+    let mut generation = Generation::new(context, request);
+    let first = generation.next_part().await?;
+    if generation.request().stream {
+        return Ok(stream_reply(generation, first));
+    }
+    whole_reply(generation, first, limits.answer_bytes).await
+}
+
+/// State of a stream to a caller.
+enum StreamState {
+    /// The part is to be sent next.
+    Ready(Box<Generation>, Part),
+    /// The next part is to be awaited.
+    Waiting(Box<Generation>),
+    /// The stream is over.
+    Ended,
+}
+
+fn stream_reply(generation: Generation, first: Part) -> Reply {
+    let state = StreamState::Ready(Box::new(generation), first);
+    event_stream_reply(stream::unfold(state, next_event))
+}
+
+async fn next_event(state: StreamState) -> Option<(Bytes, StreamState)> {
+    let (generation, part) = match state {
+        StreamState::Ready(generation, part) => (generation, Ok(part)),
+        StreamState::Waiting(mut generation) => {
+            let part = generation.next_part().await;
+            (generation, part)
+        }
+        StreamState::Ended => return None,
+    };
+    match part {
+        Ok(Part::Chunk(chunk)) => Some((encode_event(&chunk), StreamState::Waiting(generation))),
+        Ok(Part::End(usage)) => Some((end_events(&generation, usage), StreamState::Ended)),
+        Err(failure) => {
+            log::info!(
+                "event=stream_failed request={} code={}",
+                generation.request().id,
+                failure.code
+            );
+            Some((encode_event(&failure_body(&failure)), StreamState::Ended))
+        }
+    }
+}
+
+fn encode_event(data: &Value) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
+
+fn end_events(generation: &Generation, usage: Usage) -> Bytes {
+    let request = generation.request();
+    let mut events = Vec::new();
+    if request.include_usage {
+        let chunk = json!({
+            "id": request.id,
+            "object": chunk_object(request.endpoint),
+            "model": request.model,
+            "choices": [],
+            "usage": usage_json(usage),
+        });
+        events.extend_from_slice(&encode_event(&chunk));
+    }
+    events.extend_from_slice(DONE_EVENT);
+    events.into()
+}
+
+async fn whole_reply(
+    mut generation: Generation,
+    first: Part,
+    limit_bytes: usize,
+) -> Result<Reply, Failure> {
+    let mut text = String::new();
+    let mut finish_reason = Value::Null;
+    let mut part = first;
+    let usage = loop {
+        match part {
+            Part::End(usage) => break usage,
+            Part::Chunk(chunk) => {
+                let choice = &chunk["choices"][0];
+                text.push_str(choice_text(generation.request().endpoint, choice));
+                if !choice["finish_reason"].is_null() {
+                    finish_reason = choice["finish_reason"].clone();
+                }
+            }
+        }
+        if text.len() > limit_bytes {
+            let message = format!("the answer exceeds {limit_bytes} bytes");
+            return Err(Failure::unknown(FailureCode::AnswerTooLarge, message));
+        }
+        part = generation.next_part().await?;
+    };
+    let body = whole_body(generation.request(), &text, &finish_reason, usage);
+    Ok(json_reply(StatusCode::OK, &body))
+}
+
+fn choice_text(endpoint: Endpoint, choice: &Value) -> &str {
+    let text = match endpoint {
+        Endpoint::ChatCompletions => &choice["delta"]["content"],
+        Endpoint::Completions => &choice["text"],
+    };
+    text.as_str().unwrap_or_default()
+}
+
+fn whole_body(
+    request: &GenerationRequest,
+    text: &str,
+    finish_reason: &Value,
+    usage: Usage,
+) -> Value {
+    let choice = match request.endpoint {
+        Endpoint::ChatCompletions => json!({
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": finish_reason,
+        }),
+        Endpoint::Completions => {
+            json!({ "index": 0, "text": text, "finish_reason": finish_reason })
+        }
+    };
+    json!({
+        "id": request.id,
+        "object": whole_object(request.endpoint),
+        "model": request.model,
+        "choices": [choice],
+        "usage": usage_json(usage),
+    })
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
+
+fn chunk_object(endpoint: Endpoint) -> &'static str {
+    match endpoint {
+        Endpoint::ChatCompletions => "chat.completion.chunk",
+        Endpoint::Completions => "text_completion",
+    }
+}
+
+fn whole_object(endpoint: Endpoint) -> &'static str {
+    match endpoint {
+        Endpoint::ChatCompletions => "chat.completion",
+        Endpoint::Completions => "text_completion",
+    }
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -1,1 +1,19 @@
 //! Traffic threads: accept, admit, route, relay and retry.
+//!
+//! Traffic threads decide on the latest snapshot and never wait for the control thread.
+
+pub mod authenticate;
+pub mod body;
+pub mod context;
+pub mod dispatch;
+pub mod failure;
+pub mod generation;
+pub mod generation_request;
+pub mod handlers;
+pub mod reply;
+pub mod run_state;
+
+pub use context::TrafficContext;
+pub use dispatch::dispatch;
+pub use failure::{Failure, FailureCode};
+pub use run_state::RunState;
