--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -20,6 +20,8 @@
 pub type RequestId = SmolStr;
 /// Revision of a document section: the log offset of the edit that set it.
 pub type Revision = u64;
+/// Path of a document section, such as `workspaces/survey` or `site`.
+pub type SectionPath = SmolStr;
 /// Name of a backend server.
 pub type ServerId = SmolStr;
 /// Name of a plain service.
