feat(metrics): metrics registry and one-line logging

Cause: every part reports through the same registry and line form. Change: src/metrics with all families, src/logging with the key=value line. Conclusion: other parts can add fields.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod decision;
 pub mod document;
 pub mod links;
+pub mod logging;
+pub mod metrics;
 pub mod ports;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,230 @@
+//! Metrics of a node, in one struct, exposed in the OpenMetrics text format.
+//!
+//! Every family is described in `docs/operators/metrics.md`.
+
+pub mod labels;
+
+pub use labels::{OutcomeLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels};
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+/// Gauge of a value with fractions.
+pub type SecondsGauge = Gauge<f64, AtomicU64>;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+
+#[derive(Clone, Copy, Debug)]
+struct LatencyHistogram;
+
+impl MetricConstructor<Histogram> for LatencyHistogram {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(LATENCY_BUCKETS_S)
+    }
+}
+
+/// Latency histogram for each workspace.
+#[derive(Clone, Debug)]
+pub struct LatencyFamily(Family<RequestLabels, Histogram, LatencyHistogram>);
+
+impl Default for LatencyFamily {
+    fn default() -> Self {
+        Self(Family::new_with_constructor(LatencyHistogram))
+    }
+}
+
+impl LatencyFamily {
+    /// Counts a latency.
+    pub fn observe(&self, labels: &RequestLabels, latency: Duration) {
+        self.0.get_or_create(labels).observe(latency.as_secs_f64());
+    }
+}
+
+/// All metrics of a node. Clones share their values.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    /// Requests that ended, by workspace and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests under way.
+    pub requests_under_way: Gauge,
+    /// Time from accepting a request to its first token.
+    pub first_token_seconds: LatencyFamily,
+    /// Prompt tokens sent to engines.
+    pub prompt_tokens: Family<RequestLabels, Counter>,
+    /// Prompt tokens that engines took from their cache.
+    pub cached_tokens: Family<RequestLabels, Counter>,
+    /// Prompt tokens computed though the router expected them to be cached.
+    pub recomputed_tokens: Family<RequestLabels, Counter>,
+    /// Routing decisions by reason.
+    pub route_decisions: Family<ReasonLabels, Counter>,
+    /// Attempts after the first, by reason.
+    pub retries: Family<ReasonLabels, Counter>,
+    /// Exchanges with peers that failed, by peer and step.
+    pub peer_errors: Family<PeerLabels, Counter>,
+    /// Claims of idempotency keys, by outcome.
+    pub claims: Family<ReasonLabels, Counter>,
+    /// Leases held by this node.
+    pub leases_held: Gauge,
+    /// Watts that this node may commit.
+    pub power_share_watts: Gauge,
+    /// Watts that this node has committed.
+    pub power_committed_watts: Gauge,
+    /// Live nodes as this node sees them, itself included.
+    pub live_nodes: Gauge,
+    /// Bytes sent to partners.
+    pub link_sent_bytes: Counter,
+    /// Bytes received from partners.
+    pub link_received_bytes: Counter,
+    /// Offset up to which a log stream has been read.
+    pub log_read_offset: Family<StreamLabels, Gauge>,
+    /// Time of the last successful read of a log stream, in seconds since the Unix epoch.
+    pub log_read_timestamp_seconds: Family<StreamLabels, SecondsGauge>,
+    /// Revision of the document in force.
+    pub document_revision: Gauge,
+    /// Revision that the log has accepted; above the one in force if this build cannot check it.
+    pub document_accepted_revision: Gauge,
+    /// 1 while the accepted document cannot be put in force by this build.
+    pub document_held_back: Gauge,
+    /// Malformed records met on the configuration stream.
+    pub configuration_bad_records: Counter,
+    /// Edits that this node submitted, by outcome.
+    pub configuration_edits: Family<ReasonLabels, Counter>,
+    /// Requests to the administration API, by outcome.
+    pub admin_requests: Family<ReasonLabels, Counter>,
+}
+
+impl Metrics {
+    /// Returns a registry that exposes these metrics.
+    pub fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("coriandertide");
+        self.register_traffic(&mut registry);
+        self.register_control(&mut registry);
+        self.register_configuration(&mut registry);
+        registry
+    }
+
+    fn register_traffic(&self, registry: &mut Registry) {
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "requests_under_way",
+            "Requests under way",
+            self.requests_under_way.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Time to the first token",
+            Unit::Seconds,
+            self.first_token_seconds.0.clone(),
+        );
+        registry.register("prompt_tokens", "Prompt tokens", self.prompt_tokens.clone());
+        registry.register(
+            "cached_tokens",
+            "Prompt tokens from engine caches",
+            self.cached_tokens.clone(),
+        );
+        registry.register(
+            "recomputed_tokens",
+            "Prompt tokens computed though expected to be cached",
+            self.recomputed_tokens.clone(),
+        );
+        registry.register(
+            "route_decisions",
+            "Routing decisions by reason",
+            self.route_decisions.clone(),
+        );
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        registry.register(
+            "peer_errors",
+            "Failed exchanges by peer and step",
+            self.peer_errors.clone(),
+        );
+    }
+
+    fn register_control(&self, registry: &mut Registry) {
+        registry.register("claims", "Claims by outcome", self.claims.clone());
+        registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
+        registry.register(
+            "power_share_watts",
+            "Watts this node may commit",
+            self.power_share_watts.clone(),
+        );
+        registry.register(
+            "power_committed_watts",
+            "Watts this node has committed",
+            self.power_committed_watts.clone(),
+        );
+        registry.register("live_nodes", "Live nodes seen", self.live_nodes.clone());
+        registry.register_with_unit(
+            "link_sent",
+            "Bytes sent to partners",
+            Unit::Bytes,
+            self.link_sent_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "link_received",
+            "Bytes received from partners",
+            Unit::Bytes,
+            self.link_received_bytes.clone(),
+        );
+        registry.register(
+            "log_read_offset",
+            "Offset up to which a stream has been read",
+            self.log_read_offset.clone(),
+        );
+        registry.register_with_unit(
+            "log_read_timestamp",
+            "Time of the last successful read of a stream",
+            Unit::Seconds,
+            self.log_read_timestamp_seconds.clone(),
+        );
+    }
+
+    fn register_configuration(&self, registry: &mut Registry) {
+        registry.register("document_revision", "Revision in force", self.document_revision.clone());
+        registry.register(
+            "document_accepted_revision",
+            "Revision accepted on the log",
+            self.document_accepted_revision.clone(),
+        );
+        registry.register(
+            "document_held_back",
+            "1 while the accepted document cannot be put in force",
+            self.document_held_back.clone(),
+        );
+        registry.register(
+            "configuration_bad_records",
+            "Malformed configuration records",
+            self.configuration_bad_records.clone(),
+        );
+        registry.register(
+            "configuration_edits",
+            "Edits submitted here by outcome",
+            self.configuration_edits.clone(),
+        );
+        registry.register(
+            "admin_requests",
+            "Administration requests by outcome",
+            self.admin_requests.clone(),
+        );
+    }
+}
+
+/// Returns the text that a scrape gets.
+///
+/// # Errors
+///
+/// A metric whose value cannot be written as text.
+pub fn encode(registry: &Registry) -> Result<String, fmt::Error> {
+    let mut text = String::new();
+    text::encode(&mut text, registry)?;
+    Ok(text)
+}
