--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
 //! loop applies the events, so that no state is shared.
 
+pub mod configuration;
 pub mod context;
 pub mod event;
 pub mod log_tail;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -2,9 +2,10 @@
 
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
+use crate::decision::configuration::ConfigurationState;
 use crate::decision::routing::{RoutingEvent, RoutingState};
 use crate::document::Document;
-use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogStream};
+use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -12,6 +13,7 @@
 /// All state of the control thread.
 pub struct ControlState {
     pub(super) context: ControlContext,
+    pub(super) configuration: ConfigurationState,
     pub(super) routing: RoutingState,
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
@@ -24,6 +26,7 @@
     pub fn new(context: ControlContext, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
         Self {
             context,
+            configuration: ConfigurationState::default(),
             routing: RoutingState::default(),
             document: None,
             keys: Arc::default(),
@@ -43,7 +46,7 @@
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
             ControlEvent::Tick => {}
-            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
+            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, &page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
             }
@@ -71,6 +74,13 @@
         self.document = Some(document);
     }
 
+    fn apply_log(&mut self, stream: LogStream, page: &LogPage, now: Instant) {
+        match stream {
+            LogStream::Configuration => self.apply_configuration(page, now),
+            LogStream::Claims | LogStream::Leases | LogStream::Power => {}
+        }
+    }
+
     fn apply_instances(&mut self, instances: &[InstanceRecord], now: Instant) {
         let leaving = instances
             .iter()
