--- /dev/null
+++ b/src/decision/routing/feedback.rs
@@ -0,0 +1,168 @@
+//! What reports, cache events and answers teach the routing state.
+
+use super::RoutingState;
+use super::belief::{Holder, KeptTokens};
+use super::fleet::ServerIndex;
+use super::homes::HomeDemand;
+use super::load::ServerState;
+use super::messages::{AnswerFeedback, AnswerTiming, KeptPrefix, SentRequest};
+use crate::ports::{CacheEvent, CacheEventPage, LoadReport};
+use crate::types::{Incarnation, ServerId};
+use std::sync::Arc;
+use std::time::Instant;
+
+impl RoutingState {
+    pub(super) fn apply_load(
+        &mut self,
+        server: &ServerId,
+        report: &LoadReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let config = Arc::clone(&self.config);
+        let mut models_changed = false;
+        self.update_server(server, |state| {
+            let before = state.report.as_ref().map(|report| Arc::clone(&report.models));
+            state.report(report, asked_at, &config, now);
+            let after = state.report.as_ref().map(|report| &report.models);
+            models_changed = before.as_ref() != after;
+        });
+        if models_changed {
+            self.update_models(now);
+        }
+    }
+
+    pub(super) fn apply_events(&mut self, server: &ServerId, page: &CacheEventPage, now: Instant) {
+        let Some(index) = self.fleet.index(server) else { return };
+        let mut is_current = false;
+        self.update_server(server, |state| is_current = state.take_page(page, now));
+        if !is_current {
+            return;
+        }
+        for event in &page.events {
+            match *event {
+                CacheEvent::Stored { prefix_key, .. } => {
+                    self.believe(prefix_key, index, page.incarnation, now);
+                }
+                CacheEvent::Evicted { prefix_key, .. } => self.beliefs.remove(prefix_key, index),
+            }
+        }
+    }
+
+    pub(super) fn apply_sent(&mut self, sent: &SentRequest, now: Instant) {
+        let Some(index) = self.fleet.index(&sent.server) else { return };
+        let Some(state) = self.servers.get(index as usize) else { return };
+        let incarnation = state.incarnations.current();
+        let demand = self.home_demand(state);
+        for level in &sent.levels {
+            if level.anchor {
+                let entry = self.beliefs.entry(level.key, &self.config, now);
+                entry.rate.count(demand, &self.config, now);
+            }
+            if let Some(incarnation) = incarnation {
+                self.believe(level.key, index, incarnation, now);
+            }
+        }
+    }
+
+    pub(super) fn apply_answer(&mut self, answer: &AnswerFeedback, now: Instant) {
+        let Some(index) = self.fleet.index(&answer.server) else { return };
+        let mut is_current = false;
+        self.update_server(&answer.server, |state| {
+            is_current = state.incarnations.observe(answer.incarnation);
+            state.succeed();
+        });
+        if !is_current {
+            return;
+        }
+        for level in &answer.levels {
+            self.believe(level.key, index, answer.incarnation, now);
+        }
+        if let Some(timing) = &answer.timing {
+            self.learn_lifetime(answer, timing);
+            self.learn_timing(answer, timing, now);
+        }
+    }
+
+    pub(super) fn apply_kept(&mut self, kept: &[KeptPrefix], now: Instant) {
+        let valid_until = now + self.config.kept_lifetime;
+        for prefix in kept {
+            let entry = self.beliefs.entry(prefix.key, &self.config, now);
+            entry.kept = Some(KeptTokens { tokens: prefix.tokens, valid_until });
+        }
+    }
+
+    fn believe(&mut self, key: u64, server: ServerIndex, incarnation: Incarnation, now: Instant) {
+        let holder = Holder { server, incarnation, used_at: now };
+        self.beliefs.store(key, holder, &self.config, now);
+    }
+
+    fn home_demand(&self, state: &ServerState) -> HomeDemand {
+        let info = state.info.as_ref();
+        HomeDemand {
+            live_nodes: self.live_nodes,
+            occupancy_s: state.occupancy_s,
+            concurrent_requests: info.map_or(1, |info| info.concurrent_requests),
+            servers: self.servers.len(),
+        }
+    }
+
+    /// Compares what was cached with what was believed when the server was chosen.
+    fn learn_lifetime(&mut self, answer: &AnswerFeedback, timing: &AnswerTiming) {
+        let Some(held) = timing.expectation.held else { return };
+        let config = Arc::clone(&self.config);
+        let prompt_bytes = answer.levels.last().map_or(1, |level| level.bytes.max(1));
+        let share = f64::from(held.bytes) / f64::from(prompt_bytes);
+        let held_tokens = f64::from(answer.prompt_tokens) * share;
+        let was_cached = f64::from(answer.cached_tokens) + 1.0 >= held_tokens;
+        let age = timing.sent_at.saturating_duration_since(held.used_at);
+        self.update_server(&answer.server, |state| {
+            state.observe_belief(age.as_secs_f64(), was_cached, &config);
+        });
+    }
+
+    fn learn_timing(&mut self, answer: &AnswerFeedback, timing: &AnswerTiming, now: Instant) {
+        let Some(model) = self.fleet.models.get(&answer.model) else { return };
+        let prefill_tokens_per_s = model.prefill_tokens_per_s;
+        let config = Arc::clone(&self.config);
+        let computed_tokens = answer.prompt_tokens.saturating_sub(answer.cached_tokens);
+        self.update_server(&answer.server, |state| {
+            let Some(info) = state.info.clone() else { return };
+            let occupancy = timing.ended_at.saturating_duration_since(timing.sent_at);
+            state.observe_occupancy(occupancy.as_secs_f64());
+            let first_token = timing.first_token_at.saturating_duration_since(timing.sent_at);
+            let expected_s = f64::from(computed_tokens) / prefill_tokens_per_s
+                + 2.0 * info.link_delay.as_secs_f64()
+                + f64::from(timing.expectation.wait_ms) / 1_000.0;
+            let late_s = first_token.as_secs_f64() - expected_s;
+            state.excess_wait.observe(late_s, config.excess_wait_lifetime, now);
+        });
+    }
+}
+
+impl ServerState {
+    /// Takes in the head of a page of events; returns false if it is of a retired incarnation.
+    fn take_page(&mut self, page: &CacheEventPage, now: Instant) -> bool {
+        let before = self.incarnations.current();
+        if !self.incarnations.observe(page.incarnation) {
+            return false;
+        }
+        if before.is_some_and(|before| before != page.incarnation) {
+            self.next_event = 0;
+        }
+        let mut expected = self.next_event;
+        for event in &page.events {
+            let (CacheEvent::Stored { sequence, .. } | CacheEvent::Evicted { sequence, .. }) =
+                *event;
+            if sequence > expected && expected > 0 {
+                self.gap_at = Some(now);
+            }
+            expected = expected.max(sequence + 1);
+        }
+        if page.next_event > expected && expected > 0 {
+            self.gap_at = Some(now);
+        }
+        self.next_event = page.next_event.max(expected);
+        true
+    }
+}
--- /dev/null
+++ b/src/decision/routing/fleet.rs
@@ -0,0 +1,189 @@
+//! Backend servers and models of the document, in the dense form that decisions work on.
+
+use crate::document::{Document, ScoreWeights};
+use crate::types::{
+    AvailabilityZone, Incarnation, LogOffset, ModelId, ServerId, WeightsVersion, WorkspaceId,
+};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Index of a server in the routing state; a server keeps it while the process runs.
+pub type ServerIndex = u32;
+
+/// Requests of this node under way on a server, shared by all views.
+#[derive(Debug, Default)]
+pub struct ServerCounters {
+    outstanding_requests: AtomicU32,
+    prefill_tokens: AtomicU64,
+}
+
+impl ServerCounters {
+    /// Returns the requests under way.
+    pub fn outstanding_requests(&self) -> u32 {
+        self.outstanding_requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the prompt tokens of requests under way whose first token has not come.
+    pub fn prefill_tokens(&self) -> u64 {
+        self.prefill_tokens.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as under way.
+    pub fn begin(&self, prefill_tokens: u32) {
+        self.outstanding_requests.fetch_add(1, Ordering::Relaxed);
+        self.prefill_tokens.fetch_add(u64::from(prefill_tokens), Ordering::Relaxed);
+    }
+
+    /// Takes back the prompt tokens of a request whose first token has come.
+    pub fn first_token(&self, prefill_tokens: u32) {
+        self.prefill_tokens.fetch_sub(u64::from(prefill_tokens), Ordering::Relaxed);
+    }
+
+    /// Ends the count of a request.
+    pub fn end(&self) {
+        self.outstanding_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What the document says of a server.
+#[derive(Clone, Debug)]
+pub struct ServerInfo {
+    /// Name.
+    pub id: ServerId,
+    /// Address.
+    pub address: SocketAddr,
+    /// One-way delay from this node.
+    pub link_delay: Duration,
+    /// Requests that the server runs at once.
+    pub concurrent_requests: u32,
+    /// Hash of the name, for rendezvous hashing.
+    pub name_hash: u64,
+    /// Requests of this node under way.
+    pub counters: Arc<ServerCounters>,
+}
+
+/// What the document says of a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelInfo {
+    /// Version of the weights in force.
+    pub weights_version: WeightsVersion,
+    /// Prompt tokens that a server computes a second.
+    pub prefill_tokens_per_s: f64,
+    /// Tokens of kept KV cache that a server imports a second.
+    pub import_tokens_per_s: f64,
+    /// Least number of servers that serve the model.
+    pub least_servers: usize,
+}
+
+/// Names, models and workspaces of the document; changes with the document alone.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Index of each server, also of those that left the document.
+    pub indexes: HashMap<ServerId, ServerIndex>,
+    /// Models and their adapters.
+    pub models: HashMap<ModelId, ModelInfo>,
+    /// Weights of the score by workspace.
+    pub score_weights: HashMap<WorkspaceId, ScoreWeights>,
+    /// Offset of the document.
+    pub document_offset: LogOffset,
+}
+
+impl Fleet {
+    /// Returns the fleet of `document`; servers that have an index keep it.
+    pub fn updated(&self, document: &Document) -> Self {
+        let mut indexes = self.indexes.clone();
+        for id in document.servers.keys() {
+            let next = indexes.len() as ServerIndex;
+            indexes.entry(id.clone()).or_insert(next);
+        }
+        let models = document.models.iter().flat_map(|(id, model)| {
+            let info = ModelInfo {
+                weights_version: model.weights_version.clone(),
+                prefill_tokens_per_s: f64::from(model.prefill_tokens_per_s),
+                import_tokens_per_s: f64::from(model.import_tokens_per_s),
+                least_servers: model.least_servers as usize,
+            };
+            std::iter::once(id).chain(&model.adapters).map(move |id| (id.clone(), info.clone()))
+        });
+        let workspaces = document.workspaces.iter();
+        Self {
+            indexes,
+            models: models.collect(),
+            score_weights: workspaces.map(|(id, it)| (id.clone(), it.score)).collect(),
+            document_offset: document.offset,
+        }
+    }
+
+    /// Returns the index of `server`.
+    pub fn index(&self, server: &ServerId) -> Option<ServerIndex> {
+        self.indexes.get(server).copied()
+    }
+}
+
+/// Returns what `document` says of `server`, seen from `own_zone`.
+pub fn server_info(
+    document: &Document,
+    server: &ServerId,
+    own_zone: &AvailabilityZone,
+    counters: Arc<ServerCounters>,
+) -> Option<ServerInfo> {
+    let raw = document.servers.get(server)?;
+    Some(ServerInfo {
+        id: server.clone(),
+        address: raw.address,
+        link_delay: link_delay(document, own_zone, &raw.availability_zone),
+        concurrent_requests: raw.concurrent_requests.max(1),
+        name_hash: xxh3_64(server.as_bytes()),
+        counters,
+    })
+}
+
+/// Returns the one-way delay between two zones, 0 within a zone or where none is given.
+fn link_delay(document: &Document, from: &AvailabilityZone, to: &AvailabilityZone) -> Duration {
+    if from == to {
+        return Duration::ZERO;
+    }
+    let link = document.site.zone_links.iter().find(|link| {
+        (link.from == *from && link.to == *to) || (link.from == *to && link.to == *from)
+    });
+    link.map_or(Duration::ZERO, |link| Duration::from_micros(u64::from(link.delay_us)))
+}
+
+/// Incarnations of a server: the last one seen and some before it, which never come back.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Incarnations {
+    last: Option<Incarnation>,
+    is_confirmed: bool,
+    retired: [Option<Incarnation>; 4],
+}
+
+impl Incarnations {
+    /// Returns the present incarnation, none while it is unknown.
+    pub fn current(&self) -> Option<Incarnation> {
+        self.last.filter(|_| self.is_confirmed)
+    }
+
+    /// Takes in that the server may have come back empty; the next answer confirms or denies it.
+    pub fn doubt(&mut self) {
+        self.is_confirmed = false;
+    }
+
+    /// Takes in that `seen` answered; returns false if it is a retired one, whose news is stale.
+    pub fn observe(&mut self, seen: Incarnation) -> bool {
+        if self.retired.contains(&Some(seen)) {
+            return false;
+        }
+        if let Some(before) = self.last.replace(seen)
+            && before != seen
+        {
+            self.retired.rotate_right(1);
+            self.retired[0] = Some(before);
+        }
+        self.is_confirmed = true;
+        true
+    }
+}
--- /dev/null
+++ b/src/decision/routing/load.rs
@@ -0,0 +1,248 @@
+//! Load of the servers: their reports, what this node sent since, and corrections by observation.
+
+use super::config::RoutingConfig;
+use super::fleet::{Incarnations, ServerInfo};
+use crate::ports::{LoadReport, LoadedModel};
+use crate::types::{ModelId, WeightsVersion};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Weight of a new observation in a smoothed value.
+const SMOOTHING: f64 = 0.2;
+/// Seconds by which a first token may be late without counting as excess wait.
+const WAIT_TOLERANCE_S: f64 = 0.02;
+
+/// State of a server.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    /// What the document says; none if it no longer names the server.
+    pub info: Option<Arc<ServerInfo>>,
+    /// Whether the server is listed as leaving.
+    pub is_listed_leaving: bool,
+    /// Whether the server says that it is leaving.
+    pub is_reported_leaving: bool,
+    /// Incarnations.
+    pub incarnations: Incarnations,
+    /// Last report.
+    pub report: Option<ReportedLoad>,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Until when the server gets no request after failures.
+    pub backoff_until: Option<Instant>,
+    /// Wait beyond the expected one.
+    pub excess_wait: ExcessWait,
+    /// Seconds for which a request occupies the server.
+    pub occupancy_s: f64,
+    /// Seconds after which a belief is worth 1/e.
+    pub cache_lifetime_s: f64,
+    /// When events were last found missing.
+    pub gap_at: Option<Instant>,
+    /// Sequence number of the next cache event.
+    pub next_event: u64,
+}
+
+/// What a report said, and what this node had under way then.
+#[derive(Clone, Debug)]
+pub struct ReportedLoad {
+    /// When the node asked for the report.
+    pub asked_at: Instant,
+    /// Requests running or waiting.
+    pub requests: u32,
+    /// Prompt tokens waiting.
+    pub waiting_prompt_tokens: u64,
+    /// This node's requests under way when the report came.
+    pub own_requests: u32,
+    /// This node's prompt tokens under way when the report came.
+    pub own_prefill_tokens: u64,
+    /// Models loaded.
+    pub models: Arc<[LoadedModel]>,
+    /// Until when the absence of a model from `models` is relied on.
+    pub absence_valid_until: Instant,
+}
+
+/// Whether a server serves a model in the version in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Serving {
+    /// It reported so.
+    Yes,
+    /// It lately reported otherwise.
+    No,
+    /// There is no report, or one too old to rely on.
+    Unknown,
+}
+
+/// Exponentially forgotten excess of the observed over the expected wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExcessWait {
+    seconds: f64,
+    observed_at: Option<Instant>,
+}
+
+impl ExcessWait {
+    /// Returns the excess in seconds, forgotten with time constant `lifetime`.
+    pub fn seconds(&self, lifetime: Duration, now: Instant) -> f64 {
+        let Some(observed_at) = self.observed_at else { return 0.0 };
+        let age = now.saturating_duration_since(observed_at);
+        self.seconds * (-age.as_secs_f64() / lifetime.as_secs_f64()).exp()
+    }
+
+    /// Takes in that a first token came `late_s` seconds later than expected without this excess.
+    pub fn observe(&mut self, late_s: f64, lifetime: Duration, now: Instant) {
+        let before = self.seconds(lifetime, now);
+        let late_s = (late_s - WAIT_TOLERANCE_S).max(0.0);
+        self.seconds = before + (late_s - before) * SMOOTHING;
+        self.observed_at = Some(now);
+    }
+}
+
+/// Load of a server as this node estimates it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadEstimate {
+    /// Requests running or waiting.
+    pub requests: f64,
+    /// Prompt tokens waiting to be computed.
+    pub prefill_tokens: f64,
+}
+
+impl ServerState {
+    /// Returns the state of a server that nothing was heard of.
+    pub fn new(info: Option<Arc<ServerInfo>>, config: &RoutingConfig) -> Self {
+        Self {
+            info,
+            is_listed_leaving: false,
+            is_reported_leaving: false,
+            incarnations: Incarnations::default(),
+            report: None,
+            failures: 0,
+            backoff_until: None,
+            excess_wait: ExcessWait::default(),
+            occupancy_s: config.initial_occupancy_s,
+            cache_lifetime_s: config.initial_cache_lifetime.as_secs_f64(),
+            gap_at: None,
+            next_event: 0,
+        }
+    }
+
+    /// Returns whether the server may get new work, apart from a backoff.
+    pub fn is_in_service(&self) -> bool {
+        self.info.is_some() && !self.is_listed_leaving && !self.is_reported_leaving
+    }
+
+    /// Returns whether the server is left alone after failures.
+    pub fn is_backing_off(&self, now: Instant) -> bool {
+        self.backoff_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes in a report; one that was asked for before the last is ignored.
+    pub fn report(
+        &mut self,
+        report: &LoadReport,
+        asked_at: Instant,
+        config: &RoutingConfig,
+        now: Instant,
+    ) {
+        let is_stale = self.report.as_ref().is_some_and(|last| asked_at < last.asked_at);
+        if is_stale || !self.incarnations.observe(report.incarnation) {
+            return;
+        }
+        self.is_reported_leaving = report.leaving;
+        self.failures = 0;
+        self.backoff_until = None;
+        let counters = self.info.as_ref().map(|info| &info.counters);
+        self.report = Some(ReportedLoad {
+            asked_at,
+            requests: report.running_requests.saturating_add(report.waiting_requests),
+            waiting_prompt_tokens: report.waiting_prompt_tokens,
+            own_requests: counters.map_or(0, |counters| counters.outstanding_requests()),
+            own_prefill_tokens: counters.map_or(0, |counters| counters.prefill_tokens()),
+            models: report.models.clone().into(),
+            absence_valid_until: now + config.serving_lifetime,
+        });
+    }
+
+    /// Takes in that a request failed; the server is left alone for a while.
+    pub fn fail(&mut self, config: &RoutingConfig, now: Instant) {
+        let doublings = self.failures.min(16);
+        let backoff = config.min_backoff.saturating_mul(1 << doublings).min(config.max_backoff);
+        self.failures = self.failures.saturating_add(1);
+        self.backoff_until = Some(now + backoff);
+        self.incarnations.doubt();
+    }
+
+    /// Takes in that the server answered.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.backoff_until = None;
+    }
+
+    /// Returns whether the server serves `model` in `version`.
+    pub fn serving(&self, model: &ModelId, version: &WeightsVersion, now: Instant) -> Serving {
+        let Some(report) = &self.report else { return Serving::Unknown };
+        let is_loaded =
+            |it: &LoadedModel| it.weights_version == *version && is_model_or_adapter(it, model);
+        if report.models.iter().any(is_loaded) {
+            return Serving::Yes;
+        }
+        if now < report.absence_valid_until { Serving::No } else { Serving::Unknown }
+    }
+
+    /// Returns the load: the last report and what all nodes are thought to have sent since.
+    pub fn load(&self, live_nodes: u32, config: &RoutingConfig, now: Instant) -> LoadEstimate {
+        let Some(info) = &self.info else {
+            return LoadEstimate { requests: 0.0, prefill_tokens: 0.0 };
+        };
+        let own_requests = f64::from(info.counters.outstanding_requests());
+        let own_tokens = info.counters.prefill_tokens() as f64;
+        let others = f64::from(live_nodes.saturating_sub(1)) * config.herd_factor;
+        let Some(report) = &self.report else {
+            return LoadEstimate {
+                requests: own_requests * (1.0 + others),
+                prefill_tokens: own_tokens * (1.0 + others),
+            };
+        };
+        let age_s = now.saturating_duration_since(report.asked_at).as_secs_f64();
+        let weight = (-age_s / config.report_lifetime.as_secs_f64()).exp();
+        let reported_own = f64::from(report.own_requests);
+        let of_others = (f64::from(report.requests) - reported_own).max(0.0) * weight;
+        let sent_since = (own_requests - reported_own).max(0.0);
+        let reported_own_tokens = report.own_prefill_tokens as f64;
+        let waiting = report.waiting_prompt_tokens as f64;
+        let tokens_of_others = (waiting - reported_own_tokens).max(0.0) * weight;
+        let tokens_since = (own_tokens - reported_own_tokens).max(0.0);
+        LoadEstimate {
+            requests: own_requests + of_others + sent_since * others,
+            prefill_tokens: own_tokens + tokens_of_others + tokens_since * others,
+        }
+    }
+
+    /// Takes in for how long a request occupied the server.
+    pub fn observe_occupancy(&mut self, occupancy_s: f64) {
+        self.occupancy_s += (occupancy_s - self.occupancy_s) * SMOOTHING;
+    }
+
+    /// Takes in whether a belief of age `age_s` turned out to be right.
+    pub fn observe_belief(&mut self, age_s: f64, was_cached: bool, config: &RoutingConfig) {
+        let lifetime_s = self.cache_lifetime_s;
+        let target_s = match was_cached {
+            true if age_s > lifetime_s / 2.0 => age_s * 2.0,
+            false if age_s < lifetime_s => age_s,
+            true | false => return,
+        };
+        let learnt_s = lifetime_s + (target_s - lifetime_s) * SMOOTHING;
+        let min_s = config.min_cache_lifetime.as_secs_f64();
+        let max_s = config.max_cache_lifetime.as_secs_f64();
+        self.cache_lifetime_s = learnt_s.clamp(min_s, max_s);
+    }
+
+    /// Returns the probability that what the server used at `used_at` is still cached.
+    pub fn trust(&self, used_at: Instant, config: &RoutingConfig, now: Instant) -> f64 {
+        let age_s = now.saturating_duration_since(used_at).as_secs_f64();
+        let by_age = (-age_s / self.cache_lifetime_s).exp();
+        let is_before_gap = self.gap_at.is_some_and(|gap_at| used_at < gap_at);
+        if is_before_gap { by_age * config.gap_trust } else { by_age }
+    }
+}
+
+fn is_model_or_adapter(loaded: &LoadedModel, model: &ModelId) -> bool {
+    loaded.model == *model || loaded.adapters.contains(model)
+}
--- a/src/decision/routing/messages.rs
+++ b/src/decision/routing/messages.rs
@@ -18,6 +18,8 @@
     pub bytes: u32,
     /// Estimated tokens up to the end of the level.
     pub tokens: u32,
+    /// Whether the homes of the request are chosen by this level; true for one level of a prompt.
+    pub anchor: bool,
 }
 
 /// Event that changes the routing state.
@@ -43,6 +45,8 @@
         /// Events.
         page: CacheEventPage,
     },
+    /// A request was sent to a server.
+    Sent(SentRequest),
     /// A server completed an answer.
     Answer(AnswerFeedback),
     /// A request failed on a server without an answer.
@@ -52,6 +56,26 @@
     },
     /// The number of live nodes, this one included, changed.
     LiveNodes(u32),
+    /// The KV store told what it keeps.
+    KeptPrefixes(Vec<KeptPrefix>),
+}
+
+/// Prefix that the store of kept KV cache was asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeptPrefix {
+    /// Key of the prefix.
+    pub key: u64,
+    /// Tokens kept under it, 0 if none.
+    pub tokens: u32,
+}
+
+/// Request that was sent to a server.
+#[derive(Clone, Debug)]
+pub struct SentRequest {
+    /// Server.
+    pub server: ServerId,
+    /// Levels of the prompt.
+    pub levels: Vec<PrefixLevel>,
 }
 
 /// What an answer says about a server's cache.
@@ -71,6 +95,21 @@
     pub prompt_tokens: u32,
     /// Prompt tokens that came from the cache.
     pub cached_tokens: u32,
+    /// Times of the request, none if the answer was pieced together from several servers.
+    pub timing: Option<AnswerTiming>,
+}
+
+/// Times of a request on one server.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerTiming {
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// When the first token came.
+    pub first_token_at: Instant,
+    /// When the answer was complete.
+    pub ended_at: Instant,
+    /// What the choice of the server rested on.
+    pub expectation: Expectation,
 }
 
 /// Question to the routing decision.
@@ -105,6 +144,26 @@
     pub reason: RouteReason,
     /// Prefix keys to import from the KV store first.
     pub import_keys: Vec<u64>,
+    /// What the choice rests on; handed back with the answer.
+    pub expectation: Expectation,
+}
+
+/// What a choice rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Expectation {
+    /// Expected wait before the server starts on the prompt, by report and count alone.
+    pub wait_ms: u32,
+    /// Innermost level that the server was believed to hold.
+    pub held: Option<HeldLevel>,
+}
+
+/// Level that a server was believed to hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HeldLevel {
+    /// Bytes of the prompt up to the end of the level.
+    pub bytes: u32,
+    /// When the server last stored or used it.
+    pub used_at: Instant,
 }
 
 /// Reason of a choice.
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -3,78 +3,187 @@
 //! The control thread owns a [`RoutingState`] and applies events to it; traffic threads decide on
 //! the [`RoutingView`] it publishes.
 
+mod baseline;
+pub mod belief;
+pub mod config;
+pub mod feedback;
+pub mod fleet;
+pub mod homes;
+pub mod load;
 pub mod messages;
+pub mod poll;
+pub mod prefix;
+pub mod score;
+pub mod view;
 
+pub use config::RoutingConfig;
 pub use messages::*;
+pub use poll::{PollConfig, PollKind, PollPlanner, PollRequest};
+pub use prefix::{PrefixScope, prompt_levels};
+pub use view::RoutingView;
 
 use crate::document::Document;
-use crate::types::ServerId;
-use std::collections::BTreeSet;
+use crate::types::{AvailabilityZone, ServerId};
+use belief::BeliefIndex;
+use fleet::{Fleet, ServerIndex, server_info};
+use load::{ServerState, Serving};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Instant;
+use view::ModelServers;
 
 /// State behind routing decisions, owned by the control thread.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RoutingState {
-    document: Arc<Document>,
-    leaving: BTreeSet<ServerId>,
+    policy: RoutingPolicy,
+    own_zone: AvailabilityZone,
+    config: Arc<RoutingConfig>,
+    fleet: Arc<Fleet>,
+    servers: imbl::Vector<Arc<ServerState>>,
+    models: Arc<HashMap<crate::types::ModelId, ModelServers>>,
+    beliefs: BeliefIndex,
+    live_nodes: u32,
+    models_valid_until: Option<Instant>,
+    turn: Arc<AtomicUsize>,
+}
+
+impl Default for RoutingState {
+    fn default() -> Self {
+        let zone = AvailabilityZone::default();
+        Self::new(RoutingPolicy::default(), zone, RoutingConfig::default())
+    }
 }
 
 impl RoutingState {
+    /// Returns the state of a node that has just started in `own_zone`.
+    pub fn new(policy: RoutingPolicy, own_zone: AvailabilityZone, config: RoutingConfig) -> Self {
+        Self {
+            policy,
+            own_zone,
+            config: Arc::new(config),
+            fleet: Arc::new(Fleet::default()),
+            servers: imbl::Vector::new(),
+            models: Arc::new(HashMap::new()),
+            beliefs: BeliefIndex::default(),
+            live_nodes: 1,
+            models_valid_until: None,
+            turn: Arc::new(AtomicUsize::new(0)),
+        }
+    }
+
     /// Applies `event`.
-    pub fn apply(&mut self, event: RoutingEvent, _now: Instant) {
+    pub fn apply(&mut self, event: RoutingEvent, now: Instant) {
         match event {
-            RoutingEvent::Document(document) => self.document = document,
-            RoutingEvent::Leaving(servers) => self.leaving = servers,
-            RoutingEvent::Load { .. }
-            | RoutingEvent::CacheEvents { .. }
-            | RoutingEvent::Answer(_)
-            | RoutingEvent::ServerFailed { .. }
-            | RoutingEvent::LiveNodes(_) => {}
+            RoutingEvent::Document(document) => self.apply_document(&document, now),
+            RoutingEvent::Leaving(servers) => self.apply_leaving(&servers),
+            RoutingEvent::Load { server, report, asked_at } => {
+                self.apply_load(&server, &report, asked_at, now);
+            }
+            RoutingEvent::CacheEvents { server, page } => self.apply_events(&server, &page, now),
+            RoutingEvent::Sent(sent) => self.apply_sent(&sent, now),
+            RoutingEvent::Answer(answer) => self.apply_answer(&answer, now),
+            RoutingEvent::ServerFailed { server } => {
+                let config = Arc::clone(&self.config);
+                self.update_server(&server, |state| state.fail(&config, now));
+            }
+            RoutingEvent::LiveNodes(live_nodes) => self.live_nodes = live_nodes.max(1),
+            RoutingEvent::KeptPrefixes(kept) => self.apply_kept(&kept, now),
+        }
+        if self.models_valid_until.is_some_and(|until| until <= now) {
+            self.update_models(now);
         }
     }
 
-    /// Returns the view that traffic threads decide on.
+    /// Returns the view that traffic threads decide on; it shares all parts with the state.
     pub fn view(&self) -> RoutingView {
-        RoutingView { document: Arc::clone(&self.document), leaving: self.leaving.clone() }
+        RoutingView {
+            policy: self.policy,
+            config: Arc::clone(&self.config),
+            fleet: Arc::clone(&self.fleet),
+            servers: self.servers.clone(),
+            models: Arc::clone(&self.models),
+            prefixes: self.beliefs.entries(),
+            live_nodes: self.live_nodes,
+            turn: Arc::clone(&self.turn),
+        }
     }
-}
 
-/// Immutable view of the routing state.
-#[derive(Clone, Debug, Default)]
-pub struct RoutingView {
-    document: Arc<Document>,
-    leaving: BTreeSet<ServerId>,
-}
+    /// Returns the prefixes known.
+    pub fn beliefs(&self) -> &BeliefIndex {
+        &self.beliefs
+    }
 
-impl RoutingView {
-    /// Chooses a server for `query`, or none if no server is eligible.
-    pub fn route(&self, query: &RouteQuery, _now: Instant) -> Option<RouteDecision> {
-        let first_key = query.levels.first().map_or(0, |level| level.key);
-        let mut ranked: Vec<&ServerId> = self
-            .document
-            .servers
-            .keys()
-            .filter(|server| !self.leaving.contains(*server) && !query.excluded.contains(server))
-            .collect();
-        ranked.sort_by_key(|server| {
-            std::cmp::Reverse(xxhash_rust::xxh3::xxh3_64_with_seed(server.as_bytes(), first_key))
-        });
-        let server = ranked.first()?;
-        Some(RouteDecision {
-            server: (*server).clone(),
-            address: self.document.servers[*server].address,
-            runner_up: ranked.get(1).map(|server| (*server).clone()),
-            expected_hit_tokens: 0,
-            queued_requests: 0,
-            reason: RouteReason::Home,
-            import_keys: Vec::new(),
-        })
+    /// Returns the state of `server`.
+    pub fn server(&self, server: &ServerId) -> Option<&ServerState> {
+        let index = self.fleet.index(server)?;
+        self.servers.get(index as usize).map(Arc::as_ref)
     }
 
-    /// Counts a request as under way on `server` until [`RoutingView::end`].
-    pub fn begin(&self, _server: &ServerId, _expected_prefill_tokens: u32) {}
+    fn apply_document(&mut self, document: &Document, now: Instant) {
+        self.fleet = Arc::new(self.fleet.updated(document));
+        while self.servers.len() < self.fleet.indexes.len() {
+            self.servers.push_back(Arc::new(ServerState::new(None, &self.config)));
+        }
+        for (id, &index) in &self.fleet.indexes {
+            let state = &mut self.servers[index as usize];
+            let counters = state.info.as_ref().map(|info| Arc::clone(&info.counters));
+            let info = server_info(document, id, &self.own_zone, counters.unwrap_or_default());
+            Arc::make_mut(state).info = info.map(Arc::new);
+        }
+        self.update_models(now);
+    }
+
+    fn apply_leaving(&mut self, leaving: &BTreeSet<ServerId>) {
+        for (id, &index) in &self.fleet.indexes {
+            let state = &mut self.servers[index as usize];
+            let is_leaving = leaving.contains(id);
+            if state.is_listed_leaving != is_leaving {
+                Arc::make_mut(state).is_listed_leaving = is_leaving;
+            }
+        }
+    }
+
+    fn update_server(&mut self, server: &ServerId, update: impl FnOnce(&mut ServerState)) {
+        let Some(index) = self.fleet.index(server) else { return };
+        if let Some(state) = self.servers.get_mut(index as usize) {
+            update(Arc::make_mut(state));
+        }
+    }
 
-    /// Ends the count that [`RoutingView::begin`] started.
-    pub fn end(&self, _server: &ServerId, _expected_prefill_tokens: u32) {}
+    /// Works out anew which servers may serve each model.
+    fn update_models(&mut self, now: Instant) {
+        let reports = self.servers.iter().filter_map(|state| state.report.as_ref());
+        let deadlines = reports.map(|report| report.absence_valid_until);
+        self.models_valid_until = deadlines.filter(|until| now < *until).min();
+        let models = self.fleet.models.iter().map(|(id, info)| {
+            let servers = self.model_servers(id, info, now);
+            (id.clone(), ModelServers { info: info.clone(), servers: servers.into() })
+        });
+        self.models = Arc::new(models.collect());
+    }
+
+    /// Returns the servers that report the model; too few are filled up with those not heard of.
+    fn model_servers(
+        &self,
+        model: &crate::types::ModelId,
+        info: &fleet::ModelInfo,
+        now: Instant,
+    ) -> Vec<(ServerIndex, u64)> {
+        let mut serving = Vec::new();
+        let mut unknown = Vec::new();
+        for (index, state) in (0..).zip(self.servers.iter()) {
+            let Some(server) = &state.info else { continue };
+            match state.serving(model, &info.weights_version, now) {
+                Serving::Yes => serving.push((index, server.name_hash)),
+                Serving::Unknown => unknown.push((index, server.name_hash)),
+                Serving::No => {}
+            }
+        }
+        if serving.len() < info.least_servers {
+            serving.append(&mut unknown);
+            serving.sort_unstable();
+        }
+        serving
+    }
 }
--- /dev/null
+++ b/src/decision/routing/score.rs
@@ -0,0 +1,239 @@
+//! Score of a server for a request: expected seconds, weighted as the workspace chose.
+
+use super::belief::{PrefixEntry, PrefixMap};
+use super::config::RoutingConfig;
+use super::fleet::{ModelInfo, ServerIndex, ServerInfo};
+use super::load::{LoadEstimate, ServerState};
+use super::messages::{HeldLevel, PrefixLevel};
+use crate::document::ScoreWeights;
+use std::time::Instant;
+
+/// Smallest probability of a home holding a prefix; keeps an idle site to the homes.
+const MIN_HOME_TRUST: f64 = 0.05;
+/// Probability from which a prefix counts as believed to be cached.
+const CACHED_TRUST: f64 = 0.5;
+
+/// Level of a prompt and what is known of its prefix.
+#[derive(Clone, Copy, Debug)]
+struct KnownLevel<'a> {
+    level: PrefixLevel,
+    entry: Option<&'a PrefixEntry>,
+}
+
+/// Levels of a prompt and what is known of each.
+#[derive(Clone, Debug)]
+pub struct PromptBelief<'a> {
+    levels: Vec<KnownLevel<'a>>,
+    anchor: usize,
+    /// Tokens that the KV store keeps of the prompt.
+    kept: Option<KeptLevel>,
+    home_trust: f64,
+}
+
+/// Innermost level that the KV store keeps.
+#[derive(Clone, Copy, Debug)]
+struct KeptLevel {
+    index: usize,
+    tokens: f64,
+}
+
+/// Tokens expected from a server's cache.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ExpectedHit {
+    /// Expected number of tokens.
+    pub tokens: f64,
+    /// Whether a level beyond chance is believed to be cached.
+    pub is_believed: bool,
+}
+
+impl<'a> PromptBelief<'a> {
+    /// Returns what `prefixes` says of `levels`.
+    pub fn new(
+        levels: &[PrefixLevel],
+        prefixes: &'a PrefixMap,
+        live_nodes: u32,
+        config: &RoutingConfig,
+        now: Instant,
+    ) -> Self {
+        let known = |level: &PrefixLevel| {
+            let entry = prefixes.get(&level.key).map(AsRef::as_ref);
+            KnownLevel { level: *level, entry }
+        };
+        let levels: Vec<KnownLevel<'a>> = levels.iter().map(known).collect();
+        let anchor = levels.iter().position(|known| known.level.anchor).unwrap_or(0);
+        let others = 1.0 - 1.0 / f64::from(live_nodes.max(1));
+        let kept = kept_level(&levels, now);
+        let home_trust = (config.home_trust * others).max(MIN_HOME_TRUST);
+        Self { levels, anchor, kept, home_trust }
+    }
+
+    /// Returns the tokens of the prompt.
+    pub fn tokens(&self) -> u32 {
+        self.levels.last().map_or(0, |known| known.level.tokens)
+    }
+
+    /// Returns the key of the anchor.
+    pub fn anchor_key(&self) -> u64 {
+        self.levels.get(self.anchor).map_or(0, |known| known.level.key)
+    }
+
+    /// Returns the number of homes of the anchor.
+    pub fn homes(&self) -> u32 {
+        let entry = self.levels.get(self.anchor).and_then(|known| known.entry);
+        entry.map_or(1, |entry| entry.rate.homes())
+    }
+
+    /// Returns the servers that are believed to hold some level.
+    pub fn holders(&self) -> impl Iterator<Item = ServerIndex> + '_ {
+        let entries = self.levels.iter().rev().filter_map(|known| known.entry);
+        entries.flat_map(|entry| entry.holders.iter().map(|holder| holder.server))
+    }
+
+    /// Returns the tokens expected from the cache of `server`.
+    pub fn expected_hit(
+        &self,
+        index: ServerIndex,
+        server: &ServerState,
+        is_home: bool,
+        config: &RoutingConfig,
+        now: Instant,
+    ) -> ExpectedHit {
+        let mut hit = ExpectedHit::default();
+        let mut trust = 0.0_f64;
+        for (position, known) in self.levels.iter().enumerate().rev() {
+            trust = trust.max(known.trust(index, server, config, now));
+            hit.is_believed |= trust >= CACHED_TRUST;
+            if is_home && position <= self.anchor {
+                trust = trust.max(self.home_trust);
+            }
+            let outer = position.checked_sub(1).map_or(0, |outer| self.levels[outer].level.tokens);
+            hit.tokens += trust * f64::from(known.level.tokens.saturating_sub(outer));
+        }
+        hit
+    }
+
+    /// Returns the innermost level that `server` is believed to hold, whatever its age.
+    pub fn held_level(&self, index: ServerIndex, server: &ServerState) -> Option<HeldLevel> {
+        let incarnation = server.incarnations.current()?;
+        self.levels.iter().rev().find_map(|known| {
+            let mut holders = known.entry?.holders.iter();
+            let holder = holders
+                .find(|holder| holder.server == index && holder.incarnation == incarnation)?;
+            Some(HeldLevel { bytes: known.level.bytes, used_at: holder.used_at })
+        })
+    }
+
+    /// Returns the keys to import, outermost first.
+    pub fn import_keys(&self) -> Vec<u64> {
+        let Some(kept) = self.kept else { return Vec::new() };
+        self.levels[..=kept.index].iter().map(|known| known.level.key).collect()
+    }
+}
+
+impl KnownLevel<'_> {
+    /// Returns the probability that `server` holds the prefix in its present incarnation.
+    fn trust(
+        &self,
+        index: ServerIndex,
+        server: &ServerState,
+        config: &RoutingConfig,
+        now: Instant,
+    ) -> f64 {
+        let Some(entry) = self.entry else { return 0.0 };
+        let Some(incarnation) = server.incarnations.current() else { return 0.0 };
+        let holder = entry.holders.iter().find(|holder| holder.server == index);
+        match holder {
+            Some(holder) if holder.incarnation == incarnation => {
+                server.trust(holder.used_at, config, now)
+            }
+            Some(_) | None => 0.0,
+        }
+    }
+}
+
+fn kept_level(levels: &[KnownLevel<'_>], now: Instant) -> Option<KeptLevel> {
+    let is_kept = |known: &KnownLevel<'_>| {
+        let kept = known.entry.and_then(|entry| entry.kept);
+        kept.is_some_and(|kept| kept.tokens > 0 && now < kept.valid_until)
+    };
+    let index = levels.iter().rposition(is_kept)?;
+    Some(KeptLevel { index, tokens: f64::from(levels[index].level.tokens) })
+}
+
+/// Score of a server; less is better.
+#[derive(Clone, Copy, Debug)]
+pub struct Score {
+    /// Weighted seconds.
+    pub cost_s: f64,
+    /// Tokens expected from the cache.
+    pub hit: ExpectedHit,
+    /// Load of the server.
+    pub load: LoadEstimate,
+    /// Seconds until the server starts on the prompt, by report and count alone.
+    pub wait_s: f64,
+    /// Whether importing from the KV store beats recomputation.
+    pub imports: bool,
+}
+
+/// What all servers of one decision are scored with.
+#[derive(Clone, Copy, Debug)]
+pub struct ScoreInput<'a> {
+    /// Settings.
+    pub config: &'a RoutingConfig,
+    /// Model.
+    pub model: &'a ModelInfo,
+    /// Weights of the workspace.
+    pub weights: ScoreWeights,
+    /// Live nodes, this one included.
+    pub live_nodes: u32,
+    /// Time of the decision.
+    pub now: Instant,
+}
+
+impl ScoreInput<'_> {
+    /// Returns the score of a server.
+    pub fn score(
+        &self,
+        belief: &PromptBelief<'_>,
+        index: ServerIndex,
+        server: &ServerState,
+        info: &ServerInfo,
+        is_home: bool,
+    ) -> Score {
+        let hit = belief.expected_hit(index, server, is_home, self.config, self.now);
+        let load = server.load(self.live_nodes, self.config, self.now);
+        let prompt_tokens = f64::from(belief.tokens());
+        let recomputed_s = (prompt_tokens - hit.tokens) / self.model.prefill_tokens_per_s;
+        let with_import_s = belief.kept.map(|kept| self.import_s(kept, hit.tokens, prompt_tokens));
+        let imports = with_import_s.is_some_and(|import_s| import_s < recomputed_s);
+        let prefill_s = with_import_s.filter(|_| imports).unwrap_or(recomputed_s);
+        let link_s = 2.0 * info.link_delay.as_secs_f64();
+        let wait_s = self.wait_s(server, info, load);
+        let excess_s = server.excess_wait.seconds(self.config.excess_wait_lifetime, self.now);
+        let first_token_s = wait_s + excess_s + prefill_s + link_s;
+        let utilisation = load.requests / f64::from(info.concurrent_requests);
+        let cost_s = self.weights.first_token * first_token_s
+            + self.weights.recomputation * prefill_s
+            + self.weights.zone_link * link_s
+            + utilisation * self.config.utilisation_cost_s;
+        Score { cost_s, hit, load, wait_s, imports }
+    }
+
+    /// Returns the seconds until the server starts on the prompt, by report and count alone.
+    fn wait_s(&self, server: &ServerState, info: &ServerInfo, load: LoadEstimate) -> f64 {
+        let slots = f64::from(info.concurrent_requests);
+        let excess_requests = (load.requests + 1.0 - slots).max(0.0);
+        let slot_wait_s = excess_requests * server.occupancy_s / slots;
+        let prefill_wait_s = load.prefill_tokens / self.model.prefill_tokens_per_s;
+        slot_wait_s.max(prefill_wait_s)
+    }
+
+    /// Returns the seconds until the prompt is complete if the kept prefix is imported.
+    fn import_s(&self, kept: KeptLevel, hit_tokens: f64, prompt_tokens: f64) -> f64 {
+        let imported_tokens = (kept.tokens - hit_tokens).max(0.0);
+        let computed_tokens = (prompt_tokens - kept.tokens.max(hit_tokens)).max(0.0);
+        self.config.import_overhead.as_secs_f64()
+            + imported_tokens / self.model.import_tokens_per_s
+            + computed_tokens / self.model.prefill_tokens_per_s
+    }
+}
--- /dev/null
+++ b/src/decision/routing/view.rs
@@ -0,0 +1,297 @@
+//! View of the routing state that traffic threads decide on.
+
+use super::belief::PrefixMap;
+use super::config::RoutingConfig;
+use super::fleet::{Fleet, ModelInfo, ServerIndex, ServerInfo};
+use super::homes::ranked_servers;
+use super::load::ServerState;
+use super::messages::{Expectation, RouteDecision, RouteQuery, RouteReason, RoutingPolicy};
+use super::score::{PromptBelief, Score, ScoreInput};
+use crate::document::ScoreWeights;
+use crate::types::{ModelId, ServerId};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Seconds over which equally good servers are told apart by chance.
+const TIE_BREAK_S: f64 = 0.000_1;
+/// Homes beyond the wanted number that are scored, so that a loaded one has a next.
+const SPARE_HOMES: usize = 2;
+/// Weights where the document knows no workspace of that name.
+const DEFAULT_WEIGHTS: ScoreWeights =
+    ScoreWeights { first_token: 1.0, recomputation: 0.5, zone_link: 1.0 };
+
+/// Servers that may serve a model.
+#[derive(Clone, Debug)]
+pub struct ModelServers {
+    /// What the document says of the model.
+    pub info: ModelInfo,
+    /// Index and name hash of each server.
+    pub servers: Arc<[(ServerIndex, u64)]>,
+}
+
+/// Immutable view of the routing state; a clone shares all parts.
+#[derive(Clone, Debug)]
+pub struct RoutingView {
+    pub(super) policy: RoutingPolicy,
+    pub(super) config: Arc<RoutingConfig>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) servers: imbl::Vector<Arc<ServerState>>,
+    pub(super) models: Arc<HashMap<ModelId, ModelServers>>,
+    pub(super) prefixes: PrefixMap,
+    pub(super) live_nodes: u32,
+    pub(super) turn: Arc<AtomicUsize>,
+}
+
+/// Server that a request may go to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EligibleServer<'a> {
+    pub(super) index: ServerIndex,
+    pub(super) state: &'a ServerState,
+    pub(super) info: &'a ServerInfo,
+    is_home: bool,
+}
+
+/// How willingly a server is taken; earlier variants go first whatever the score.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    /// In order.
+    Ready,
+    /// This node has more than its share of requests under way on the server.
+    Overloaded,
+    /// The server failed lately.
+    BackingOff,
+}
+
+/// Server with its score.
+#[derive(Clone, Copy, Debug)]
+struct ScoredServer<'a> {
+    server: EligibleServer<'a>,
+    score: Score,
+    tier: Tier,
+}
+
+impl Default for RoutingView {
+    fn default() -> Self {
+        super::RoutingState::default().view()
+    }
+}
+
+impl RoutingView {
+    /// Chooses a server for `query`, or none if no server is eligible.
+    pub fn route(&self, query: &RouteQuery, now: Instant) -> Option<RouteDecision> {
+        let model = self.models.get(&query.model)?;
+        match self.policy {
+            RoutingPolicy::Coriandertide => self.route_by_score(query, model, now),
+            RoutingPolicy::RoundRobin
+            | RoutingPolicy::LeastOutstanding
+            | RoutingPolicy::PrefixHash => self.route_by_baseline(query, model, now),
+        }
+    }
+
+    /// Counts a request as under way on `server` until [`RoutingView::end`].
+    pub fn begin(&self, server: &ServerId, expected_prefill_tokens: u32) {
+        if let Some(info) = self.info(server) {
+            info.counters.begin(expected_prefill_tokens);
+        }
+    }
+
+    /// Takes back the prompt tokens given to [`RoutingView::begin`] once the first token has come.
+    pub fn first_token(&self, server: &ServerId, expected_prefill_tokens: u32) {
+        if let Some(info) = self.info(server) {
+            info.counters.first_token(expected_prefill_tokens);
+        }
+    }
+
+    /// Ends the count that [`RoutingView::begin`] started. `pending_prefill_tokens` is 0 after
+    /// [`RoutingView::first_token`], else what was given to `begin`.
+    pub fn end(&self, server: &ServerId, pending_prefill_tokens: u32) {
+        if let Some(info) = self.info(server) {
+            info.counters.first_token(pending_prefill_tokens);
+            info.counters.end();
+        }
+    }
+
+    fn info(&self, server: &ServerId) -> Option<&ServerInfo> {
+        let index = self.fleet.index(server)?;
+        self.state(index)?.info.as_deref()
+    }
+
+    fn state(&self, index: ServerIndex) -> Option<&ServerState> {
+        self.servers.get(index as usize).map(Arc::as_ref)
+    }
+
+    /// Returns the server at `index` if it is in service and `query` does not exclude it.
+    fn eligible(
+        &self,
+        query: &RouteQuery,
+        index: ServerIndex,
+        is_home: bool,
+    ) -> Option<EligibleServer<'_>> {
+        let state = self.state(index).filter(|state| state.is_in_service())?;
+        let info = state.info.as_deref()?;
+        let is_excluded = query.excluded.contains(&info.id);
+        (!is_excluded).then_some(EligibleServer { index, state, info, is_home })
+    }
+
+    fn route_by_baseline(
+        &self,
+        query: &RouteQuery,
+        model: &ModelServers,
+        now: Instant,
+    ) -> Option<RouteDecision> {
+        let all = model.servers.iter().filter_map(|&(index, _)| self.eligible(query, index, false));
+        let mut eligible: Vec<EligibleServer<'_>> = all.collect();
+        if eligible.iter().any(|server| !server.state.is_backing_off(now)) {
+            eligible.retain(|server| !server.state.is_backing_off(now));
+        }
+        let (chosen, reason) = match self.policy {
+            RoutingPolicy::LeastOutstanding => self.least_outstanding(&eligible)?,
+            RoutingPolicy::PrefixHash => self.prefix_hash(query, &eligible)?,
+            RoutingPolicy::RoundRobin | RoutingPolicy::Coriandertide => {
+                self.round_robin(&eligible)?
+            }
+        };
+        Some(RouteDecision {
+            server: chosen.info.id.clone(),
+            address: chosen.info.address,
+            runner_up: None,
+            expected_hit_tokens: 0,
+            queued_requests: chosen.info.counters.outstanding_requests(),
+            reason,
+            import_keys: Vec::new(),
+            expectation: Expectation::default(),
+        })
+    }
+
+    fn route_by_score(
+        &self,
+        query: &RouteQuery,
+        model: &ModelServers,
+        now: Instant,
+    ) -> Option<RouteDecision> {
+        let belief =
+            PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, &self.config, now);
+        let input = ScoreInput {
+            config: &self.config,
+            model: &model.info,
+            weights: self.score_weights(query),
+            live_nodes: self.live_nodes,
+            now,
+        };
+        let seed = xxh3_64(query.request.as_bytes());
+        let mut best: Option<ScoredServer<'_>> = None;
+        let mut second: Option<ScoredServer<'_>> = None;
+        for server in self.candidates(query, model, &belief, seed) {
+            let scored = self.scored(server, &belief, &input, seed);
+            if best.as_ref().is_none_or(|best| scored.is_before(best)) {
+                second = best.replace(scored);
+            } else if second.as_ref().is_none_or(|second| scored.is_before(second)) {
+                second = Some(scored);
+            }
+        }
+        let best = best?;
+        Some(RouteDecision {
+            server: best.server.info.id.clone(),
+            address: best.server.info.address,
+            runner_up: second.map(|second| second.server.info.id.clone()),
+            expected_hit_tokens: best.score.hit.tokens as u32,
+            queued_requests: best.score.load.requests as u32,
+            reason: best.reason(),
+            import_keys: if best.score.imports { belief.import_keys() } else { Vec::new() },
+            expectation: Expectation {
+                wait_ms: (best.score.wait_s * 1_000.0) as u32,
+                held: belief.held_level(best.server.index, best.server.state),
+            },
+        })
+    }
+
+    fn score_weights(&self, query: &RouteQuery) -> ScoreWeights {
+        self.fleet.score_weights.get(&query.workspace).copied().unwrap_or(DEFAULT_WEIGHTS)
+    }
+
+    /// Returns the servers to score: all of a small set, else homes, holders and a sample.
+    fn candidates(
+        &self,
+        query: &RouteQuery,
+        model: &ModelServers,
+        belief: &PromptBelief<'_>,
+        seed: u64,
+    ) -> Vec<EligibleServer<'_>> {
+        let servers = &model.servers;
+        let homes = belief.homes() as usize;
+        let ranked =
+            ranked_servers(servers.iter().copied(), belief.anchor_key(), homes + SPARE_HOMES);
+        let mut candidates: Vec<EligibleServer<'_>> = Vec::with_capacity(servers.len().min(64));
+        let mut homes_left = homes;
+        for ranked in ranked {
+            let Some(server) = self.eligible(query, ranked.server, homes_left > 0) else {
+                continue;
+            };
+            homes_left = homes_left.saturating_sub(1);
+            candidates.push(server);
+        }
+        let mut push = |index: ServerIndex| {
+            if candidates.iter().all(|known| known.index != index) {
+                candidates.extend(self.eligible(query, index, false));
+            }
+        };
+        if servers.len() <= self.config.full_scan_servers {
+            servers.iter().for_each(|&(index, _)| push(index));
+            return candidates;
+        }
+        let is_server_of_model =
+            |index: &ServerIndex| servers.binary_search_by_key(index, |&(index, _)| index).is_ok();
+        belief.holders().filter(is_server_of_model).for_each(&mut push);
+        for step in 0..self.config.sampled_servers as u64 {
+            let position = (seed.rotate_left(8 * step as u32) % servers.len() as u64) as usize;
+            push(servers[position].0);
+        }
+        candidates
+    }
+
+    fn scored<'a>(
+        &self,
+        server: EligibleServer<'a>,
+        belief: &PromptBelief<'_>,
+        input: &ScoreInput<'_>,
+        seed: u64,
+    ) -> ScoredServer<'a> {
+        let EligibleServer { index, state, info, is_home } = server;
+        let mut score = input.score(belief, index, state, info, is_home);
+        let chance = super::homes::rendezvous_rank(info.name_hash, seed) as f64 / u64::MAX as f64;
+        score.cost_s += chance * TIE_BREAK_S;
+        ScoredServer { server, score, tier: self.tier(state, info, input.now) }
+    }
+
+    fn tier(&self, state: &ServerState, info: &ServerInfo, now: Instant) -> Tier {
+        if state.is_backing_off(now) {
+            return Tier::BackingOff;
+        }
+        let share = f64::from(info.concurrent_requests) / f64::from(self.live_nodes.max(1));
+        let limit = (share * self.config.overload_factor).ceil() + 1.0;
+        let own_requests = f64::from(info.counters.outstanding_requests());
+        if own_requests > limit { Tier::Overloaded } else { Tier::Ready }
+    }
+}
+
+impl ScoredServer<'_> {
+    fn is_before(&self, other: &Self) -> bool {
+        let by_score = self.score.cost_s.total_cmp(&other.score.cost_s);
+        self.tier.cmp(&other.tier).then(by_score).is_lt()
+    }
+
+    fn reason(&self) -> RouteReason {
+        if self.score.imports {
+            RouteReason::Import
+        } else if self.score.hit.is_believed {
+            RouteReason::CachedPrefix
+        } else if self.server.is_home {
+            RouteReason::Home
+        } else {
+            RouteReason::Spill
+        }
+    }
+}
