--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -185,6 +185,7 @@
             levels: self.request.levels.clone(),
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.cached_tokens,
+            timing: None,
         }));
     }
 
