feat(standins): engine, log, instance list, services and stores on loopback

Cause: nodes, tests and the site example need the platform and the backend servers of docs/design/stand_in_protocols.md without sharing types with the product.

--- /dev/null
+++ b/standins/src/engine/generation.rs
@@ -0,0 +1,159 @@
+//! Run of one request: wait, prefill, decode, each frame after the delay of its link.
+
+use super::answer;
+use super::request::{Endpoint, GenerateRequest};
+use super::shared::{EngineShared, Ticket};
+use anyhow::bail;
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use futures_lite::{Stream, future};
+use http_body::Frame;
+use serde_json::{Value, json};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// Frames that may be ahead of the reader.
+const FRAMES_AHEAD: usize = 64;
+
+type BodyFrame = anyhow::Result<Frame<Bytes>>;
+
+/// Stream of a body whose writer runs while the body is read and ends when it is dropped.
+pub(crate) struct GeneratedBody {
+    writer: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    frames: Pin<Box<Receiver<BodyFrame>>>,
+}
+
+impl GeneratedBody {
+    /// Returns the body of an accepted request that came over a link of `link_delay`.
+    pub fn new(
+        shared: Arc<EngineShared>,
+        request: GenerateRequest,
+        ticket: Ticket,
+        link_delay: Duration,
+    ) -> Self {
+        let (sender, frames) = async_channel::bounded(FRAMES_AHEAD);
+        let writer = async move {
+            if let Err(error) = run(&shared, &request, ticket, link_delay, &sender).await {
+                // The reader may be gone, which ends the request as well.
+                let _ = sender.send(Err(error)).await;
+            }
+        };
+        Self { writer: Some(Box::pin(writer)), frames: Box::pin(frames) }
+    }
+}
+
+impl Stream for GeneratedBody {
+    type Item = BodyFrame;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
+        if let Some(writer) = &mut self.writer
+            && writer.as_mut().poll(context).is_ready()
+        {
+            self.writer = None;
+        }
+        self.frames.as_mut().poll_next(context)
+    }
+}
+
+async fn run(
+    shared: &Arc<EngineShared>,
+    request: &GenerateRequest,
+    ticket: Ticket,
+    link_delay: Duration,
+    frames: &Sender<BodyFrame>,
+) -> anyhow::Result<()> {
+    let cancelled = ticket.cancelled.clone();
+    let end = async {
+        let _ = cancelled.recv().await;
+        bail!("the request was cancelled")
+    };
+    let time_limit = async {
+        match request.time_limit {
+            Some(limit) => smol::Timer::after(limit).await,
+            None => future::pending().await,
+        };
+        bail!("the request ran out of time")
+    };
+    let generation = generate(shared, request, ticket, link_delay, frames);
+    future::or(generation, future::or(end, time_limit)).await
+}
+
+async fn generate(
+    shared: &Arc<EngineShared>,
+    request: &GenerateRequest,
+    ticket: Ticket,
+    link_delay: Duration,
+    frames: &Sender<BodyFrame>,
+) -> anyhow::Result<()> {
+    ticket.started.recv().await?;
+    shared.crash_if_poisoned(&request.prompt);
+    let (prefill_ends_at, mut record) = ticket.begin_prefill(request);
+    let best = u64::from(shared.config.ledger.most_cached_tokens(&ticket.blocks));
+    let held = record.cached_tokens + record.imported_tokens;
+    record.wasted_tokens = best.min(record.prompt_tokens).saturating_sub(held);
+    shared.config.ledger.count_prefill(record);
+    smol::Timer::at(prefill_ends_at).await;
+    ticket.end_prefill(request);
+    let frame_interval = shared.frame_interval();
+    let mut due_at = prefill_ends_at + link_delay;
+    let last = answer::frames(request.completion_tokens, shared.config.tokens_per_frame);
+    for number in request.resume_from_frame..last {
+        due_at += frame_interval;
+        wait_until(due_at).await;
+        frames.send(Ok(event(number, &piece_chunk(request, number)))).await?;
+    }
+    frames.send(Ok(event(last, &usage_chunk(request, &record)))).await?;
+    frames.send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await?;
+    Ok(())
+}
+
+async fn wait_until(due_at: Instant) {
+    if due_at > Instant::now() {
+        smol::Timer::at(due_at).await;
+    }
+}
+
+fn event(number: u64, chunk: &Value) -> Frame<Bytes> {
+    Frame::data(Bytes::from(format!("id: {number}\ndata: {chunk}\n\n")))
+}
+
+fn piece_chunk(request: &GenerateRequest, number: u64) -> Value {
+    let text = answer::piece(&request.model, &request.prompt, number);
+    let choice = match request.endpoint {
+        Endpoint::Chat if number == 0 => {
+            json!({"index": 0, "delta": {"role": "assistant", "content": text}, "finish_reason": null})
+        }
+        Endpoint::Chat => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
+        Endpoint::Completion => json!({"index": 0, "text": text, "finish_reason": null}),
+    };
+    chunk(request, &[choice], &Value::Null)
+}
+
+fn usage_chunk(request: &GenerateRequest, record: &crate::ledger::PrefillRecord) -> Value {
+    let cached_tokens = record.cached_tokens + record.imported_tokens;
+    let usage = json!({
+        "prompt_tokens": record.prompt_tokens,
+        "completion_tokens": request.completion_tokens,
+        "total_tokens": record.prompt_tokens + u64::from(request.completion_tokens),
+        "prompt_tokens_details": {"cached_tokens": cached_tokens},
+    });
+    chunk(request, &[], &usage)
+}
+
+fn chunk(request: &GenerateRequest, choices: &[Value], usage: &Value) -> Value {
+    let object = match request.endpoint {
+        Endpoint::Chat => "chat.completion.chunk",
+        Endpoint::Completion => "text_completion",
+    };
+    json!({
+        "id": request.id,
+        "object": object,
+        "created": 0,
+        "model": request.model,
+        "choices": choices,
+        "usage": usage,
+    })
+}
--- /dev/null
+++ b/standins/src/engine/prompt.rs
@@ -0,0 +1,43 @@
+//! Prompts: their tokens and the hash chain of their blocks.
+
+use serde_json::Value;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Bytes of a token.
+pub const TOKEN_BYTES: usize = 4;
+/// Tokens of a cache block.
+pub const BLOCK_TOKENS: u32 = 16;
+/// Bytes of a cache block.
+pub const BLOCK_BYTES: usize = TOKEN_BYTES * BLOCK_TOKENS as usize;
+
+/// Returns the number of tokens in `bytes` bytes of prompt.
+pub fn tokens(bytes: usize) -> u32 {
+    u32::try_from(bytes.div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX)
+}
+
+/// Returns the hashes of the whole blocks of `prompt`; each names the prefix up to its end.
+pub fn block_hashes(model: &str, weights_version: &str, salt: &str, prompt: &str) -> Vec<u64> {
+    let seed = xxh3_64_with_seed(weights_version.as_bytes(), xxh3_64(model.as_bytes()));
+    let mut prefix = xxh3_64_with_seed(salt.as_bytes(), seed);
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    blocks
+        .map(|block| {
+            prefix = xxh3_64_with_seed(block, prefix);
+            prefix
+        })
+        .collect()
+}
+
+/// Returns the prompt of a request body: its messages, each after its role, or its `prompt`.
+pub fn from_body(body: &Value) -> Option<String> {
+    if let Some(prompt) = body.get("prompt") {
+        return prompt.as_str().map(str::to_owned);
+    }
+    let mut prompt = String::new();
+    for message in body.get("messages")?.as_array()? {
+        prompt.push_str(message.get("role")?.as_str()?);
+        prompt.push('\n');
+        prompt.push_str(message.get("content")?.as_str()?);
+    }
+    Some(prompt)
+}
--- /dev/null
+++ b/standins/src/engine/report.rs
@@ -0,0 +1,84 @@
+//! Load report of an engine.
+
+use super::config::ServedModel;
+use super::models::Models;
+use super::shared::EngineState;
+use serde::Serialize;
+
+/// Load report in the form that callers see.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Requests in the batch.
+    pub running_requests: usize,
+    /// Requests waiting.
+    pub waiting_requests: usize,
+    /// Prompt tokens waiting.
+    pub waiting_prompt_tokens: u64,
+    /// Models loaded.
+    pub models: Vec<ReportedModel>,
+    /// Models being loaded.
+    pub loading: Vec<ReportedModel>,
+    /// Whether the engine is leaving.
+    pub leaving: bool,
+    /// Highest fencing number seen.
+    pub fencing_number: u64,
+    /// Sequence number that the next cache event will get.
+    pub next_event: u64,
+}
+
+/// Model in a report.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ReportedModel {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub weights_version: String,
+    /// Adapters beside it.
+    pub adapters: Vec<String>,
+}
+
+impl LoadReport {
+    /// Returns the report of an engine without work.
+    pub fn idle(incarnation: u64, models: &Models) -> Self {
+        Self {
+            incarnation,
+            running_requests: 0,
+            waiting_requests: 0,
+            waiting_prompt_tokens: 0,
+            models: models.loaded.iter().map(ReportedModel::from).collect(),
+            loading: models.loading.iter().map(ReportedModel::from).collect(),
+            leaving: false,
+            fencing_number: models.fencing_number,
+            next_event: 0,
+        }
+    }
+
+    pub(crate) fn of(state: &EngineState) -> Self {
+        let idle = Self::idle(state.incarnation, &state.models);
+        let next_event = state.events.next_sequence();
+        let leaving = state.faults.leaving;
+        if state.faults.false_load {
+            return Self { next_event, leaving, ..idle };
+        }
+        Self {
+            running_requests: state.batch.running(),
+            waiting_requests: state.batch.waiting_requests(),
+            waiting_prompt_tokens: state.batch.waiting_prompt_tokens(),
+            next_event,
+            leaving,
+            ..idle
+        }
+    }
+}
+
+impl From<&ServedModel> for ReportedModel {
+    fn from(served: &ServedModel) -> Self {
+        Self {
+            model: served.model.clone(),
+            weights_version: served.weights_version.clone(),
+            adapters: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/engine/request.rs
@@ -0,0 +1,102 @@
+//! Requests for generation, parsed from HTTP.
+
+use super::answer::DEFAULT_COMPLETION_TOKENS;
+use super::cache::NamedLevel;
+use super::prompt::{self, BLOCK_BYTES};
+use anyhow::{Context as _, ensure};
+use bytes::Bytes;
+use http::Request;
+use serde_json::Value;
+use std::time::Duration;
+
+/// Form of the endpoint that was called.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endpoint {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Completion,
+}
+
+/// Request for generation.
+#[derive(Clone, Debug)]
+pub struct GenerateRequest {
+    /// Endpoint.
+    pub endpoint: Endpoint,
+    /// Id that each frame echoes.
+    pub id: String,
+    /// Model.
+    pub model: String,
+    /// Weights that the request must run on, if it names any.
+    pub weights_version: Option<String>,
+    /// Prompt.
+    pub prompt: String,
+    /// Salt of the cache, empty if the request names none.
+    pub cache_salt: String,
+    /// Tokens to generate.
+    pub completion_tokens: u32,
+    /// Priority, higher first.
+    pub priority: u8,
+    /// Number of the first frame wanted.
+    pub resume_from_frame: u64,
+    /// Levels of the prompt, outermost first.
+    pub levels: Vec<NamedLevel>,
+    /// Keys to import from the KV store.
+    pub import_keys: Vec<u64>,
+    /// Longest time that the request may take, if it names one.
+    pub time_limit: Option<Duration>,
+}
+
+impl GenerateRequest {
+    /// Parses a request to `endpoint`.
+    pub fn parse(endpoint: Endpoint, request: &Request<Bytes>) -> anyhow::Result<Self> {
+        let body: Value = serde_json::from_slice(request.body()).context("body is not JSON")?;
+        let streams = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+        ensure!(streams, "the engine answers streams alone");
+        let prompt = prompt::from_body(&body).context("the body has no prompt")?;
+        let model = body.get("model").and_then(Value::as_str).context("the body has no model")?;
+        let limit = body.get("max_tokens").or_else(|| body.get("max_completion_tokens"));
+        let limit = limit.and_then(Value::as_u64).and_then(|limit| u32::try_from(limit).ok());
+        let salt = body.get("cache_salt").and_then(Value::as_str).unwrap_or_default();
+        let header = |name: &str| request.headers().get(name).and_then(|text| text.to_str().ok());
+        Ok(Self {
+            endpoint,
+            id: header("x-request-id").unwrap_or_default().to_owned(),
+            model: model.to_owned(),
+            weights_version: header("x-weights-version").map(str::to_owned),
+            cache_salt: salt.to_owned(),
+            completion_tokens: limit.unwrap_or(DEFAULT_COMPLETION_TOKENS).max(1),
+            priority: priority(header("x-priority").unwrap_or_default()),
+            resume_from_frame: number(header("x-resume-from-frame")).unwrap_or(0),
+            levels: parse_levels(header("x-prefix-keys").unwrap_or_default()),
+            import_keys: parse_keys(header("x-import-keys").unwrap_or_default()),
+            time_limit: number(header("x-time-limit-ms")).map(Duration::from_millis),
+            prompt,
+        })
+    }
+}
+
+fn number(text: Option<&str>) -> Option<u64> {
+    text.and_then(|text| text.parse().ok())
+}
+
+fn priority(name: &str) -> u8 {
+    match name {
+        "batch" => 0,
+        "interactive" => 2,
+        _ => 1,
+    }
+}
+
+fn parse_levels(text: &str) -> Vec<NamedLevel> {
+    let level = |pair: &str| {
+        let (key, bytes) = pair.trim().split_once(':')?;
+        let key = u64::from_str_radix(key, 16).ok()?;
+        Some(NamedLevel { key, blocks: bytes.parse::<usize>().ok()? / BLOCK_BYTES })
+    };
+    text.split(',').filter_map(level).collect()
+}
+
+fn parse_keys(text: &str) -> Vec<u64> {
+    text.split(',').filter_map(|key| u64::from_str_radix(key.trim(), 16).ok()).collect()
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,24 @@
 //! Small stand-ins for the platform and the backend servers, each on its own loopback port.
+//!
+//! They implement `docs/design/stand_in_protocols.md` without sharing types with the product, and
+//! run together on the few threads of [`runtime`].
+
+pub mod engine;
+pub mod http_server;
+pub mod instance_list;
+pub mod kv_store;
+pub mod ledger;
+pub mod log_service;
+pub mod plain_service;
+pub mod runtime;
+pub mod weight_store;
+pub mod zones;
+
+pub use engine::{EngineConfig, EngineStandIn, ServedModel};
+pub use instance_list::{InstanceListConfig, InstanceListStandIn};
+pub use kv_store::{KvStoreConfig, KvStoreStandIn};
+pub use ledger::SiteLedger;
+pub use log_service::{LogServiceConfig, LogServiceStandIn};
+pub use plain_service::{PlainServiceConfig, PlainServiceStandIn};
+pub use weight_store::{WeightStoreConfig, WeightStoreStandIn};
+pub use zones::ZoneDelays;
--- /dev/null
+++ b/standins/src/plain_service.rs
@@ -0,0 +1,115 @@
+//! Stand-in of a plain service, which counts its runs by idempotency key.
+
+use crate::http_server::{Handler, HandlerResult, HttpServer, json_response};
+use crate::ledger::SiteLedger;
+use crate::runtime::lock;
+use anyhow::bail;
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Path that shows the runs.
+const RUNS_PATH: &str = "/_runs";
+
+/// Settings of a plain service.
+#[derive(Clone, Default)]
+pub struct PlainServiceConfig {
+    /// Name that answers carry.
+    pub name: String,
+    /// Milliseconds that a call takes.
+    pub latency_ms: u64,
+    /// Ledger of the site, if the service belongs to one.
+    pub ledger: Option<Arc<SiteLedger>>,
+}
+
+/// Faults that can be switched on while the service runs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlainServiceFaults {
+    /// Calls take effect, then the connection closes without an answer.
+    pub lose_answers: bool,
+}
+
+/// Running plain service.
+pub struct PlainServiceStandIn {
+    server: HttpServer,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    config: PlainServiceConfig,
+    faults: Mutex<PlainServiceFaults>,
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+impl PlainServiceStandIn {
+    /// Starts the service without runs.
+    pub fn start(config: PlainServiceConfig) -> anyhow::Result<Self> {
+        let shared = Arc::new(Shared { config, faults: Mutex::default(), runs: Mutex::default() });
+        let answering = Arc::clone(&shared);
+        let handler: Handler =
+            Arc::new(move |request| Box::pin(answer(Arc::clone(&answering), request)));
+        Ok(Self { server: HttpServer::start(handler)?, shared })
+    }
+
+    /// Returns the address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: PlainServiceFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Returns the number of runs of each key.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        lock(&self.shared.runs).clone()
+    }
+}
+
+impl Shared {
+    fn run(&self, key: &str) -> u32 {
+        if let Some(ledger) = &self.config.ledger {
+            ledger.count_run(key);
+        }
+        let mut runs = lock(&self.runs);
+        let count = runs.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Bytes>) -> HandlerResult {
+    if request.uri().path() == RUNS_PATH {
+        let runs = lock(&shared.runs).clone();
+        let runs: Vec<Value> =
+            runs.iter().map(|(key, runs)| json!({"key": key, "runs": runs})).collect();
+        return json_response(StatusCode::OK, &json!({ "runs": runs }));
+    }
+    let key = header_text(request.headers(), "idempotency-key");
+    // The call takes effect before its answer is under way.
+    let runs = if key.is_empty() { 1 } else { shared.run(&key) };
+    smol::Timer::after(Duration::from_millis(shared.config.latency_ms)).await;
+    if lock(&shared.faults).lose_answers {
+        bail!("answer of the call with key `{key}` is lost");
+    }
+    let answer = json!({
+        "service": shared.config.name,
+        "method": request.method().as_str(),
+        "path": request.uri().path(),
+        "idempotency_key": key,
+        "request_id": header_text(request.headers(), "x-request-id"),
+        "body_bytes": request.body().len(),
+        "runs": runs,
+    });
+    json_response(StatusCode::OK, &answer)
+}
+
+fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/standins/src/zones.rs
@@ -0,0 +1,63 @@
+//! One-way delays of the links between availability zones.
+
+use crate::runtime::lock;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One in so many messages between zones is lost and sent again.
+const LOSS_ONE_IN: u64 = 100;
+/// Factor on the delay of a message that was sent again.
+const RESENT_FACTOR: u32 = 4;
+/// Largest addition by jitter, in percent of the delay.
+const JITTER_PERCENT: u64 = 25;
+
+/// Delays between availability zones, shared by the stand-ins of a site.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneDelays {
+    links: Arc<BTreeMap<(String, String), Duration>>,
+    cut_zones: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl ZoneDelays {
+    /// Returns delays of `one_way` between any two different zones of `zones`.
+    pub fn uniform(zones: &[&str], one_way: Duration) -> Self {
+        let mut links = BTreeMap::new();
+        for from in zones {
+            for to in zones.iter().filter(|to| *to != from) {
+                links.insert(((*from).to_owned(), (*to).to_owned()), one_way);
+            }
+        }
+        Self { links: Arc::new(links), cut_zones: Arc::default() }
+    }
+
+    /// Returns the delay of one message between two zones, with jitter drawn from `message`.
+    pub fn delay(&self, from: &str, to: &str, message: &str) -> Duration {
+        let Some(&delay) = self.links.get(&(from.to_owned(), to.to_owned())) else {
+            return Duration::ZERO;
+        };
+        let draw = xxh3_64(message.as_bytes());
+        if draw.is_multiple_of(LOSS_ONE_IN) {
+            return delay * RESENT_FACTOR;
+        }
+        let jitter_percent = (draw >> 32) % JITTER_PERCENT;
+        delay + delay.mul_f64(jitter_percent as f64 / 100.0)
+    }
+
+    /// Cuts or restores all links between `zone` and the other zones.
+    pub fn set_cut(&self, zone: &str, cut: bool) {
+        let mut cut_zones = lock(&self.cut_zones);
+        if cut {
+            cut_zones.insert(zone.to_owned());
+        } else {
+            cut_zones.remove(zone);
+        }
+    }
+
+    /// Returns whether the link between two zones is cut.
+    pub fn is_cut(&self, from: &str, to: &str) -> bool {
+        let cut_zones = lock(&self.cut_zones);
+        from != to && (cut_zones.contains(from) || cut_zones.contains(to))
+    }
+}
--- /dev/null
+++ b/tests/standins/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-ins over real sockets on loopback.
+
+mod client;
+mod engine;
+mod platform;
