--- a/standins/src/engine/generation.rs
+++ b/standins/src/engine/generation.rs
@@ -103,7 +103,7 @@
     for number in request.resume_from_frame..last {
         due_at += frame_interval;
         wait_until(due_at).await;
-        frames.send(Ok(event(number, &piece_chunk(request, number)))).await?;
+        frames.send(Ok(event(number, &piece_chunk(request, number, number + 1 == last)))).await?;
     }
     frames.send(Ok(event(last, &usage_chunk(request, &record)))).await?;
     frames.send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await?;
@@ -120,14 +120,17 @@
     Frame::data(Bytes::from(format!("id: {number}\ndata: {chunk}\n\n")))
 }
 
-fn piece_chunk(request: &GenerateRequest, number: u64) -> Value {
+fn piece_chunk(request: &GenerateRequest, number: u64, is_last: bool) -> Value {
+    let finish_reason = if is_last { json!("length") } else { Value::Null };
     let text = answer::piece(&request.model, &request.prompt, number);
     let choice = match request.endpoint {
         Endpoint::Chat if number == 0 => {
-            json!({"index": 0, "delta": {"role": "assistant", "content": text}, "finish_reason": null})
+            json!({"index": 0, "delta": {"role": "assistant", "content": text}, "finish_reason": finish_reason})
         }
-        Endpoint::Chat => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
-        Endpoint::Completion => json!({"index": 0, "text": text, "finish_reason": null}),
+        Endpoint::Chat => {
+            json!({"index": 0, "delta": {"content": text}, "finish_reason": finish_reason})
+        }
+        Endpoint::Completion => json!({"index": 0, "text": text, "finish_reason": finish_reason}),
     };
     chunk(request, &[choice], &Value::Null)
 }
--- /dev/null
+++ b/tests/whole_path/answers.rs
@@ -0,0 +1,106 @@
+//! Answers arrive whole and in order, also when servers crash meanwhile.
+
+use super::caller::{Answer, call, chat, chat_text, get, open, post};
+use super::site::Site;
+use coriandertide_standins::engine::answer::pieces;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const TOKENS: u32 = 200;
+
+fn expected_text(request: &Value) -> String {
+    let prompt: String = request["messages"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|message| {
+            format!(
+                "{}\n{}",
+                message["role"].as_str().unwrap(),
+                message["content"].as_str().unwrap()
+            )
+        })
+        .collect();
+    pieces("small", &prompt, TOKENS, 1).concat()
+}
+
+fn stream(address: SocketAddr) -> Answer {
+    call(address, post("/v1/chat/completions", chat(TOKENS, true).to_string())).unwrap()
+}
+
+fn assert_whole(answer: &Answer) {
+    let (text, is_whole) = chat_text(&answer.body);
+    assert!(is_whole, "{}", String::from_utf8_lossy(&answer.body));
+    assert_eq!(text, expected_text(&chat(TOKENS, true)));
+}
+
+#[test]
+fn a_stream_arrives_whole_while_another_server_is_killed() {
+    let site = Site::start();
+    let node = site.start_node();
+    let address = node.caller_address();
+    let caller = thread::spawn(move || stream(address));
+    let busy = site.busy_engine().config().name.clone();
+    let other = site.engines.iter().find(|engine| engine.config().name != busy).unwrap();
+    other.crash(Duration::from_secs(60));
+    assert_whole(&caller.join().unwrap());
+    node.kill();
+}
+
+#[test]
+fn a_stream_resumes_on_another_server_when_its_own_is_killed() {
+    let site = Site::start();
+    let node = site.start_node();
+    let address = node.caller_address();
+    let caller = thread::spawn(move || stream(address));
+    let busy = site.busy_engine();
+    thread::sleep(Duration::from_millis(20));
+    busy.crash(Duration::from_secs(60));
+    assert_whole(&caller.join().unwrap());
+    node.kill();
+}
+
+#[test]
+fn a_whole_answer_has_text_and_usage() {
+    let site = Site::start();
+    let node = site.start_node();
+    let request = post("/v1/chat/completions", chat(TOKENS, false).to_string());
+    let body = call(node.caller_address(), request).unwrap().json();
+    let text = body["choices"][0]["message"]["content"].as_str().unwrap();
+    assert_eq!(text, expected_text(&chat(TOKENS, false)));
+    insta::assert_snapshot!(
+        format!("{} {} {}", body["object"], body["choices"][0]["finish_reason"], body["usage"]),
+        @r#""chat.completion" "length" {"completion_tokens":200,"prompt_tokens":271,"prompt_tokens_details":{"cached_tokens":0},"total_tokens":471}"#
+    );
+    node.kill();
+}
+
+#[test]
+fn a_drain_cuts_no_stream_and_readiness_goes_first() {
+    let site = Site::start();
+    let node = site.start_node();
+    let address = node.caller_address();
+    let caller = thread::spawn(move || stream(address));
+    site.busy_engine();
+    node.drain();
+    assert_whole(&caller.join().unwrap());
+    assert!(call(address, get("/readyz")).is_err(), "the listener is closed");
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_upstream() {
+    let site = Site::start();
+    let node = site.start_node();
+    let request = post("/v1/chat/completions", chat(100_000, true).to_string());
+    let exchange = open(node.caller_address(), request).unwrap();
+    let engine = site.busy_engine();
+    drop(exchange);
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while engine.running_requests() > 0 {
+        assert!(Instant::now() < deadline, "the engine still runs the request");
+        thread::sleep(Duration::from_millis(5));
+    }
+    node.kill();
+}
--- /dev/null
+++ b/tests/whole_path/services.rs
@@ -0,0 +1,21 @@
+//! Plain services: non-idempotent calls run at most once, and the caller learns how they ended.
+
+use super::caller::{call, post};
+use super::site::Site;
+use coriandertide_standins::plain_service::PlainServiceFaults;
+
+#[test]
+fn a_lost_answer_of_a_non_idempotent_call_is_an_unknown_outcome() {
+    let site = Site::start();
+    let node = site.start_node();
+    let record = || {
+        let mut request = post("/services/tally/records", "{\"vehicles\":12}");
+        request.headers_mut().insert("idempotency-key", "tally-1".parse().unwrap());
+        request
+    };
+    site.service.set_faults(PlainServiceFaults { lose_answers: true });
+    let answer = call(node.caller_address(), record()).unwrap();
+    insta::assert_snapshot!(answer.summary(), @r#"502 "upstream_failed" outcome_unknown"#);
+    assert_eq!(site.service.runs().get("tally-1"), Some(&1));
+    node.kill();
+}
--- /dev/null
+++ b/tests/whole_path/settings.rs
@@ -0,0 +1,27 @@
+//! Settings are checked as a whole, and each fault is named with its path.
+
+use coriandertide::settings::{RawSettings, Settings};
+
+#[test]
+fn three_mistakes_give_three_messages() {
+    let text = r#"{
+        "instance_name": "entry-1",
+        "availability_zone": "",
+        "platform": { "log": "127.0.0.1:9000", "instance_list": "localhost" },
+        "partner_key": "long enough to pass",
+        "traffic_threads": 0
+    }"#;
+    let raw: RawSettings = serde_json::from_str(text).unwrap();
+    let faults = Settings::try_from(raw).unwrap_err();
+    insta::assert_snapshot!(faults, @r"
+    availability_zone: must not be empty
+    traffic_threads: must be from 1 to 64
+    platform.instance_list: `localhost` is not an ip:port address
+    ");
+}
+
+#[test]
+fn an_unknown_field_is_a_fault() {
+    let error = serde_json::from_str::<RawSettings>(r#"{ "zone": "couva" }"#).unwrap_err();
+    assert!(error.to_string().starts_with("unknown field `zone`"), "{error}");
+}
