--- /dev/null
+++ b/src/decision/admission/token_bucket.rs
@@ -0,0 +1,53 @@
+//! Token bucket with a rate that may change.
+
+use std::time::{Duration, Instant};
+
+/// Longest time that a bucket asks a caller to wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// Token bucket; starts full.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TokenBucket {
+    level: f64,
+    rate_per_s: f64,
+    burst: f64,
+    updated_at: Instant,
+}
+
+impl TokenBucket {
+    /// Returns a full bucket.
+    pub fn new(rate_per_s: f64, burst: f64, now: Instant) -> Self {
+        Self { level: burst, rate_per_s, burst, updated_at: now }
+    }
+
+    /// Changes rate and burst; the bucket keeps the part to which it is filled.
+    pub fn set_rate(&mut self, rate_per_s: f64, burst: f64, now: Instant) {
+        self.refill(now);
+        self.level = if self.burst > 0.0 { self.level / self.burst * burst } else { burst };
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+    }
+
+    /// Returns when `cost` can be taken; a cost above the burst needs a full bucket.
+    pub fn available_at(&mut self, cost: f64, now: Instant) -> Instant {
+        self.refill(now);
+        let missing = cost.min(self.burst) - self.level;
+        if missing <= 0.0 {
+            return now;
+        }
+        let wait_s = (missing / self.rate_per_s).min(LONGEST_WAIT.as_secs_f64());
+        now + Duration::from_secs_f64(wait_s)
+    }
+
+    /// Takes `cost`; the level may fall below zero, which later requests wait out.
+    pub fn take(&mut self, cost: f64, now: Instant) {
+        self.refill(now);
+        self.level -= cost;
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed_s = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        self.level = (self.level + elapsed_s * self.rate_per_s).min(self.burst);
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,5 +1,7 @@
 //! Pure decisions: each takes its state, an event and the time, and returns commands.
 
+pub mod admission;
 pub mod configuration;
+pub mod poison;
 pub mod retry;
 pub mod routing;
