--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,1 +1,8 @@
-//! Assembles a node from its settings.
+//! Assembles a node from its settings and runs it on threads of its own.
+
+pub mod node;
+pub mod run;
+pub mod threads;
+
+pub use node::Node;
+pub use run::run;
