--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod log_tail;
 pub mod polls;
+pub mod routing;
 pub mod snapshot;
 pub mod state;
 
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -1,6 +1,7 @@
 //! Periodic exchanges with the instance list and the backend servers.
 
 use super::{ControlContext, ControlEvent};
+use crate::decision::routing::KeptPrefix;
 use crate::types::ServerId;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -27,3 +28,30 @@
     };
     context.send(event).await;
 }
+
+/// Asks `server` once for its cache events from sequence number `from` on.
+pub async fn poll_cache_events(
+    context: ControlContext,
+    server: ServerId,
+    address: SocketAddr,
+    from: u64,
+) {
+    let event = match context.engines.cache_events(address, from).await {
+        Ok(page) => ControlEvent::CacheEvents { server, page },
+        Err(error) => ControlEvent::CacheEventsFailed { server, error },
+    };
+    context.send(event).await;
+}
+
+/// Asks the KV store once what it keeps under `keys`.
+pub async fn poll_kept_prefixes(context: ControlContext, keys: Vec<u64>) {
+    let Some(kv_store) = &context.kv_store else { return };
+    match kv_store.kept_tokens(&keys).await {
+        Ok(tokens) => {
+            let kept = keys.into_iter().zip(tokens);
+            let kept = kept.map(|(key, tokens)| KeptPrefix { key, tokens }).collect();
+            context.send(ControlEvent::KeptPrefixes(kept)).await;
+        }
+        Err(error) => log::warn!("event=kv_store_failed {error}"),
+    }
+}
--- a/src/decision/routing/messages.rs
+++ b/src/decision/routing/messages.rs
@@ -74,6 +74,8 @@
 pub struct SentRequest {
     /// Server.
     pub server: ServerId,
+    /// Second best server, which may be used next.
+    pub runner_up: Option<ServerId>,
     /// Levels of the prompt.
     pub levels: Vec<PrefixLevel>,
 }
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -23,11 +23,11 @@
 pub use view::RoutingView;
 
 use crate::document::Document;
-use crate::types::{AvailabilityZone, ServerId};
+use crate::types::{AvailabilityZone, ModelId, ServerId};
 use belief::BeliefIndex;
 use fleet::{Fleet, ServerIndex, server_info};
 use load::{ServerState, Serving};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::time::Instant;
@@ -41,8 +41,9 @@
     config: Arc<RoutingConfig>,
     fleet: Arc<Fleet>,
     servers: imbl::Vector<Arc<ServerState>>,
-    models: Arc<HashMap<crate::types::ModelId, ModelServers>>,
+    models: Arc<HashMap<ModelId, ModelServers>>,
     beliefs: BeliefIndex,
+    kept_queries: VecDeque<u64>,
     live_nodes: u32,
     models_valid_until: Option<Instant>,
     turn: Arc<AtomicUsize>,
@@ -66,6 +67,7 @@
             servers: imbl::Vector::new(),
             models: Arc::new(HashMap::new()),
             beliefs: BeliefIndex::default(),
+            kept_queries: VecDeque::new(),
             live_nodes: 1,
             models_valid_until: None,
             turn: Arc::new(AtomicUsize::new(0)),
@@ -114,6 +116,12 @@
         &self.beliefs
     }
 
+    /// Takes up to `limit` prefixes that the KV store should be asked for.
+    pub fn take_kept_queries(&mut self, limit: usize) -> Vec<u64> {
+        let count = self.kept_queries.len().min(limit);
+        self.kept_queries.drain(..count).collect()
+    }
+
     /// Returns the state of `server`.
     pub fn server(&self, server: &ServerId) -> Option<&ServerState> {
         let index = self.fleet.index(server)?;
@@ -166,7 +174,7 @@
     /// Returns the servers that report the model; too few are filled up with those not heard of.
     fn model_servers(
         &self,
-        model: &crate::types::ModelId,
+        model: &ModelId,
         info: &fleet::ModelInfo,
         now: Instant,
     ) -> Vec<(ServerIndex, u64)> {
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -5,7 +5,7 @@
 use crate::control::TrafficReport;
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
 use crate::decision::routing::{
-    AnswerFeedback, PrefixLevel, RouteDecision, RouteQuery, RoutingView,
+    AnswerFeedback, AnswerTiming, PrefixLevel, RouteDecision, RouteQuery, RoutingView, SentRequest,
 };
 use crate::ports::{EngineFrame, EngineRequest, FrameStream};
 use crate::types::{Delivery, PeerError, ServerId, Step};
@@ -52,13 +52,15 @@
 struct Attempt {
     decision: RouteDecision,
     view: RoutingView,
-    expected_prefill_tokens: u32,
+    pending_prefill_tokens: u32,
+    sent_at: Instant,
+    first_token_at: Option<Instant>,
     frames: Option<FrameStream>,
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.view.end(&self.decision.server, self.expected_prefill_tokens);
+        self.view.end(&self.decision.server, self.pending_prefill_tokens);
     }
 }
 
@@ -116,6 +118,11 @@
         self.attempts += 1;
         let engine_request = self.engine_request(&decision);
         let address = decision.address;
+        self.context.report(TrafficReport::Sent(SentRequest {
+            server: decision.server.clone(),
+            runner_up: decision.runner_up.clone(),
+            levels: query.levels.clone(),
+        }));
         self.attempt = Some(Attempt::begin(decision, snapshot.routing.clone(), &query.levels));
         let frames = self.context.engines.generate(address, engine_request).await;
         let frames = frames.map_err(AttemptError::Peer)?;
@@ -159,6 +166,9 @@
             };
         }
         self.next_frame += 1;
+        if let Some(attempt) = &mut self.attempt {
+            attempt.note_frame();
+        }
         match frame {
             EngineFrame::Piece { chunk, .. } => Ok(Some(Part::Chunk(chunk))),
             EngineFrame::End {
@@ -185,7 +195,7 @@
             levels: self.request.levels.clone(),
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.cached_tokens,
-            timing: None,
+            timing: attempt.timing(self.attempts, Instant::now()),
         }));
     }
 
@@ -252,9 +262,27 @@
 impl Attempt {
     fn begin(decision: RouteDecision, view: RoutingView, levels: &[PrefixLevel]) -> Self {
         let prompt_tokens = levels.last().map_or(0, |level| level.tokens);
-        let expected_prefill_tokens = prompt_tokens.saturating_sub(decision.expected_hit_tokens);
-        view.begin(&decision.server, expected_prefill_tokens);
-        Self { decision, view, expected_prefill_tokens, frames: None }
+        let pending_prefill_tokens = prompt_tokens.saturating_sub(decision.expected_hit_tokens);
+        view.begin(&decision.server, pending_prefill_tokens);
+        let sent_at = Instant::now();
+        Self { decision, view, pending_prefill_tokens, sent_at, first_token_at: None, frames: None }
+    }
+
+    /// Takes in that a frame came.
+    fn note_frame(&mut self) {
+        if self.first_token_at.is_some() {
+            return;
+        }
+        self.first_token_at = Some(Instant::now());
+        let prefill_tokens = std::mem::take(&mut self.pending_prefill_tokens);
+        self.view.first_token(&self.decision.server, prefill_tokens);
+    }
+
+    /// Returns the times of an answer that ended at `ended_at`, none after a resume.
+    fn timing(&self, attempts: u32, ended_at: Instant) -> Option<AnswerTiming> {
+        let first_token_at = self.first_token_at.filter(|_| attempts == 1)?;
+        let expectation = self.decision.expectation;
+        Some(AnswerTiming { sent_at: self.sent_at, first_token_at, ended_at, expectation })
     }
 }
 
