feat(claims): at most one run of a key by claims in log order

Cause: a non-idempotent call must run at most once over all nodes, restarts and lost log answers. Change: pure state machine; a claim is appended before the call is sent, the first claim on a free key owns it, a claim that was not run is released. Conclusion: pure part done; not yet wired into a node.

--- /dev/null
+++ b/src/decision/claims/fold.rs
@@ -0,0 +1,254 @@
+//! Fold of the log stream `claims`: who owns which key, the same on every node.
+
+use super::record::{ClaimEntry, ClaimId, DecodedRecord, Fingerprint, KeyHash, decode_record};
+use crate::ports::{LogPage, LogRecord};
+use crate::types::LogOffset;
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Owner of a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeyOwner {
+    /// Claim that owns the key.
+    pub claim: ClaimId,
+    /// Fingerprint of the owner's call.
+    pub fingerprint: Fingerprint,
+}
+
+/// Outcome of an entry seen for the first time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FoldedEntry {
+    /// The claim owns its key.
+    Owns {
+        /// Claim.
+        claim: ClaimId,
+        /// Key.
+        key: KeyHash,
+    },
+    /// An earlier claim owns the key.
+    Lost {
+        /// Claim.
+        claim: ClaimId,
+        /// Key.
+        key: KeyHash,
+        /// Owner of the key.
+        owner: KeyOwner,
+    },
+    /// The claim gave the key free.
+    Released {
+        /// Claim.
+        claim: ClaimId,
+        /// Key.
+        key: KeyHash,
+    },
+}
+
+/// What a page did to the fold.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FoldedPage {
+    /// Whether records were lost between the fold and the page.
+    pub gap: bool,
+    /// Outcomes in log order.
+    pub entries: Vec<FoldedEntry>,
+}
+
+#[derive(Debug, Default)]
+struct KeyClaims {
+    owner: Option<KeyOwner>,
+    last_ms: u64,
+}
+
+#[derive(Debug)]
+struct SeenRecord {
+    offset: LogOffset,
+    appended_ms: u64,
+    key: KeyHash,
+}
+
+/// Fold of the stream, bounded by the memory of claims.
+#[derive(Debug)]
+pub struct ClaimFold {
+    memory_ms: u64,
+    next_offset: Option<LogOffset>,
+    caught_up: bool,
+    latest_ms: u64,
+    unreadable_until_ms: u64,
+    retention_short: bool,
+    keys: HashMap<KeyHash, KeyClaims>,
+    /// Claims that lost or were released; a late duplicate of one never owns its key.
+    closed: HashMap<KeyHash, Vec<ClaimId>>,
+    seen: VecDeque<SeenRecord>,
+}
+
+impl ClaimFold {
+    /// Returns an empty fold that remembers claims for `memory_ms` of the log's clock.
+    pub fn new(memory_ms: u64) -> Self {
+        Self {
+            memory_ms,
+            next_offset: None,
+            caught_up: false,
+            latest_ms: 0,
+            unreadable_until_ms: 0,
+            retention_short: false,
+            keys: HashMap::new(),
+            closed: HashMap::new(),
+            seen: VecDeque::new(),
+        }
+    }
+
+    /// Whether every record that the log kept at the last page has been folded.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Whether earlier claims may be hidden: by records of a newer build, or by a log that keeps
+    /// records for less time than the settings say.
+    pub fn is_blind(&self) -> bool {
+        self.latest_ms < self.unreadable_until_ms || self.retention_short
+    }
+
+    /// Offset of the next record to read.
+    pub fn next_offset(&self) -> LogOffset {
+        self.next_offset.unwrap_or(1)
+    }
+
+    /// Latest time of the log's clock that was seen.
+    pub fn latest(&self) -> SystemTime {
+        UNIX_EPOCH + Duration::from_millis(self.latest_ms)
+    }
+
+    /// Owner of `key`.
+    pub fn owner(&self, key: KeyHash) -> Option<KeyOwner> {
+        self.keys.get(&key).and_then(|claims| claims.owner)
+    }
+
+    /// Number of keys remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Folds `page`; pages that do not continue the fold change nothing.
+    pub fn apply(&mut self, page: &LogPage) -> FoldedPage {
+        let mut folded = FoldedPage::default();
+        let expected = self.next_offset.unwrap_or(page.first_offset);
+        if page.first_offset > expected {
+            folded.gap = true;
+            self.restart();
+        }
+        let expected = expected.max(page.first_offset);
+        self.next_offset = Some(expected);
+        if page.records.first().is_some_and(|record| record.offset > expected) {
+            return folded;
+        }
+        for record in &page.records {
+            self.fold_record(record, &mut folded.entries);
+        }
+        let next_offset = self.next_offset();
+        if page.next_offset >= next_offset {
+            self.caught_up = page.next_offset == next_offset;
+        }
+        self.forget_old();
+        self.check_retention(page.first_offset);
+        folded
+    }
+
+    /// Forgets what a gap has made incomplete.
+    fn restart(&mut self) {
+        self.keys.clear();
+        self.closed.clear();
+        self.seen.clear();
+        self.caught_up = false;
+    }
+
+    fn fold_record(&mut self, record: &LogRecord, folded: &mut Vec<FoldedEntry>) {
+        if record.offset != self.next_offset() {
+            return;
+        }
+        self.next_offset = Some(record.offset + 1);
+        let appended_ms = unix_ms(record.appended_at);
+        self.latest_ms = self.latest_ms.max(appended_ms);
+        match decode_record(&record.payload) {
+            DecodedRecord::Batch(entries) => {
+                for entry in entries {
+                    folded.extend(self.fold_entry(entry, record.offset, appended_ms));
+                }
+            }
+            DecodedRecord::Newer => {
+                self.unreadable_until_ms = appended_ms + self.memory_ms;
+            }
+            DecodedRecord::Foreign => {}
+        }
+    }
+
+    fn fold_entry(
+        &mut self,
+        entry: ClaimEntry,
+        offset: LogOffset,
+        appended_ms: u64,
+    ) -> Option<FoldedEntry> {
+        match entry {
+            ClaimEntry::Claim { claim, key, fingerprint } => {
+                self.seen.push_back(SeenRecord { offset, appended_ms, key });
+                let claims = self.keys.entry(key).or_default();
+                claims.last_ms = claims.last_ms.max(appended_ms);
+                self.fold_claim(claim, key, fingerprint)
+            }
+            ClaimEntry::Release { claim, key } => {
+                let claims = self.keys.get_mut(&key)?;
+                claims.owner.take_if(|owner| owner.claim == claim)?;
+                self.closed.entry(key).or_default().push(claim);
+                Some(FoldedEntry::Released { claim, key })
+            }
+        }
+    }
+
+    fn fold_claim(
+        &mut self,
+        claim: ClaimId,
+        key: KeyHash,
+        fingerprint: Fingerprint,
+    ) -> Option<FoldedEntry> {
+        if self.closed.get(&key).is_some_and(|closed| closed.contains(&claim)) {
+            return None;
+        }
+        let claims = self.keys.get_mut(&key)?;
+        match claims.owner {
+            Some(owner) if owner.claim == claim => None,
+            Some(owner) => {
+                self.closed.entry(key).or_default().push(claim);
+                Some(FoldedEntry::Lost { claim, key, owner })
+            }
+            None => {
+                claims.owner = Some(KeyOwner { claim, fingerprint });
+                Some(FoldedEntry::Owns { claim, key })
+            }
+        }
+    }
+
+    /// Forgets keys whose last claim is older than the memory.
+    fn forget_old(&mut self) {
+        let oldest_ms = self.latest_ms.saturating_sub(self.memory_ms);
+        while self.seen.front().is_some_and(|seen| seen.appended_ms < oldest_ms) {
+            let Some(seen) = self.seen.pop_front() else { return };
+            if self.keys.get(&seen.key).is_some_and(|claims| claims.last_ms < oldest_ms) {
+                self.keys.remove(&seen.key);
+                self.closed.remove(&seen.key);
+            }
+        }
+    }
+
+    /// Notes whether the log dropped a record that must still be remembered; a node that starts
+    /// now could not know of it.
+    fn check_retention(&mut self, first_offset: LogOffset) {
+        self.retention_short = self.seen.front().is_some_and(|seen| seen.offset < first_offset);
+    }
+}
+
+fn unix_ms(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/src/decision/claims/key_time.rs
@@ -0,0 +1,28 @@
+//! Creation time that an idempotency key may carry.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Characters of a UUID in its text form.
+const UUID_CHARS: usize = 36;
+/// Position of the version digit in a UUID.
+const UUID_VERSION_CHAR: usize = 14;
+/// Hexadecimal digits of the time in milliseconds at the start of a UUID of version 7.
+const UUID_TIME_DIGITS: usize = 12;
+
+/// Returns the creation time of a key that is a UUID of version 7 (RFC 9562); other keys carry
+/// none.
+pub fn key_time(key: &str) -> Option<SystemTime> {
+    if key.len() != UUID_CHARS || !key.is_ascii() || key.as_bytes()[UUID_VERSION_CHAR] != b'7' {
+        return None;
+    }
+    let is_uuid = key.bytes().enumerate().all(|(index, byte)| match index {
+        8 | 13 | 18 | 23 => byte == b'-',
+        _ => byte.is_ascii_hexdigit(),
+    });
+    if !is_uuid {
+        return None;
+    }
+    let digits: String = key.chars().filter(|char| *char != '-').take(UUID_TIME_DIGITS).collect();
+    let unix_ms = u64::from_str_radix(&digits, 16).ok()?;
+    Some(UNIX_EPOCH + Duration::from_millis(unix_ms))
+}
--- /dev/null
+++ b/tests/together/claims_cases.rs
@@ -0,0 +1,122 @@
+//! Single cases of claims.
+
+use crate::claims_world::{AppendFate, CallFate, SETTINGS, World};
+use coriandertide::decision::claims::{ClaimsSettings, hash_key, key_time};
+use coriandertide::types::Faults;
+use std::time::UNIX_EPOCH;
+
+fn endings(world: &World) -> String {
+    let lines = world.ledger.endings.iter().map(|(request, ending)| format!("{request}: {ending}"));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn first_claim_in_log_order_runs() {
+    let mut world = World::new(2);
+    for node in [0, 1] {
+        world.read(node, 10, false);
+        world.begin(node, 1, 1);
+    }
+    world.append(1, AppendFate::Done);
+    world.append(0, AppendFate::Done);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: unknown
+    request-4: answer
+    ");
+}
+
+#[test]
+fn lost_append_answer_is_repeated_under_the_same_claim() {
+    let mut world = World::new(1);
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::AnswerLost);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @"request-2: answer");
+    assert_eq!(world.ledger.runs_ms.len(), 1);
+}
+
+#[test]
+fn log_outage_refuses_and_the_same_key_runs_afterwards() {
+    let mut world = World::new(1);
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    for _ in 0..12 {
+        world.append(0, AppendFate::Lost);
+        world.advance(100);
+        world.apply(0, coriandertide::decision::claims::ClaimEvent::Tick);
+    }
+    assert_eq!(endings(&world), "request-2: not run");
+    world.advance(1_000);
+    world.begin(0, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-2: not run
+    request-3: answer
+    ");
+}
+
+#[test]
+fn a_key_that_was_not_run_is_free_for_another_node() {
+    let mut world = World::new(2);
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::Done);
+    world.read(0, 10, false);
+    world.run_call(0, CallFate::NotSent);
+    world.append(0, AppendFate::Done);
+    world.read(1, 10, false);
+    world.begin(1, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: not run
+    request-4: answer
+    ");
+}
+
+#[test]
+fn a_repeated_call_gets_the_kept_answer_and_a_reused_key_is_refused() {
+    let mut world = World::new(1);
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::Done);
+    world.read(0, 10, false);
+    world.run_call(0, CallFate::Answer);
+    world.begin(0, 1, 1);
+    world.begin(0, 1, 2);
+    world.crash(0);
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-2: answer
+    request-3: answer
+    request-4: answer
+    request-5: not run
+    request-7: unknown
+    ");
+}
+
+#[test]
+fn key_times_and_hashes() {
+    let uuid = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+    let unix_ms = key_time(uuid).map(|time| time.duration_since(UNIX_EPOCH).unwrap().as_millis());
+    assert_eq!(unix_ms, Some(1_645_557_742_000));
+    assert_eq!(key_time("017f22e2-79b0-4cc3-98c4-dc0c0c07398f"), None);
+    assert_eq!(key_time("tally-17"), None);
+    let hash =
+        |workspace: &str, key: &str| hash_key(&workspace.into(), &"tally".into(), &key.into());
+    assert_eq!(hash("survey", "1"), hash("survey", "1"));
+    assert_ne!(hash("survey", "1"), hash("pickup", "1"));
+}
+
+#[test]
+fn settings_must_fit_each_other() {
+    let mut faults = Faults::default();
+    ClaimsSettings::default().check("claims", &mut faults);
+    assert!(faults.0.is_empty());
+    SETTINGS.check("claims", &mut faults);
+    insta::assert_snapshot!(faults, @"claims.log_retention_ms: must be above key_age_ms + 2 * clock_skew_ms by a minute");
+}
