refactor(claims): drop checks that no fault can reach, notice early drops by the log

Change: those are removed; a log that drops records before their time, or a record of a newer build, stops claims for the memory of claims instead.

--- a/src/decision/claims/begin.rs
+++ b/src/decision/claims/begin.rs
@@ -96,7 +96,7 @@
 
     /// Why no claim can be made now, if so.
     fn claim_refusal(&self, now: Instant) -> Option<ClaimVerdict> {
-        if self.fold.is_blind() {
+        if self.fold.is_blind(now) {
             return Some(not_run(NotRunReason::ClaimsHidden, self.retry_at(now)));
         }
         if let Some(down_until) = self.queue.down_until().filter(|until| now < *until) {
--- a/src/decision/claims/fold.rs
+++ b/src/decision/claims/fold.rs
@@ -4,7 +4,7 @@
 use crate::ports::{LogPage, LogRecord};
 use crate::types::LogOffset;
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Owner of a key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,7 +15,7 @@
     pub fingerprint: Fingerprint,
 }
 
-/// Outcome of an entry seen for the first time.
+/// Outcome of an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FoldedEntry {
     /// The claim owns its key.
@@ -43,15 +43,6 @@
     },
 }
 
-/// What a page did to the fold.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct FoldedPage {
-    /// Whether records were lost between the fold and the page.
-    pub gap: bool,
-    /// Outcomes in log order.
-    pub entries: Vec<FoldedEntry>,
-}
-
 #[derive(Debug, Default)]
 struct KeyClaims {
     owner: Option<KeyOwner>,
@@ -70,13 +61,13 @@
 pub struct ClaimFold {
     memory_ms: u64,
     next_offset: Option<LogOffset>,
-    caught_up: bool,
+    /// When the fold last held every record that the log kept.
+    caught_up_at: Option<Instant>,
     latest_ms: u64,
-    unreadable_until_ms: u64,
+    /// Until when claims may be hidden by unreadable or lost records.
+    hidden_until: Option<Instant>,
     retention_short: bool,
     keys: HashMap<KeyHash, KeyClaims>,
-    /// Claims that lost or were released; a late duplicate of one never owns its key.
-    closed: HashMap<KeyHash, Vec<ClaimId>>,
     seen: VecDeque<SeenRecord>,
 }
 
@@ -86,25 +77,19 @@
         Self {
             memory_ms,
             next_offset: None,
-            caught_up: false,
+            caught_up_at: None,
             latest_ms: 0,
-            unreadable_until_ms: 0,
+            hidden_until: None,
             retention_short: false,
             keys: HashMap::new(),
-            closed: HashMap::new(),
             seen: VecDeque::new(),
         }
     }
 
-    /// Whether every record that the log kept at the last page has been folded.
-    pub fn is_caught_up(&self) -> bool {
-        self.caught_up
-    }
-
     /// Whether earlier claims may be hidden: by records of a newer build, or by a log that keeps
     /// records for less time than the settings say.
-    pub fn is_blind(&self) -> bool {
-        self.latest_ms < self.unreadable_until_ms || self.retention_short
+    pub fn is_blind(&self, now: Instant) -> bool {
+        self.retention_short || self.hidden_until.is_some_and(|until| now < until)
     }
 
     /// Offset of the next record to read.
@@ -132,40 +117,41 @@
         self.keys.is_empty()
     }
 
-    /// Folds `page`; pages that do not continue the fold change nothing.
-    pub fn apply(&mut self, page: &LogPage) -> FoldedPage {
-        let mut folded = FoldedPage::default();
-        let expected = self.next_offset.unwrap_or(page.first_offset);
-        if page.first_offset > expected {
-            folded.gap = true;
-            self.restart();
+    /// Folds `page` and returns the outcomes in log order; a page that does not continue the fold
+    /// changes nothing.
+    pub fn apply(&mut self, page: &LogPage, now: Instant) -> Vec<FoldedEntry> {
+        let mut folded = Vec::new();
+        let next_offset = self.next_offset.unwrap_or(page.first_offset);
+        if page.first_offset > next_offset {
+            self.skip_lost(page.first_offset, now);
+        } else {
+            self.next_offset = Some(next_offset);
         }
-        let expected = expected.max(page.first_offset);
-        self.next_offset = Some(expected);
-        if page.records.first().is_some_and(|record| record.offset > expected) {
+        if page.records.first().is_some_and(|record| record.offset > self.next_offset()) {
             return folded;
         }
         for record in &page.records {
-            self.fold_record(record, &mut folded.entries);
+            self.fold_record(record, now, &mut folded);
         }
-        let next_offset = self.next_offset();
-        if page.next_offset >= next_offset {
-            self.caught_up = page.next_offset == next_offset;
+        if page.next_offset == self.next_offset() {
+            self.caught_up_at = Some(now);
         }
         self.forget_old();
         self.check_retention(page.first_offset);
         folded
     }
 
-    /// Forgets what a gap has made incomplete.
-    fn restart(&mut self) {
-        self.keys.clear();
-        self.closed.clear();
-        self.seen.clear();
-        self.caught_up = false;
+    /// Goes on at `first_offset` after records expired unread. A log that drops records before
+    /// their time may have hidden claims that still count.
+    fn skip_lost(&mut self, first_offset: LogOffset, now: Instant) {
+        let memory = Duration::from_millis(self.memory_ms);
+        if self.caught_up_at.is_some_and(|caught_up_at| now < caught_up_at + memory) {
+            self.hidden_until = Some(now + memory);
+        }
+        self.next_offset = Some(first_offset);
     }
 
-    fn fold_record(&mut self, record: &LogRecord, folded: &mut Vec<FoldedEntry>) {
+    fn fold_record(&mut self, record: &LogRecord, now: Instant, folded: &mut Vec<FoldedEntry>) {
         if record.offset != self.next_offset() {
             return;
         }
@@ -179,7 +165,7 @@
                 }
             }
             DecodedRecord::Newer => {
-                self.unreadable_until_ms = appended_ms + self.memory_ms;
+                self.hidden_until = Some(now + Duration::from_millis(self.memory_ms));
             }
             DecodedRecord::Foreign => {}
         }
@@ -201,7 +187,6 @@
             ClaimEntry::Release { claim, key } => {
                 let claims = self.keys.get_mut(&key)?;
                 claims.owner.take_if(|owner| owner.claim == claim)?;
-                self.closed.entry(key).or_default().push(claim);
                 Some(FoldedEntry::Released { claim, key })
             }
         }
@@ -213,16 +198,10 @@
         key: KeyHash,
         fingerprint: Fingerprint,
     ) -> Option<FoldedEntry> {
-        if self.closed.get(&key).is_some_and(|closed| closed.contains(&claim)) {
-            return None;
-        }
         let claims = self.keys.get_mut(&key)?;
         match claims.owner {
             Some(owner) if owner.claim == claim => None,
-            Some(owner) => {
-                self.closed.entry(key).or_default().push(claim);
-                Some(FoldedEntry::Lost { claim, key, owner })
-            }
+            Some(owner) => Some(FoldedEntry::Lost { claim, key, owner }),
             None => {
                 claims.owner = Some(KeyOwner { claim, fingerprint });
                 Some(FoldedEntry::Owns { claim, key })
@@ -237,7 +216,6 @@
             let Some(seen) = self.seen.pop_front() else { return };
             if self.keys.get(&seen.key).is_some_and(|claims| claims.last_ms < oldest_ms) {
                 self.keys.remove(&seen.key);
-                self.closed.remove(&seen.key);
             }
         }
     }
--- a/src/decision/claims/mod.rs
+++ b/src/decision/claims/mod.rs
@@ -78,9 +78,7 @@
             }
             ClaimEvent::Tick => {}
         }
-        if self.fold.is_caught_up() {
-            commands.extend(self.queue.start(now));
-        }
+        commands.extend(self.queue.start(now));
         commands
     }
 
--- a/src/decision/claims/progress.rs
+++ b/src/decision/claims/progress.rs
@@ -8,7 +8,7 @@
 use crate::ports::LogPage;
 use crate::types::LogOffset;
 use std::mem;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 impl ClaimsState {
     pub(super) fn end_append(
@@ -36,11 +36,7 @@
         now: Instant,
         commands: &mut Vec<ClaimCommand>,
     ) {
-        let folded = self.fold.apply(page);
-        if folded.gap {
-            self.refuse_waiting(now, commands);
-        }
-        for entry in folded.entries {
+        for entry in self.fold.apply(page, now) {
             match entry {
                 FoldedEntry::Owns { claim, key } if claim.run == self.run => {
                     self.own(claim, key, now, commands);
@@ -73,12 +69,11 @@
             return;
         };
         self.deadlines.insert(KeyDeadline { at: forget_at, key });
-        let was_waiting = local.is_waiting();
-        self.waiting_calls -= usize::from(was_waiting);
+        self.waiting_calls -= usize::from(local.is_waiting());
         let refusal = self.own_refusal(key, now);
         let timeout = not_run(NotRunReason::ClaimTimeout, self.retry_at(now));
         let Some(local) = self.local.get_mut(&key) else { return };
-        if !was_waiting || refusal.is_some() || local.callers.is_empty() {
+        if refusal.is_some() || local.callers.is_empty() {
             let verdict = refusal.unwrap_or(timeout);
             answer_all(mem::take(&mut local.callers), &verdict, commands);
             local.phase = Phase::Releasing { forget_at };
@@ -94,7 +89,7 @@
     /// Why the claim of `key`, which owns it, must not run, if so.
     fn own_refusal(&self, key: KeyHash, now: Instant) -> Option<ClaimVerdict> {
         let key_time = self.local.get(&key).and_then(|local| local.key_time);
-        if self.fold.is_blind() {
+        if self.fold.is_blind(now) {
             return Some(not_run(NotRunReason::ClaimsHidden, self.retry_at(now)));
         }
         if self.is_too_old(key_time) {
@@ -122,19 +117,6 @@
         self.local.remove(&key)
     }
 
-    /// Refuses all waiting calls: records before their claims may have been lost unread. None of
-    /// these claims is ever taken up again; one that turns up on the log is released.
-    fn refuse_waiting(&mut self, now: Instant, commands: &mut Vec<ClaimCommand>) {
-        let verdict = not_run(NotRunReason::ClaimsHidden, self.retry_at(now));
-        for local in self.local.values_mut().filter(|local| local.is_waiting()) {
-            answer_all(mem::take(&mut local.callers), &verdict, commands);
-        }
-        self.waiting_calls = 0;
-        self.local
-            .retain(|_, local| matches!(local.phase, Phase::Running { .. } | Phase::Ended { .. }));
-        self.drop_unwanted_entries();
-    }
-
     /// Drops queued claims that no caller waits for.
     fn drop_unwanted_entries(&mut self) {
         let local = &self.local;
@@ -224,7 +206,7 @@
         answer_all(local.callers, &verdict, commands);
     }
 
-    pub(super) fn is_too_old(&self, key_time: Option<std::time::SystemTime>) -> bool {
+    pub(super) fn is_too_old(&self, key_time: Option<SystemTime>) -> bool {
         let age = key_time.and_then(|key_time| self.fold.latest().duration_since(key_time).ok());
         age.is_some_and(|age| age > Duration::from_millis(self.settings.key_age_ms))
     }
--- a/src/decision/claims/settings.rs
+++ b/src/decision/claims/settings.rs
@@ -58,10 +58,11 @@
             format!("{path}.log_retention_ms"),
             "must be above key_age_ms + 2 * clock_skew_ms by a minute",
         );
+        let claim_ms = self.claim_timeout_ms + self.claim_reuse_ms;
         faults.require(
-            self.claim_timeout_ms + self.claim_reuse_ms < self.key_age_ms,
-            format!("{path}.key_age_ms"),
-            "must be above claim_timeout_ms + claim_reuse_ms",
+            claim_ms < RETENTION_MARGIN_MS && claim_ms <= 2 * self.clock_skew_ms,
+            format!("{path}.claim_timeout_ms"),
+            "must be, with claim_reuse_ms, below a minute and 2 * clock_skew_ms",
         );
         faults.require(self.appends_per_s > 0, format!("{path}.appends_per_s"), "must be above 0");
     }
--- a/tests/together/claims_cases.rs
+++ b/tests/together/claims_cases.rs
@@ -1,7 +1,8 @@
 //! Single cases of claims.
 
 use crate::claims_world::{AppendFate, CallFate, SETTINGS, World};
-use coriandertide::decision::claims::{ClaimsSettings, hash_key, key_time};
+use bytes::Bytes;
+use coriandertide::decision::claims::{ClaimsSettings, encode_record, hash_key, key_time};
 use coriandertide::types::Faults;
 use std::time::UNIX_EPOCH;
 
@@ -120,3 +121,67 @@
     SETTINGS.check("claims", &mut faults);
     insta::assert_snapshot!(faults, @"claims.log_retention_ms: must be above key_age_ms + 2 * clock_skew_ms by a minute");
 }
+
+#[test]
+fn a_log_that_drops_records_early_stops_claims() {
+    let mut world = World::new(2);
+    world.read(1, 10, false);
+    run_on_first_node(&mut world);
+    world.drop_log();
+    world.begin(1, 1, 1);
+    world.append(1, AppendFate::Done);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: answer
+    request-4: not run
+    ");
+}
+
+#[test]
+fn a_page_with_a_hole_is_not_folded() {
+    let mut world = World::new(2);
+    world.read(1, 10, false);
+    run_on_first_node(&mut world);
+    world.begin(1, 1, 1);
+    world.append(1, AppendFate::Done);
+    world.read_skipping(1, 1);
+    assert!(world.nodes[1].runs.is_empty());
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: answer
+    request-4: unknown
+    ");
+}
+
+#[test]
+fn records_of_a_newer_build_stop_claims() {
+    let mut world = World::new(1);
+    world.append_raw(newer_record());
+    world.begin(0, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @"request-2: not run");
+    world.advance(SETTINGS.memory_ms());
+    world.append_raw(Bytes::from_static(b"foreign"));
+    world.begin(0, 1, 1);
+    world.settle();
+    assert_eq!(world.ledger.runs_ms.len(), 1);
+}
+
+fn run_on_first_node(world: &mut World) {
+    world.read(0, 10, false);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::Done);
+    world.read(0, 10, false);
+    world.run_call(0, CallFate::Answer);
+}
+
+/// Record with the version after the current one.
+fn newer_record() -> Bytes {
+    let payload = encode_record(&[]);
+    let current = b"gversion\x01";
+    let position = payload.windows(current.len()).position(|window| window == current);
+    let position = position.expect("the record has a version");
+    let mut payload = payload.to_vec();
+    payload[position + current.len() - 1] += 1;
+    payload.into()
+}
--- a/tests/together/claims_world.rs
+++ b/tests/together/claims_world.rs
@@ -210,6 +210,23 @@
         offset
     }
 
+    pub fn append_raw(&mut self, payload: Bytes) {
+        self.append_record(payload);
+    }
+
+    /// Drops all records before their time.
+    pub fn drop_log(&mut self) {
+        self.log.clear();
+        self.first_offset = self.next_offset;
+    }
+
+    /// Delivers a page without its first `skipped` records.
+    pub fn read_skipping(&mut self, node: usize, skipped: usize) {
+        let mut page = self.page(node, usize::MAX);
+        page.records.drain(..skipped);
+        self.apply(node, ClaimEvent::Page(page));
+    }
+
     pub fn append_late(&mut self) {
         if !self.late_appends.is_empty() {
             let payload = self.late_appends.remove(0);
