--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,4 +4,5 @@
 pub mod configuration;
 pub mod poison;
 pub mod retry;
+pub mod claims;
 pub mod routing;
