--- /dev/null
+++ b/src/decision/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of models on servers.
