--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -5,4 +5,7 @@
 pub mod poison;
 pub mod retry;
 pub mod claims;
+pub mod leases;
+pub mod placement;
+pub mod power;
 pub mod routing;
