--- a/src/decision/power/account.rs
+++ b/src/decision/power/account.rs
@@ -277,7 +277,7 @@
     /// Parts of the share that can be taken away while the rest covers the work at every moment.
     fn spare_parts(&self, now: Instant) -> u64 {
         let Some(share) = self.sources.get(&SourceId::Share) else { return 0 };
-        if share.deadline <= now {
+        if share.deadline <= now || !self.is_covered(now) {
             return 0;
         }
         let spare_beyond = |moment: Instant, committed_watts: u64| {
@@ -296,6 +296,9 @@
 
     fn take_shed(&mut self, now: Instant) -> Vec<RequestId> {
         let mut shed = Vec::new();
+        if self.is_covered(now) {
+            return shed;
+        }
         let mut kept = self.running.clone();
         kept.retain(|_, work| !work.is_shed);
         std::mem::swap(&mut kept, &mut self.running);
--- a/src/decision/power/messages.rs
+++ b/src/decision/power/messages.rs
@@ -58,6 +58,9 @@
         parts: u64,
         /// Milliseconds from the sending of the ask for which they are needed.
         needed_ms: u64,
+        /// Grants of the receiver, for earlier asks, that the sender still holds. It will never
+        /// use another one: a grant that was lost comes back by this.
+        held_grants: Vec<u64>,
     },
     /// The sender has given up parts in favour of the receiver.
     Grant {
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -170,7 +170,11 @@
                 self.transfers.regain(*grant);
                 Vec::new()
             }
-            PowerMessage::Ask { .. } => self.answer_ask(from, message, now),
+            PowerMessage::Ask { ask, held_grants, .. } => {
+                self.transfers.regain_unheld(from, *ask, held_grants);
+                self.refresh_share();
+                self.answer_ask(from, message, now)
+            }
         }
     }
 
--- a/src/decision/power/settings.rs
+++ b/src/decision/power/settings.rs
@@ -21,6 +21,9 @@
     /// Milliseconds between asks while power is lacking; an ask is answered within it or not at
     /// all.
     pub ask_ms: u64,
+    /// Milliseconds beyond the request that lacked power for which a grant is asked, so that later
+    /// requests can use it too.
+    pub grant_reuse_ms: u64,
     /// Milliseconds for which an unused grant is kept.
     pub grant_idle_ms: u64,
 }
@@ -34,6 +37,7 @@
             work_limit_ms: 120_000,
             transit_ms: 5_000,
             ask_ms: 400,
+            grant_reuse_ms: 30_000,
             grant_idle_ms: 2_000,
         }
     }
--- a/src/decision/power/transfers.rs
+++ b/src/decision/power/transfers.rs
@@ -5,7 +5,7 @@
 //! until the giver regains them, and never doubles them.
 
 use super::account::{PowerAccount, PowerLack, PowerSource, SourceId};
-use super::messages::{PowerCommand, PowerMessage};
+use super::messages::{PowerCommand, PowerMessage, TOTAL_PARTS};
 use super::settings::PowerSettings;
 use crate::decision::leases::tenure::drift_margin;
 use crate::types::InstanceId;
@@ -15,6 +15,8 @@
 
 /// Partners asked at once.
 const ASKED_PARTNERS: usize = 8;
+/// Factor by which an ask grows over the last one while power is still lacking.
+const ASK_GROWTH: u64 = 4;
 
 /// Id of a grant: numbers are unique within the giver.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -38,6 +40,14 @@
     seen: BTreeSet<GrantId>,
 }
 
+/// What an ask tells every partner.
+#[derive(Clone, Copy, Debug)]
+struct SentAsk {
+    number: u64,
+    parts: u64,
+    needed_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct ReceivedGrant {
     parts: u64,
@@ -47,6 +57,8 @@
 
 #[derive(Clone, Debug)]
 struct GivenGrant {
+    asker: InstanceId,
+    ask: u64,
     parts: u64,
     regain_at: Instant,
 }
@@ -63,6 +75,7 @@
     last_ask: u64,
     last_grant: u64,
     lacking_until: Option<Instant>,
+    least_ask_parts: u64,
     received: BTreeMap<GrantId, ReceivedGrant>,
     given: BTreeMap<u64, GivenGrant>,
 }
@@ -80,6 +93,7 @@
             last_ask: 0,
             last_grant: 0,
             lacking_until: None,
+            least_ask_parts: 0,
             received: BTreeMap::new(),
             given: BTreeMap::new(),
         }
@@ -129,6 +143,9 @@
         }
         let deadline = open.sent_at + Duration::from_millis(*valid_ms);
         open.lacking_parts = open.lacking_parts.saturating_sub(*parts);
+        if open.lacking_parts == 0 {
+            open.closes_at = now;
+        }
         self.account.set_source(id.source(), PowerSource { parts: *parts, deadline });
         let received = ReceivedGrant { parts: *parts, deadline, return_at: None };
         self.received.insert(id, received);
@@ -144,7 +161,7 @@
         share_deadline: Instant,
         now: Instant,
     ) -> Option<PowerCommand> {
-        let PowerMessage::Ask { ask, parts, needed_ms } = message else { return None };
+        let PowerMessage::Ask { ask, parts, needed_ms, .. } = message else { return None };
         if self.lacks(now) && self.instance < *from {
             return None;
         }
@@ -158,7 +175,8 @@
         }
         self.last_grant += 1;
         let regain_at = given_until + Duration::from_millis(self.settings.transit_ms);
-        self.given.insert(self.last_grant, GivenGrant { parts, regain_at });
+        let given = GivenGrant { asker: from.clone(), ask: *ask, parts, regain_at };
+        self.given.insert(self.last_grant, given);
         let message = PowerMessage::Grant {
             asker: from.clone(),
             ask: *ask,
@@ -169,6 +187,13 @@
         Some(PowerCommand::Send { to: from.clone(), message })
     }
 
+    /// Takes back what `asker` was given for asks before `ask` and does not hold.
+    pub fn regain_unheld(&mut self, asker: &InstanceId, ask: u64, held_grants: &[u64]) {
+        self.given.retain(|grant, given| {
+            given.asker != *asker || given.ask >= ask || held_grants.contains(grant)
+        });
+    }
+
     /// Takes a returned grant back.
     pub fn regain(&mut self, grant: u64) {
         self.given.remove(&grant);
@@ -239,34 +264,51 @@
             return Vec::new();
         }
         self.ask = None;
-        let Some(lack) = self.account.take_lack(now) else { return Vec::new() };
+        let Some(lack) = self.account.take_lack(now) else {
+            if !self.lacks(now) {
+                self.least_ask_parts = 0;
+            }
+            return Vec::new();
+        };
         self.lacking_until = Some(now + 2 * Duration::from_millis(self.settings.ask_ms));
         if self.partners.is_empty() {
             return Vec::new();
         }
-        let message = self.open_ask(lack, now);
+        let ask = self.open_ask(lack, now);
         let asked = self.partners.len().min(ASKED_PARTNERS);
         let first = self.next_partner;
         self.next_partner = first.wrapping_add(asked);
         (0..asked)
             .map(|index| self.partners[first.wrapping_add(index) % self.partners.len()].clone())
-            .map(|to| PowerCommand::Send { to, message: message.clone() })
+            .map(|to| {
+                let held_grants = self.held_grants(&to);
+                let (ask, parts, needed_ms) = (ask.number, ask.parts, ask.needed_ms);
+                let message = PowerMessage::Ask { ask, parts, needed_ms, held_grants };
+                PowerCommand::Send { to, message }
+            })
             .collect()
     }
 
-    fn open_ask(&mut self, lack: PowerLack, now: Instant) -> PowerMessage {
+    fn held_grants(&self, giver: &InstanceId) -> Vec<u64> {
+        self.received.keys().filter(|id| id.giver == *giver).map(|id| id.grant).collect()
+    }
+
+    fn open_ask(&mut self, lack: PowerLack, now: Instant) -> SentAsk {
+        // Callers may try one request at a time, so lasting lack multiplies what is asked for.
+        let parts = lack.parts.max(self.least_ask_parts).min(TOTAL_PARTS);
+        self.least_ask_parts = parts.saturating_mul(ASK_GROWTH);
         self.last_ask += 1;
         self.ask = Some(OpenAsk {
             number: self.last_ask,
             sent_at: now,
             closes_at: now + Duration::from_millis(self.settings.ask_ms),
-            lacking_parts: lack.parts,
+            lacking_parts: parts,
             seen: BTreeSet::new(),
         });
         let needed = lack.needed_until.saturating_duration_since(now);
         let needed_ms = u64::try_from(needed.as_millis()).unwrap_or(u64::MAX / 4);
-        let needed_ms = needed_ms + 1 + self.settings.grant_idle_ms;
-        PowerMessage::Ask { ask: self.last_ask, parts: lack.parts, needed_ms }
+        let needed_ms = needed_ms + 1 + self.settings.grant_reuse_ms;
+        SentAsk { number: self.last_ask, parts, needed_ms }
     }
 }
 
