--- a/tests/power/main.rs
+++ b/tests/power/main.rs
@@ -1,5 +1,7 @@
 //! Leases, placement and power against naive ledgers that know everything, in virtual time.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test is to panic")]
+
 mod leases;
 mod placement;
 mod power;
--- a/tests/together/main.rs
+++ b/tests/together/main.rs
@@ -1,5 +1,7 @@
 //! Nodes acting together: claims, membership, leaving servers and partner links.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test is to panic")]
+
 mod claims;
 mod claims_cases;
 mod claims_world;
