feat(traffic): admission gate, poison strikes, watts held by attempts

Cause: model requests went past admission, a request that crashed servers was known to nobody, and watts had no holder. Change: AdmissionGate in front of model requests; a cut answer is checked against the server's incarnation before it counts as a strike; suspects run one at a time a node and on servers by node rank; a second cut ends the request; attempts hold watts until the server confirmed a cancel or the work deadline; shed signals. Conclusion: committing watts waits for the control side of power.

--- a/src/adapters/model_engine.rs
+++ b/src/adapters/model_engine.rs
@@ -2,12 +2,10 @@
 
 use super::http_client::{Exchange, fetch_json, send};
 use crate::ports::{
-    CacheEventPage, EngineFrame, EngineOrder, EngineRequest, FrameStream, LoadReport, ModelEngine,
+    CacheEventPage, EngineAnswer, EngineFrame, EngineOrder, EngineRequest, LoadReport, ModelEngine,
     OrderOutcome,
 };
-use crate::types::{
-    AvailabilityZone, Delivery, Incarnation, PeerError, PeerResult, RequestId, Step,
-};
+use crate::types::{AvailabilityZone, Delivery, PeerError, PeerResult, RequestId, Step};
 use async_trait::async_trait;
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStream, Eventsource};
@@ -60,7 +58,6 @@
     events: EventStream<DataStream>,
     peer: SmolStr,
     request_id: RequestId,
-    incarnation: Incarnation,
     ended: bool,
 }
 
@@ -93,7 +90,7 @@
         &self,
         address: SocketAddr,
         request: EngineRequest,
-    ) -> PeerResult<FrameStream> {
+    ) -> PeerResult<EngineAnswer> {
         let time_limit = Duration::from_millis(request.time_limit_ms);
         let deadline = Instant::now() + time_limit;
         let request_id = request.request_id.clone();
@@ -108,10 +105,10 @@
             events: data.eventsource(),
             peer: address.to_smolstr(),
             request_id,
-            incarnation,
             ended: false,
         };
-        Ok(Box::pin(stream::unfold(reader, next_frame)))
+        let frames = Box::pin(stream::unfold(reader, next_frame));
+        Ok(EngineAnswer { incarnation, frames })
     }
 
     async fn cancel(&self, address: SocketAddr, request_id: RequestId) -> PeerResult<()> {
@@ -255,7 +252,6 @@
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.prompt_tokens_details.cached_tokens,
             completion_tokens: usage.completion_tokens,
-            incarnation: self.incarnation,
         })
     }
 
--- a/src/control/context.rs
+++ b/src/control/context.rs
@@ -1,8 +1,10 @@
 //! Context of the control thread: ports, settings and the channel of its events.
 
 use super::ControlEvent;
+use crate::decision::power::PowerAccount;
 use crate::ports::{InstanceList, KvStore, LogService, ModelEngine};
 use crate::settings::Settings;
+use crate::traffic::shed_signals::ShedSignals;
 use crate::types::InstanceId;
 use async_channel::Sender;
 use smol::LocalExecutor;
@@ -17,6 +19,10 @@
     pub instance: InstanceId,
     /// Settings.
     pub settings: Arc<Settings>,
+    /// Watts that the node may commit.
+    pub power: Arc<PowerAccount>,
+    /// Signals to attempts whose watts are withdrawn.
+    pub shed_signals: Arc<ShedSignals>,
     /// Platform's log.
     pub log: Arc<dyn LogService>,
     /// Platform's instance list.
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,8 +1,9 @@
 //! Events of the control thread.
 
+use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
-use crate::types::{PeerError, ServerId};
+use crate::types::{Incarnation, PeerError, ServerId};
 use std::time::Instant;
 
 /// Event of the control thread.
@@ -60,6 +61,13 @@
     },
     /// The KV store told what it keeps.
     KeptPrefixes(Vec<KeptPrefix>),
+    /// It was looked whether a server crashed that broke off an answer.
+    CrashChecked {
+        /// Strike that follows if it did.
+        strike: Strike,
+        /// Whether it crashed.
+        crashed: bool,
+    },
     /// A traffic thread reports.
     Traffic(TrafficReport),
 }
@@ -71,6 +79,17 @@
     Sent(SentRequest),
     /// A server completed an answer.
     Answer(AnswerFeedback),
+    /// A server broke off an answer, perhaps since it crashed.
+    AttemptCut {
+        /// Server.
+        server: ServerId,
+        /// Incarnation of the server, if it had named one.
+        incarnation: Option<Incarnation>,
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+    },
+    /// A request that may crash servers ran to its end.
+    Exonerated(Fingerprint),
     /// An attempt on a server failed.
     AttemptFailed {
         /// Server.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod context;
 pub mod event;
 pub mod log_tail;
+pub mod poison;
 pub mod polls;
 pub mod routing;
 pub mod snapshot;
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshot of the control state that traffic threads decide on.
 
+use crate::decision::poison::PoisonView;
 use crate::decision::routing::RoutingView;
 use crate::document::Document;
 use crate::types::WorkspaceId;
@@ -16,8 +17,12 @@
     pub keys: Arc<KeyIndex>,
     /// View for routing decisions.
     pub routing: RoutingView,
+    /// Strikes of requests that crashed servers.
+    pub poison: PoisonView,
     /// Live nodes, this one included.
     pub live_nodes: u32,
+    /// Rank of this node among the live nodes.
+    pub node_rank: u32,
 }
 
 /// Workspaces by the hash of their bearer keys.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -4,12 +4,14 @@
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
 use crate::decision::configuration::ConfigurationState;
+use crate::decision::poison::PoisonState;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
 use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// All state of the control thread.
 pub struct ControlState {
@@ -17,9 +19,11 @@
     pub(super) configuration: ConfigurationState,
     pub(super) routing: RoutingState,
     pub(super) routing_polls: RoutingPolls,
+    pub(super) poison: PoisonState,
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) node_rank: u32,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -29,14 +33,17 @@
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
         let policy = settings.routing_policy;
+        let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
         Self {
             context,
             configuration: ConfigurationState::default(),
             routing: RoutingState::new(policy, zone, RoutingConfig::default()),
             routing_polls: RoutingPolls::new(&settings.control),
+            poison: PoisonState::default(),
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
+            node_rank,
             snapshot,
         }
     }
@@ -72,6 +79,9 @@
             ControlEvent::KeptPrefixes(kept) => {
                 self.routing.apply(RoutingEvent::KeptPrefixes(kept), now);
             }
+            ControlEvent::CrashChecked { strike, crashed } => {
+                self.apply_crash_check(strike, crashed, now);
+            }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
         }
         self.publish();
@@ -110,6 +120,12 @@
             }
             TrafficReport::Answer(feedback) => RoutingEvent::Answer(feedback),
             TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
+            TrafficReport::AttemptCut { server, incarnation, fingerprint } => {
+                return self.check_crash(server, incarnation, fingerprint);
+            }
+            TrafficReport::Exonerated(fingerprint) => {
+                return self.poison.exonerate(fingerprint);
+            }
         };
         self.routing.apply(event, now);
     }
@@ -119,7 +135,9 @@
             document: self.document.clone(),
             keys: Arc::clone(&self.keys),
             routing: self.routing.view(),
+            poison: self.poison.view(),
             live_nodes: self.live_nodes,
+            node_rank: self.node_rank,
         }));
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,6 +8,7 @@
 use crate::control::{self, ControlContext, ControlEvent, ControlState, Snapshot};
 use crate::ports::{KvStore, ModelEngine};
 use crate::settings::Settings;
+use crate::traffic::context::{SharedParts, TrafficParts};
 use crate::traffic::{TrafficContext, dispatch};
 use crate::types::InstanceId;
 use anyhow::Context;
@@ -72,25 +73,23 @@
         let (drain, draining) = async_channel::bounded(1);
         let (control_tasks, task_queue) = async_channel::unbounded();
         let engines = engines(&settings);
-        let traffic = Arc::new(TrafficContext::new(
-            instance.clone(),
-            Arc::clone(&settings),
-            Arc::clone(&snapshot),
-            Arc::clone(&engines),
-            Arc::new(HttpPlainService::new(settings.limits.answer_bytes)),
-            events.clone(),
-        ));
         let executor = Arc::new(Executor::new());
+        let shared = SharedParts {
+            instance: instance.clone(),
+            settings: Arc::clone(&settings),
+            snapshot,
+            power: Arc::default(),
+            shed_signals: Arc::default(),
+        };
+        let traffic = Arc::new(TrafficContext::new(TrafficParts {
+            shared: shared.clone(),
+            engines: Arc::clone(&engines),
+            services: Arc::new(HttpPlainService::new(settings.limits.answer_bytes)),
+            control: events.clone(),
+            executor: Arc::downgrade(&executor),
+        }));
         let mut threads = vec![start_control(
-            ControlParts {
-                instance: instance.clone(),
-                settings: Arc::clone(&settings),
-                engines,
-                snapshot,
-                events,
-                control_events,
-                task_queue,
-            },
+            ControlParts { shared, engines, events, control_events, task_queue },
             stopped.clone(),
         )?];
         serve_callers(&executor, listeners.callers, &traffic, draining);
@@ -190,10 +189,8 @@
 
 /// What the control thread starts from.
 struct ControlParts {
-    instance: InstanceId,
-    settings: Arc<Settings>,
+    shared: SharedParts,
     engines: Arc<dyn ModelEngine>,
-    snapshot: Arc<ArcSwap<Snapshot>>,
     events: Sender<ControlEvent>,
     control_events: Receiver<ControlEvent>,
     task_queue: Receiver<ControlTask>,
@@ -204,14 +201,17 @@
     stopped: Receiver<Infallible>,
 ) -> anyhow::Result<JoinHandle<()>> {
     let start = move |executor| {
-        let timeout = Duration::from_millis(parts.settings.control.exchange_timeout_ms);
-        let platform = parts.settings.platform;
+        let SharedParts { instance, settings, snapshot, power, shed_signals } = parts.shared;
+        let timeout = Duration::from_millis(settings.control.exchange_timeout_ms);
+        let platform = settings.platform;
         let kv_store = platform
             .kv_store
             .map(|address| Arc::new(HttpKvStore::new(address, timeout)) as Arc<dyn KvStore>);
         let context = ControlContext {
-            instance: parts.instance,
-            settings: parts.settings,
+            instance,
+            settings,
+            power,
+            shed_signals,
             log: Arc::new(HttpLogService::new(platform.log, timeout)),
             instance_list: Arc::new(HttpInstanceList::new(platform.instance_list, timeout)),
             engines: parts.engines,
@@ -220,7 +220,7 @@
             executor,
         };
         context.spawn(run_tasks(parts.task_queue));
-        let state = ControlState::new(context, parts.snapshot);
+        let state = ControlState::new(context, snapshot);
         state.start();
         control::run(state, parts.control_events)
     };
--- a/src/decision/poison/state.rs
+++ b/src/decision/poison/state.rs
@@ -15,6 +15,7 @@
 struct LiveStrike {
     strike: Strike,
     forgotten_at: Instant,
+    is_cleared: bool,
 }
 
 /// Strikes known to a node.
@@ -41,13 +42,26 @@
         }
         let forgotten_at = now + STRIKE_LIFETIME;
         let fingerprint = strike.fingerprint;
-        self.strikes.entry(fingerprint).or_default().push(LiveStrike { strike, forgotten_at });
+        self.strikes.entry(fingerprint).or_default().push(LiveStrike {
+            strike,
+            forgotten_at,
+            is_cleared: false,
+        });
         true
     }
 
+    /// Clears a request that ran to its end: what crashed its servers was another one.
+    ///
+    /// The cleared strikes stay known, so that a partner that tells them again changes nothing.
+    pub fn exonerate(&mut self, fingerprint: Fingerprint) {
+        if let Some(strikes) = self.strikes.get_mut(&fingerprint) {
+            strikes.iter_mut().for_each(|live| live.is_cleared = true);
+        }
+    }
+
     /// Returns all strikes, for a partner that has just connected.
     pub fn strikes(&self) -> Vec<Strike> {
-        let all = self.strikes.values().flatten();
+        let all = self.strikes.values().flatten().filter(|live| !live.is_cleared);
         all.map(|live| live.strike.clone()).collect()
     }
 
@@ -92,7 +106,7 @@
     pub fn suspicion(&self, fingerprint: Fingerprint, now: Instant) -> Suspicion {
         let Some(strikes) = self.strikes.get(&fingerprint) else { return Suspicion::None };
         let live: Vec<&LiveStrike> =
-            strikes.iter().filter(|live| live.forgotten_at > now).collect();
+            strikes.iter().filter(|live| live.forgotten_at > now && !live.is_cleared).collect();
         let mut servers: Vec<_> = live.iter().map(|live| &live.strike.server).collect();
         servers.sort_unstable();
         servers.dedup();
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -10,7 +10,7 @@
 pub use kv_store::KvStore;
 pub use log_service::{LogPage, LogRecord, LogService, LogStream};
 pub use model_engine::{
-    CacheEvent, CacheEventPage, EngineFrame, EngineOrder, EngineOrderKind, EngineRequest,
-    FrameStream, LoadReport, LoadedModel, ModelEngine, OrderOutcome,
+    CacheEvent, CacheEventPage, EngineAnswer, EngineFrame, EngineOrder, EngineOrderKind,
+    EngineRequest, FrameStream, LoadReport, LoadedModel, ModelEngine, OrderOutcome,
 };
 pub use plain_service::{PlainService, ServiceCall, ServiceResponse};
--- a/src/ports/model_engine.rs
+++ b/src/ports/model_engine.rs
@@ -54,14 +54,20 @@
         cached_tokens: u32,
         /// Tokens generated.
         completion_tokens: u32,
-        /// Incarnation of the engine that ran the request.
-        incarnation: Incarnation,
     },
 }
 
 /// Stream of frames. It ends after [`EngineFrame::End`] or with an error, never silently.
 pub type FrameStream = Pin<Box<dyn Stream<Item = PeerResult<EngineFrame>> + Send>>;
 
+/// Answer under way.
+pub struct EngineAnswer {
+    /// Incarnation of the engine that runs the request.
+    pub incarnation: Incarnation,
+    /// Frames.
+    pub frames: FrameStream,
+}
+
 /// Model loaded on an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadedModel {
@@ -165,12 +171,12 @@
 /// Model engines, each reached by its address.
 #[async_trait]
 pub trait ModelEngine: Send + Sync {
-    /// Starts a request and returns its frames.
+    /// Starts a request and returns its answer under way.
     async fn generate(
         &self,
         address: SocketAddr,
         request: EngineRequest,
-    ) -> PeerResult<FrameStream>;
+    ) -> PeerResult<EngineAnswer>;
 
     /// Cancels a request; a request that is not running is not an error.
     async fn cancel(&self, address: SocketAddr, request_id: RequestId) -> PeerResult<()>;
--- /dev/null
+++ b/src/traffic/attempt.rs
@@ -0,0 +1,109 @@
+//! One attempt of a model request on a server.
+
+use super::power_hold::PowerHold;
+use crate::decision::routing::{AnswerTiming, PrefixLevel, RouteDecision, RoutingView};
+use crate::ports::{EngineAnswer, EngineFrame, FrameStream};
+use crate::types::{Delivery, Incarnation, PeerError, PeerResult, Step};
+use futures_lite::StreamExt;
+use std::time::Instant;
+
+/// Attempt on a server; counted as under way until it is dropped.
+pub struct Attempt {
+    decision: RouteDecision,
+    view: RoutingView,
+    pending_prefill_tokens: u32,
+    sent_at: Instant,
+    first_token_at: Option<Instant>,
+    answer: Option<RunningAnswer>,
+    power: PowerHold,
+}
+
+struct RunningAnswer {
+    incarnation: Incarnation,
+    frames: FrameStream,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.view.end(&self.decision.server, self.pending_prefill_tokens);
+    }
+}
+
+impl Attempt {
+    /// Returns an attempt on the chosen server that is about to be sent.
+    pub fn begin(
+        decision: RouteDecision,
+        view: RoutingView,
+        levels: &[PrefixLevel],
+        power: PowerHold,
+    ) -> Self {
+        let prompt_tokens = levels.last().map_or(0, |level| level.tokens);
+        let pending_prefill_tokens = prompt_tokens.saturating_sub(decision.expected_hit_tokens);
+        view.begin(&decision.server, pending_prefill_tokens);
+        Self {
+            decision,
+            view,
+            pending_prefill_tokens,
+            sent_at: Instant::now(),
+            first_token_at: None,
+            answer: None,
+            power,
+        }
+    }
+
+    /// Takes in that the server runs the request.
+    pub fn run(&mut self, answer: EngineAnswer) {
+        let EngineAnswer { incarnation, frames } = answer;
+        self.answer = Some(RunningAnswer { incarnation, frames });
+    }
+
+    /// Returns the choice of the server.
+    pub fn decision(&self) -> &RouteDecision {
+        &self.decision
+    }
+
+    /// Returns the incarnation of the server, once it is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.answer.as_ref().map(|answer| answer.incarnation)
+    }
+
+    /// Returns the next frame; a stream that ends without its last frame is an error.
+    pub async fn next_frame(&mut self) -> PeerResult<EngineFrame> {
+        let Some(answer) = &mut self.answer else { return Err(self.cut()) };
+        match answer.frames.next().await {
+            Some(result) => result,
+            None => Err(self.cut()),
+        }
+    }
+
+    /// Takes in that a frame came in order.
+    pub fn note_frame(&mut self) {
+        if self.first_token_at.is_some() {
+            return;
+        }
+        self.first_token_at = Some(Instant::now());
+        let prefill_tokens = std::mem::take(&mut self.pending_prefill_tokens);
+        self.view.first_token(&self.decision.server, prefill_tokens);
+    }
+
+    /// Takes in that the answer is complete, so that the server no longer draws power for it.
+    pub fn complete(&mut self) {
+        self.power.release();
+    }
+
+    /// Returns the times of an answer that ended at `ended_at`, none before its first token.
+    pub fn timing(&self, ended_at: Instant) -> Option<AnswerTiming> {
+        let first_token_at = self.first_token_at?;
+        let expectation = self.decision.expectation;
+        Some(AnswerTiming { sent_at: self.sent_at, first_token_at, ended_at, expectation })
+    }
+
+    /// Returns an error of this attempt.
+    pub fn error(&self, step: Step, source: anyhow::Error) -> PeerError {
+        PeerError::new(step, self.decision.server.clone(), Delivery::Unknown, source)
+    }
+
+    fn cut(&self) -> PeerError {
+        self.error(Step::ReadBody, anyhow::anyhow!("stream was cut"))
+    }
+}
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -1,15 +1,50 @@
 //! Context of the traffic threads: ports, limits, the latest snapshot and the way to control.
 
+use super::admission_gate::AdmissionGate;
+use super::shed_signals::ShedSignals;
+use super::suspects::SuspectGate;
 use crate::control::{ControlEvent, Snapshot, TrafficReport};
+use crate::decision::power::PowerAccount;
 use crate::decision::retry::RetryBudget;
 use crate::ports::{ModelEngine, PlainService};
 use crate::settings::Settings;
 use crate::types::{InstanceId, RequestId};
 use arc_swap::ArcSwap;
 use async_channel::Sender;
+use smol::Executor;
 use smol_str::format_smolstr;
+use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+
+/// What the control thread and the traffic threads share.
+#[derive(Clone)]
+pub struct SharedParts {
+    /// Id of this run of the node.
+    pub instance: InstanceId,
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// Latest snapshot of the control state.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Watts that the node may commit.
+    pub power: Arc<PowerAccount>,
+    /// Signals to attempts whose watts are withdrawn.
+    pub shed_signals: Arc<ShedSignals>,
+}
+
+/// What the context of the traffic threads is made from.
+pub struct TrafficParts {
+    /// Parts shared with the control thread.
+    pub shared: SharedParts,
+    /// Model engines.
+    pub engines: Arc<dyn ModelEngine>,
+    /// Plain services.
+    pub services: Arc<dyn PlainService>,
+    /// Events of the control thread.
+    pub control: Sender<ControlEvent>,
+    /// Executor of the traffic threads, held weakly since its tasks hold the context.
+    pub executor: Weak<Executor<'static>>,
+}
 
 /// What traffic threads share.
 pub struct TrafficContext {
@@ -23,8 +58,17 @@
     pub engines: Arc<dyn ModelEngine>,
     /// Plain services.
     pub services: Arc<dyn PlainService>,
+    /// Watts that the node may commit.
+    pub power: Arc<PowerAccount>,
+    /// Signals to attempts whose watts are withdrawn.
+    pub shed_signals: Arc<ShedSignals>,
+    /// Admission of model requests.
+    pub admission: Arc<AdmissionGate>,
+    /// Keeps requests that may crash servers apart.
+    pub suspects: SuspectGate,
     /// Set once the node drains.
     pub draining: AtomicBool,
+    executor: Weak<Executor<'static>>,
     control: Sender<ControlEvent>,
     retry_budget: Mutex<RetryBudget>,
     next_request: AtomicU64,
@@ -32,27 +76,33 @@
 
 impl TrafficContext {
     /// Returns the context of a node that has just started.
-    pub fn new(
-        instance: InstanceId,
-        settings: Arc<Settings>,
-        snapshot: Arc<ArcSwap<Snapshot>>,
-        engines: Arc<dyn ModelEngine>,
-        services: Arc<dyn PlainService>,
-        control: Sender<ControlEvent>,
-    ) -> Self {
+    pub fn new(parts: TrafficParts) -> Self {
+        let TrafficParts { shared, engines, services, control, executor } = parts;
         Self {
-            instance,
-            settings,
-            snapshot,
+            instance: shared.instance,
+            settings: shared.settings,
+            snapshot: shared.snapshot,
             engines,
             services,
+            power: shared.power,
+            shed_signals: shared.shed_signals,
+            admission: Arc::default(),
+            suspects: SuspectGate::default(),
             draining: AtomicBool::new(false),
+            executor,
             control,
             retry_budget: Mutex::new(RetryBudget::new(std::time::Instant::now())),
             next_request: AtomicU64::new(0),
         }
     }
 
+    /// Runs `task` on the traffic threads.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
+    }
+
     /// Returns an id for a new request, unique over all nodes.
     pub fn new_request_id(&self) -> RequestId {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/src/traffic/failure.rs
+++ b/src/traffic/failure.rs
@@ -37,6 +37,8 @@
     Overloaded,
     /// The request crashed more than one backend server.
     PoisonRequest,
+    /// The request was stopped since the power budget no longer covers it.
+    PowerWithdrawn,
     /// Attempts failed and no further one is made.
     UpstreamFailed,
     /// The answer exceeds its limit.
@@ -61,7 +63,7 @@
             Self::InvalidJson | Self::InvalidRequest | Self::InvalidKey => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoServer | Self::ClaimUnavailable => {
+            Self::NotReady | Self::NoServer | Self::PowerWithdrawn | Self::ClaimUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::RateLimited | Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -1,16 +1,21 @@
 //! Runs a model request: attempts on servers, resume after a failure, and the frames in order.
 
+use super::attempt::Attempt;
 use super::generation_request::GenerationRequest;
+use super::power_hold::{HeldAttempt, PowerHold};
+use super::shed_signals::ShedSignal;
+use super::suspects::{SuspectSlot, route_apart};
 use super::{Failure, FailureCode, TrafficContext};
-use crate::control::TrafficReport;
+use crate::adapters::deadline::within;
+use crate::control::{Snapshot, TrafficReport};
+use crate::decision::poison::MOST_STRIKES;
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
-use crate::decision::routing::{
-    AnswerFeedback, AnswerTiming, PrefixLevel, RouteDecision, RouteQuery, RoutingView, SentRequest,
-};
-use crate::ports::{EngineFrame, EngineRequest, FrameStream};
+use crate::decision::routing::{AnswerFeedback, RouteDecision, RouteQuery, SentRequest};
+use crate::ports::{EngineFrame, EngineRequest};
 use crate::types::{Delivery, PeerError, ServerId, Step};
-use futures_lite::StreamExt;
+use futures_lite::FutureExt;
 use serde_json::Value;
+use smol_str::format_smolstr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -42,41 +47,47 @@
     context: Arc<TrafficContext>,
     request: GenerationRequest,
     attempt: Option<Attempt>,
+    shed: Option<ShedSignal>,
+    suspect_slot: Option<SuspectSlot>,
     attempts: u32,
+    crashes: usize,
     excluded: Vec<ServerId>,
     next_frame: u64,
     any_delivery_unknown: bool,
 }
 
-/// Attempt on a server; counted as under way until it is dropped.
-struct Attempt {
-    decision: RouteDecision,
-    view: RoutingView,
-    pending_prefill_tokens: u32,
-    sent_at: Instant,
-    first_token_at: Option<Instant>,
-    frames: Option<FrameStream>,
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.view.end(&self.decision.server, self.pending_prefill_tokens);
-    }
+/// Why an attempt did not go on.
+enum AttemptError {
+    /// The request cannot be sent; it ends with this failure.
+    Final(Failure),
+    /// The exchange with the server failed.
+    Peer(PeerError),
 }
 
 impl Generation {
-    /// Returns a request that has not been sent yet.
-    pub fn new(context: Arc<TrafficContext>, request: GenerationRequest) -> Self {
+    /// Returns a request that has not been sent yet; `is_suspect` if it may crash servers.
+    pub async fn new(
+        context: Arc<TrafficContext>,
+        request: GenerationRequest,
+        is_suspect: bool,
+    ) -> Self {
         context.retry_budget().earn(Instant::now());
-        Self {
+        let mut generation = Self {
             context,
             request,
             attempt: None,
+            shed: None,
+            suspect_slot: None,
             attempts: 0,
+            crashes: 0,
             excluded: Vec::new(),
             next_frame: 0,
             any_delivery_unknown: false,
+        };
+        if is_suspect {
+            generation.run_apart().await;
         }
+        generation
     }
 
     /// Returns the request.
@@ -87,34 +98,52 @@
     /// Returns the next part; after an error the answer cannot go on.
     pub async fn next_part(&mut self) -> Result<Part, Failure> {
         loop {
-            let result = match self.attempt.as_mut().and_then(|attempt| attempt.frames.as_mut()) {
-                Some(frames) => frames.next().await.unwrap_or_else(|| Err(cut_stream())),
-                None => match self.start_attempt().await {
-                    Ok(()) => continue,
-                    Err(AttemptError::NoServer) => return Err(self.no_server()),
-                    Err(AttemptError::Peer(error)) => Err(error),
-                },
-            };
+            if self.attempt.is_none() {
+                match self.start_attempt().await {
+                    Ok(()) => {}
+                    Err(AttemptError::Final(failure)) => return Err(failure),
+                    Err(AttemptError::Peer(error)) => {
+                        self.fail_attempt(&error).await?;
+                        continue;
+                    }
+                }
+            }
+            let result = self.next_frame().await?;
             match result.and_then(|frame| self.accept(frame)) {
                 Ok(Some(part)) => return Ok(part),
                 Ok(None) => {}
-                Err(error) => self.fail_attempt(&error)?,
+                Err(error) => self.fail_attempt(&error).await?,
+            }
+        }
+    }
+
+    /// Returns the next frame of the attempt, or a failure if its watts are withdrawn first.
+    async fn next_frame(&mut self) -> Result<Result<EngineFrame, PeerError>, Failure> {
+        let (Some(attempt), Some(shed)) = (&mut self.attempt, &self.shed) else {
+            return Err(self.no_server());
+        };
+        let frame = async { Some(attempt.next_frame().await) };
+        let withdrawn = async {
+            let _closed = shed.recv().await;
+            None
+        };
+        match frame.or(withdrawn).await {
+            Some(result) => Ok(result),
+            None => {
+                self.attempt = None;
+                self.any_delivery_unknown = true;
+                let message = String::from("stopped to keep the site within its power budget");
+                Err(self.failure(FailureCode::PowerWithdrawn, message))
             }
         }
     }
 
     async fn start_attempt(&mut self) -> Result<(), AttemptError> {
         let snapshot = self.context.snapshot.load_full();
-        let query = RouteQuery {
-            request: self.request.id.clone(),
-            workspace: self.request.workspace.clone(),
-            model: self.request.model.clone(),
-            levels: self.request.levels.clone(),
-            excluded: self.excluded.clone(),
-        };
-        let decision =
-            snapshot.routing.route(&query, Instant::now()).ok_or(AttemptError::NoServer)?;
+        let query = self.query();
+        let decision = self.route(&snapshot, &query).map_err(AttemptError::Final)?;
         log_decision(&query, &decision, self.attempts);
+        let power = self.hold_power(&decision);
         self.attempts += 1;
         let engine_request = self.engine_request(&decision);
         let address = decision.address;
@@ -123,13 +152,55 @@
             runner_up: decision.runner_up.clone(),
             levels: query.levels.clone(),
         }));
-        self.attempt = Some(Attempt::begin(decision, snapshot.routing.clone(), &query.levels));
-        let frames = self.context.engines.generate(address, engine_request).await;
-        let frames = frames.map_err(AttemptError::Peer)?;
-        if let Some(attempt) = &mut self.attempt {
-            attempt.frames = Some(frames);
+        let view = snapshot.routing.clone();
+        let attempt = self.attempt.insert(Attempt::begin(decision, view, &query.levels, power));
+        let answer = self.context.engines.generate(address, engine_request).await;
+        match answer {
+            Ok(answer) => {
+                attempt.run(answer);
+                Ok(())
+            }
+            Err(error) => {
+                if error.delivery != Delivery::Unknown {
+                    attempt.complete();
+                }
+                Err(AttemptError::Peer(error))
+            }
         }
-        Ok(())
+    }
+
+    fn query(&self) -> RouteQuery {
+        RouteQuery {
+            request: self.request.id.clone(),
+            workspace: self.request.workspace.clone(),
+            model: self.request.model.clone(),
+            levels: self.request.levels.clone(),
+            excluded: self.excluded.clone(),
+        }
+    }
+
+    fn route(&self, snapshot: &Snapshot, query: &RouteQuery) -> Result<RouteDecision, Failure> {
+        let now = Instant::now();
+        let decision = if self.suspect_slot.is_some() {
+            route_apart(snapshot, query, now)
+        } else {
+            snapshot.routing.route(query, now)
+        };
+        decision.ok_or_else(|| self.no_server())
+    }
+
+    /// Holds the watts of an attempt.
+    fn hold_power(&mut self, decision: &RouteDecision) -> PowerHold {
+        let key = format_smolstr!("{}#{}", self.request.id, self.attempts);
+        self.shed = Some(self.context.shed_signals.register(key.clone()));
+        let held = HeldAttempt {
+            key,
+            request: self.request.id.clone(),
+            server: decision.server.clone(),
+            address: decision.address,
+            work_deadline: self.request.deadline,
+        };
+        PowerHold::new(Arc::clone(&self.context), held)
     }
 
     fn engine_request(&self, decision: &RouteDecision) -> EngineRequest {
@@ -154,14 +225,14 @@
         };
         if number > self.next_frame {
             let error = anyhow::anyhow!("frame {number} came before frame {}", self.next_frame);
-            return Err(self.attempt_error(Step::Decode, error));
+            return Err(self.attempt_error(error));
         }
         if number < self.next_frame {
             return match frame {
                 EngineFrame::Piece { .. } => Ok(None),
                 EngineFrame::End { .. } => {
                     let error = anyhow::anyhow!("answer ended before frame {}", self.next_frame);
-                    Err(self.attempt_error(Step::Decode, error))
+                    Err(self.attempt_error(error))
                 }
             };
         }
@@ -171,38 +242,39 @@
         }
         match frame {
             EngineFrame::Piece { chunk, .. } => Ok(Some(Part::Chunk(chunk))),
-            EngineFrame::End {
-                prompt_tokens,
-                cached_tokens,
-                completion_tokens,
-                incarnation,
-                ..
-            } => {
+            EngineFrame::End { prompt_tokens, cached_tokens, completion_tokens, .. } => {
                 let usage = Usage { prompt_tokens, cached_tokens, completion_tokens };
-                self.report_answer(usage, incarnation);
+                self.complete_attempt(usage);
                 Ok(Some(Part::End(usage)))
             }
         }
     }
 
-    fn report_answer(&self, usage: Usage, incarnation: u64) {
-        let Some(attempt) = &self.attempt else { return };
+    fn complete_attempt(&mut self, usage: Usage) {
+        let Some(attempt) = &mut self.attempt else { return };
+        attempt.complete();
+        let is_first = self.attempts == 1;
+        let timing = attempt.timing(Instant::now()).filter(|_| is_first);
         self.context.report(TrafficReport::Answer(AnswerFeedback {
-            server: attempt.decision.server.clone(),
-            incarnation,
+            server: attempt.decision().server.clone(),
+            incarnation: attempt.incarnation().unwrap_or_default(),
             model: self.request.model.clone(),
             workspace: self.request.workspace.clone(),
             levels: self.request.levels.clone(),
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.cached_tokens,
-            timing: attempt.timing(self.attempts, Instant::now()),
+            timing,
         }));
+        if self.suspect_slot.is_some() {
+            self.context.report(TrafficReport::Exonerated(self.request.fingerprint));
+        }
     }
 
     /// Ends the attempt; returns the final failure if no further attempt is made.
-    fn fail_attempt(&mut self, error: &PeerError) -> Result<(), Failure> {
+    async fn fail_attempt(&mut self, error: &PeerError) -> Result<(), Failure> {
         let Some(attempt) = self.attempt.take() else { return Ok(()) };
-        let server = attempt.decision.server.clone();
+        let server = attempt.decision().server.clone();
+        let incarnation = attempt.incarnation();
         drop(attempt);
         if error.delivery == Delivery::Unknown {
             self.any_delivery_unknown = true;
@@ -222,11 +294,37 @@
             self.attempts,
             self.next_frame,
         );
+        if error.is_cut() {
+            self.context.report(TrafficReport::AttemptCut {
+                server: server.clone(),
+                incarnation,
+                fingerprint: self.request.fingerprint,
+            });
+            self.crashes += 1;
+        }
         self.excluded.push(server);
+        if self.crashes >= MOST_STRIKES {
+            let message = format!("{} backend servers broke off while they ran it", self.crashes);
+            return Err(self.failure(FailureCode::PoisonRequest, message));
+        }
         match decision {
-            RetryDecision::Retry => Ok(()),
             RetryDecision::GiveUp(reason) => Err(self.given_up(reason)),
+            RetryDecision::Retry => {
+                if error.is_cut() {
+                    self.run_apart().await;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Lets the request go on only while no other suspect of this node runs.
+    async fn run_apart(&mut self) {
+        if self.suspect_slot.is_some() {
+            return;
         }
+        let entered = within(self.request.deadline, self.context.suspects.enter()).await;
+        self.suspect_slot = entered.ok();
     }
 
     fn given_up(&self, reason: GiveUpReason) -> Failure {
@@ -245,64 +343,34 @@
         } else {
             Failure::not_run(code, message)
         };
-        failure.retry_at(Instant::now() + NO_SERVER_RETRY)
-    }
-
-    fn attempt_error(&self, step: Step, source: anyhow::Error) -> PeerError {
-        let peer = self.attempt.as_ref().map(|attempt| attempt.decision.server.clone());
-        PeerError::new(step, peer.unwrap_or_default(), Delivery::Unknown, source)
-    }
-}
-
-enum AttemptError {
-    NoServer,
-    Peer(PeerError),
-}
-
-impl Attempt {
-    fn begin(decision: RouteDecision, view: RoutingView, levels: &[PrefixLevel]) -> Self {
-        let prompt_tokens = levels.last().map_or(0, |level| level.tokens);
-        let pending_prefill_tokens = prompt_tokens.saturating_sub(decision.expected_hit_tokens);
-        view.begin(&decision.server, pending_prefill_tokens);
-        let sent_at = Instant::now();
-        Self { decision, view, pending_prefill_tokens, sent_at, first_token_at: None, frames: None }
-    }
-
-    /// Takes in that a frame came.
-    fn note_frame(&mut self) {
-        if self.first_token_at.is_some() {
-            return;
+        match code {
+            FailureCode::PoisonRequest => failure,
+            _ => failure.retry_at(Instant::now() + NO_SERVER_RETRY),
         }
-        self.first_token_at = Some(Instant::now());
-        let prefill_tokens = std::mem::take(&mut self.pending_prefill_tokens);
-        self.view.first_token(&self.decision.server, prefill_tokens);
     }
 
-    /// Returns the times of an answer that ended at `ended_at`, none after a resume.
-    fn timing(&self, attempts: u32, ended_at: Instant) -> Option<AnswerTiming> {
-        let first_token_at = self.first_token_at.filter(|_| attempts == 1)?;
-        let expectation = self.decision.expectation;
-        Some(AnswerTiming { sent_at: self.sent_at, first_token_at, ended_at, expectation })
+    fn attempt_error(&self, source: anyhow::Error) -> PeerError {
+        match &self.attempt {
+            Some(attempt) => attempt.error(Step::Decode, source),
+            None => PeerError::new(Step::Decode, "", Delivery::Unknown, source),
+        }
     }
 }
 
-fn cut_stream() -> PeerError {
-    PeerError::new(Step::ReadBody, "", Delivery::Unknown, anyhow::anyhow!("stream was cut"))
-}
-
 fn log_decision(query: &RouteQuery, decision: &RouteDecision, attempts: u32) {
     let runner_up = decision.runner_up.as_deref().unwrap_or("none");
     let prompt_tokens = query.levels.last().map_or(0, |level| level.tokens);
     log::info!(
         "event=routed request={} workspace={} model={} server={} runner_up={runner_up} \
-         prompt_tokens={prompt_tokens} expected_hit_tokens={} queued_requests={} reason={} \
-         attempts={attempts}",
+         prompt_tokens={prompt_tokens} expected_hit_tokens={} queued_requests={} wait_ms={} \
+         reason={} attempts={attempts}",
         query.request,
         query.workspace,
         query.model,
         decision.server,
         decision.expected_hit_tokens,
         decision.queued_requests,
+        decision.expectation.wait_ms,
         decision.reason,
     );
 }
--- a/src/traffic/generation_request.rs
+++ b/src/traffic/generation_request.rs
@@ -2,6 +2,7 @@
 
 use super::{Failure, FailureCode};
 use crate::control::Snapshot;
+use crate::decision::poison::Fingerprint;
 use crate::decision::routing::PrefixLevel;
 use crate::decision::routing::prefix::{PrefixScope, prompt_levels};
 use crate::document::Document;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::time::Instant;
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// Header that names a priority.
 pub const PRIORITY_HEADER: &str = "x-priority";
@@ -49,6 +51,8 @@
     pub weights_version: WeightsVersion,
     /// Body for the engine, a stream with usage.
     pub body: Value,
+    /// Fingerprint of the request, the same for each repetition by its caller.
+    pub fingerprint: Fingerprint,
     /// Levels of the prompt, outermost first.
     pub levels: Vec<PrefixLevel>,
     /// Most tokens that the caller wants.
@@ -124,6 +128,7 @@
             weights_version: &weights_version,
         };
         let levels = prompt_levels(scope, &body);
+        let fingerprint = fingerprint(&raw.workspace, raw.endpoint, raw.body);
         body["stream"] = json!(true);
         body["stream_options"] = json!({ "include_usage": true });
         let max_tokens = fields.max_completion_tokens.or(fields.max_tokens);
@@ -134,6 +139,7 @@
             model: fields.model,
             weights_version,
             body,
+            fingerprint,
             levels,
             max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
             stream: fields.stream,
@@ -149,6 +155,15 @@
     }
 }
 
+fn fingerprint(workspace: &WorkspaceId, endpoint: Endpoint, body: &Bytes) -> Fingerprint {
+    let mut hasher = Xxh3Default::new();
+    for part in [workspace.as_bytes(), endpoint.path().as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
 /// Returns the failure of a node without a document.
 pub fn not_ready() -> Failure {
     Failure::not_run(FailureCode::NotReady, "the node has no configuration yet")
--- a/src/traffic/handlers/text_generation.rs
+++ b/src/traffic/handlers/text_generation.rs
@@ -1,6 +1,9 @@
 //! Model requests: chat completions and completions, streamed or whole.
 
 use crate::adapters::http_server::Reply;
+use crate::control::Snapshot;
+use crate::decision::poison::Suspicion;
+use crate::traffic::admission_gate::{Admitted, GateRequest, is_own_limit};
 use crate::traffic::authenticate::authenticate;
 use crate::traffic::generation::{Generation, Part, Usage};
 use crate::traffic::generation_request::{Endpoint, GenerationRequest, RawGenerationRequest};
@@ -37,48 +40,92 @@
         body: &body,
         deadline: arrived_at + Duration::from_millis(limits.request_timeout_ms),
     };
-    let request = GenerationRequest::check(raw, &context.snapshot.load())?;
-    let mut generation = Generation::new(context, request);
-    let first = generation.next_part().await?;
-    if generation.request().stream {
-        return Ok(stream_reply(generation, first));
+    let snapshot = context.snapshot.load_full();
+    let request = GenerationRequest::check(raw, &snapshot)?;
+    let is_suspect = check_poison(&request, &snapshot)?;
+    let admitted = admit(&context, &request, &snapshot).await?;
+    let generation = Generation::new(context, request, is_suspect).await;
+    let mut running = RunningRequest { generation, _admitted: admitted };
+    let first = running.generation.next_part().await?;
+    if running.generation.request().stream {
+        return Ok(stream_reply(running, first));
     }
-    whole_reply(generation, first, limits.answer_bytes).await
+    whole_reply(running, first, limits.answer_bytes).await
+}
+
+/// Generation with its place in admission, which is given back when the answer ends.
+struct RunningRequest {
+    generation: Generation,
+    _admitted: Admitted,
+}
+
+/// Refuses a request that crashed servers; returns whether it may crash one.
+fn check_poison(request: &GenerationRequest, snapshot: &Snapshot) -> Result<bool, Failure> {
+    match snapshot.poison.suspicion(request.fingerprint, Instant::now()) {
+        Suspicion::None => Ok(false),
+        Suspicion::Suspect => Ok(true),
+        Suspicion::Refused { until } => {
+            let message = "this request crashed more than one backend server";
+            Err(Failure::not_run(FailureCode::PoisonRequest, message).retry_at(until))
+        }
+    }
+}
+
+async fn admit(
+    context: &TrafficContext,
+    request: &GenerationRequest,
+    snapshot: &Snapshot,
+) -> Result<Admitted, Failure> {
+    let gate_request = GateRequest {
+        workspace: request.workspace.clone(),
+        priority: request.priority,
+        tokens: request.prompt_tokens().saturating_add(request.max_tokens),
+        deadline: request.deadline,
+    };
+    let admitted = context.admission.admit(gate_request, snapshot).await;
+    admitted.map_err(|refusal| {
+        let code = if is_own_limit(refusal.reason) {
+            FailureCode::RateLimited
+        } else {
+            FailureCode::Overloaded
+        };
+        let message = format!("not started: {}", refusal.reason);
+        Failure::not_run(code, message).retry_at(refusal.retry_at)
+    })
 }
 
 /// State of a stream to a caller.
 enum StreamState {
     /// The part is to be sent next.
-    Ready(Box<Generation>, Part),
+    Ready(Box<RunningRequest>, Part),
     /// The next part is to be awaited.
-    Waiting(Box<Generation>),
+    Waiting(Box<RunningRequest>),
     /// The stream is over.
     Ended,
 }
 
-fn stream_reply(generation: Generation, first: Part) -> Reply {
-    let state = StreamState::Ready(Box::new(generation), first);
+fn stream_reply(running: RunningRequest, first: Part) -> Reply {
+    let state = StreamState::Ready(Box::new(running), first);
     event_stream_reply(stream::unfold(state, next_event))
 }
 
 async fn next_event(state: StreamState) -> Option<(Bytes, StreamState)> {
-    let (generation, part) = match state {
-        StreamState::Ready(generation, part) => (generation, Ok(part)),
-        StreamState::Waiting(mut generation) => {
-            let part = generation.next_part().await;
-            (generation, part)
+    let (running, part) = match state {
+        StreamState::Ready(running, part) => (running, Ok(part)),
+        StreamState::Waiting(mut running) => {
+            let part = running.generation.next_part().await;
+            (running, part)
         }
         StreamState::Ended => return None,
     };
     match part {
-        Ok(Part::Chunk(chunk)) => Some((encode_event(&chunk), StreamState::Waiting(generation))),
-        Ok(Part::End(usage)) => Some((end_events(&generation, usage), StreamState::Ended)),
+        Ok(Part::Chunk(chunk)) => Some((encode_event(&chunk), StreamState::Waiting(running))),
+        Ok(Part::End(usage)) => {
+            Some((end_events(running.generation.request(), usage), StreamState::Ended))
+        }
         Err(failure) => {
-            log::info!(
-                "event=stream_failed request={} code={}",
-                generation.request().id,
-                failure.code
-            );
+            let request = running.generation.request();
+            log::info!("event=stream_failed request={} code={}", request.id, failure.code);
             Some((encode_event(&failure_body(&failure)), StreamState::Ended))
         }
     }
@@ -88,8 +135,7 @@
     Bytes::from(format!("data: {data}\n\n"))
 }
 
-fn end_events(generation: &Generation, usage: Usage) -> Bytes {
-    let request = generation.request();
+fn end_events(request: &GenerationRequest, usage: Usage) -> Bytes {
     let mut events = Vec::new();
     if request.include_usage {
         let chunk = json!({
@@ -106,10 +152,11 @@
 }
 
 async fn whole_reply(
-    mut generation: Generation,
+    running: RunningRequest,
     first: Part,
     limit_bytes: usize,
 ) -> Result<Reply, Failure> {
+    let RunningRequest { mut generation, _admitted } = running;
     let mut text = String::new();
     let mut finish_reason = Value::Null;
     let mut part = first;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! Traffic threads decide on the latest snapshot and never wait for the control thread.
 
+pub mod admission_gate;
+pub mod attempt;
 pub mod authenticate;
 pub mod body;
 pub mod context;
@@ -10,8 +12,11 @@
 pub mod generation;
 pub mod generation_request;
 pub mod handlers;
+pub mod power_hold;
 pub mod reply;
 pub mod run_state;
+pub mod shed_signals;
+pub mod suspects;
 
 pub use context::TrafficContext;
 pub use dispatch::dispatch;
--- /dev/null
+++ b/src/traffic/power_hold.rs
@@ -0,0 +1,74 @@
+//! Watts committed to an attempt until its server no longer runs it.
+
+use super::TrafficContext;
+use crate::types::{RequestId, ServerId};
+use smol::Timer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Watts committed to one attempt.
+///
+/// When it is dropped before [`PowerHold::release`], the server may still run the request: the
+/// watts are then held until the server has confirmed a cancel, or until the work deadline that
+/// the server itself enforces.
+pub struct PowerHold {
+    context: Arc<TrafficContext>,
+    key: RequestId,
+    request: RequestId,
+    server: ServerId,
+    address: SocketAddr,
+    work_deadline: Instant,
+    released: bool,
+}
+
+/// What a hold is for.
+#[derive(Clone, Debug)]
+pub struct HeldAttempt {
+    /// Key of the attempt in the power account.
+    pub key: RequestId,
+    /// Request, by which the server knows the work.
+    pub request: RequestId,
+    /// Server.
+    pub server: ServerId,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// When the server stops the work at the latest.
+    pub work_deadline: Instant,
+}
+
+impl PowerHold {
+    /// Returns the hold of watts that the power account has committed under `attempt.key`.
+    pub fn new(context: Arc<TrafficContext>, attempt: HeldAttempt) -> Self {
+        let HeldAttempt { key, request, server, address, work_deadline } = attempt;
+        Self { context, key, request, server, address, work_deadline, released: false }
+    }
+
+    /// Gives the watts back: the server no longer runs the request, or never has.
+    pub fn release(&mut self) {
+        if !std::mem::replace(&mut self.released, true) {
+            self.context.power.finish(&self.key);
+        }
+    }
+}
+
+impl Drop for PowerHold {
+    fn drop(&mut self) {
+        if self.released {
+            return;
+        }
+        let context = Arc::clone(&self.context);
+        let (key, request) = (self.key.clone(), self.request.clone());
+        let (server, address) = (self.server.clone(), self.address);
+        let work_deadline = self.work_deadline;
+        self.context.spawn(async move {
+            if let Err(error) = context.engines.cancel(address, request).await {
+                log::warn!("event=cancel_failed server={server} {error}");
+                if !error.is_connection_refused() {
+                    Timer::at(work_deadline).await;
+                }
+            }
+            context.power.finish(&key);
+        });
+    }
+}
--- /dev/null
+++ b/src/traffic/suspects.rs
@@ -0,0 +1,47 @@
+//! Runs requests that may crash servers one at a time and apart from other nodes' suspects.
+
+use crate::control::Snapshot;
+use crate::decision::routing::{RouteDecision, RouteQuery};
+use crate::types::ServerId;
+use smol::lock::{Semaphore, SemaphoreGuardArc};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Lets one suspect of this node run at a time.
+#[derive(Debug)]
+pub struct SuspectGate {
+    slot: Arc<Semaphore>,
+}
+
+/// The one place of a running suspect; given back when dropped.
+pub type SuspectSlot = SemaphoreGuardArc;
+
+impl Default for SuspectGate {
+    fn default() -> Self {
+        Self { slot: Arc::new(Semaphore::new(1)) }
+    }
+}
+
+impl SuspectGate {
+    /// Waits until no other suspect of this node runs.
+    pub async fn enter(&self) -> SuspectSlot {
+        self.slot.acquire_arc().await
+    }
+}
+
+/// Chooses a server for a suspect: nodes of different rank take different servers, so that a
+/// crash points at one suspect.
+pub fn route_apart(snapshot: &Snapshot, query: &RouteQuery, now: Instant) -> Option<RouteDecision> {
+    let document = snapshot.document.as_ref()?;
+    let servers: Vec<&ServerId> =
+        document.servers.keys().filter(|server| !query.excluded.contains(server)).collect();
+    let start = snapshot.node_rank as usize;
+    (0..servers.len()).find_map(|step| {
+        let chosen = servers[(start + step) % servers.len()];
+        let mut query = query.clone();
+        query
+            .excluded
+            .extend(servers.iter().filter(|server| **server != chosen).map(|&s| s.clone()));
+        snapshot.routing.route(&query, now)
+    })
+}
--- a/src/types/error.rs
+++ b/src/types/error.rs
@@ -4,6 +4,18 @@
 use std::fmt;
 use strum::{Display, IntoStaticStr};
 
+/// The deadline of an exchange passed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DeadlinePassed;
+
+impl fmt::Display for DeadlinePassed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("deadline passed")
+    }
+}
+
+impl std::error::Error for DeadlinePassed {}
+
 /// Result of an exchange with a peer.
 pub type PeerResult<T> = Result<T, PeerError>;
 
@@ -60,6 +72,17 @@
     ) -> Self {
         Self { step, peer: peer.into(), delivery, source: source.into() }
     }
+
+    /// Returns whether the peer closed or broke the connection after the request was sent.
+    pub fn is_cut(&self) -> bool {
+        matches!(self.step, Step::ReadHead | Step::ReadBody) && !self.source.is::<DeadlinePassed>()
+    }
+
+    /// Returns whether the peer answered that nothing listens at its address.
+    pub fn is_connection_refused(&self) -> bool {
+        let error = self.source.downcast_ref::<std::io::Error>();
+        error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
 }
 
 impl fmt::Display for PeerError {
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,7 +5,7 @@
 pub mod ids;
 pub mod priority;
 
-pub use error::{Delivery, PeerError, PeerResult, Step};
+pub use error::{DeadlinePassed, Delivery, PeerError, PeerResult, Step};
 pub use faults::{Fault, Faults};
 pub use ids::*;
 pub use priority::Priority;
