feat(configuration): follower, owners, edits and their tests

Cause: nodes have to agree on the document through lost answers, retention, partners' copies and mixed builds. Change: follower with base search, copies and the last document that can be checked; owners of sections; preparation of edits; JSON schemas; tests against a naive fold, racing editors and fuzzed decoders. Conclusion: the pure part is ready to be wired.

--- a/src/decision/configuration/mod.rs
+++ b/src/decision/configuration/mod.rs
@@ -2,12 +2,20 @@
 //!
 //! The fold compares revisions and nothing else, so nodes of different builds agree on it. Whether
 //! the result is a document that this build understands is decided afterwards, by
-//! [`checked_document`].
+//! [`check_state`].
 
+pub mod follower;
+pub mod in_force;
+pub mod prepare;
 pub mod record;
 pub mod sections;
 pub mod state;
 
+pub use follower::{
+    Announcement, BadRecord, ConfigurationCommand, ConfigurationCopy, ConfigurationEvent,
+    ConfigurationFollower, NewerRecord,
+};
+pub use prepare::{EditRefusal, EditRequest, prepare_edit};
 pub use record::{
     ConfigurationRecord, Edit, Initial, KindRevision, RECORD_FORMAT, RecordFault, SectionChange,
     Snapshot,
@@ -15,31 +23,69 @@
 pub use state::{ConfigurationState, EditEntry, EditOutcome, RecordEffect, Section, Winner};
 
 use crate::document::{Document, RawDocument};
-use crate::types::Faults;
-use serde_json::Value;
+use crate::types::{Faults, Revision};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Document of a state in both forms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CheckedState {
+    /// Raw form.
+    pub raw: RawDocument,
+    /// Checked form.
+    pub document: Document,
+}
 
 /// Puts the sections of `state` together and checks the result.
 ///
 /// # Errors
 ///
 /// Every fault that this build finds in the document.
-pub fn checked_document(state: &ConfigurationState) -> Result<Document, Faults> {
-    let raw = raw_document(sections::join_sections(state.values())?)?;
-    let mut document = Document::try_from(raw)?;
-    document.offset = state.revision;
-    Ok(document)
+pub fn check_state(state: &ConfigurationState) -> Result<CheckedState, Faults> {
+    check_value(sections::join_sections(state.values())?, state.revision)
 }
 
-/// Reads the raw form of a document; a fault carries the path of the first value that cannot be
-/// read.
+/// Checks a document in its JSON form.
 ///
 /// # Errors
 ///
-/// A value of the wrong type, an unknown field or a missing one.
-pub fn raw_document(value: Value) -> Result<RawDocument, Faults> {
-    serde_json::from_value(value).map_err(|error| {
-        let mut faults = Faults::default();
-        faults.add("document", error.to_string());
-        faults
-    })
+/// Every fault that this build finds in the document.
+pub fn check_value(value: Value, revision: Revision) -> Result<CheckedState, Faults> {
+    let raw = read_raw(value)?;
+    let mut document = Document::try_from(raw.clone())?;
+    document.offset = revision;
+    Ok(CheckedState { raw, document })
+}
+
+/// Reads the raw form section by section, so that each unreadable section is one fault with its
+/// path.
+fn read_raw(value: Value) -> Result<RawDocument, Faults> {
+    let error = match serde_json::from_value(value.clone()) {
+        Ok(raw) => return Ok(raw),
+        Err(error) => error,
+    };
+    let mut faults = Faults::default();
+    for kind in sections::empty_kinds(&value) {
+        add_read_fault(kind.clone(), &json!({ kind: {} }), &mut faults);
+    }
+    for (section, content) in sections::split_value(&value) {
+        let alone = sections::join_sections(std::iter::once((&section, &content)))?;
+        add_read_fault(section.replacen('/', ".", 1), &alone, &mut faults);
+    }
+    if faults.0.is_empty() {
+        return Err(whole_document_fault(&error));
+    }
+    Err(faults)
+}
+
+fn add_read_fault(path: String, alone: &Value, faults: &mut Faults) {
+    if let Err(error) = RawDocument::deserialize(alone) {
+        faults.add(path, error.to_string());
+    }
+}
+
+fn whole_document_fault(error: &serde_json::Error) -> Faults {
+    let mut faults = Faults::default();
+    faults.add("document", error.to_string());
+    faults
 }
--- a/src/decision/configuration/sections.rs
+++ b/src/decision/configuration/sections.rs
@@ -41,6 +41,15 @@
     sections
 }
 
+/// Returns the kinds of a document in its JSON form that have no section in them.
+pub fn empty_kinds(document: &Value) -> Vec<String> {
+    let Value::Object(kinds) = document else {
+        return Vec::new();
+    };
+    let is_empty = |value: &Value| value.as_object().is_some_and(Map::is_empty);
+    kinds.iter().filter(|(_, value)| is_empty(value)).map(|(kind, _)| kind.clone()).collect()
+}
+
 /// Puts sections together to a document in its JSON form.
 ///
 /// # Errors
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -1,5 +1,6 @@
 //! Checks a raw document and turns it into the checked form; reports every fault with its path.
 
+use super::check_owners::{check_administrators, check_owner};
 use super::raw::{
     RawCallPattern, RawDocument, RawModel, RawServer, RawService, RawSite, RawWorkspace,
 };
@@ -8,6 +9,7 @@
     Workspace, ZoneLink,
 };
 use crate::types::Faults;
+use smol_str::SmolStr;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Length of a SHA-256 in hexadecimal.
@@ -35,6 +37,11 @@
             let service = check_service(&format!("services.{name}"), raw, &mut faults);
             document.services.insert(name, service);
         }
+        for (name, raw) in raw.owners {
+            let owner = check_owner(&format!("owners.{name}"), raw, &mut faults);
+            document.owners.insert(name, owner);
+        }
+        check_administrators(&document, &mut faults);
         document.site = check_site(raw.site);
         check_power(&document, &mut faults);
         faults.into_result(document)
@@ -42,15 +49,7 @@
 }
 
 fn check_workspace(path: &str, raw: RawWorkspace, faults: &mut Faults) -> Workspace {
-    for (index, hash) in raw.key_hashes.iter().enumerate() {
-        let is_hash = hash.len() == KEY_HASH_CHARS
-            && hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-        faults.require(
-            is_hash,
-            format!("{path}.key_hashes[{index}]"),
-            "must be a SHA-256 in lower-case hexadecimal",
-        );
-    }
+    check_key_hashes(path, &raw.key_hashes, faults);
     faults.require(raw.requests_per_s > 0, format!("{path}.requests_per_s"), "must be above 0");
     faults.require(
         raw.concurrent_requests > 0,
@@ -90,6 +89,18 @@
     }
 }
 
+pub(super) fn check_key_hashes(path: &str, key_hashes: &[SmolStr], faults: &mut Faults) {
+    for (index, hash) in key_hashes.iter().enumerate() {
+        let is_hash = hash.len() == KEY_HASH_CHARS
+            && hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        faults.require(
+            is_hash,
+            format!("{path}.key_hashes[{index}]"),
+            "must be a SHA-256 in lower-case hexadecimal",
+        );
+    }
+}
+
 fn check_model(path: &str, raw: RawModel, faults: &mut Faults) -> Model {
     let rates = [
         ("prefill_tokens_per_s", raw.prefill_tokens_per_s),
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,12 +1,15 @@
 //! The operators' configuration document: the checked form that every node works from.
 
 pub mod check;
+mod check_owners;
+pub mod owner;
 pub mod raw;
 
+pub use owner::{Owner, OwnerRole, SectionPattern, hash_key};
 pub use raw::RawDocument;
 
 use crate::types::{
-    AvailabilityZone, LogOffset, ModelId, Priority, ServerId, ServiceId, WeightsVersion,
+    AvailabilityZone, LogOffset, ModelId, OwnerId, Priority, ServerId, ServiceId, WeightsVersion,
     WorkspaceId,
 };
 use smol_str::SmolStr;
@@ -28,6 +31,8 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Site: power and nodes.
     pub site: Site,
+    /// Owners of sections by name.
+    pub owners: BTreeMap<OwnerId, Owner>,
 }
 
 /// Workspace of a team.
--- /dev/null
+++ b/src/document/owner.rs
@@ -0,0 +1,87 @@
+//! Owners of document sections and what they may do.
+
+use crate::types::SectionPath;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+use std::fmt::Write;
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// What an owner may do; each role includes the ones before it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Display,
+    EnumString,
+    Eq,
+    IntoStaticStr,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum OwnerRole {
+    /// Reads everything but key hashes.
+    Reader,
+    /// Edits its own sections.
+    Editor,
+    /// Edits every section, owners among them.
+    Administrator,
+}
+
+/// Team or person that reads or edits the document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Owner {
+    /// SHA-256 of each bearer key, in lower-case hexadecimal.
+    pub key_hashes: Vec<SmolStr>,
+    /// Role.
+    pub role: OwnerRole,
+    /// Sections that an editor may edit.
+    pub sections: Vec<SectionPattern>,
+}
+
+/// Pattern of section paths.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SectionPattern {
+    /// One section.
+    Exact(SectionPath),
+    /// Every section whose path starts so.
+    Prefix(SectionPath),
+}
+
+impl SectionPattern {
+    /// Whether `section` matches.
+    pub fn matches(&self, section: &str) -> bool {
+        match self {
+            Self::Exact(path) => path == section,
+            Self::Prefix(prefix) => section.starts_with(prefix.as_str()),
+        }
+    }
+}
+
+impl Owner {
+    /// Whether the owner may edit `section`.
+    pub fn may_edit(&self, section: &str) -> bool {
+        match self.role {
+            OwnerRole::Reader => false,
+            OwnerRole::Editor => self.sections.iter().any(|pattern| pattern.matches(section)),
+            OwnerRole::Administrator => true,
+        }
+    }
+}
+
+/// Returns the SHA-256 of a bearer key in lower-case hexadecimal.
+pub fn hash_key(key: &str) -> SmolStr {
+    let digest = Sha256::digest(key.as_bytes());
+    let mut text = String::with_capacity(digest.len() * 2);
+    for byte in digest {
+        write!(text, "{byte:02x}").expect("writing to a string does not fail");
+    }
+    text.into()
+}
--- a/src/document/raw.rs
+++ b/src/document/raw.rs
@@ -1,7 +1,8 @@
 //! Raw form of the configuration document, as operators write it in JSON.
 
+use super::OwnerRole;
 use crate::types::{
-    AvailabilityZone, ModelId, Priority, ServerId, ServiceId, WeightsVersion, WorkspaceId,
+    AvailabilityZone, ModelId, OwnerId, Priority, ServerId, ServiceId, WeightsVersion, WorkspaceId,
 };
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,22 @@
     pub services: BTreeMap<ServiceId, RawService>,
     /// Site.
     pub site: RawSite,
+    /// Owners of sections by name.
+    pub owners: BTreeMap<OwnerId, RawOwner>,
+}
+
+/// Team or person that reads or edits the document.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawOwner {
+    /// SHA-256 of each bearer key, in lower-case hexadecimal.
+    pub key_hashes: Vec<SmolStr>,
+    /// What the owner may do.
+    pub role: OwnerRole,
+    /// Sections that an editor may edit: paths such as `workspaces/survey`, or `workspaces/survey*`
+    /// for all that start so.
+    #[serde(default)]
+    pub sections: Vec<SmolStr>,
 }
 
 /// Workspace of a team.
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -16,6 +16,8 @@
 pub type LogOffset = u64;
 /// Name of a model.
 pub type ModelId = SmolStr;
+/// Name of an owner of document sections.
+pub type OwnerId = SmolStr;
 /// Id of a request, unique over all nodes.
 pub type RequestId = SmolStr;
 /// Revision of a document section: the log offset of the edit that set it.
--- /dev/null
+++ b/tests/configuration/main.rs
@@ -0,0 +1,24 @@
+//! Configuration: document, fold of the stream, editors and decoders.
+
+#![allow(clippy::unwrap_used)]
+
+mod decoders;
+mod document;
+mod editors;
+mod fold;
+mod generate;
+mod naive;
+mod schema;
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// Returns a configuration with a fixed seed; `COT_PROPTEST_CASES` sets the number of cases.
+fn seeded(seed: u64) -> Config {
+    let cases = std::env::var("COT_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: cases.unwrap_or(256),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
