--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,251 @@
+//! A node: listeners, the control thread and the traffic threads.
+
+use super::threads::{spawn_control, spawn_traffic};
+use crate::adapters::http_server::{self, Handler, ServerLimits};
+use crate::adapters::{
+    HttpInstanceList, HttpKvStore, HttpLogService, HttpModelEngine, HttpPlainService,
+};
+use crate::control::{self, ControlContext, ControlEvent, ControlState, Snapshot};
+use crate::ports::{KvStore, ModelEngine};
+use crate::settings::Settings;
+use crate::traffic::{TrafficContext, dispatch};
+use crate::types::InstanceId;
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use smol::Executor;
+use smol::net::TcpListener;
+use smol_str::format_smolstr;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Events that may wait for the control thread.
+const CONTROL_QUEUE: usize = 4_096;
+
+/// Period between two looks at the requests that a draining node still runs.
+const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(5);
+
+/// Running node.
+pub struct Node {
+    instance: InstanceId,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    partner_address: SocketAddr,
+    traffic: Arc<TrafficContext>,
+    drain: Sender<Infallible>,
+    stop: Sender<Infallible>,
+    threads: Vec<JoinHandle<()>>,
+    control_tasks: Sender<ControlTask>,
+    executor: Arc<Executor<'static>>,
+}
+
+/// Function that runs on the control thread.
+type ControlTask = Box<dyn FnOnce() + Send>;
+
+/// Listeners of a node, bound before it serves.
+struct Listeners {
+    callers: TcpListener,
+    _admin: TcpListener,
+    _partners: TcpListener,
+}
+
+impl Node {
+    /// Binds the listeners and starts the threads.
+    pub fn start(settings: Settings) -> anyhow::Result<Self> {
+        let instance = format_smolstr!("{}-{:08x}", settings.instance_name, fastrand::u32(..));
+        let listeners = Listeners {
+            callers: bind(settings.listen.callers, "callers")?,
+            _admin: bind(settings.listen.admin, "admin")?,
+            _partners: bind(settings.listen.partners, "partners")?,
+        };
+        let caller_address = listeners.callers.local_addr()?;
+        let admin_address = listeners._admin.local_addr()?;
+        let partner_address = listeners._partners.local_addr()?;
+        let settings = Arc::new(settings);
+        let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+        let (events, control_events) = async_channel::bounded(CONTROL_QUEUE);
+        let (stop, stopped) = async_channel::bounded(1);
+        let (drain, draining) = async_channel::bounded(1);
+        let (control_tasks, task_queue) = async_channel::unbounded();
+        let engines = engines(&settings);
+        let traffic = Arc::new(TrafficContext::new(
+            instance.clone(),
+            Arc::clone(&settings),
+            Arc::clone(&snapshot),
+            Arc::clone(&engines),
+            Arc::new(HttpPlainService::new(settings.limits.answer_bytes)),
+            events.clone(),
+        ));
+        let executor = Arc::new(Executor::new());
+        let mut threads = vec![start_control(
+            ControlParts {
+                instance: instance.clone(),
+                settings: Arc::clone(&settings),
+                engines,
+                snapshot,
+                events,
+                control_events,
+                task_queue,
+            },
+            stopped.clone(),
+        )?];
+        serve_callers(&executor, listeners.callers, &traffic, draining);
+        for number in 0..settings.traffic_threads {
+            let name = format!("traffic-{number}");
+            threads.push(spawn_traffic(name, Arc::clone(&executor), stopped.clone())?);
+        }
+        log::info!(
+            "event=started instance={instance} callers={caller_address} admin={admin_address} \
+             partners={partner_address}"
+        );
+        Ok(Self {
+            instance,
+            caller_address,
+            admin_address,
+            partner_address,
+            traffic,
+            drain,
+            stop,
+            threads,
+            control_tasks,
+            executor,
+        })
+    }
+
+    /// Returns the id of this run of the node.
+    pub fn instance(&self) -> &InstanceId {
+        &self.instance
+    }
+
+    /// Returns the address of the callers' listener.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address of the administration API.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns the address of the partner listener.
+    pub fn partner_address(&self) -> SocketAddr {
+        self.partner_address
+    }
+
+    /// Stops gracefully: readiness goes first, then the listener, then the running requests end.
+    pub fn drain(self) {
+        let limits = self.traffic.settings.limits;
+        log::info!("event=drain_started instance={}", self.instance);
+        self.traffic.draining.store(true, Ordering::Release);
+        thread::sleep(Duration::from_millis(limits.drain_grace_ms));
+        self.drain.close();
+        let deadline = Instant::now() + Duration::from_millis(limits.drain_timeout_ms);
+        while self.drain.receiver_count() > 0 && Instant::now() < deadline {
+            thread::sleep(DRAIN_CHECK_PERIOD);
+        }
+        log::info!("event=drained instance={} cut={}", self.instance, self.drain.receiver_count());
+        self.kill();
+    }
+
+    /// Stops abruptly: all connections close at once.
+    pub fn kill(self) {
+        self.stop.close();
+        let Self { threads, executor, .. } = self;
+        for thread in threads {
+            if thread.join().is_err() {
+                log::error!("event=thread_panicked");
+            }
+        }
+        drop(executor);
+    }
+
+    /// Holds up all threads for `period`, as a paused process would be.
+    pub fn freeze(&self, period: Duration) {
+        for _ in 0..self.traffic.settings.traffic_threads {
+            self.executor.spawn(async move { thread::sleep(period) }).detach();
+        }
+        let pause = Box::new(move || thread::sleep(period));
+        if self.control_tasks.try_send(pause).is_err() {
+            log::error!("event=freeze_failed instance={}", self.instance);
+        }
+    }
+}
+
+fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    http_server::bind(address)
+        .with_context(|| format!("step=bind listener={name} address={address}"))
+}
+
+fn engines(settings: &Settings) -> Arc<dyn ModelEngine> {
+    Arc::new(HttpModelEngine::new(
+        settings.availability_zone.clone(),
+        Duration::from_millis(settings.control.exchange_timeout_ms),
+        Duration::from_millis(settings.limits.frame_timeout_ms),
+    ))
+}
+
+/// What the control thread starts from.
+struct ControlParts {
+    instance: InstanceId,
+    settings: Arc<Settings>,
+    engines: Arc<dyn ModelEngine>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    events: Sender<ControlEvent>,
+    control_events: Receiver<ControlEvent>,
+    task_queue: Receiver<ControlTask>,
+}
+
+fn start_control(
+    parts: ControlParts,
+    stopped: Receiver<Infallible>,
+) -> anyhow::Result<JoinHandle<()>> {
+    let start = move |executor| {
+        let timeout = Duration::from_millis(parts.settings.control.exchange_timeout_ms);
+        let platform = parts.settings.platform;
+        let kv_store = platform
+            .kv_store
+            .map(|address| Arc::new(HttpKvStore::new(address, timeout)) as Arc<dyn KvStore>);
+        let context = ControlContext {
+            instance: parts.instance,
+            settings: parts.settings,
+            log: Arc::new(HttpLogService::new(platform.log, timeout)),
+            instance_list: Arc::new(HttpInstanceList::new(platform.instance_list, timeout)),
+            engines: parts.engines,
+            kv_store,
+            events: parts.events,
+            executor,
+        };
+        context.spawn(run_tasks(parts.task_queue));
+        let state = ControlState::new(context, parts.snapshot);
+        state.start();
+        control::run(state, parts.control_events)
+    };
+    Ok(spawn_control(String::from("control"), start, stopped)?)
+}
+
+async fn run_tasks(tasks: Receiver<ControlTask>) {
+    while let Ok(task) = tasks.recv().await {
+        task();
+    }
+}
+
+fn serve_callers(
+    executor: &Arc<Executor<'static>>,
+    listener: TcpListener,
+    traffic: &Arc<TrafficContext>,
+    draining: Receiver<Infallible>,
+) {
+    let context = Arc::clone(traffic);
+    let handler: Handler =
+        Arc::new(move |request| Box::pin(dispatch(Arc::clone(&context), request)));
+    let limits = ServerLimits {
+        head_bytes: traffic.settings.limits.head_bytes,
+        head_timeout_ms: traffic.settings.limits.read_timeout_ms,
+    };
+    let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
+    executor.spawn(server).detach();
+}
