feat(control): the node follows the configuration stream with the follower

Cause: the first wiring folded without a base search and dropped a document that a later record of the same page made unusable. Change: the control thread applies pages to ConfigurationFollower. Conclusion: the node serves the last good document.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -2,7 +2,7 @@
 
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
-use crate::decision::configuration::ConfigurationState;
+use crate::decision::configuration::ConfigurationFollower;
 use crate::decision::routing::{RoutingEvent, RoutingState};
 use crate::document::Document;
 use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
@@ -13,7 +13,7 @@
 /// All state of the control thread.
 pub struct ControlState {
     pub(super) context: ControlContext,
-    pub(super) configuration: ConfigurationState,
+    pub(super) configuration: ConfigurationFollower,
     pub(super) routing: RoutingState,
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
@@ -26,7 +26,7 @@
     pub fn new(context: ControlContext, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
         Self {
             context,
-            configuration: ConfigurationState::default(),
+            configuration: ConfigurationFollower::default(),
             routing: RoutingState::default(),
             document: None,
             keys: Arc::default(),
@@ -46,7 +46,7 @@
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
             ControlEvent::Tick => {}
-            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, &page, now),
+            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
             }
@@ -74,7 +74,7 @@
         self.document = Some(document);
     }
 
-    fn apply_log(&mut self, stream: LogStream, page: &LogPage, now: Instant) {
+    fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
         match stream {
             LogStream::Configuration => self.apply_configuration(page, now),
             LogStream::Claims | LogStream::Leases | LogStream::Power => {}
