--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,6 +1,6 @@
 //! Events of the control thread.
 
-use crate::decision::routing::AnswerFeedback;
+use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
 use crate::types::{PeerError, ServerId};
 use std::time::Instant;
@@ -51,6 +51,15 @@
         /// Events.
         page: CacheEventPage,
     },
+    /// A backend server published no cache events.
+    CacheEventsFailed {
+        /// Server.
+        server: ServerId,
+        /// Error.
+        error: PeerError,
+    },
+    /// The KV store told what it keeps.
+    KeptPrefixes(Vec<KeptPrefix>),
     /// A traffic thread reports.
     Traffic(TrafficReport),
 }
@@ -58,6 +67,8 @@
 /// What traffic threads report; reports are dropped while the channel is full.
 #[derive(Debug)]
 pub enum TrafficReport {
+    /// A request was sent to a server.
+    Sent(SentRequest),
     /// A server completed an answer.
     Answer(AnswerFeedback),
     /// An attempt on a server failed.
--- a/src/decision/routing/feedback.rs
+++ b/src/decision/routing/feedback.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Prefixes that wait to be asked for at the KV store.
+const MAX_KEPT_QUERIES: usize = 64;
+
 impl RoutingState {
     pub(super) fn apply_load(
         &mut self,
@@ -56,6 +59,7 @@
         let demand = self.home_demand(state);
         for level in &sent.levels {
             if level.anchor {
+                self.ask_kept(level.key, now);
                 let entry = self.beliefs.entry(level.key, &self.config, now);
                 entry.rate.count(demand, &self.config, now);
             }
@@ -97,6 +101,18 @@
         self.beliefs.store(key, holder, &self.config, now);
     }
 
+    /// Notes that the KV store should be asked for `key`, unless its answer is still relied on.
+    fn ask_kept(&mut self, key: u64, now: Instant) {
+        let kept = self.beliefs.get(key).and_then(|entry| entry.kept);
+        let is_known = kept.is_some_and(|kept| now < kept.valid_until);
+        if is_known || self.kept_queries.len() >= MAX_KEPT_QUERIES {
+            return;
+        }
+        if !self.kept_queries.contains(&key) {
+            self.kept_queries.push_back(key);
+        }
+    }
+
     fn home_demand(&self, state: &ServerState) -> HomeDemand {
         let info = state.info.as_ref();
         HomeDemand {
