--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -3,7 +3,7 @@
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
-use crate::decision::configuration::ConfigurationState;
+use crate::decision::configuration::ConfigurationFollower;
 use crate::decision::poison::PoisonState;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
@@ -16,7 +16,7 @@
 /// All state of the control thread.
 pub struct ControlState {
     pub(super) context: ControlContext,
-    pub(super) configuration: ConfigurationState,
+    pub(super) configuration: ConfigurationFollower,
     pub(super) routing: RoutingState,
     pub(super) routing_polls: RoutingPolls,
     pub(super) poison: PoisonState,
@@ -36,7 +36,7 @@
         let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
         Self {
             context,
-            configuration: ConfigurationState::default(),
+            configuration: ConfigurationFollower::default(),
             routing: RoutingState::new(policy, zone, RoutingConfig::default()),
             routing_polls: RoutingPolls::new(&settings.control),
             poison: PoisonState::default(),
@@ -59,7 +59,7 @@
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
             ControlEvent::Tick => self.poll_servers(now),
-            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, &page, now),
+            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
             }
@@ -95,7 +95,7 @@
         self.document = Some(document);
     }
 
-    fn apply_log(&mut self, stream: LogStream, page: &LogPage, now: Instant) {
+    fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
         match stream {
             LogStream::Configuration => self.apply_configuration(page, now),
             LogStream::Claims | LogStream::Leases | LogStream::Power => {}
