test(claims): late claims are released, late releases free nothing

Cause: two mutations survived: an orphan claim not released, a release that frees another owner's key. Change: one case for each.

--- a/tests/together/claims_cases.rs
+++ b/tests/together/claims_cases.rs
@@ -185,3 +185,42 @@
     payload[position + current.len() - 1] += 1;
     payload.into()
 }
+
+#[test]
+fn a_claim_that_turns_up_after_it_was_given_up_is_released() {
+    let mut world = World::new(2);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::Late);
+    world.advance(SETTINGS.claim_timeout_ms + SETTINGS.claim_reuse_ms);
+    world.append_late();
+    world.settle();
+    world.begin(1, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: not run
+    request-4: answer
+    ");
+}
+
+#[test]
+fn a_late_duplicate_of_a_release_frees_nothing() {
+    let mut world = World::new(2);
+    world.begin(0, 1, 1);
+    world.append(0, AppendFate::Done);
+    world.read(0, 10, false);
+    world.run_call(0, CallFate::NotSent);
+    world.append(0, AppendFate::LateTwice);
+    world.append_late();
+    world.begin(1, 1, 1);
+    world.append(1, AppendFate::Done);
+    world.read(1, 10, false);
+    world.run_call(1, CallFate::Unknown);
+    world.settle();
+    world.begin(0, 1, 1);
+    world.settle();
+    insta::assert_snapshot!(endings(&world), @r"
+    request-3: not run
+    request-4: unknown
+    request-5: unknown
+    ");
+}
