--- a/src/bin/coriandertide-node.rs
+++ b/src/bin/coriandertide-node.rs
@@ -1,3 +1,7 @@
 //! Daemon of an entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    coriandertide::daemon::run()
+}
