feat(claims): claims in the running node

Cause: the claims decision was not wired; non-idempotent calls ran unclaimed. Change: the control thread appends, reads and delivers verdicts; calls with an idempotency key wait for their claim; settings section `claims`.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,5 +1,6 @@
 //! Events of the control thread.
 
+use super::claims::ClaimsMessage;
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
 use crate::types::{PeerError, ServerId};
@@ -62,6 +63,8 @@
     KeptPrefixes(Vec<KeptPrefix>),
     /// A traffic thread reports.
     Traffic(TrafficReport),
+    /// Something about claims of idempotency keys.
+    Claims(ClaimsMessage),
 }
 
 /// What traffic threads report; reports are dropped while the channel is full.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
 //! loop applies the events, so that no state is shared.
 
+pub mod claims;
 pub mod configuration;
 pub mod context;
 pub mod event;
@@ -12,6 +13,7 @@
 pub mod snapshot;
 pub mod state;
 
+pub use claims::ClaimsMessage;
 pub use context::ControlContext;
 pub use event::{ControlEvent, TrafficReport};
 pub use snapshot::{KeyIndex, Snapshot};
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,5 +1,6 @@
 //! State of the control thread and the dispatch of its events.
 
+use super::claims::ClaimsControl;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
@@ -20,6 +21,7 @@
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) claims: ClaimsControl,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -29,6 +31,7 @@
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
         let policy = settings.routing_policy;
+        let claims = ClaimsControl::new(&context.instance, settings.claims);
         Self {
             context,
             configuration: ConfigurationState::default(),
@@ -37,6 +40,7 @@
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
+            claims,
             snapshot,
         }
     }
@@ -51,7 +55,10 @@
     /// Applies `event` and publishes the snapshot that follows from it.
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Tick => self.poll_servers(now),
+            ControlEvent::Tick => {
+                self.poll_servers(now);
+                self.tick_claims(now);
+            }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, &page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
@@ -73,6 +80,7 @@
                 self.routing.apply(RoutingEvent::KeptPrefixes(kept), now);
             }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
+            ControlEvent::Claims(message) => self.apply_claims(message, now),
         }
         self.publish();
     }
--- a/src/decision/claims/fold.rs
+++ b/src/decision/claims/fold.rs
@@ -180,7 +180,11 @@
         match entry {
             ClaimEntry::Claim { claim, key, fingerprint } => {
                 self.seen.push_back(SeenRecord { offset, appended_ms, key });
+                let oldest_ms = self.oldest_ms();
                 let claims = self.keys.entry(key).or_default();
+                if claims.last_ms < oldest_ms {
+                    *claims = KeyClaims::default();
+                }
                 claims.last_ms = claims.last_ms.max(appended_ms);
                 self.fold_claim(claim, key, fingerprint)
             }
@@ -209,9 +213,14 @@
         }
     }
 
+    /// Time before which claims are forgotten.
+    fn oldest_ms(&self) -> u64 {
+        self.latest_ms.saturating_sub(self.memory_ms)
+    }
+
     /// Forgets keys whose last claim is older than the memory.
     fn forget_old(&mut self) {
-        let oldest_ms = self.latest_ms.saturating_sub(self.memory_ms);
+        let oldest_ms = self.oldest_ms();
         while self.seen.front().is_some_and(|seen| seen.appended_ms < oldest_ms) {
             let Some(seen) = self.seen.pop_front() else { return };
             if self.keys.get(&seen.key).is_some_and(|claims| claims.last_ms < oldest_ms) {
--- a/src/decision/claims/settings.rs
+++ b/src/decision/claims/settings.rs
@@ -32,9 +32,9 @@
 impl Default for ClaimsSettings {
     fn default() -> Self {
         Self {
-            key_age_ms: 900_000,
+            key_age_ms: 300_000,
             clock_skew_ms: 30_000,
-            log_retention_ms: 3_600_000,
+            log_retention_ms: 600_000,
             claim_timeout_ms: 3_000,
             claim_reuse_ms: 20_000,
             appends_per_s: 200,
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,9 +1,11 @@
 //! Checks raw settings and reports every fault with its path in the file.
 
 use super::raw::{
-    RawControlSettings, RawLimitSettings, RawListenSettings, RawPlatformSettings, RawSettings,
+    RawClaimsSettings, RawControlSettings, RawLimitSettings, RawListenSettings,
+    RawPlatformSettings, RawSettings,
 };
 use super::{ControlSettings, LimitSettings, ListenSettings, PlatformSettings, Settings};
+use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
 use crate::types::Faults;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -41,6 +43,7 @@
             limits: check_limits(&raw.limits, &mut faults),
             traffic_threads: raw.traffic_threads,
             control: check_control(&raw.control, &mut faults),
+            claims: check_claims(&raw.claims, &mut faults),
         };
         faults.into_result(settings)
     }
@@ -129,6 +132,18 @@
     }
 }
 
+fn check_claims(raw: &RawClaimsSettings, faults: &mut Faults) -> ClaimsSettings {
+    let claims = ClaimsSettings {
+        key_age_ms: raw.key_age_ms,
+        clock_skew_ms: raw.clock_skew_ms,
+        log_retention_ms: raw.log_retention_ms,
+        appends_per_s: raw.appends_per_s,
+        ..ClaimsSettings::default()
+    };
+    claims.check("claims", faults);
+    claims
+}
+
 fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
     raw.parse().unwrap_or_else(|_| {
         faults.add(path, format!("`{raw}` is not an ip:port address"));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 pub use raw::RawSettings;
 
+use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
 use crate::types::AvailabilityZone;
 use smol_str::SmolStr;
@@ -32,6 +33,8 @@
     pub traffic_threads: usize,
     /// Periods of the control thread's exchanges.
     pub control: ControlSettings,
+    /// Claims of idempotency keys.
+    pub claims: ClaimsSettings,
 }
 
 /// Addresses that a node listens on; port 0 takes a free one.
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -1,5 +1,6 @@
 //! Raw form of the settings file.
 
+use crate::decision::claims::ClaimsSettings;
 use crate::types::AvailabilityZone;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,8 @@
     pub traffic_threads: usize,
     /// Periods of the control thread's exchanges.
     pub control: RawControlSettings,
+    /// Claims of idempotency keys.
+    pub claims: RawClaimsSettings,
 }
 
 impl Default for RawSettings {
@@ -41,6 +44,7 @@
             limits: RawLimitSettings::default(),
             traffic_threads: 2,
             control: RawControlSettings::default(),
+            claims: RawClaimsSettings::default(),
         }
     }
 }
@@ -146,3 +150,29 @@
         }
     }
 }
+
+/// Claims of idempotency keys; the same on all nodes.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawClaimsSettings {
+    /// Milliseconds after its first use, or after the time that it carries, for which a key holds.
+    pub key_age_ms: u64,
+    /// Largest difference in milliseconds between the clocks of callers and of the log.
+    pub clock_skew_ms: u64,
+    /// Milliseconds for which the log is known to keep records.
+    pub log_retention_ms: u64,
+    /// Appends a second to the stream of claims, over all nodes.
+    pub appends_per_s: u32,
+}
+
+impl Default for RawClaimsSettings {
+    fn default() -> Self {
+        let claims = ClaimsSettings::default();
+        Self {
+            key_age_ms: claims.key_age_ms,
+            clock_skew_ms: claims.clock_skew_ms,
+            log_retention_ms: claims.log_retention_ms,
+            appends_per_s: claims.appends_per_s,
+        }
+    }
+}
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -1,6 +1,6 @@
 //! Context of the traffic threads: ports, limits, the latest snapshot and the way to control.
 
-use crate::control::{ControlEvent, Snapshot, TrafficReport};
+use crate::control::{ClaimsMessage, ControlEvent, Snapshot, TrafficReport};
 use crate::decision::retry::RetryBudget;
 use crate::ports::{ModelEngine, PlainService};
 use crate::settings::Settings;
@@ -64,6 +64,11 @@
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends a claim's message to the control thread without waiting; returns whether it was sent.
+    pub fn send_claim(&self, message: ClaimsMessage) -> bool {
+        self.control.try_send(ControlEvent::Claims(message)).is_ok()
+    }
+
     /// Reports to the control thread without waiting; the report is dropped if control lags.
     pub fn report(&self, report: TrafficReport) {
         if self.control.try_send(ControlEvent::Traffic(report)).is_err() {
--- a/src/traffic/handlers/mod.rs
+++ b/src/traffic/handlers/mod.rs
@@ -1,5 +1,6 @@
 //! Handlers of callers' requests, one module an endpoint.
 
+pub mod claimed_call;
 pub mod health;
 pub mod metrics;
 pub mod models;
--- a/src/traffic/handlers/service_call.rs
+++ b/src/traffic/handlers/service_call.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services beside the model engines.
 
+use super::claimed_call::{self, ClaimScope};
 use crate::adapters::http_server::Reply;
 use crate::decision::retry::{self, FailedAttempt, RetryDecision};
 use crate::document::{Service, ServiceServer};
@@ -32,7 +33,7 @@
     let snapshot = context.snapshot.load_full();
     let document = snapshot.document.as_ref().ok_or_else(not_ready)?;
     let (parts, incoming) = request.into_parts();
-    authenticate(&parts.headers, &snapshot)?;
+    let workspace = authenticate(&parts.headers, &snapshot)?;
     let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (name, path) = split_target(target)?;
     let service = document.services.get(name).ok_or_else(|| {
@@ -51,7 +52,8 @@
     let deadline = arrived_at + Duration::from_millis(service.timeout_ms);
     let servers = rank_servers(service, &context.settings.availability_zone, &id);
     let response = if is_non_idempotent(service, &call.method, &call.path) {
-        call_once(context, &servers, &call, deadline).await
+        let scope = ClaimScope { request: &id, workspace: &workspace, service: name };
+        claimed_call::call(context, scope, &servers, &call, deadline).await
     } else {
         call_with_retries(context, &servers, &call, deadline).await
     }?;
@@ -100,7 +102,7 @@
 }
 
 /// Sends a non-idempotent call at most once: to another server only if no byte can have been sent.
-async fn call_once(
+pub(super) async fn call_once(
     context: &TrafficContext,
     servers: &[ServiceServer],
     call: &ServiceCall,
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod caller;
+mod claims;
 mod refusals;
 mod services;
 mod settings;
