--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,5 +1,6 @@
 //! State of the control thread and the dispatch of its events.
 
+use super::claims::ClaimsControl;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
@@ -24,6 +25,7 @@
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
     pub(super) node_rank: u32,
+    pub(super) claims: ClaimsControl,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -34,6 +36,7 @@
         let zone = settings.availability_zone.clone();
         let policy = settings.routing_policy;
         let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
+        let claims = ClaimsControl::new(&context.instance, settings.claims);
         Self {
             context,
             configuration: ConfigurationFollower::default(),
@@ -44,6 +47,7 @@
             keys: Arc::default(),
             live_nodes: 1,
             node_rank,
+            claims,
             snapshot,
         }
     }
@@ -58,7 +62,10 @@
     /// Applies `event` and publishes the snapshot that follows from it.
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Tick => self.poll_servers(now),
+            ControlEvent::Tick => {
+                self.poll_servers(now);
+                self.tick_claims(now);
+            }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
@@ -83,6 +90,7 @@
                 self.apply_crash_check(strike, crashed, now);
             }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
+            ControlEvent::Claims(message) => self.apply_claims(message, now),
         }
         self.publish();
     }
