--- a/src/decision/routing/feedback.rs
+++ b/src/decision/routing/feedback.rs
@@ -4,7 +4,7 @@
 use super::belief::{Holder, KeptTokens};
 use super::fleet::ServerIndex;
 use super::homes::HomeDemand;
-use super::load::ServerState;
+use super::load::{FirstTokenTime, ServerState};
 use super::messages::{AnswerFeedback, AnswerTiming, KeptPrefix, SentRequest};
 use crate::ports::{CacheEvent, CacheEventPage, LoadReport};
 use crate::types::{Incarnation, ServerId};
@@ -141,6 +141,7 @@
         let Some(model) = self.fleet.models.get(&answer.model) else { return };
         let prefill_tokens_per_s = model.prefill_tokens_per_s;
         let config = Arc::clone(&self.config);
+        let mut typical_wait = self.typical_wait;
         let computed_tokens = answer.prompt_tokens.saturating_sub(answer.cached_tokens);
         self.update_server(&answer.server, |state| {
             let Some(info) = state.info.clone() else { return };
@@ -150,9 +151,10 @@
             let expected_s = f64::from(computed_tokens) / prefill_tokens_per_s
                 + 2.0 * info.link_delay.as_secs_f64()
                 + f64::from(timing.expectation.wait_ms) / 1_000.0;
-            let late_s = first_token.as_secs_f64() - expected_s;
-            state.excess_wait.observe(late_s, config.excess_wait_lifetime, now);
+            let time = FirstTokenTime { observed_s: first_token.as_secs_f64(), expected_s };
+            state.excess_wait.observe(time, &mut typical_wait, config.excess_wait_lifetime, now);
         });
+        self.typical_wait = typical_wait;
     }
 }
 
--- a/src/decision/routing/load.rs
+++ b/src/decision/routing/load.rs
@@ -9,8 +9,12 @@
 
 /// Weight of a new observation in a smoothed value.
 const SMOOTHING: f64 = 0.2;
+/// Weight of a new observation in the wait that is typical of all servers.
+const TYPICAL_SMOOTHING: f64 = 0.05;
 /// Seconds by which a first token may be late without counting as excess wait.
 const WAIT_TOLERANCE_S: f64 = 0.02;
+/// Share of the expected time by which it may be late beside that.
+const WAIT_TOLERANCE_SHARE: f64 = 0.1;
 
 /// State of a server.
 #[derive(Clone, Debug)]
@@ -78,6 +82,15 @@
     observed_at: Option<Instant>,
 }
 
+/// Observed and expected time to a first token.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstTokenTime {
+    /// Observed seconds.
+    pub observed_s: f64,
+    /// Expected seconds, without any excess wait.
+    pub expected_s: f64,
+}
+
 impl ExcessWait {
     /// Returns the excess in seconds, forgotten with time constant `lifetime`.
     pub fn seconds(&self, lifetime: Duration, now: Instant) -> f64 {
@@ -86,11 +99,24 @@
         self.seconds * (-age.as_secs_f64() / lifetime.as_secs_f64()).exp()
     }
 
-    /// Takes in that a first token came `late_s` seconds later than expected without this excess.
-    pub fn observe(&mut self, late_s: f64, lifetime: Duration, now: Instant) {
+    /// Takes in the time of a first token; what is `typical` of all servers is no excess.
+    pub fn observe(
+        &mut self,
+        time: FirstTokenTime,
+        typical: &mut Self,
+        lifetime: Duration,
+        now: Instant,
+    ) {
+        let tolerance_s = WAIT_TOLERANCE_S + time.expected_s * WAIT_TOLERANCE_SHARE;
+        let late_s = (time.observed_s - time.expected_s - tolerance_s).max(0.0);
+        let typical_s = typical.seconds(lifetime, now);
+        self.smooth((late_s - typical_s).max(0.0), SMOOTHING, lifetime, now);
+        typical.smooth(late_s, TYPICAL_SMOOTHING, lifetime, now);
+    }
+
+    fn smooth(&mut self, late_s: f64, weight: f64, lifetime: Duration, now: Instant) {
         let before = self.seconds(lifetime, now);
-        let late_s = (late_s - WAIT_TOLERANCE_S).max(0.0);
-        self.seconds = before + (late_s - before) * SMOOTHING;
+        self.seconds = before + (late_s - before) * weight;
         self.observed_at = Some(now);
     }
 }
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -26,7 +26,7 @@
 use crate::types::{AvailabilityZone, ModelId, ServerId};
 use belief::BeliefIndex;
 use fleet::{Fleet, ServerIndex, server_info};
-use load::{ServerState, Serving};
+use load::{ExcessWait, ServerState, Serving};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -45,6 +45,7 @@
     beliefs: BeliefIndex,
     kept_queries: VecDeque<u64>,
     live_nodes: u32,
+    typical_wait: ExcessWait,
     models_valid_until: Option<Instant>,
     turn: Arc<AtomicUsize>,
 }
@@ -69,6 +70,7 @@
             beliefs: BeliefIndex::default(),
             kept_queries: VecDeque::new(),
             live_nodes: 1,
+            typical_wait: ExcessWait::default(),
             models_valid_until: None,
             turn: Arc::new(AtomicUsize::new(0)),
         }
--- /dev/null
+++ b/tests/routing/faults.rs
@@ -0,0 +1,158 @@
+//! Servers that crash, lag, lie or are slow, and what a choice may rest on.
+
+use crate::fixture::{Node, idle_report, levels, query, server};
+use coriandertide::decision::routing::{
+    KeptPrefix, PrefixLevel, RouteReason, RoutingEvent, RoutingPolicy,
+};
+use coriandertide::ports::{CacheEvent, CacheEventPage};
+use coriandertide::types::ServerId;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn manual() -> Vec<PrefixLevel> {
+    levels("survey", "1", "survey manual ", "how many lanes?")
+}
+
+/// Makes the node believe that the home holds the manual, and returns the home.
+fn warm(node: &mut Node) -> ServerId {
+    let home = node.route("first", &manual()).server;
+    node.answer(&home, 1, &manual(), 0, Duration::from_millis(280));
+    home
+}
+
+#[test]
+fn a_belief_of_a_dead_incarnation_is_void() {
+    let mut node = Node::reported(12);
+    let home = warm(&mut node);
+    let before = node.route("second", &manual());
+    assert_eq!((before.server, before.reason), (home.clone(), RouteReason::CachedPrefix));
+    assert!(before.expected_hit_tokens > 1_900);
+    let number = (0..12).find(|number| server(*number) == home).unwrap();
+    node.report(number, idle_report(2));
+    let after = node.route("third", &manual());
+    assert_eq!(after.reason, RouteReason::Home);
+    assert!(after.expected_hit_tokens < before.expected_hit_tokens / 4);
+    node.answer(&home, 1, &manual(), 2_000, Duration::ZERO);
+    assert_eq!(node.route("late", &manual()).reason, RouteReason::Home, "retired incarnation");
+}
+
+#[test]
+fn other_workspaces_and_older_weights_are_not_relied_on() {
+    let mut node = Node::reported(12);
+    warm(&mut node);
+    for (workspace, version) in [("pickup", "1"), ("survey", "2")] {
+        let levels = levels(workspace, version, "survey manual ", "how many lanes?");
+        assert_ne!(node.route("other", &levels).reason, RouteReason::CachedPrefix);
+    }
+}
+
+#[test]
+fn a_failed_server_gets_nothing_until_its_backoff_ends() {
+    let mut node = Node::reported(12);
+    let home = warm(&mut node);
+    node.apply(RoutingEvent::ServerFailed { server: home.clone() });
+    assert_ne!(node.route("a", &manual()).server, home);
+    node.advance(Duration::from_millis(300));
+    assert_eq!(node.route("b", &manual()).server, home, "unknown again, and the first home");
+    assert_eq!(node.route("c", &manual()).reason, RouteReason::Home);
+    (0..12).for_each(|it| node.apply(RoutingEvent::ServerFailed { server: server(it) }));
+    node.route("all have failed, one is tried", &manual());
+}
+
+#[test]
+fn leaving_and_excluded_servers_get_nothing() {
+    for policy in [
+        RoutingPolicy::RoundRobin,
+        RoutingPolicy::LeastOutstanding,
+        RoutingPolicy::PrefixHash,
+        RoutingPolicy::Coriandertide,
+    ] {
+        let mut node = Node::with_policy(4, policy);
+        let leaving: BTreeSet<ServerId> = [server(0), server(1)].into();
+        node.apply(RoutingEvent::Leaving(leaving));
+        let mut query = query("r", &manual());
+        query.excluded = vec![server(2)];
+        for _ in 0..8 {
+            let decision = node.state.view().route(&query, node.now).unwrap();
+            assert_eq!(decision.server, server(3), "{policy}");
+        }
+        query.excluded.push(server(3));
+        assert!(node.state.view().route(&query, node.now).is_none(), "{policy}");
+    }
+}
+
+#[test]
+fn a_burst_between_reports_does_not_herd() {
+    let mut node = Node::reported(12);
+    node.apply(RoutingEvent::LiveNodes(4));
+    warm(&mut node);
+    let view = node.state.view();
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..48 {
+        let decision = node.route(&format!("r{number}"), &manual());
+        view.begin(&decision.server, 100);
+        *counts.entry(decision.server).or_insert(0) += 1;
+    }
+    let most = counts.values().max().copied().unwrap();
+    assert!(most <= 8, "{counts:?}");
+    assert_eq!(counts.len(), 12);
+}
+
+#[test]
+fn a_server_that_is_slow_or_hides_its_queue_loses_its_prefix() {
+    let mut node = Node::reported(12);
+    let home = warm(&mut node);
+    for _ in 0..10 {
+        node.advance(Duration::from_millis(100));
+        node.answer(&home, 1, &manual(), 2_000, Duration::from_secs(3));
+    }
+    assert_ne!(node.route("a", &manual()).server, home);
+    node.advance(Duration::from_secs(20));
+    assert_eq!(node.route("b", &manual()).server, home, "forgiven and tried again");
+}
+
+#[test]
+fn a_gap_in_the_events_lowers_trust() {
+    let mut node = Node::reported(12);
+    let home = warm(&mut node);
+    let stored = |sequence| CacheEvent::Stored { sequence, prefix_key: 7, tokens: 1 };
+    let page = |sequence| CacheEventPage {
+        incarnation: 1,
+        next_event: sequence + 1,
+        events: vec![stored(sequence)],
+    };
+    let before = node.route("a", &manual()).expected_hit_tokens;
+    node.advance(Duration::from_millis(1));
+    node.apply(RoutingEvent::CacheEvents { server: home.clone(), page: page(1) });
+    node.apply(RoutingEvent::CacheEvents { server: home.clone(), page: page(2) });
+    assert!(node.route("b", &manual()).expected_hit_tokens + 5 > before);
+    node.apply(RoutingEvent::CacheEvents { server: home, page: page(9) });
+    let after = node.route("c", &manual()).expected_hit_tokens;
+    assert!(after < before * 6 / 10, "{after} of {before}");
+}
+
+#[test]
+fn kept_cache_is_imported_where_it_beats_recomputation() {
+    let mut node = Node::reported(12);
+    let levels = manual();
+    let kept = KeptPrefix { key: levels[1].key, tokens: levels[1].tokens };
+    node.apply(RoutingEvent::KeptPrefixes(vec![kept]));
+    let cold = node.route("a", &levels);
+    assert_eq!(cold.reason, RouteReason::Import);
+    assert_eq!(cold.import_keys, vec![levels[0].key, levels[1].key]);
+    node.answer(&cold.server, 1, &levels, 0, Duration::from_millis(50));
+    let warm = node.route("b", &levels);
+    assert_eq!((warm.reason, warm.import_keys), (RouteReason::CachedPrefix, Vec::new()));
+}
+
+#[test]
+fn a_server_that_lost_the_model_gets_no_request_for_it() {
+    let mut node = Node::reported(12);
+    let home = warm(&mut node);
+    let number = (0..12).find(|number| server(*number) == home).unwrap();
+    let mut report = idle_report(1);
+    report.models.retain(|it| it.model != crate::fixture::MODEL);
+    node.advance(Duration::from_millis(1));
+    node.report(number, report);
+    assert_ne!(node.route("a", &manual()).server, home);
+}
--- /dev/null
+++ b/tests/routing/homes.rs
@@ -0,0 +1,106 @@
+//! Homes against a full sort, and the number of homes under load.
+
+use crate::fixture::{Node, levels, property_config, server};
+use crate::twin::naive_homes;
+use coriandertide::decision::routing::homes::{HomeDemand, PrefixRate, ranked_servers};
+use coriandertide::decision::routing::{RoutingConfig, RoutingEvent};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const DEMAND: HomeDemand =
+    HomeDemand { live_nodes: 4, occupancy_s: 1.0, concurrent_requests: 10, servers: 12 };
+
+proptest! {
+    #![proptest_config(property_config(42))]
+
+    #[test]
+    fn homes_are_those_of_a_full_sort(
+        hashes in proptest::collection::btree_set(any::<u64>(), 0..60),
+        key in any::<u64>(),
+        count in 1usize..10,
+        gone in any::<prop::sample::Index>(),
+    ) {
+        let servers: Vec<(u32, u64)> = (0..).zip(hashes).collect();
+        let ranked = |servers: &[(u32, u64)]| -> Vec<u32> {
+            let ranked = ranked_servers(servers.iter().copied(), key, count);
+            ranked.iter().map(|ranked| ranked.server).collect()
+        };
+        prop_assert_eq!(ranked(&servers), naive_homes(&servers, key, count));
+        if servers.is_empty() {
+            return Ok(());
+        }
+        let mut fewer = servers.clone();
+        let (gone, _) = fewer.remove(gone.index(servers.len()));
+        let kept: Vec<u32> = ranked(&servers).into_iter().filter(|it| *it != gone).collect();
+        prop_assert_eq!(&ranked(&fewer)[..kept.len()], &kept[..]);
+    }
+
+    #[test]
+    fn homes_follow_the_rate_within_bounds(gaps_ms in proptest::collection::vec(1u64..2_000, 1..200)) {
+        let config = RoutingConfig::default();
+        let mut now = Instant::now();
+        let mut rate = PrefixRate::new(now);
+        for gap_ms in gaps_ms {
+            now += Duration::from_millis(gap_ms);
+            let before = rate.homes();
+            rate.count(DEMAND, &config, now);
+            let wanted = rate.per_s(config.rate_window, now) * 4.0 / 6.0;
+            prop_assert!((1..=12).contains(&rate.homes()));
+            prop_assert!(f64::from(rate.homes()) >= wanted.min(12.0));
+            let may_shrink = wanted < f64::from(before - 1) * config.home_shrink_factor;
+            prop_assert!(rate.homes() >= before || may_shrink);
+        }
+    }
+}
+
+#[test]
+fn a_steady_rate_at_a_boundary_keeps_its_homes() {
+    let config = RoutingConfig::default();
+    let mut now = Instant::now();
+    let mut rate = PrefixRate::new(now);
+    let mut homes = Vec::new();
+    for number in 0..2_000 {
+        now += Duration::from_millis(if number % 2 == 0 { 320 } else { 346 });
+        rate.count(DEMAND, &config, now);
+        homes.push(rate.homes());
+    }
+    let changes = homes[100..].windows(2).filter(|pair| pair[0] != pair[1]).count();
+    assert_eq!(changes, 0);
+}
+
+#[test]
+fn restarted_nodes_agree_on_the_first_request() {
+    let mut seasoned = Node::reported(12);
+    seasoned.apply(RoutingEvent::LiveNodes(8));
+    for manual in 0..40 {
+        let manual = format!("manual {manual} ");
+        let fresh = Node::new(12);
+        let levels = levels("survey", "1", &manual, "how many lanes?");
+        assert_eq!(fresh.route("a", &levels).server, seasoned.route("b", &levels).server);
+    }
+}
+
+#[test]
+fn a_hot_prefix_gets_more_homes_and_keeps_the_first() {
+    let mut node = Node::reported(40);
+    node.apply(RoutingEvent::LiveNodes(8));
+    let levels = levels("survey", "1", "hot manual ", "q");
+    let first = node.route("first", &levels).server;
+    let anchor = levels.iter().find(|level| level.anchor).unwrap().key;
+    for _ in 0..200 {
+        node.advance(Duration::from_millis(50));
+        node.sent(&first, &levels);
+    }
+    let homes = node.state.beliefs().get(anchor).unwrap().rate.homes();
+    assert!((20..=40).contains(&homes), "{homes} homes for 160 requests a second over 8 nodes");
+    assert_eq!(node.route("later", &levels).server, first);
+    let view = node.state.view();
+    let mut used = std::collections::BTreeSet::new();
+    for number in 0..30 {
+        let chosen = node.route(&format!("burst-{number}"), &levels).server;
+        view.begin(&chosen, 0);
+        used.insert(chosen);
+    }
+    assert!(used.len() > 5, "a burst of 30 stays on {used:?}");
+    assert!(used.contains(&first) && !used.contains(&server(99)));
+}
--- /dev/null
+++ b/tests/routing/poll.rs
@@ -0,0 +1,53 @@
+//! Polls within the byte budget, in virtual time.
+
+use crate::fixture::{property_config, server};
+use coriandertide::decision::routing::{PollConfig, PollKind, PollPlanner};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+proptest! {
+    #![proptest_config(property_config(44))]
+
+    #[test]
+    fn polls_stay_within_the_budget(
+        servers in 1usize..60,
+        answer_bytes in proptest::collection::vec(50usize..4_000, 1..20),
+    ) {
+        let config = PollConfig::default();
+        let (budget, burst) = (config.budget_bytes_per_s, config.burst_bytes);
+        let mut planner = PollPlanner::new(config);
+        let started_at = Instant::now();
+        let mut spent_bytes = 0;
+        let mut asked = std::collections::BTreeSet::new();
+        for step in 0..400u64 {
+            let now = started_at + Duration::from_millis(step * 100);
+            (0..servers).for_each(|number| planner.note_use(&server(number), now));
+            for (index, poll) in planner.plan(now).into_iter().enumerate() {
+                let bytes = answer_bytes[(step as usize + index) % answer_bytes.len()];
+                spent_bytes += bytes;
+                planner.answered(&poll, bytes, now);
+                if poll.kind == PollKind::Load {
+                    asked.insert(poll.server);
+                }
+            }
+            let overdraft = 4_000.0 * servers as f64 * 2.0;
+            let allowed = burst + budget * (step as f64) / 10.0 + overdraft;
+            prop_assert!((spent_bytes as f64) <= allowed, "{spent_bytes} above {allowed}");
+        }
+        prop_assert_eq!(asked.len(), servers);
+    }
+}
+
+#[test]
+fn only_servers_in_use_are_polled_and_none_twice_at_once() {
+    let mut planner = PollPlanner::new(PollConfig::default());
+    let now = Instant::now();
+    planner.note_use(&server(1), now);
+    let first = planner.plan(now);
+    assert_eq!(first.len(), 2);
+    assert!(planner.plan(now + Duration::from_millis(300)).is_empty(), "answers are pending");
+    assert!(first.iter().all(|poll| poll.server == server(1)));
+    first.iter().for_each(|poll| planner.answered(poll, 300, now));
+    assert_eq!(planner.plan(now + Duration::from_millis(300)).len(), 1);
+    assert!(planner.plan(now + Duration::from_secs(6)).is_empty(), "no longer in use");
+}
