feat(local_site): whole site in one process with checked traffic

Cause: README command 1 and the routing measurements need stand-ins, nodes and callers over real sockets, with every answer checked. Change: example local_site with both sites as presets, seeded open-loop arrivals, five policies, fourteen faults, a progress line, a table and a JSON report; the engine sends its first frame with its first token instead of a frame interval later. Conclusion: the thin whole path runs end to end; the baselines are to be measured next.

--- /dev/null
+++ b/examples/local_site/site.rs
@@ -0,0 +1,213 @@
+//! Stand-ins and nodes of a site.
+
+use crate::balancer::Balancer;
+use crate::document;
+use crate::options::{Options, PolicyChoice};
+use crate::preset::{IDLE_WATTS, Preset, REQUEST_WATTS};
+use crate::workload::POISON_MARKER;
+use anyhow::Context as _;
+use coriandertide::daemon::Node;
+use coriandertide::decision::configuration::ConfigurationRecord;
+use coriandertide::settings::Settings;
+use coriandertide::settings::raw::{RawListenSettings, RawPlatformSettings, RawSettings};
+use coriandertide_standins::instance_list::Instance;
+use coriandertide_standins::{
+    EngineConfig, EngineStandIn, InstanceListConfig, InstanceListStandIn, KvStoreConfig,
+    KvStoreStandIn, LogServiceConfig, LogServiceStandIn, PlainServiceConfig, PlainServiceStandIn,
+    ServedModel, SiteLedger, WeightStoreConfig, WeightStoreStandIn, ZoneDelays,
+};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Stream of the log that holds the document.
+pub const CONFIGURATION_STREAM: &str = "configuration";
+/// Address that takes a free port.
+const FREE_PORT: SmolStr = SmolStr::new_static("127.0.0.1:0");
+
+/// Running site.
+pub struct Site {
+    /// Sizes and rates.
+    pub preset: Preset,
+    /// True figures.
+    pub ledger: Arc<SiteLedger>,
+    /// Delays between the zones.
+    pub zone_delays: ZoneDelays,
+    /// Log service.
+    pub log: LogServiceStandIn,
+    /// Instance list.
+    pub instance_list: InstanceListStandIn,
+    /// Model engines.
+    pub engines: Vec<EngineStandIn>,
+    /// Servers of the plain service.
+    pub services: Vec<PlainServiceStandIn>,
+    /// Balancer before the nodes.
+    pub balancer: Balancer,
+    nodes: Mutex<Vec<Node>>,
+    started_nodes: AtomicU32,
+    policy: PolicyChoice,
+    kv_store: Option<KvStoreStandIn>,
+    _weight_store: WeightStoreStandIn,
+}
+
+impl Site {
+    /// Starts the stand-ins, publishes the document and starts the nodes.
+    pub fn start(preset: Preset, policy: PolicyChoice, options: &Options) -> anyhow::Result<Self> {
+        let ledger = SiteLedger::new();
+        let delay = Duration::from_micros(u64::from(preset.zone_delay_us));
+        let zone_delays = ZoneDelays::uniform(preset.zones, delay);
+        let weight_store = WeightStoreStandIn::start(WeightStoreConfig::default())?;
+        let kv_store = if options.kv_store {
+            Some(KvStoreStandIn::start(KvStoreConfig::default())?)
+        } else {
+            None
+        };
+        let engine = EngineConfig {
+            models: vec![ServedModel { model: preset.model.into(), weights_version: "1".into() }],
+            running_requests: preset.running_requests as usize,
+            cache_blocks: preset.cache_blocks as usize,
+            prefill_tokens_per_s: preset.prefill_tokens_per_s,
+            decode_tokens_per_s: preset.decode_tokens_per_s,
+            tokens_per_frame: crate::TOKENS_PER_FRAME,
+            idle_watts: IDLE_WATTS,
+            request_watts: REQUEST_WATTS,
+            poison_marker: Some(POISON_MARKER.to_owned()),
+            zone_delays: zone_delays.clone(),
+            ledger: Arc::clone(&ledger),
+            kv_store: kv_store.as_ref().map(KvStoreStandIn::kept),
+            weight_store: Some(weight_store.transfers()),
+            ..EngineConfig::default()
+        };
+        let site = Self {
+            engines: start_engines(&preset, &engine)?,
+            services: start_services(&preset, &ledger)?,
+            log: LogServiceStandIn::start(LogServiceConfig::default())?,
+            instance_list: InstanceListStandIn::start(InstanceListConfig::default())?,
+            balancer: Balancer::default(),
+            nodes: Mutex::default(),
+            started_nodes: AtomicU32::new(0),
+            policy,
+            kv_store,
+            _weight_store: weight_store,
+            preset,
+            ledger,
+            zone_delays,
+        };
+        site.register_servers();
+        let document = document::first(&site, options.nodes)?;
+        site.log.append(CONFIGURATION_STREAM, ConfigurationRecord::snapshot(document).encode());
+        if policy != PolicyChoice::Omniscient {
+            for _ in 0..options.nodes {
+                site.start_node()?;
+            }
+        }
+        Ok(site)
+    }
+
+    /// Starts a node and registers it.
+    pub fn start_node(&self) -> anyhow::Result<()> {
+        let number = self.started_nodes.fetch_add(1, Ordering::Relaxed);
+        let zone = self.preset.zones[number as usize % self.preset.zones.len()];
+        let name = format_smolstr!("entry-{number}");
+        let settings = RawSettings {
+            instance_name: name.clone(),
+            availability_zone: zone.into(),
+            listen: RawListenSettings { callers: FREE_PORT, admin: FREE_PORT, partners: FREE_PORT },
+            platform: RawPlatformSettings {
+                log: self.log.address().to_smolstr(),
+                instance_list: self.instance_list.address().to_smolstr(),
+                kv_store: self.kv_store.as_ref().map(|store| store.address().to_smolstr()),
+            },
+            partner_key: SmolStr::new_static("local-site-partner-key"),
+            routing_policy: self.policy.to_smolstr(),
+            ..RawSettings::default()
+        };
+        let settings = Settings::try_from(settings).context("settings of a node")?;
+        let node = Node::start(settings)?;
+        self.instance_list.put_shown(Instance {
+            name: name.to_string(),
+            kind: "entry".to_owned(),
+            address: node.partner_address(),
+            availability_zone: zone.to_owned(),
+            state: "live".to_owned(),
+        });
+        self.balancer.add(node.caller_address());
+        lock(&self.nodes).push(node);
+        Ok(())
+    }
+
+    /// Takes the node that runs longest out of the site; the caller drains or kills it.
+    pub fn take_node(&self) -> Option<Node> {
+        let mut nodes = lock(&self.nodes);
+        if nodes.is_empty() { None } else { Some(nodes.remove(0)) }
+    }
+
+    /// Takes all nodes out of the site.
+    pub fn take_nodes(&self) -> Vec<Node> {
+        std::mem::take(&mut *lock(&self.nodes))
+    }
+
+    /// Holds up all threads of one node.
+    pub fn freeze_node(&self, period: Duration) {
+        if let Some(node) = lock(&self.nodes).first() {
+            node.freeze(period);
+        }
+    }
+
+    /// Returns the callers' addresses of all nodes.
+    pub fn node_addresses(&self) -> Vec<SocketAddr> {
+        lock(&self.nodes).iter().map(Node::caller_address).collect()
+    }
+
+    /// Returns the list's record of a backend server.
+    pub fn server_record(&self, engine: &EngineStandIn, state: &str) -> Instance {
+        Instance {
+            name: engine.config().name.clone(),
+            kind: "backend_server".to_owned(),
+            address: engine.address(),
+            availability_zone: engine.config().availability_zone.clone(),
+            state: state.to_owned(),
+        }
+    }
+
+    fn register_servers(&self) {
+        for engine in &self.engines {
+            self.instance_list.put_shown(self.server_record(engine, "live"));
+        }
+    }
+}
+
+fn start_engines(preset: &Preset, engine: &EngineConfig) -> anyhow::Result<Vec<EngineStandIn>> {
+    (0..preset.engines)
+        .map(|number| {
+            EngineStandIn::start(EngineConfig {
+                name: format!("engine-{number:02}"),
+                availability_zone: preset.zones[number as usize % preset.zones.len()].to_owned(),
+                // Both kinds of engine are met: those that check fencing numbers and those that do not.
+                checks_fencing: number % 2 == 0,
+                ..engine.clone()
+            })
+        })
+        .collect()
+}
+
+fn start_services(
+    preset: &Preset,
+    ledger: &Arc<SiteLedger>,
+) -> anyhow::Result<Vec<PlainServiceStandIn>> {
+    (0..preset.service_servers)
+        .map(|number| {
+            PlainServiceStandIn::start(PlainServiceConfig {
+                name: format!("{}-{number}", preset.service),
+                latency_ms: 10,
+                ledger: Some(Arc::clone(ledger)),
+            })
+        })
+        .collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -97,6 +97,11 @@
         self.running.remove(&place).is_some()
     }
 
+    /// Returns the number of requests ever added.
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> usize {
         self.running.len()
--- a/standins/src/engine/generation.rs
+++ b/standins/src/engine/generation.rs
@@ -98,13 +98,15 @@
     smol::Timer::at(prefill_ends_at).await;
     ticket.end_prefill(request);
     let frame_interval = shared.frame_interval();
-    let mut due_at = prefill_ends_at + link_delay;
+    // The first token starts the first frame; a frame is sent with its first token.
+    let mut due_at = prefill_ends_at + link_delay + frame_interval / shared.config.tokens_per_frame;
     let last = answer::frames(request.completion_tokens, shared.config.tokens_per_frame);
     for number in request.resume_from_frame..last {
-        due_at += frame_interval;
         wait_until(due_at).await;
         frames.send(Ok(event(number, &piece_chunk(request, number)))).await?;
+        due_at += frame_interval;
     }
+    wait_until(due_at).await;
     frames.send(Ok(event(last, &usage_chunk(request, &record)))).await?;
     frames.send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await?;
     Ok(())
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -80,6 +80,11 @@
         lock(&self.shared.state).is_up
     }
 
+    /// Returns the number of requests accepted by the present incarnation.
+    pub fn accepted_requests(&self) -> u64 {
+        lock(&self.shared.state).batch.arrivals()
+    }
+
     /// Returns the true number of running requests.
     pub fn running_requests(&self) -> usize {
         lock(&self.shared.state).batch.running()
@@ -97,6 +102,7 @@
     pub(crate) fn crash(self: &Arc<Self>, down: Duration) {
         let Some(server) = lock(&self.server).take() else { return };
         let address = server.address();
+        self.config.ledger.count_crash();
         self.reset();
         let shared = Arc::clone(self);
         let restart = async move {
--- a/standins/src/ledger.rs
+++ b/standins/src/ledger.rs
@@ -16,6 +16,7 @@
     cached_tokens: AtomicU64,
     imported_tokens: AtomicU64,
     wasted_tokens: AtomicU64,
+    engine_crashes: AtomicU64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -62,6 +63,17 @@
         lock(&self.watts).peak
     }
 
+    /// Forgets the highest draw seen; from now on it is that of now.
+    pub fn reset_peak_watts(&self) {
+        let mut watts = lock(&self.watts);
+        watts.peak = watts.drawn;
+    }
+
+    /// Returns the number of crashes of all engines.
+    pub fn engine_crashes(&self) -> u64 {
+        self.engine_crashes.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of runs of each key over all plain services.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         lock(&self.runs).clone()
@@ -88,6 +100,10 @@
         sum.drawn = sum.drawn.saturating_sub(u64::from(watts));
     }
 
+    pub(crate) fn count_crash(&self) {
+        self.engine_crashes.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_run(&self, key: &str) {
         *lock(&self.runs).entry(key.to_owned()).or_default() += 1;
     }
