--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,25 +1,31 @@
 //! State of the control thread and the dispatch of its events.
 
+use super::claims::ClaimsControl;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
-use crate::decision::configuration::ConfigurationState;
+use crate::decision::configuration::ConfigurationFollower;
+use crate::decision::poison::PoisonState;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
 use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// All state of the control thread.
 pub struct ControlState {
     pub(super) context: ControlContext,
-    pub(super) configuration: ConfigurationState,
+    pub(super) configuration: ConfigurationFollower,
     pub(super) routing: RoutingState,
     pub(super) routing_polls: RoutingPolls,
+    pub(super) poison: PoisonState,
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) node_rank: u32,
+    pub(super) claims: ClaimsControl,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -29,14 +35,19 @@
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
         let policy = settings.routing_policy;
+        let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
+        let claims = ClaimsControl::new(&context.instance, settings.claims);
         Self {
             context,
-            configuration: ConfigurationState::default(),
+            configuration: ConfigurationFollower::default(),
             routing: RoutingState::new(policy, zone, RoutingConfig::default()),
             routing_polls: RoutingPolls::new(&settings.control),
+            poison: PoisonState::default(),
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
+            node_rank,
+            claims,
             snapshot,
         }
     }
@@ -51,8 +62,11 @@
     /// Applies `event` and publishes the snapshot that follows from it.
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Tick => self.poll_servers(now),
-            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, &page, now),
+            ControlEvent::Tick => {
+                self.poll_servers(now);
+                self.tick_claims(now);
+            }
+            ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
             }
@@ -72,7 +86,11 @@
             ControlEvent::KeptPrefixes(kept) => {
                 self.routing.apply(RoutingEvent::KeptPrefixes(kept), now);
             }
+            ControlEvent::CrashChecked { strike, crashed } => {
+                self.apply_crash_check(strike, crashed, now);
+            }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
+            ControlEvent::Claims(message) => self.apply_claims(message, now),
         }
         self.publish();
     }
@@ -85,7 +103,7 @@
         self.document = Some(document);
     }
 
-    fn apply_log(&mut self, stream: LogStream, page: &LogPage, now: Instant) {
+    fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
         match stream {
             LogStream::Configuration => self.apply_configuration(page, now),
             LogStream::Claims | LogStream::Leases | LogStream::Power => {}
@@ -110,6 +128,12 @@
             }
             TrafficReport::Answer(feedback) => RoutingEvent::Answer(feedback),
             TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
+            TrafficReport::AttemptCut { server, incarnation, fingerprint } => {
+                return self.check_crash(server, incarnation, fingerprint);
+            }
+            TrafficReport::Exonerated(fingerprint) => {
+                return self.poison.exonerate(fingerprint);
+            }
         };
         self.routing.apply(event, now);
     }
@@ -119,7 +143,9 @@
             document: self.document.clone(),
             keys: Arc::clone(&self.keys),
             routing: self.routing.view(),
+            poison: self.poison.view(),
             live_nodes: self.live_nodes,
+            node_rank: self.node_rank,
         }));
     }
 }
