feat(power): a starting node asks its partners for power at once

Cause: a node without a share would ask only after its first refusal; demand needs only what the traffic threads measure. Change: first ask when the first partner is there; fair shares by live nodes only once links had time to open; placement demand from the time between first and last token.

--- a/src/decision/placement/messages.rs
+++ b/src/decision/placement/messages.rs
@@ -25,8 +25,8 @@
         model: ModelId,
         /// Prompt tokens that the server computed.
         computed_tokens: u32,
-        /// Tokens generated.
-        completion_tokens: u32,
+        /// Milliseconds from the first token to the last.
+        decode_ms: u64,
     },
     /// A server reported its load.
     Report {
--- a/src/decision/placement/mod.rs
+++ b/src/decision/placement/mod.rs
@@ -85,8 +85,8 @@
             PlacementEvent::Document(document) => self.set_document(document),
             PlacementEvent::Leaving(servers) => self.leaving = servers,
             PlacementEvent::LiveNodes(live_nodes) => self.live_nodes = live_nodes.max(1),
-            PlacementEvent::Answered { model, computed_tokens, completion_tokens } => {
-                self.demand.add(&self.document, &model, computed_tokens, completion_tokens, now);
+            PlacementEvent::Answered { model, computed_tokens, decode_ms } => {
+                self.demand.add(&self.document, &model, computed_tokens, decode_ms, now);
             }
             PlacementEvent::Report { server, report, asked_at } => {
                 self.read_report(&server, report, asked_at);
--- a/src/decision/power/account.rs
+++ b/src/decision/power/account.rs
@@ -155,6 +155,14 @@
         self.lock().take_shed(now)
     }
 
+    /// Counts `requests` of the highest draw as refused, with work until `work_deadline`.
+    pub fn add_lack(&self, requests: u64, work_deadline: Instant) {
+        let mut state = self.lock();
+        let most_watts = state.request_watts.values().copied().max().unwrap_or(0);
+        let refusal = Refusal { watts: most_watts * requests, work_deadline };
+        state.refused.insert(RequestId::default(), refusal);
+    }
+
     /// Returns and clears the power that was refused.
     pub fn take_lack(&self, now: Instant) -> Option<PowerLack> {
         self.lock().take_lack(now)
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -34,6 +34,10 @@
 const ADJUST_MS: u64 = 5_000;
 /// Part of the fair share by which the share must be off to be changed before it is renewed.
 const ADJUST_DIVISOR: u64 = 10;
+/// Milliseconds after its start from which a node trusts the number of live nodes it sees.
+const COUNT_NODES_MS: u64 = 5_000;
+/// Requests whose power a node without a share asks for before it has any.
+const FIRST_ASK_REQUESTS: u64 = 4;
 /// Milliseconds over which nodes spread the release of a lapsed share.
 const RECLAIM_SPREAD_MS: u64 = 2_000;
 
@@ -79,6 +83,8 @@
     last_attempt: u64,
     live_nodes: Option<u32>,
     max_nodes: u32,
+    counts_nodes_at: Instant,
+    has_asked_first: bool,
     transfers: Transfers,
     is_stopping: bool,
 }
@@ -109,6 +115,8 @@
             last_attempt: 0,
             live_nodes: None,
             max_nodes: 1,
+            counts_nodes_at: now + Duration::from_millis(COUNT_NODES_MS),
+            has_asked_first: false,
             is_stopping: false,
         }
     }
@@ -120,12 +128,14 @@
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
                 self.account.set_document(&document);
+                commands = self.ask_first(now);
             }
             PowerEvent::Page { page, from } => self.read_page(&page, from, now),
             PowerEvent::Message { from, message } => commands = self.receive(&from, &message, now),
             PowerEvent::Membership { partners, live_nodes } => {
                 self.transfers.set_partners(partners);
                 self.live_nodes = Some(live_nodes);
+                commands = self.ask_first(now);
             }
             PowerEvent::Tick => commands = self.tick(now),
             PowerEvent::Stop => commands = self.stop(now),
@@ -156,6 +166,19 @@
         }
     }
 
+    /// Asks for power as soon as a node without a share has partners, so that its first request
+    /// need not wait for an ask.
+    fn ask_first(&mut self, now: Instant) -> Vec<PowerCommand> {
+        let is_ready = self.transfers.has_partners() && self.account.shared_watts() > 0;
+        if self.held.is_some() || self.has_asked_first || !is_ready {
+            return Vec::new();
+        }
+        self.has_asked_first = true;
+        let work_limit = Duration::from_millis(self.settings.work_limit_ms);
+        self.account.add_lack(FIRST_ASK_REQUESTS, now + work_limit);
+        self.transfers.tick(now)
+    }
+
     fn receive(
         &mut self,
         from: &InstanceId,
@@ -269,7 +292,7 @@
         }
         let held_parts = self.held.map_or(0, |held| held.parts);
         let wanted_parts = self.wanted_parts(held_parts, now)?;
-        let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts() / ADJUST_DIVISOR;
+        let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts(now) / ADJUST_DIVISOR;
         let is_due = now >= self.renew_at || (is_off && now >= self.adjust_at);
         if !is_due || wanted_parts == 0 {
             return None;
@@ -280,14 +303,17 @@
         Some(self.send_hold(parts, self.settings.lease_ms, now))
     }
 
-    fn fair_parts(&self) -> u64 {
-        let nodes = self.live_nodes.unwrap_or(self.max_nodes).clamp(1, self.max_nodes);
+    /// Parts of the whole that are this node's fair share. Until links had time to open, as many
+    /// nodes as the document allows are reckoned with.
+    fn fair_parts(&self, now: Instant) -> u64 {
+        let seen_nodes = self.live_nodes.filter(|_| now >= self.counts_nodes_at);
+        let nodes = seen_nodes.unwrap_or(self.max_nodes).clamp(1, self.max_nodes);
         TOTAL_PARTS / u64::from(nodes)
     }
 
     /// Parts to hold from the next append on, or none if nothing can be said yet.
     fn wanted_parts(&self, held_parts: u64, now: Instant) -> Option<u64> {
-        let fair_parts = self.fair_parts();
+        let fair_parts = self.fair_parts(now);
         if held_parts > fair_parts {
             let surplus_parts = self.account.spare_parts(now).min(held_parts - fair_parts);
             return Some(held_parts - surplus_parts);
--- a/src/decision/power/transfers.rs
+++ b/src/decision/power/transfers.rs
@@ -104,6 +104,11 @@
         self.partners = partners;
     }
 
+    /// Whether there is a partner to ask.
+    pub fn has_partners(&self) -> bool {
+        !self.partners.is_empty()
+    }
+
     /// Returns the parts given and not regained.
     pub fn given_parts(&self) -> u64 {
         self.given.values().map(|grant| grant.parts).sum()
