--- /dev/null
+++ b/tests/traffic/fairness.rs
@@ -0,0 +1,95 @@
+//! The fair queue against its naive twin.
+
+use super::naive_queue::NaiveQueue;
+use super::proptest_config;
+use coriandertide::decision::admission::FairQueue;
+use coriandertide::decision::admission::fair_queue::Waiting;
+use coriandertide::types::Priority;
+use proptest::prelude::*;
+use smol_str::format_smolstr;
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push { workspace: u8, priority: Priority, tokens: u32, wait_ms: u64 },
+    Pop { blocked: u8 },
+    Charge { workspace: u8, tokens: u32 },
+    Remove { nth: usize },
+    Expire { at_ms: u64 },
+}
+
+fn priority() -> impl Strategy<Value = Priority> {
+    prop_oneof![Just(Priority::Batch), Just(Priority::Normal), Just(Priority::Interactive)]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..5_u8, priority(), 0..2_000_u32, 0..500_u64).prop_map(
+            |(workspace, priority, tokens, wait_ms)| Step::Push { workspace, priority, tokens, wait_ms }
+        ),
+        3 => (0..8_u8).prop_map(|blocked| Step::Pop { blocked }),
+        1 => (0..5_u8, 0..2_000_u32).prop_map(|(workspace, tokens)| Step::Charge { workspace, tokens }),
+        1 => (0..20_usize).prop_map(|nth| Step::Remove { nth }),
+        1 => (0..500_u64).prop_map(|at_ms| Step::Expire { at_ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest_config(41))]
+
+    #[test]
+    fn the_queue_agrees_with_its_naive_twin(steps in proptest::collection::vec(step(), 1..120)) {
+        let start = Instant::now();
+        let mut queue = FairQueue::default();
+        let mut twin = NaiveQueue::default();
+        for (ticket, step) in (0_u64..).zip(steps) {
+            match step {
+                Step::Push { workspace, priority, tokens, wait_ms } => {
+                    let waiting = Waiting {
+                        ticket,
+                        workspace: format_smolstr!("w{workspace}"),
+                        priority,
+                        tokens,
+                        until: start + Duration::from_millis(wait_ms),
+                    };
+                    let ahead = queue.ahead(&waiting.workspace, priority);
+                    prop_assert_eq!(ahead, twin.ahead(&waiting.workspace, priority));
+                    queue.push(waiting.clone());
+                    twin.waiting.push(waiting);
+                }
+                Step::Pop { blocked } => {
+                    let blocked = format_smolstr!("w{blocked}");
+                    let popped = queue.pop(|workspace| *workspace != blocked);
+                    prop_assert_eq!(popped, twin.pop(|workspace| *workspace != blocked));
+                }
+                Step::Charge { workspace, tokens } => {
+                    let workspace = format_smolstr!("w{workspace}");
+                    queue.charge(&workspace, tokens);
+                    twin.charge(&workspace, tokens);
+                }
+                Step::Remove { nth } => {
+                    let Some(ticket) = twin.waiting.get(nth).map(|waiting| waiting.ticket) else {
+                        continue;
+                    };
+                    prop_assert!(queue.remove(ticket).is_some());
+                    twin.waiting.remove(nth);
+                }
+                Step::Expire { at_ms } => {
+                    let now = start + Duration::from_millis(at_ms);
+                    let mut expired: Vec<u64> =
+                        queue.remove_expired(now).iter().map(|waiting| waiting.ticket).collect();
+                    expired.sort_unstable();
+                    let expected: Vec<u64> = twin
+                        .waiting
+                        .iter()
+                        .filter(|waiting| waiting.until <= now)
+                        .map(|waiting| waiting.ticket)
+                        .collect();
+                    twin.waiting.retain(|waiting| waiting.until > now);
+                    prop_assert_eq!(expired, expected);
+                }
+            }
+            prop_assert_eq!(queue.len(), twin.waiting.len());
+        }
+    }
+}
