feat(membership): partners, failure detector and live nodes; feat(leaving): leaving servers

Cause: nodes must know partners and how many they are, and stop sending to servers that leave, at bounded cost. Change: pure states; member changes are flooded over links, nothing is sent while nothing changes; leaving merges list, own word and partners' notices. Conclusion: pure parts done, not yet wired.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,6 +4,8 @@
 pub mod claims;
 pub mod configuration;
 pub mod leases;
+pub mod leaving;
+pub mod membership;
 pub mod placement;
 pub mod poison;
 pub mod power;
--- a/tests/together/main.rs
+++ b/tests/together/main.rs
@@ -5,6 +5,9 @@
 mod claims;
 mod claims_cases;
 mod claims_world;
+mod leaving;
+mod membership;
+mod network;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- /dev/null
+++ b/tests/together/membership.rs
@@ -0,0 +1,133 @@
+//! Membership on a small virtual network, against what really runs.
+
+use crate::network::{Network, pair};
+use crate::proptest_config;
+use coriandertide::decision::membership::MembershipEvent;
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    Start(usize),
+    Partition(u8),
+    Heal,
+    Cut(usize, usize),
+    Wait(u64),
+}
+
+const NODES: usize = 6;
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = 0..NODES;
+    prop_oneof![
+        2 => node.clone().prop_map(Fault::Kill),
+        3 => node.clone().prop_map(Fault::Start),
+        1 => any::<u8>().prop_map(Fault::Partition),
+        1 => Just(Fault::Heal),
+        2 => (node.clone(), node).prop_map(|(a, b)| Fault::Cut(a, b)),
+        4 => (0..12_000u64).prop_map(Fault::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest_config(0x3e3b))]
+
+    #[test]
+    fn views_converge_once_faults_end(faults in prop::collection::vec(fault(), 1..30)) {
+        let mut network = Network::new(NODES);
+        for fault in faults {
+            match fault {
+                Fault::Kill(node) => network.kill(node),
+                Fault::Start(node) => network.start_node(node),
+                Fault::Partition(bits) => {
+                    network.groups = (0..NODES).map(|node| bits >> node & 1).collect();
+                }
+                Fault::Heal => {
+                    network.groups = vec![0; NODES];
+                    network.cut.clear();
+                }
+                Fault::Cut(a, b) => {
+                    network.cut.insert(pair(a, b));
+                }
+                Fault::Wait(ms) => network.advance(ms),
+            }
+        }
+        network.groups = vec![0; NODES];
+        network.cut.clear();
+        network.advance(60_000);
+        network.assert_converged();
+    }
+}
+
+#[test]
+fn a_cut_between_two_nodes_makes_nobody_dead() {
+    let mut network = Network::new(5);
+    network.advance(5_000);
+    network.assert_converged();
+    network.cut.insert(pair(0, 1));
+    for _ in 0..300 {
+        network.advance(100);
+        network.assert_converged();
+    }
+}
+
+#[test]
+fn a_killed_node_is_noticed_within_six_seconds() {
+    let mut network = Network::new(6);
+    network.advance(5_000);
+    network.kill(3);
+    network.advance(6_000);
+    network.assert_converged();
+}
+
+#[test]
+fn a_node_that_leaves_is_gone_at_once() {
+    let mut network = Network::new(4);
+    network.advance(5_000);
+    network.leave(2);
+    network.advance(500);
+    network.nodes[2] = None;
+    network.assert_converged();
+}
+
+#[test]
+fn a_herd_of_restarts_converges_within_three_seconds() {
+    let mut network = Network::new(8);
+    network.advance(5_000);
+    for node in 0..8 {
+        network.start_node(node);
+    }
+    network.advance(3_000);
+    network.assert_converged();
+}
+
+#[test]
+fn links_are_bounded_on_many_nodes_and_a_dead_zone_is_noticed() {
+    let mut network = Network::new(36);
+    network.advance(60_000);
+    network.assert_converged();
+    let most = (0..36).map(|node| network.linked(node).len()).max();
+    assert!(most <= Some(14), "{most:?} links at one node");
+    let sent_records = network.sent_records;
+    network.advance(60_000);
+    assert_eq!(network.sent_records, sent_records, "nothing is sent while nothing changes");
+    for node in (0..36).step_by(3) {
+        network.kill(node);
+    }
+    network.advance(60_000);
+    network.assert_converged();
+}
+
+#[test]
+fn without_links_the_list_gives_the_number_of_nodes() {
+    let mut network = Network::new(3);
+    network.groups = vec![0, 1, 2];
+    network.advance(10_000);
+    assert_eq!(network.nodes[0].as_ref().unwrap().live_nodes(), 3);
+}
+
+impl Network {
+    fn leave(&mut self, node: usize) {
+        self.apply(node, MembershipEvent::Leave);
+    }
+}
