feat(links): partner links in the running node

Cause: nodes had no links; strikes, leaving notices, the number of live nodes and copies of the configuration did not travel. Change: authenticated websocket links with CBOR messages, a byte budget with a queue per partner, membership and leaving wired into the control thread. Conclusion: links work end to end; power messages are carried but not yet used.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -111,6 +111,11 @@
         self.read_claims_if_due(now);
     }
 
+    /// Tells claims the number of live nodes, among which appends are shared.
+    pub(super) fn share_claim_appends(&mut self, live_nodes: u32, now: Instant) {
+        self.advance_claims(ClaimEvent::LiveNodes(live_nodes), now);
+    }
+
     fn advance_claims(&mut self, event: ClaimEvent, now: Instant) {
         for command in self.claims.state.apply(event, now) {
             match command {
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,6 +1,7 @@
 //! Events of the control thread.
 
 use super::claims::ClaimsMessage;
+use super::links::LinkEvent;
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
@@ -73,6 +74,10 @@
     Traffic(TrafficReport),
     /// Something about claims of idempotency keys.
     Claims(ClaimsMessage),
+    /// Something about partner links.
+    Link(LinkEvent),
+    /// The node stops gracefully.
+    Stopping,
 }
 
 /// What traffic threads report; reports are dropped while the channel is full.
--- /dev/null
+++ b/src/control/partners.rs
@@ -0,0 +1,166 @@
+//! What travels over partner links: strikes, leaving servers, power, and the configuration for a
+//! node that cannot read the log.
+
+use super::ControlState;
+use crate::decision::configuration::{Announcement, ConfigurationEvent};
+use crate::decision::leaving::{LeavingChange, LeavingEvent};
+use crate::decision::membership::MembershipEvent;
+use crate::decision::poison::Strike;
+use crate::decision::routing::RoutingEvent;
+use crate::links::PartnerMessage;
+use crate::ports::{InstanceKind, InstanceRecord, InstanceState};
+use crate::types::InstanceId;
+use std::time::{Duration, Instant};
+
+/// Time before the configuration is asked for again.
+const CONFIGURATION_RETRY: Duration = Duration::from_secs(1);
+
+/// What the parts of the control thread learn from and tell partners.
+#[derive(Debug, Default)]
+pub struct PartnerExchange {
+    /// Whether the last read of the configuration stream failed.
+    pub(super) log_failed: bool,
+    /// When the configuration may be asked for again.
+    next_request_at: Option<Instant>,
+}
+
+impl ControlState {
+    /// Applies a message of a partner.
+    pub(super) fn apply_partner_message(
+        &mut self,
+        peer: &InstanceId,
+        message: PartnerMessage,
+        now: Instant,
+    ) {
+        match message {
+            PartnerMessage::Ping { digest, configuration } => {
+                let event = MembershipEvent::Ping { peer: peer.clone(), digest };
+                self.advance_membership(event, now);
+                self.request_configuration(peer, configuration, now);
+            }
+            PartnerMessage::Members(records) => {
+                let event = MembershipEvent::Records { peer: peer.clone(), records };
+                self.advance_membership(event, now);
+            }
+            PartnerMessage::Strikes(strikes) => self.add_strikes(Some(peer), strikes, now),
+            PartnerMessage::Leaving(notices) => {
+                self.advance_leaving(Some(peer), LeavingEvent::Notices(notices), now);
+            }
+            PartnerMessage::Power(message) => {
+                log::debug!("event=power_message_unused peer={peer} message={message:?}");
+            }
+            PartnerMessage::ConfigurationRequest { above } => self.send_configuration(peer, above),
+            PartnerMessage::Configuration(copy) => {
+                log::info!("event=configuration_from_partner peer={peer}");
+                self.apply_configuration_event(ConfigurationEvent::Copy(*copy), now);
+            }
+        }
+    }
+
+    /// Tells a partner that has just connected what it may not know.
+    pub(super) fn greet(&mut self, peer: &InstanceId) {
+        let digest = self.links.membership.digest();
+        let configuration = self.configuration.announcement();
+        self.links.send(peer, &PartnerMessage::Ping { digest, configuration });
+        let notices = self.leaving.notices();
+        let strikes = self.poison.strikes();
+        self.links.queue_for(peer, |outbox| {
+            outbox.add_leaving(notices.clone());
+            outbox.add_strikes(strikes.clone());
+        });
+    }
+
+    /// Adds strikes and tells the partners of new ones.
+    pub(super) fn add_strikes(
+        &mut self,
+        source: Option<&InstanceId>,
+        strikes: Vec<Strike>,
+        now: Instant,
+    ) {
+        let new: Vec<Strike> =
+            strikes.into_iter().filter(|strike| self.poison.add(strike.clone(), now)).collect();
+        if !new.is_empty() {
+            self.links.queue(source, |outbox| outbox.add_strikes(new.clone()));
+        }
+    }
+
+    /// Applies the instance list: seeds of partner links and leaving servers.
+    pub(super) fn apply_instances(&mut self, instances: Vec<InstanceRecord>, now: Instant) {
+        let listed = instances
+            .iter()
+            .filter(|instance| instance.kind == InstanceKind::Entry)
+            .filter(|instance| instance.state == InstanceState::Live)
+            .map(|instance| instance.address)
+            .collect();
+        self.advance_membership(MembershipEvent::Listed(listed), now);
+        self.advance_leaving(None, LeavingEvent::Listed(instances), now);
+    }
+
+    /// Applies an event about leaving servers and tells routing and partners what changed.
+    pub(super) fn advance_leaving(
+        &mut self,
+        source: Option<&InstanceId>,
+        event: LeavingEvent,
+        now: Instant,
+    ) {
+        let changes = self.leaving.apply(event, now);
+        if changes.is_empty() {
+            return;
+        }
+        let mut notices = Vec::new();
+        for change in changes {
+            match change {
+                LeavingChange::Leaves { notice, source } => {
+                    log::info!(
+                        "event=server_leaving server={} incarnation={} source={source}",
+                        notice.server,
+                        notice.incarnation
+                    );
+                    notices.push(notice);
+                }
+                LeavingChange::Back(server) => log::info!("event=server_back server={server}"),
+            }
+        }
+        self.links.queue(source, |outbox| outbox.add_leaving(notices.clone()));
+        self.routing.apply(RoutingEvent::Leaving(self.leaving.servers()), now);
+    }
+
+    /// Keeps leaving servers polled, so that a new incarnation is noticed.
+    pub(super) fn tick_leaving(&mut self, now: Instant) {
+        self.advance_leaving(None, LeavingEvent::Tick, now);
+        for server in self.leaving.servers() {
+            self.routing_polls.planner.note_use(&server, now);
+        }
+    }
+
+    /// Spreads a change of the number of live nodes to the parts that share by it.
+    pub(super) fn note_live_nodes(&mut self, now: Instant) {
+        let live_nodes = self.links.membership.live_nodes();
+        if live_nodes == self.live_nodes {
+            return;
+        }
+        log::info!("event=live_nodes live={live_nodes} before={}", self.live_nodes);
+        self.live_nodes = live_nodes;
+        self.routing.apply(RoutingEvent::LiveNodes(live_nodes), now);
+        self.share_claim_appends(live_nodes, now);
+    }
+
+    /// Asks a partner for its configuration if it is ahead and the log does not help.
+    fn request_configuration(&mut self, peer: &InstanceId, announced: Announcement, now: Instant) {
+        let above = self.configuration.announcement().offset;
+        let log_helps = !self.partners.log_failed && self.configuration.state().is_some();
+        let is_early = self.partners.next_request_at.is_some_and(|at| now < at);
+        if announced.offset <= above || log_helps || is_early {
+            return;
+        }
+        self.partners.next_request_at = Some(now + CONFIGURATION_RETRY);
+        self.links.send(peer, &PartnerMessage::ConfigurationRequest { above });
+    }
+
+    fn send_configuration(&mut self, peer: &InstanceId, above: u64) {
+        let Some(copy) = self.configuration.copy() else { return };
+        if copy.state.applied > above {
+            self.links.send(peer, &PartnerMessage::Configuration(Box::new(copy)));
+        }
+    }
+}
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -36,7 +36,7 @@
             strike.server,
             strike.incarnation
         );
-        self.poison.add(strike, now);
+        self.add_strikes(None, vec![strike], now);
     }
 }
 
--- a/src/control/routing.rs
+++ b/src/control/routing.rs
@@ -24,7 +24,7 @@
 
 /// Plan of the polls.
 pub struct RoutingPolls {
-    planner: PollPlanner,
+    pub(super) planner: PollPlanner,
 }
 
 impl RoutingPolls {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,15 +1,22 @@
 //! State of the control thread and the dispatch of its events.
 
 use super::claims::ClaimsControl;
+use super::links::LinksControl;
+use super::partners::PartnerExchange;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
-use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
+use super::{
+    ControlContext, ControlEvent, Snapshot, TrafficReport, link_listener, log_tail, polls,
+};
 use crate::decision::configuration::ConfigurationFollower;
+use crate::decision::leaving::{LeavingEvent, LeavingState};
 use crate::decision::poison::PoisonState;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
-use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
+use crate::ports::{LogPage, LogStream};
 use arc_swap::ArcSwap;
+use smol::net::TcpListener;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,17 +33,27 @@
     pub(super) live_nodes: u32,
     pub(super) node_rank: u32,
     pub(super) claims: ClaimsControl,
+    pub(super) links: LinksControl,
+    pub(super) leaving: LeavingState,
+    pub(super) partners: PartnerExchange,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
 impl ControlState {
     /// Returns the state of a node that knows nothing yet.
-    pub fn new(context: ControlContext, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
+    ///
+    /// It listens for partners on `partner_address`.
+    pub fn new(
+        context: ControlContext,
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        partner_address: SocketAddr,
+    ) -> Self {
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
         let policy = settings.routing_policy;
         let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
         let claims = ClaimsControl::new(&context.instance, settings.claims);
+        let links = LinksControl::new(&context, partner_address, Instant::now());
         Self {
             context,
             configuration: ConfigurationFollower::default(),
@@ -48,13 +65,18 @@
             live_nodes: 1,
             node_rank,
             claims,
+            links,
+            leaving: LeavingState::default(),
+            partners: PartnerExchange::default(),
             snapshot,
         }
     }
 
-    /// Starts the periodic exchanges.
-    pub fn start(&self) {
+    /// Starts the periodic exchanges and the listener of partner links.
+    pub fn start(&self, partners: TcpListener) {
         let context = &self.context;
+        let opener = self.links.opener();
+        context.spawn(link_listener::listen(context.clone(), opener, partners));
         context.spawn(log_tail::follow(context.clone(), LogStream::Configuration));
         context.spawn(polls::poll_instance_list(context.clone()));
     }
@@ -65,13 +87,22 @@
             ControlEvent::Tick => {
                 self.poll_servers(now);
                 self.tick_claims(now);
+                self.tick_links(now);
+                self.tick_leaving(now);
             }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
                 log::warn!("event=log_read_failed stream={stream} {error}");
+                self.partners.log_failed |= stream == LogStream::Configuration;
             }
-            ControlEvent::Instances(instances) => self.apply_instances(&instances, now),
+            ControlEvent::Instances(instances) => self.apply_instances(instances, now),
             ControlEvent::Load { server, report, asked_at } => {
+                let event = LeavingEvent::Reported {
+                    server: server.clone(),
+                    incarnation: report.incarnation,
+                    leaving: report.leaving,
+                };
+                self.advance_leaving(None, event, now);
                 self.apply_load_report(server, report, asked_at, now);
             }
             ControlEvent::LoadFailed { server, error } => {
@@ -91,6 +122,8 @@
             }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
             ControlEvent::Claims(message) => self.apply_claims(message, now),
+            ControlEvent::Link(event) => self.apply_link(event, now),
+            ControlEvent::Stopping => self.leave_partners(now),
         }
         self.publish();
     }
@@ -105,21 +138,14 @@
 
     fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
         match stream {
-            LogStream::Configuration => self.apply_configuration(page, now),
+            LogStream::Configuration => {
+                self.partners.log_failed = false;
+                self.apply_configuration(page, now);
+            }
             LogStream::Claims | LogStream::Leases | LogStream::Power => {}
         }
     }
 
-    fn apply_instances(&mut self, instances: &[InstanceRecord], now: Instant) {
-        let leaving = instances
-            .iter()
-            .filter(|instance| instance.kind == InstanceKind::BackendServer)
-            .filter(|instance| instance.state == InstanceState::Leaving)
-            .map(|instance| instance.name.clone())
-            .collect();
-        self.routing.apply(RoutingEvent::Leaving(leaving), now);
-    }
-
     fn apply_traffic(&mut self, report: TrafficReport, now: Instant) {
         let event = match report {
             TrafficReport::Sent(sent) => {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -30,6 +30,9 @@
 /// Period between two looks at the requests that a draining node still runs.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(5);
 
+/// Time in which a node that stops tells its partners.
+const LEAVE_PERIOD: Duration = Duration::from_millis(50);
+
 /// Running node.
 pub struct Node {
     instance: InstanceId,
@@ -51,7 +54,7 @@
 struct Listeners {
     callers: TcpListener,
     _admin: TcpListener,
-    _partners: TcpListener,
+    partners: TcpListener,
 }
 
 impl Node {
@@ -61,11 +64,11 @@
         let listeners = Listeners {
             callers: bind(settings.listen.callers, "callers")?,
             _admin: bind(settings.listen.admin, "admin")?,
-            _partners: bind(settings.listen.partners, "partners")?,
+            partners: bind(settings.listen.partners, "partners")?,
         };
         let caller_address = listeners.callers.local_addr()?;
         let admin_address = listeners._admin.local_addr()?;
-        let partner_address = listeners._partners.local_addr()?;
+        let partner_address = listeners.partners.local_addr()?;
         let settings = Arc::new(settings);
         let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let (events, control_events) = async_channel::bounded(CONTROL_QUEUE);
@@ -89,7 +92,15 @@
             executor: Arc::downgrade(&executor),
         }));
         let mut threads = vec![start_control(
-            ControlParts { shared, engines, events, control_events, task_queue },
+            ControlParts {
+                shared,
+                engines,
+                events,
+                control_events,
+                task_queue,
+                partners: listeners.partners,
+                partner_address,
+            },
             stopped.clone(),
         )?];
         serve_callers(&executor, listeners.callers, &traffic, draining);
@@ -147,6 +158,8 @@
             thread::sleep(DRAIN_CHECK_PERIOD);
         }
         log::info!("event=drained instance={} cut={}", self.instance, self.drain.receiver_count());
+        self.traffic.send_stopping();
+        thread::sleep(LEAVE_PERIOD);
         self.kill();
     }
 
@@ -194,6 +207,8 @@
     events: Sender<ControlEvent>,
     control_events: Receiver<ControlEvent>,
     task_queue: Receiver<ControlTask>,
+    partners: TcpListener,
+    partner_address: SocketAddr,
 }
 
 fn start_control(
@@ -220,8 +235,8 @@
             executor,
         };
         context.spawn(run_tasks(parts.task_queue));
-        let state = ControlState::new(context, snapshot);
-        state.start();
+        let state = ControlState::new(context, snapshot, parts.partner_address);
+        state.start(parts.partners);
         control::run(state, parts.control_events)
     };
     Ok(spawn_control(String::from("control"), start, stopped)?)
--- a/src/decision/membership/mod.rs
+++ b/src/decision/membership/mod.rs
@@ -109,6 +109,11 @@
         &self.me
     }
 
+    /// Digest of the live members; equal sets have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.members.digest(&self.me)
+    }
+
     /// Estimate of the number of live nodes, this one included; the platform's list stands in while
     /// no link is open.
     pub fn live_nodes(&self) -> u32 {
@@ -212,7 +217,7 @@
         digest: u64,
         commands: &mut Vec<MembershipCommand>,
     ) {
-        let own_digest = self.members.digest(&self.me);
+        let own_digest = self.digest();
         let limit = self.settings.differing_pings;
         let Some(link) = self.links.get_mut(peer) else { return };
         link.differing_pings = if digest == own_digest { 0 } else { link.differing_pings + 1 };
@@ -287,7 +292,7 @@
     }
 
     fn ping(&self, commands: &mut Vec<MembershipCommand>) {
-        let digest = self.members.digest(&self.me);
+        let digest = self.digest();
         let pings = self.links.keys().cloned();
         commands.extend(pings.map(|to| MembershipCommand::SendPing { to, digest }));
     }
--- /dev/null
+++ b/src/links/handshake.rs
@@ -0,0 +1,118 @@
+//! Mutual authentication by the shared key: each side proves that it knows the key over fresh
+//! nonces of both sides, so that a recorded handshake cannot be replayed.
+
+use crate::decision::membership::MemberRecord;
+use anyhow::{Context, ensure};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+
+/// Version of the link protocol.
+pub const LINK_PROTOCOL: u32 = 1;
+
+/// Bytes of a block of SHA-256.
+const BLOCK_BYTES: usize = 64;
+
+/// Bytes of a nonce.
+const NONCE_BYTES: usize = 16;
+
+/// What a node proves on its links.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Shared key.
+    pub key: SmolStr,
+    /// Record of the node.
+    pub me: MemberRecord,
+}
+
+/// First message, of the listener.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Challenge {
+    /// Version of the link protocol.
+    pub protocol: u32,
+    /// Nonce of the listener.
+    pub nonce: u128,
+}
+
+/// Answer of the dialer, and then of the listener, with a proof over all that was said.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Proof {
+    /// Nonce of the dialer.
+    pub nonce: u128,
+    /// Record of the prover.
+    pub member: MemberRecord,
+    /// Keyed hash.
+    pub hash: Vec<u8>,
+}
+
+/// Side of a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// The side that opened the connection.
+    Dialer,
+    /// The side that accepted it.
+    Listener,
+}
+
+impl Challenge {
+    /// Returns a challenge with a fresh nonce.
+    pub fn new() -> anyhow::Result<Self> {
+        Ok(Self { protocol: LINK_PROTOCOL, nonce: fresh_nonce()? })
+    }
+}
+
+impl Proof {
+    /// Returns the proof of `identity` for its `side`.
+    pub fn new(identity: &Identity, side: Side, challenge: &Challenge, nonce: u128) -> Self {
+        let member = identity.me.clone();
+        let hash = proof_hash(&identity.key, side, challenge, nonce, &member);
+        Self { nonce, member, hash }
+    }
+
+    /// Checks the proof of the peer on `side`.
+    pub fn check(&self, key: &str, side: Side, challenge: &Challenge) -> anyhow::Result<()> {
+        let expected = proof_hash(key, side, challenge, self.nonce, &self.member);
+        let difference = expected.iter().zip(&self.hash).fold(0, |all, (a, b)| all | (a ^ b));
+        ensure!(self.hash.len() == expected.len() && difference == 0, "the proof does not hold");
+        Ok(())
+    }
+}
+
+/// Returns a nonce from the operating system's random source.
+pub fn fresh_nonce() -> anyhow::Result<u128> {
+    let mut bytes = [0; NONCE_BYTES];
+    getrandom::fill(&mut bytes).context("no random bytes")?;
+    Ok(u128::from_le_bytes(bytes))
+}
+
+fn proof_hash(
+    key: &str,
+    side: Side,
+    challenge: &Challenge,
+    nonce: u128,
+    member: &MemberRecord,
+) -> Vec<u8> {
+    let mut message = vec![match side {
+        Side::Dialer => b'd',
+        Side::Listener => b'l',
+    }];
+    message.extend(challenge.protocol.to_le_bytes());
+    message.extend(challenge.nonce.to_le_bytes());
+    message.extend(nonce.to_le_bytes());
+    ciborium::into_writer(member, &mut message).expect("a Vec takes every write");
+    hmac_sha256(key.as_bytes(), &message)
+}
+
+/// HMAC with SHA-256 (RFC 2104).
+pub fn hmac_sha256(key: &[u8], message: &[u8]) -> Vec<u8> {
+    let mut block = [0u8; BLOCK_BYTES];
+    if key.len() > BLOCK_BYTES {
+        let digest = Sha256::digest(key);
+        block[..digest.len()].copy_from_slice(&digest);
+    } else {
+        block[..key.len()].copy_from_slice(key);
+    }
+    let inner = Sha256::new().chain_update(block.map(|byte| byte ^ 0x36)).chain_update(message);
+    let outer = Sha256::new().chain_update(block.map(|byte| byte ^ 0x5c));
+    outer.chain_update(inner.finalize()).finalize().to_vec()
+}
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -1,1 +1,14 @@
-//! Partner links between nodes.
+//! Partner links between nodes: authenticated websocket connections that carry CBOR messages.
+
+pub mod connection;
+pub mod handshake;
+pub mod message;
+pub mod outbox;
+
+pub use connection::{Link, LinkEnd, accept, dial};
+pub use handshake::{Identity, LINK_PROTOCOL};
+pub use message::{DecodedMessage, PartnerMessage};
+pub use outbox::Outbox;
+
+/// Most bytes of a message, sent or received.
+pub const MESSAGE_LIMIT_BYTES: usize = 1024 * 1024;
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -119,6 +119,13 @@
         self.control.try_send(ControlEvent::Claims(message)).is_ok()
     }
 
+    /// Tells the control thread that the node stops.
+    pub fn send_stopping(&self) {
+        if self.control.try_send(ControlEvent::Stopping).is_err() {
+            log::warn!("event=stop_not_announced");
+        }
+    }
+
     /// Reports to the control thread without waiting; the report is dropped if control lags.
     pub fn report(&self, report: TrafficReport) {
         if self.control.try_send(ControlEvent::Traffic(report)).is_err() {
--- /dev/null
+++ b/tests/together/links.rs
@@ -0,0 +1,112 @@
+//! Partner links on loopback: authentication, skipped kinds, closing, and what waits for a budget.
+
+use bytes::Bytes;
+use coriandertide::decision::leaving::LeavingNotice;
+use coriandertide::decision::membership::{MemberRecord, MemberStatus};
+use coriandertide::decision::poison::Strike;
+use coriandertide::links::handshake::hmac_sha256;
+use coriandertide::links::{
+    DecodedMessage, Identity, Link, LinkEnd, Outbox, PartnerMessage, accept, dial,
+};
+use coriandertide::types::PeerResult;
+use smol::net::TcpListener;
+use std::fmt::Write;
+
+fn identity(name: &str, key: &str) -> Identity {
+    let me = MemberRecord {
+        instance: name.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        availability_zone: "couva".into(),
+        started_unix_ms: 1,
+        version: 0,
+        status: MemberStatus::Alive,
+    };
+    Identity { key: key.into(), me }
+}
+
+struct Opened {
+    dialer: PeerResult<Link>,
+    listener: PeerResult<Link>,
+}
+
+/// Opens a link between a dialer and a listener with the keys given.
+fn open(dialer_key: &str, listener_key: &str) -> Opened {
+    let (dialer, listener) = (identity("a", dialer_key), identity("b", listener_key));
+    smol::block_on(async {
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = socket.local_addr().unwrap();
+        let accepted = async { accept(socket.accept().await.unwrap().0, &listener).await };
+        let (dialer, listener) = smol::future::zip(dial(address, &dialer), accepted).await;
+        Opened { dialer, listener }
+    })
+}
+
+#[test]
+fn peers_with_the_same_key_learn_each_others_record() {
+    let opened = open("the shared key", "the shared key");
+    assert_eq!(opened.dialer.unwrap().peer().instance, "b");
+    assert_eq!(opened.listener.unwrap().peer().instance, "a");
+}
+
+#[test]
+fn a_peer_with_another_key_is_refused_on_both_sides() {
+    let opened = open("a wrong key", "the shared key");
+    assert!(opened.dialer.is_err());
+    let error = opened.listener.err().unwrap();
+    assert!(error.to_string().contains("the proof does not hold"), "{error}");
+}
+
+#[test]
+fn messages_arrive_in_order_newer_kinds_are_skipped_and_the_end_is_in_order() {
+    let opened = open("the shared key", "the shared key");
+    let (to_listener, dialer_queue) = async_channel::bounded(8);
+    let (to_dialer, listener_queue) = async_channel::bounded(8);
+    let (incoming, received) = async_channel::bounded(8);
+    let (ignored, _unread) = async_channel::bounded(8);
+    let request = PartnerMessage::ConfigurationRequest { above: 7 };
+    to_listener.try_send(Bytes::from_static(b"\xa1\x65novel\x01")).unwrap();
+    to_listener.try_send(request.encode()).unwrap();
+    to_listener.close();
+    let ends = smol::block_on(smol::future::zip(
+        opened.dialer.unwrap().run(dialer_queue, ignored),
+        opened.listener.unwrap().run(listener_queue, incoming),
+    ));
+    drop(to_dialer);
+    assert!(matches!(ends, (LinkEnd::InOrder, LinkEnd::InOrder)), "{ends:?}");
+    assert_eq!(received.try_recv().unwrap().message, None);
+    assert_eq!(received.try_recv().unwrap().message, Some(request));
+}
+
+#[test]
+fn what_is_no_message_is_an_error() {
+    assert!(PartnerMessage::decode(b"\xff").is_err());
+    assert!(PartnerMessage::decode(b"\xa1\x67members\x01").is_err());
+    let novel = PartnerMessage::decode(b"\xa1\x65novel\x01").unwrap();
+    assert_eq!(novel, DecodedMessage::Newer);
+}
+
+#[test]
+fn an_outbox_sends_the_valuable_first_and_only_the_latest_record() {
+    let mut outbox = Outbox::default();
+    let member = |version| MemberRecord { version, ..identity("a", "key").me };
+    outbox.add_members([member(1)]);
+    outbox.add_members([member(2)]);
+    let strike = Strike { fingerprint: 1, server: "engine".into(), incarnation: 1 };
+    outbox.add_strikes([strike.clone(), strike.clone()]);
+    let notice = LeavingNotice { server: "engine".into(), incarnation: 1 };
+    outbox.add_leaving([notice.clone()]);
+    assert_eq!(outbox.take_next(), Some(PartnerMessage::Leaving(vec![notice])));
+    assert_eq!(outbox.take_next(), Some(PartnerMessage::Strikes(vec![strike])));
+    assert_eq!(outbox.take_next(), Some(PartnerMessage::Members(vec![member(2)])));
+    assert!(outbox.is_empty());
+}
+
+#[test]
+fn the_keyed_hash_is_hmac() {
+    // Test case 2 of RFC 4231.
+    let mut text = String::new();
+    for byte in hmac_sha256(b"Jefe", b"what do ya want for nothing?") {
+        write!(text, "{byte:02x}").unwrap();
+    }
+    assert_eq!(text, "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
--- a/tests/together/main.rs
+++ b/tests/together/main.rs
@@ -6,6 +6,7 @@
 mod claims_cases;
 mod claims_world;
 mod leaving;
+mod links;
 mod membership;
 mod network;
 
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod caller;
 mod claims;
+mod partners;
 mod refusals;
 mod services;
 mod settings;
--- /dev/null
+++ b/tests/whole_path/partners.rs
@@ -0,0 +1,36 @@
+//! Partner links between nodes over real sockets.
+
+use super::caller::{call, chat, post, wait_ready};
+use super::site::Site;
+use coriandertide::daemon::Node;
+use coriandertide::settings::Settings;
+use coriandertide_standins::instance_list::Instance;
+use coriandertide_standins::log_service::LogFaults;
+use std::time::{Duration, Instant};
+
+fn register(site: &Site, name: &str, node: &Node) {
+    site.list.put_shown(Instance {
+        name: name.into(),
+        kind: "entry".into(),
+        address: node.partner_address(),
+        availability_zone: "zone".into(),
+        state: "live".into(),
+    });
+}
+
+#[test]
+fn a_node_that_starts_while_the_log_is_down_serves_from_a_partners_copy() {
+    let site = Site::start();
+    let first = site.start_node();
+    register(&site, "entry-0", &first);
+    site.log.set_faults(LogFaults { outage: true, ..LogFaults::default() });
+    let started_at = Instant::now();
+    let second = Node::start(Settings::try_from(site.raw_settings()).unwrap()).unwrap();
+    wait_ready(second.caller_address(), started_at + Duration::from_secs(20));
+    let body = chat(4, false).to_string();
+    let answer = call(second.caller_address(), post("/v1/chat/completions", body)).unwrap();
+    println!("first answer after {} ms", started_at.elapsed().as_millis());
+    assert!(answer.status.is_success());
+    first.kill();
+    second.kill();
+}
--- a/tests/whole_path/site.rs
+++ b/tests/whole_path/site.rs
@@ -91,7 +91,7 @@
         node
     }
 
-    fn raw_settings(&self) -> RawSettings {
+    pub fn raw_settings(&self) -> RawSettings {
         serde_json::from_value(json!({
             "instance_name": "entry",
             "availability_zone": "zone",
