feat(control): leases, placement and power in the running node

Cause: the decisions were not wired. Change: tails of the streams leases and power, orders under the placement lease with a last look at its deadline, power messages over partner links, shed signals to running attempts, release on graceful stop.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -2,6 +2,7 @@
 
 use super::claims::ClaimsMessage;
 use super::links::LinkEvent;
+use super::placement::OrderAnswer;
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
@@ -74,6 +75,8 @@
     Traffic(TrafficReport),
     /// Something about claims of idempotency keys.
     Claims(ClaimsMessage),
+    /// A backend server answered an order.
+    Ordered(OrderAnswer),
     /// Something about partner links.
     Link(LinkEvent),
     /// The node stops gracefully.
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -252,6 +252,7 @@
         let instance = peer.instance.clone();
         self.advance_membership(MembershipEvent::LinkOpened { peer, dialed }, now);
         self.greet(&instance);
+        self.update_power_partners(now);
     }
 
     fn receive(&mut self, link: u64, received: ReceivedMessage, now: Instant) {
--- a/src/control/log_tail.rs
+++ b/src/control/log_tail.rs
@@ -15,6 +15,11 @@
 /// Follows `stream` from its first kept record on, without end.
 pub async fn follow(context: ControlContext, stream: LogStream) {
     let period = Duration::from_millis(context.settings.control.log_period_ms);
+    follow_every(context, stream, period).await;
+}
+
+/// Follows `stream` from its first kept record on, with `period` between reads, without end.
+pub async fn follow_every(context: ControlContext, stream: LogStream, period: Duration) {
     let mut from = FIRST_OFFSET;
     loop {
         let asked_at = Instant::now();
--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -5,6 +5,7 @@
 use crate::decision::configuration::{Announcement, ConfigurationEvent};
 use crate::decision::leaving::{LeavingChange, LeavingEvent};
 use crate::decision::membership::MembershipEvent;
+use crate::decision::placement::PlacementEvent;
 use crate::decision::poison::Strike;
 use crate::decision::routing::RoutingEvent;
 use crate::links::PartnerMessage;
@@ -47,7 +48,7 @@
                 self.advance_leaving(Some(peer), LeavingEvent::Notices(notices), now);
             }
             PartnerMessage::Power(message) => {
-                log::debug!("event=power_message_unused peer={peer} message={message:?}");
+                self.apply_power_message(peer, message, now);
             }
             PartnerMessage::ConfigurationRequest { above } => self.send_configuration(peer, above),
             PartnerMessage::Configuration(copy) => {
@@ -123,6 +124,7 @@
         }
         self.links.queue(source, |outbox| outbox.add_leaving(notices.clone()));
         self.routing.apply(RoutingEvent::Leaving(self.leaving.servers()), now);
+        self.placement.apply(PlacementEvent::Leaving(self.leaving.servers()), now);
     }
 
     /// Keeps leaving servers polled, so that a new incarnation is noticed.
@@ -142,6 +144,7 @@
         log::info!("event=live_nodes live={live_nodes} before={}", self.live_nodes);
         self.live_nodes = live_nodes;
         self.routing.apply(RoutingEvent::LiveNodes(live_nodes), now);
+        self.placement.apply(PlacementEvent::LiveNodes(live_nodes), now);
         self.share_claim_appends(live_nodes, now);
     }
 
--- /dev/null
+++ b/src/control/power.rs
@@ -0,0 +1,146 @@
+//! Power: carries the decision's records to the log, its messages to partners, and its cuts to
+//! running attempts.
+
+use super::leases::append_record;
+use super::{ControlContext, ControlState};
+use crate::decision::power::{
+    PowerCommand, PowerEvent, PowerFigures, PowerMessage, PowerSettings, PowerState,
+};
+use crate::links::PartnerMessage;
+use crate::ports::{LogPage, LogStream};
+use crate::types::InstanceId;
+use smol_str::format_smolstr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Power state and the figures last logged.
+#[derive(Debug)]
+pub struct PowerControl {
+    state: PowerState,
+    logged_parts: u64,
+    partners: Vec<InstanceId>,
+    live_nodes: u32,
+}
+
+impl PowerControl {
+    /// Returns the power of a node that has just started and listens for partners on
+    /// `partner_address` until it ends.
+    pub fn new(context: &ControlContext, partner_address: SocketAddr, now: Instant) -> Self {
+        let settings = PowerSettings {
+            work_limit_ms: context.settings.limits.request_timeout_ms,
+            ..PowerSettings::default()
+        };
+        let state = PowerState::new(
+            context.instance.clone(),
+            format_smolstr!("{partner_address}"),
+            settings,
+            Arc::clone(&context.power),
+            now,
+        );
+        Self { state, logged_parts: 0, partners: Vec::new(), live_nodes: 0 }
+    }
+
+    /// Returns the node's figures at `now`.
+    pub fn figures(&self, now: Instant) -> PowerFigures {
+        self.state.figures(now)
+    }
+}
+
+impl ControlState {
+    /// Folds in records of the stream `power`.
+    pub(super) fn apply_power_page(&mut self, page: LogPage, now: Instant) {
+        let from = self.power.state.next_offset();
+        self.advance_power(PowerEvent::Page { page, from }, now);
+    }
+
+    /// Applies a message of a partner.
+    pub(super) fn apply_power_message(
+        &mut self,
+        peer: &InstanceId,
+        message: PowerMessage,
+        now: Instant,
+    ) {
+        log_transfer("received", peer, &message);
+        self.advance_power(PowerEvent::Message { from: peer.clone(), message }, now);
+    }
+
+    /// Does the periodic work of power.
+    pub(super) fn tick_power(&mut self, now: Instant) {
+        self.update_power_partners(now);
+        self.advance_power(PowerEvent::Tick, now);
+    }
+
+    /// Takes in the partners with an open link and the number of live nodes, if they changed.
+    pub(super) fn update_power_partners(&mut self, now: Instant) {
+        let partners: Vec<InstanceId> = self.links.peers().cloned().collect();
+        let live_nodes = self.live_nodes;
+        if partners == self.power.partners && live_nodes == self.power.live_nodes {
+            return;
+        }
+        self.power.partners.clone_from(&partners);
+        self.power.live_nodes = live_nodes;
+        self.advance_power(PowerEvent::Membership { partners, live_nodes }, now);
+    }
+
+    /// Applies an event and carries out what follows.
+    pub(super) fn advance_power(&mut self, event: PowerEvent, now: Instant) {
+        for command in self.power.state.apply(event, now) {
+            match command {
+                PowerCommand::Append(record) => {
+                    append_record(&self.context, LogStream::Power, &record);
+                }
+                PowerCommand::Send { to, message } => {
+                    log_transfer("sent", &to, &message);
+                    if !self.links.send(&to, &PartnerMessage::Power(message)) {
+                        log::debug!("event=power_message_not_sent to={to}");
+                    }
+                }
+                PowerCommand::Shed(requests) => {
+                    for request in requests {
+                        log::warn!("event=power_shed attempt={request}");
+                        self.context.shed_signals.shed(&request);
+                    }
+                }
+            }
+        }
+        self.log_share(now);
+    }
+
+    fn log_share(&mut self, now: Instant) {
+        let figures = self.power.figures(now);
+        if figures.held_parts == self.power.logged_parts {
+            return;
+        }
+        self.power.logged_parts = figures.held_parts;
+        log::info!(
+            "event=power_share parts={} allowed_watts={} committed_watts={} given_watts={} \
+             received_watts={}",
+            figures.held_parts,
+            figures.allowed_watts,
+            figures.committed_watts,
+            figures.given_watts,
+            figures.received_watts,
+        );
+    }
+}
+
+fn log_transfer(direction: &str, peer: &InstanceId, message: &PowerMessage) {
+    match message {
+        PowerMessage::Ask { ask, parts, needed_ms, .. } => {
+            log::debug!(
+                "event=power_ask direction={direction} peer={peer} ask={ask} parts={parts} \
+                 needed_ms={needed_ms}"
+            );
+        }
+        PowerMessage::Grant { ask, grant, parts, valid_ms, .. } => {
+            log::info!(
+                "event=power_grant direction={direction} peer={peer} ask={ask} grant={grant} \
+                 parts={parts} valid_ms={valid_ms}"
+            );
+        }
+        PowerMessage::Return { grant } => {
+            log::info!("event=power_return direction={direction} peer={peer} grant={grant}");
+        }
+    }
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -3,14 +3,18 @@
 use super::claims::ClaimsControl;
 use super::links::LinksControl;
 use super::partners::PartnerExchange;
+use super::power::PowerControl;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{
     ControlContext, ControlEvent, Snapshot, TrafficReport, link_listener, log_tail, polls,
 };
 use crate::decision::configuration::ConfigurationFollower;
+use crate::decision::leases::{LeaseSettings, LeaseState};
 use crate::decision::leaving::{LeavingEvent, LeavingState};
+use crate::decision::placement::{PlacementEvent, PlacementSettings, PlacementState};
 use crate::decision::poison::PoisonState;
+use crate::decision::power::PowerEvent;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
 use crate::ports::{LogPage, LogStream};
@@ -18,9 +22,12 @@
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Time between reads of the streams of leases and power shares.
+const HOLD_READ_PERIOD: Duration = Duration::from_millis(500);
+
 /// All state of the control thread.
 pub struct ControlState {
     pub(super) context: ControlContext,
@@ -36,6 +43,10 @@
     pub(super) links: LinksControl,
     pub(super) leaving: LeavingState,
     pub(super) partners: PartnerExchange,
+    pub(super) leases: LeaseState,
+    pub(super) placement: PlacementState,
+    pub(super) power: PowerControl,
+    pub(super) is_stopping: bool,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -53,7 +64,10 @@
         let policy = settings.routing_policy;
         let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
         let claims = ClaimsControl::new(&context.instance, settings.claims);
-        let links = LinksControl::new(&context, partner_address, Instant::now());
+        let now = Instant::now();
+        let links = LinksControl::new(&context, partner_address, now);
+        let leases = LeaseState::new(context.instance.clone(), LeaseSettings::default());
+        let power = PowerControl::new(&context, partner_address, now);
         Self {
             context,
             configuration: ConfigurationFollower::default(),
@@ -68,6 +82,10 @@
             links,
             leaving: LeavingState::default(),
             partners: PartnerExchange::default(),
+            leases,
+            placement: PlacementState::new(PlacementSettings::default()),
+            power,
+            is_stopping: false,
             snapshot,
         }
     }
@@ -78,6 +96,9 @@
         let opener = self.links.opener();
         context.spawn(link_listener::listen(context.clone(), opener, partners));
         context.spawn(log_tail::follow(context.clone(), LogStream::Configuration));
+        for stream in [LogStream::Leases, LogStream::Power] {
+            context.spawn(log_tail::follow_every(context.clone(), stream, HOLD_READ_PERIOD));
+        }
         context.spawn(polls::poll_instance_list(context.clone()));
     }
 
@@ -89,6 +110,9 @@
                 self.tick_claims(now);
                 self.tick_links(now);
                 self.tick_leaving(now);
+                self.tick_leases(now);
+                self.tick_placement(now);
+                self.tick_power(now);
             }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
@@ -103,9 +127,11 @@
                     leaving: report.leaving,
                 };
                 self.advance_leaving(None, event, now);
+                self.place_by_report(&server, &report, asked_at, now);
                 self.apply_load_report(server, report, asked_at, now);
             }
             ControlEvent::LoadFailed { server, error } => {
+                self.place_without_report(&server, now);
                 self.fail_load_report(server, &error, now);
             }
             ControlEvent::CacheEvents { server, page } => {
@@ -123,7 +149,8 @@
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
             ControlEvent::Claims(message) => self.apply_claims(message, now),
             ControlEvent::Link(event) => self.apply_link(event, now),
-            ControlEvent::Stopping => self.leave_partners(now),
+            ControlEvent::Ordered(answer) => self.apply_order_answer(answer, now),
+            ControlEvent::Stopping => self.stop(now),
         }
         self.publish();
     }
@@ -133,6 +160,8 @@
         log::info!("event=document_in_force offset={}", document.offset);
         self.keys = Arc::new(KeyIndex::new(&document));
         self.routing.apply(RoutingEvent::Document(Arc::clone(&document)), now);
+        self.placement.apply(PlacementEvent::Document(Arc::clone(&document)), now);
+        self.advance_power(PowerEvent::Document(Arc::clone(&document)), now);
         self.document = Some(document);
     }
 
@@ -142,7 +171,9 @@
                 self.partners.log_failed = false;
                 self.apply_configuration(page, now);
             }
-            LogStream::Claims | LogStream::Leases | LogStream::Power => {}
+            LogStream::Leases => self.apply_lease_page(page, now),
+            LogStream::Power => self.apply_power_page(page, now),
+            LogStream::Claims => {}
         }
     }
 
@@ -152,7 +183,10 @@
                 self.note_sent(&sent, now);
                 RoutingEvent::Sent(sent)
             }
-            TrafficReport::Answer(feedback) => RoutingEvent::Answer(feedback),
+            TrafficReport::Answer(feedback) => {
+                self.place_by_answer(&feedback, now);
+                RoutingEvent::Answer(feedback)
+            }
             TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
             TrafficReport::AttemptCut { server, incarnation, fingerprint } => {
                 return self.check_crash(server, incarnation, fingerprint);
@@ -164,6 +198,14 @@
         self.routing.apply(event, now);
     }
 
+    /// Gives up what this node holds for all, then leaves.
+    fn stop(&mut self, now: Instant) {
+        self.is_stopping = true;
+        self.stop_leases(now);
+        self.advance_power(PowerEvent::Stop, now);
+        self.leave_partners(now);
+    }
+
     fn publish(&self) {
         self.snapshot.store(Arc::new(Snapshot {
             document: self.document.clone(),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -30,8 +30,8 @@
 /// Period between two looks at the requests that a draining node still runs.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(5);
 
-/// Time in which a node that stops tells its partners.
-const LEAVE_PERIOD: Duration = Duration::from_millis(50);
+/// Time in which a node that stops tells its partners and gives up its leases and power.
+const LEAVE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Running node.
 pub struct Node {
--- a/src/decision/leases/settings.rs
+++ b/src/decision/leases/settings.rs
@@ -18,6 +18,6 @@
 
 impl Default for LeaseSettings {
     fn default() -> Self {
-        Self { lease_ms: 10_000, renew_ms: 3_000, repeat_ms: 1_000, order_transit_ms: 5_000 }
+        Self { lease_ms: 10_000, renew_ms: 3_000, repeat_ms: 2_000, order_transit_ms: 5_000 }
     }
 }
--- a/tests/power/leases.rs
+++ b/tests/power/leases.rs
@@ -27,7 +27,7 @@
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         6 => (1..100u64).prop_map(|steps| Op::Advance { steps }),
-        2 => (0..3usize, 100..30_000u64).prop_map(|(node, ms)| Op::Pause { node, ms }),
+        2 => (0..3usize, 100..200_000u64).prop_map(|(node, ms)| Op::Pause { node, ms }),
         1 => (100..30_000u64).prop_map(|ms| Op::Outage { ms }),
         1 => (0..3usize, any::<bool>())
             .prop_map(|(node, is_graceful)| Op::Restart { node, is_graceful }),
