feat(power): the watts of an ended process come back before its share lapses

Cause: after a herd of killed nodes the site would stay dark until the shares lapse, 15 minutes; a lost grant whose asker needs nothing more was gone for its whole validity; lack was measured in watts alone, so that a node whose grants were about to end did not ask. Change: an address that refuses connections proves that the process has ended; its watts come back when its work has reached its limit or every server has reported that it runs nothing; grants cover no new work once their giver is silent; asks for nothing settle lost grants.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -6,7 +6,7 @@
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
-use crate::types::{Incarnation, PeerError, ServerId};
+use crate::types::{Incarnation, InstanceId, PeerError, ServerId};
 use std::time::Instant;
 
 /// Event of the control thread.
@@ -77,6 +77,8 @@
     Claims(ClaimsMessage),
     /// A backend server answered an order.
     Ordered(OrderAnswer),
+    /// The address of an instance refuses connections.
+    InstanceEnded(InstanceId),
     /// Something about partner links.
     Link(LinkEvent),
     /// The node stops gracefully.
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -7,6 +7,7 @@
     MemberRecord, MemberStatus, MembershipCommand, MembershipEvent, MembershipSettings,
     MembershipState,
 };
+use crate::decision::power::PowerEvent;
 use crate::links::connection::{FRAME_OVERHEAD_BYTES, ReceivedMessage};
 use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, Outbox, PartnerMessage};
 use crate::types::{InstanceId, PeerError};
@@ -259,6 +260,7 @@
         self.links.figures.received_bytes += received.bytes as u64;
         let Some(peer) = self.links.peers.get(&link).cloned() else { return };
         self.advance_membership(MembershipEvent::Heard(peer.clone()), now);
+        self.advance_power(PowerEvent::Heard(peer.clone()), now);
         if let Some(message) = received.message {
             self.apply_partner_message(&peer, message, now);
         }
--- a/src/control/power.rs
+++ b/src/control/power.rs
@@ -2,17 +2,23 @@
 //! running attempts.
 
 use super::leases::append_record;
-use super::{ControlContext, ControlState};
+use super::{ControlContext, ControlEvent, ControlState};
+use crate::adapters::deadline::within;
 use crate::decision::power::{
     PowerCommand, PowerEvent, PowerFigures, PowerMessage, PowerSettings, PowerState,
 };
 use crate::links::PartnerMessage;
-use crate::ports::{LogPage, LogStream};
-use crate::types::InstanceId;
-use smol_str::format_smolstr;
+use crate::ports::{LoadReport, LogPage, LogStream};
+use crate::types::{InstanceId, ServerId};
+use smol::net::TcpStream;
+use smol_str::{SmolStr, format_smolstr};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Longest time that a probe takes.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Power state and the figures last logged.
 #[derive(Debug)]
@@ -65,6 +71,26 @@
         self.advance_power(PowerEvent::Message { from: peer.clone(), message }, now);
     }
 
+    /// Takes in that the process of an instance has ended.
+    pub(super) fn end_instance(&mut self, instance: InstanceId, now: Instant) {
+        log::info!("event=instance_ended instance={instance}");
+        self.advance_power(PowerEvent::Ended(instance), now);
+    }
+
+    /// Takes in that a server may be idle.
+    pub(super) fn note_idle(
+        &mut self,
+        server: &ServerId,
+        report: &LoadReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        if report.running_requests == 0 && report.waiting_requests == 0 {
+            let server = server.clone();
+            self.advance_power(PowerEvent::ServerIdle { server, asked_at }, now);
+        }
+    }
+
     /// Does the periodic work of power.
     pub(super) fn tick_power(&mut self, now: Instant) {
         self.update_power_partners(now);
@@ -96,6 +122,9 @@
                         log::debug!("event=power_message_not_sent to={to}");
                     }
                 }
+                PowerCommand::Probe { instance, address } => {
+                    self.context.spawn(probe(self.context.clone(), instance, address));
+                }
                 PowerCommand::Shed(requests) => {
                     for request in requests {
                         log::warn!("event=power_shed attempt={request}");
@@ -125,6 +154,16 @@
     }
 }
 
+/// Tells control if the address of `instance` refuses connections.
+async fn probe(context: ControlContext, instance: InstanceId, address: SmolStr) {
+    let Ok(address) = address.parse::<SocketAddr>() else { return };
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    let Ok(Err(error)) = within(deadline, TcpStream::connect(address)).await else { return };
+    if error.kind() == ErrorKind::ConnectionRefused {
+        context.send(ControlEvent::InstanceEnded(instance)).await;
+    }
+}
+
 fn log_transfer(direction: &str, peer: &InstanceId, message: &PowerMessage) {
     match message {
         PowerMessage::Ask { ask, parts, needed_ms, .. } => {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -128,6 +128,7 @@
                 };
                 self.advance_leaving(None, event, now);
                 self.place_by_report(&server, &report, asked_at, now);
+                self.note_idle(&server, &report, asked_at, now);
                 self.apply_load_report(server, report, asked_at, now);
             }
             ControlEvent::LoadFailed { server, error } => {
@@ -149,6 +150,7 @@
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
             ControlEvent::Claims(message) => self.apply_claims(message, now),
             ControlEvent::Link(event) => self.apply_link(event, now),
+            ControlEvent::InstanceEnded(instance) => self.end_instance(instance, now),
             ControlEvent::Ordered(answer) => self.apply_order_answer(answer, now),
             ControlEvent::Stopping => self.stop(now),
         }
--- a/src/decision/power/account.rs
+++ b/src/decision/power/account.rs
@@ -33,6 +33,8 @@
     pub parts: u64,
     /// From when the parts may no longer be used.
     pub deadline: Instant,
+    /// From when the parts cover no new work.
+    pub starts_until: Instant,
 }
 
 /// Power that was refused since it was last taken.
@@ -110,6 +112,13 @@
         self.lock().sources.insert(id, source);
     }
 
+    /// Postpones the time from when a source covers no new work.
+    pub fn postpone_starts_until(&self, id: &SourceId, starts_until: Instant) {
+        if let Some(source) = self.lock().sources.get_mut(id) {
+            source.starts_until = source.starts_until.max(starts_until);
+        }
+    }
+
     /// Reduces a source to `parts` if the running work does not need the rest.
     pub fn try_reduce(&self, id: &SourceId, parts: u64, now: Instant) -> bool {
         self.lock().try_reduce(id, parts, now)
@@ -229,7 +238,7 @@
             is_shed: false,
         };
         self.running.insert(start.request.clone(), work);
-        if self.is_covered(now) {
+        if self.is_covered(now) && self.is_startable(now) {
             return PowerAnswer::Started;
         }
         self.running.remove(&start.request);
@@ -246,6 +255,21 @@
             })
     }
 
+    /// Whether the sources that cover new work cover all work.
+    fn is_startable(&self, now: Instant) -> bool {
+        let parts = self.startable_parts(now);
+        self.committed_beyond(None) <= watts_of_parts(parts, self.shared_watts)
+    }
+
+    /// Parts of the sources that cover new work at `now`.
+    fn startable_parts(&self, now: Instant) -> u64 {
+        self.sources
+            .values()
+            .filter(|source| source.deadline > now && source.starts_until > now)
+            .map(|source| source.parts)
+            .sum()
+    }
+
     /// Watts of the running work whose deadline lies beyond `moment`, or of all of it.
     fn committed_beyond(&self, moment: Option<Instant>) -> u64 {
         self.running
@@ -333,9 +357,21 @@
         let refused = std::mem::take(&mut self.refused);
         let needed_until = refused.values().map(|refusal| refusal.work_deadline).max()?;
         let refused_watts: u64 = refused.values().map(|refusal| refusal.watts).sum();
-        let wanted_watts = (self.committed_beyond(None) + refused_watts).min(self.shared_watts);
-        let wanted_parts = parts_of_watts(wanted_watts, self.shared_watts);
-        let parts = wanted_parts.saturating_sub(self.parts_beyond(now));
+        let lacking_parts = |committed_watts: u64, parts: u64| {
+            let wanted_watts = (committed_watts + refused_watts).min(self.shared_watts);
+            parts_of_watts(wanted_watts, self.shared_watts).saturating_sub(parts)
+        };
+        let parts = self
+            .sources
+            .values()
+            .map(|source| source.deadline)
+            .filter(|moment| *moment > now && *moment < needed_until)
+            .map(|moment| {
+                lacking_parts(self.committed_beyond(Some(moment)), self.parts_beyond(moment))
+            })
+            .chain([lacking_parts(self.committed_beyond(None), self.startable_parts(now))])
+            .max()
+            .unwrap_or(0);
         (parts > 0).then_some(PowerLack { parts, needed_until })
     }
 }
--- a/src/decision/power/ledger.rs
+++ b/src/decision/power/ledger.rs
@@ -24,8 +24,8 @@
     pub parts: u64,
     /// Milliseconds that the share lasts.
     pub lease_ms: u64,
-    /// Longest time in milliseconds from the start of a request to its deadline.
-    pub work_limit_ms: u64,
+    /// Longest time in milliseconds for which its work or grants can go on after it has ended.
+    pub outlast_ms: u64,
     /// Address that the instance listens on.
     pub address: SmolStr,
 }
@@ -134,7 +134,7 @@
         if record.replaces != self.offset(&record.instance) {
             return false;
         }
-        let ShareAction::Hold { parts, lease_ms, work_limit_ms, address } = &record.action else {
+        let ShareAction::Hold { parts, lease_ms, outlast_ms, address } = &record.action else {
             self.entries.remove(&record.instance);
             return true;
         };
@@ -148,7 +148,7 @@
             offset,
             parts: *parts,
             lease_ms: *lease_ms,
-            work_limit_ms: *work_limit_ms,
+            outlast_ms: *outlast_ms,
             address: address.clone(),
         };
         self.insert(entry, now);
--- a/src/decision/power/messages.rs
+++ b/src/decision/power/messages.rs
@@ -37,8 +37,9 @@
         parts: u64,
         /// Milliseconds that the share lasts.
         lease_ms: u64,
-        /// Longest time in milliseconds from the start of a request to its deadline.
-        work_limit_ms: u64,
+        /// Longest time in milliseconds for which work or grants of the instance can go on after it
+        /// has ended.
+        outlast_ms: u64,
         /// Address that the instance listens on for as long as it runs.
         address: SmolStr,
     },
@@ -108,6 +109,17 @@
         /// Live nodes.
         live_nodes: u32,
     },
+    /// A partner gave a sign of life.
+    Heard(InstanceId),
+    /// The address of an instance refuses connections: its process has ended.
+    Ended(InstanceId),
+    /// A server reported that it runs no request and none waits.
+    ServerIdle {
+        /// Server.
+        server: ServerId,
+        /// When the report was asked for.
+        asked_at: Instant,
+    },
     /// Time passed.
     Tick,
     /// The node stops gracefully: no work runs any more, the share is released.
@@ -126,6 +138,13 @@
         /// Message.
         message: PowerMessage,
     },
+    /// Find out whether the address of an instance refuses connections.
+    Probe {
+        /// Instance.
+        instance: InstanceId,
+        /// Address that it listens on for as long as it runs.
+        address: SmolStr,
+    },
     /// Cancel running requests on their backend servers, lowest priority first.
     Shed(Vec<RequestId>),
 }
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -7,6 +7,7 @@
 //! anywhere. Parts that a node does not use move to partners by [`transfers`].
 
 pub mod account;
+pub mod ended;
 pub mod ledger;
 pub mod messages;
 pub mod settings;
@@ -20,11 +21,11 @@
 pub use settings::PowerSettings;
 
 use crate::decision::leases::stream::StreamRecord;
-use crate::decision::leases::tenure::drift_margin;
 use crate::ports::LogPage;
 use crate::types::{InstanceId, LogOffset};
 use account::watts_of_parts;
-use ledger::{ReadEntry, ReadShare, ShareLedger};
+use ended::EndedInstances;
+use ledger::{ReadEntry, ReadShare, ShareEntry, ShareLedger};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -41,6 +42,9 @@
 /// Milliseconds over which nodes spread the release of a lapsed share.
 const RECLAIM_SPREAD_MS: u64 = 2_000;
 
+/// Instances probed in one tick.
+const PROBES_PER_TICK: usize = 2;
+
 /// Share that this node holds.
 #[derive(Clone, Copy, Debug)]
 struct HeldShare {
@@ -86,6 +90,7 @@
     counts_nodes_at: Instant,
     has_asked_first: bool,
     transfers: Transfers,
+    ended: EndedInstances,
     is_stopping: bool,
 }
 
@@ -102,6 +107,7 @@
         Self {
             transfers: Transfers::new(instance.clone(), settings, Arc::clone(&account)),
             ledger: ShareLedger::new(&instance, settings.lease_ms, settings.transit_ms),
+            ended: EndedInstances::new(settings),
             instance,
             address,
             settings,
@@ -128,6 +134,7 @@
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
                 self.account.set_document(&document);
+                self.ended.set_document(&document);
                 commands = self.ask_first(now);
             }
             PowerEvent::Page { page, from } => self.read_page(&page, from, now),
@@ -137,6 +144,14 @@
                 self.live_nodes = Some(live_nodes);
                 commands = self.ask_first(now);
             }
+            PowerEvent::Heard(instance) => {
+                self.ended.clear_proof(&instance);
+                self.transfers.hear(&instance, now);
+            }
+            PowerEvent::Ended(instance) => self.ended.add_proof(instance, now),
+            PowerEvent::ServerIdle { server, asked_at } => {
+                self.ended.add_idle(server, asked_at);
+            }
             PowerEvent::Tick => commands = self.tick(now),
             PowerEvent::Stop => commands = self.stop(now),
         }
@@ -255,7 +270,7 @@
         };
         let kept_parts = self.kept_parts(held);
         let parts = kept_parts.saturating_sub(self.transfers.given_parts());
-        let source = PowerSource { parts, deadline: held.deadline };
+        let source = PowerSource { parts, deadline: held.deadline, starts_until: held.deadline };
         self.account.set_source(SourceId::Share, source);
     }
 
@@ -275,6 +290,7 @@
         commands.extend(self.ledger.upkeep(now).map(PowerCommand::Append));
         if !self.is_stopping {
             commands.extend(self.reclaim(now));
+            commands.extend(self.probe(now));
         }
         commands
     }
@@ -331,7 +347,7 @@
         let action = ShareAction::Hold {
             parts,
             lease_ms,
-            work_limit_ms: self.settings.work_limit_ms,
+            outlast_ms: self.settings.outlast_ms(),
             address: self.address.clone(),
         };
         self.renew_at = now + Duration::from_millis(self.settings.renew_ms);
@@ -365,7 +381,7 @@
             .ledger
             .entries()
             .filter(|read| read.entry.instance != self.instance)
-            .filter(|read| now >= self.reclaimable_at(read))
+            .filter(|read| self.is_reclaimable(read, now))
             .map(|read| ShareRecord {
                 instance: read.entry.instance.clone(),
                 attempt: 0,
@@ -382,20 +398,33 @@
             .collect()
     }
 
-    /// When nothing that the holder started can run any more. An instance that listened on this
-    /// node's own address had ended when this node started.
-    fn reclaimable_at(&self, read: &ReadEntry) -> Instant {
-        let entry = &read.entry;
+    /// Whether nothing that the holder started or granted can run any more.
+    fn is_reclaimable(&self, read: &ReadEntry, now: Instant) -> bool {
         let spread_seed = xxhash_rust::xxh3::xxh3_64(self.instance.as_bytes());
-        let spread = xxhash_rust::xxh3::xxh3_64_with_seed(entry.instance.as_bytes(), spread_seed);
+        let holder = read.entry.instance.as_bytes();
+        let spread = xxhash_rust::xxh3::xxh3_64_with_seed(holder, spread_seed);
         let lapsed_at = read.lapsed_at + Duration::from_millis(spread % RECLAIM_SPREAD_MS);
-        if entry.address != self.address {
-            return lapsed_at;
+        now >= lapsed_at || self.ended.has_work_ended(&read.entry, now)
+    }
+
+    /// Probes instances that have a share and no link to this node, some at a time. An instance
+    /// that listened on this node's own address had ended when this node started.
+    fn probe(&mut self, now: Instant) -> Vec<PowerCommand> {
+        let mut commands = Vec::new();
+        for read in self.ledger.entries() {
+            let ShareEntry { instance, address, .. } = &read.entry;
+            if *instance == self.instance || self.transfers.is_partner(instance) {
+                continue;
+            }
+            if *address == self.address {
+                self.ended.add_proof(instance.clone(), self.started_at);
+            } else if commands.len() < PROBES_PER_TICK && self.ended.take_probe(instance, now) {
+                let (instance, address) = (instance.clone(), address.clone());
+                commands.push(PowerCommand::Probe { instance, address });
+            }
         }
-        let work_ends_at = self.started_at
-            + Duration::from_millis(entry.work_limit_ms + self.settings.transit_ms)
-            + drift_margin(entry.work_limit_ms);
-        lapsed_at.min(work_ends_at)
+        self.ended.retain(|instance| self.ledger.entry(instance).is_some());
+        commands
     }
 
     /// Gives up the share except for what partners and requests still use, which lapses with them.
--- a/src/decision/power/settings.rs
+++ b/src/decision/power/settings.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Milliseconds by which a grant is rounded up.
+const GRANT_ROUNDING_MS: u64 = 1;
+
 /// Settings of power shares and transfers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -24,10 +27,32 @@
     /// Milliseconds beyond the request that lacked power for which a grant is asked, so that later
     /// requests can use it too.
     pub grant_reuse_ms: u64,
+    /// Milliseconds after the last message of a giver from which its grants cover no new work.
+    pub heard_ms: u64,
+    /// Longest time in milliseconds by which a server's load report lags.
+    pub report_lag_ms: u64,
+    /// Milliseconds between probes of an instance that has a share and no link to this node.
+    pub probe_ms: u64,
     /// Milliseconds for which an unused grant is kept.
     pub grant_idle_ms: u64,
 }
 
+impl PowerSettings {
+    /// Returns the longest time in milliseconds for which work or grants of an instance can go on
+    /// after the instance has ended.
+    pub fn outlast_ms(&self) -> u64 {
+        self.work_limit_ms + self.grant_reuse_ms + GRANT_ROUNDING_MS
+    }
+
+    /// Returns the time in milliseconds after an instance has ended from which a load report
+    /// without requests shows that its work has ended on that server too: no grant of it covers
+    /// new work, nothing is under way, and the report does not show an earlier state.
+    pub fn idle_proof_ms(&self) -> u64 {
+        let last_grant_ms = self.transit_ms.max(self.ask_ms);
+        last_grant_ms + self.heard_ms + self.transit_ms + self.report_lag_ms
+    }
+}
+
 impl Default for PowerSettings {
     fn default() -> Self {
         Self {
@@ -38,6 +63,9 @@
             transit_ms: 5_000,
             ask_ms: 400,
             grant_reuse_ms: 30_000,
+            heard_ms: 5_000,
+            report_lag_ms: 5_000,
+            probe_ms: 2_000,
             grant_idle_ms: 2_000,
         }
     }
--- a/src/decision/power/transfers.rs
+++ b/src/decision/power/transfers.rs
@@ -16,7 +16,7 @@
 /// Partners asked at once.
 const ASKED_PARTNERS: usize = 8;
 /// Factor by which an ask grows over the last one while power is still lacking.
-const ASK_GROWTH: u64 = 4;
+const ASK_GROWTH: u64 = 8;
 
 /// Id of a grant: numbers are unique within the giver.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -71,6 +71,7 @@
     account: Arc<PowerAccount>,
     partners: Vec<InstanceId>,
     next_partner: usize,
+    asked_partners: usize,
     ask: Option<OpenAsk>,
     last_ask: u64,
     last_grant: u64,
@@ -89,6 +90,7 @@
             account,
             partners: Vec::new(),
             next_partner: 0,
+            asked_partners: 0,
             ask: None,
             last_ask: 0,
             last_grant: 0,
@@ -109,6 +111,11 @@
         !self.partners.is_empty()
     }
 
+    /// Whether `instance` is a partner.
+    pub fn is_partner(&self, instance: &InstanceId) -> bool {
+        self.partners.contains(instance)
+    }
+
     /// Returns the parts given and not regained.
     pub fn given_parts(&self) -> u64 {
         self.given.values().map(|grant| grant.parts).sum()
@@ -151,7 +158,9 @@
         if open.lacking_parts == 0 {
             open.closes_at = now;
         }
-        self.account.set_source(id.source(), PowerSource { parts: *parts, deadline });
+        let starts_until = now + Duration::from_millis(self.settings.heard_ms);
+        let source = PowerSource { parts: *parts, deadline, starts_until };
+        self.account.set_source(id.source(), source);
         let received = ReceivedGrant { parts: *parts, deadline, return_at: None };
         self.received.insert(id, received);
         None
@@ -192,6 +201,14 @@
         Some(PowerCommand::Send { to: from.clone(), message })
     }
 
+    /// Takes in a sign of life of `giver`: its grants cover new work for a while longer.
+    pub fn hear(&self, giver: &InstanceId, now: Instant) {
+        let starts_until = now + Duration::from_millis(self.settings.heard_ms);
+        for id in self.received.keys().filter(|id| id.giver == *giver) {
+            self.account.postpone_starts_until(&id.source(), starts_until);
+        }
+    }
+
     /// Takes back what `asker` was given for asks before `ask` and does not hold.
     pub fn regain_unheld(&mut self, asker: &InstanceId, ask: u64, held_grants: &[u64]) {
         self.given.retain(|grant, given| {
@@ -268,26 +285,36 @@
         if self.ask.as_ref().is_some_and(|ask| now < ask.closes_at) {
             return Vec::new();
         }
-        self.ask = None;
-        let Some(lack) = self.account.take_lack(now) else {
-            if !self.lacks(now) {
-                self.least_ask_parts = 0;
+        let has_closed = self.ask.take().is_some();
+        if let Some(lack) = self.account.take_lack(now) {
+            self.lacking_until = Some(now + 2 * Duration::from_millis(self.settings.ask_ms));
+            if self.partners.is_empty() {
+                return Vec::new();
             }
-            return Vec::new();
-        };
-        self.lacking_until = Some(now + 2 * Duration::from_millis(self.settings.ask_ms));
-        if self.partners.is_empty() {
+            self.next_partner = self.next_partner.wrapping_add(self.asked_partners);
+            self.asked_partners = self.partners.len().min(ASKED_PARTNERS);
+            let ask = self.open_ask(lack, now);
+            return self.send_ask(ask);
+        }
+        if !self.lacks(now) {
+            self.least_ask_parts = 0;
+        }
+        if !has_closed {
             return Vec::new();
         }
-        let ask = self.open_ask(lack, now);
-        let asked = self.partners.len().min(ASKED_PARTNERS);
-        let first = self.next_partner;
-        self.next_partner = first.wrapping_add(asked);
-        (0..asked)
-            .map(|index| self.partners[first.wrapping_add(index) % self.partners.len()].clone())
-            .map(|to| {
+        // Partners whose grant was lost get it back by an ask for nothing.
+        self.last_ask += 1;
+        self.send_ask(SentAsk { number: self.last_ask, parts: 0, needed_ms: 0 })
+    }
+
+    /// Sends an ask to the partners whose turn it is.
+    fn send_ask(&self, ask: SentAsk) -> Vec<PowerCommand> {
+        let SentAsk { number: ask, parts, needed_ms } = ask;
+        (0..self.asked_partners.min(self.partners.len()))
+            .map(|index| self.next_partner.wrapping_add(index) % self.partners.len())
+            .map(|index| {
+                let to = self.partners[index].clone();
                 let held_grants = self.held_grants(&to);
-                let (ask, parts, needed_ms) = (ask.number, ask.parts, ask.needed_ms);
                 let message = PowerMessage::Ask { ask, parts, needed_ms, held_grants };
                 PowerCommand::Send { to, message }
             })
