--- a/tests/power/power.rs
+++ b/tests/power/power.rs
@@ -122,6 +122,7 @@
 /// Nodes, log, links and servers, with the ledger of what the servers really run.
 struct World {
     links_lose: bool,
+    grants_are_slow: bool,
     settings: PowerSettings,
     now_ms: u64,
     random: fastrand::Rng,
@@ -144,6 +145,7 @@
         let mut world = Self {
             settings,
             links_lose: true,
+            grants_are_slow: false,
             now_ms: 1_000,
             random: fastrand::Rng::with_seed(seed),
             log: FakeLog::default(),
@@ -412,12 +414,14 @@
             (false, true) => [0, 1, 1, 1, 1, 2][self.random.usize(..6)],
         };
         for _ in 0..copies {
+            let is_slow = self.grants_are_slow && matches!(message, PowerMessage::Grant { .. });
             let longest_ms = match self.random.u8(..) {
                 0..20 if self.links_lose => 30_000,
                 20..60 if self.links_lose => 3_000,
                 _ => 150,
             };
-            let due_ms = self.now_ms + self.random.u64(1..longest_ms);
+            let delay_ms = self.random.u64(1..longest_ms);
+            let due_ms = self.now_ms + if is_slow { 2_700 } else { delay_ms };
             let (from, to, message) = (from.clone(), to.clone(), message.clone());
             self.mail.push(Mail { due_ms, from, to, message });
         }
@@ -470,6 +474,43 @@
     }
 }
 
+/// A node that is cut from the log works until the last moment of its share, or gives to a partner
+/// that does, while the others wait for it to lapse.
+#[test]
+fn a_share_is_used_until_it_lapses_and_not_beyond() {
+    for seed in 1..60 {
+        let mut world = World::new(seed, settings());
+        world.links_lose = false;
+        (0..100).for_each(|_| world.step());
+        world.nodes[0].log_cut_until_ms = u64::MAX;
+        world.nodes[0].demand = (seed % 2 == 0).then_some((0, 1_000));
+        let runs: Vec<InstanceId> = world.nodes.iter().map(|node| node.run.clone()).collect();
+        for index in 1..4 {
+            world.nodes[index].demand = Some((0, 1_000 * (seed % 20 + 1)));
+            let partners = runs.iter().filter(|run| **run != runs[index]).cloned().collect();
+            world.apply(index, PowerEvent::Membership { partners, live_nodes: 3 });
+        }
+        (0..600).for_each(|_| world.step());
+        assert!(world.peak_watts > BUDGETS_WATTS[0] * 9 / 10);
+    }
+}
+
+/// A grant that arrives late is used until the last moment of its validity, and not beyond.
+#[test]
+fn a_late_grant_is_used_until_it_ends_and_not_beyond() {
+    for seed in 1..60 {
+        let mut world = World::new(seed, PowerSettings { transit_ms: 600, ..settings() });
+        world.links_lose = false;
+        world.grants_are_slow = true;
+        (0..100).for_each(|_| world.step());
+        world.nodes[0].demand = Some((0, 1_000));
+        (0..20 + seed as usize).for_each(|_| world.step());
+        world.nodes.iter_mut().for_each(|node| node.demand = Some((0, 1_000)));
+        (0..200).for_each(|_| world.step());
+        assert!(world.transfers > 0);
+    }
+}
+
 /// Returns the time until a node under load, of four, draws nine tenths of the site's power, or a
 /// minute if it does not.
 fn transfer_ms(links_lose: bool, seed: u64) -> u64 {
