feat(admin): administration API and command line

Cause: operators drive the system only by editing the document. Change: routes with roles and one error form, edits that are appended until their outcome is known, explain, status, recent decisions, metrics; OpenAPI file generated from the types; command line with diff, apply and wait. Conclusion: nodes can be operated from the command line.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,1 +1,19 @@
-//! Administration API.
+//! Administration API on a listener of its own, over HTTP with JSON.
+
+pub mod access;
+pub mod edit;
+pub mod error;
+pub mod explain;
+pub mod messages;
+pub mod openapi;
+pub mod read;
+pub mod recent;
+pub mod routes;
+pub mod server;
+pub mod view;
+
+pub use error::{AdminCode, AdminError};
+pub use recent::RecentDecisions;
+pub use routes::AdminRoute;
+pub use server::AdminContext;
+pub use view::{AdminView, ConfigurationView, StreamStatus};
--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,148 @@
+//! Serves the administration API.
+
+use super::access::{AdminCaller, authenticate};
+use super::error::{AdminCode, AdminError};
+use super::routes::{AdminRoute, MatchedRoute, find_route};
+use super::{AdminView, edit, explain, openapi, read};
+use crate::adapters::http_server::Reply;
+use crate::metrics::{ReasonLabels, encode};
+use crate::ports::LogService;
+use crate::traffic::authenticate::bearer_key;
+use crate::traffic::reply::{json_reply, text_reply};
+use crate::traffic::{TrafficContext, body};
+use http::request::Parts;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Seconds after which a caller may come back when the node or the log is not ready.
+const RETRY_AFTER_S: u64 = 2;
+
+/// What the handlers work with.
+pub struct AdminContext {
+    /// Context of the traffic threads, which holds the latest snapshot.
+    pub traffic: Arc<TrafficContext>,
+    /// Platform's log.
+    pub log: Arc<dyn LogService>,
+}
+
+impl AdminContext {
+    /// Returns the latest view.
+    pub fn view(&self) -> Arc<AdminView> {
+        Arc::clone(&self.traffic.snapshot.load().admin)
+    }
+}
+
+/// Answers `request`.
+pub async fn dispatch(context: Arc<AdminContext>, request: Request<Incoming>) -> Reply {
+    let (parts, body) = request.into_parts();
+    let result = handle(&context, &parts, body).await;
+    let code: &'static str = result.as_ref().err().map_or("ok", |error| error.code.into());
+    let labels = ReasonLabels { reason: code.to_owned() };
+    context.traffic.metrics.admin_requests.get_or_create(&labels).inc();
+    result.unwrap_or_else(|error| {
+        log::info!("event=admin_refused path={} code={}", parts.uri.path(), error.code);
+        error_reply(error)
+    })
+}
+
+async fn handle(
+    context: &AdminContext,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Reply, AdminError> {
+    let matched = find_route(&parts.method, parts.uri.path())?;
+    let Some(role) = matched.route.least_role() else {
+        return open(context, matched.route);
+    };
+    let caller = identify(context, parts)?;
+    caller.require(role)?;
+    match matched.route {
+        AdminRoute::Validate => {
+            let request = read_json(context, body).await?;
+            reply(&edit::validate(&context.view(), &request)?)
+        }
+        AdminRoute::SubmitEdit => {
+            let request = read_json(context, body).await?;
+            reply(&edit::submit(context, &caller, request).await?)
+        }
+        AdminRoute::Explain => {
+            let request = read_json(context, body).await?;
+            reply(&explain::explain(context, request, Instant::now())?)
+        }
+        _ => read(context, parts, &matched),
+    }
+}
+
+fn read(
+    context: &AdminContext,
+    parts: &Parts,
+    matched: &MatchedRoute,
+) -> Result<Reply, AdminError> {
+    let view = context.view();
+    let now = Instant::now();
+    match matched.route {
+        AdminRoute::Document => reply(&read::document(&view)?),
+        AdminRoute::History => reply(&read::history(&view, section(parts).as_ref())?),
+        AdminRoute::FindEdit => {
+            let edit_id = matched.parameter.as_deref().unwrap_or_default();
+            reply(&read::find_edit(&view, edit_id)?)
+        }
+        AdminRoute::Status => reply(&read::status(context, &view, now)),
+        AdminRoute::Nodes => reply(&read::nodes(&view)),
+        AdminRoute::Servers => reply(&read::servers(context, now)),
+        AdminRoute::Leases => reply(&read::leases(&view)),
+        AdminRoute::Power => reply(&view.power),
+        AdminRoute::Decisions => reply(&read::decisions(context)),
+        other => open(context, other),
+    }
+}
+
+fn open(context: &AdminContext, route: AdminRoute) -> Result<Reply, AdminError> {
+    if route == AdminRoute::Openapi {
+        return reply(&openapi::description());
+    }
+    let text = encode(&context.traffic.registry)
+        .map_err(|error| AdminError::new(AdminCode::NotReady, error.to_string()))?;
+    Ok(text_reply(StatusCode::OK, text))
+}
+
+fn identify(context: &AdminContext, parts: &Parts) -> Result<AdminCaller, AdminError> {
+    let snapshot = context.traffic.snapshot.load();
+    let bootstrap = context.traffic.settings.bootstrap_key_hash.as_ref();
+    authenticate(bearer_key(&parts.headers), snapshot.document.as_deref(), bootstrap)
+}
+
+fn section(parts: &Parts) -> Option<SmolStr> {
+    let pairs = parts.uri.query().unwrap_or_default().split('&');
+    pairs.filter_map(|pair| pair.strip_prefix("section=")).next().map(SmolStr::from)
+}
+
+async fn read_json<T: DeserializeOwned>(
+    context: &AdminContext,
+    body: Incoming,
+) -> Result<T, AdminError> {
+    let limits = context.traffic.settings.limits;
+    let deadline = Instant::now() + Duration::from_millis(limits.read_timeout_ms);
+    let bytes = body::read(body, limits.body_bytes, deadline)
+        .await
+        .map_err(|failure| AdminError::new(AdminCode::InvalidRequest, failure.message))?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| AdminError::new(AdminCode::InvalidRequest, error.to_string()))
+}
+
+fn reply(body: &impl serde::Serialize) -> Result<Reply, AdminError> {
+    Ok(json_reply(StatusCode::OK, body))
+}
+
+fn error_reply(error: AdminError) -> Reply {
+    let status = error.code.status();
+    let mut reply = json_reply(status, &error.reply());
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT {
+        reply.headers_mut().insert("retry-after", RETRY_AFTER_S.into());
+    }
+    reply
+}
--- a/src/bin/coriandertide.rs
+++ b/src/bin/coriandertide.rs
@@ -1,3 +1,7 @@
 //! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    coriandertide::cli::run()
+}
--- a/src/control/context.rs
+++ b/src/control/context.rs
@@ -1,6 +1,7 @@
 //! Context of the control thread: ports, settings and the channel of its events.
 
 use super::ControlEvent;
+use crate::metrics::Metrics;
 use crate::ports::{InstanceList, KvStore, LogService, ModelEngine};
 use crate::settings::Settings;
 use crate::types::InstanceId;
@@ -25,6 +26,8 @@
     pub engines: Arc<dyn ModelEngine>,
     /// Store of kept KV cache, where the site has one.
     pub kv_store: Option<Arc<dyn KvStore>>,
+    /// Metrics.
+    pub metrics: Metrics,
     /// Events of the control thread.
     pub events: Sender<ControlEvent>,
     /// Executor of the control thread, held weakly since its tasks hold this context.
--- /dev/null
+++ b/src/control/log_status.rs
@@ -0,0 +1,43 @@
+//! Records where the node stands in each log stream, for operators.
+
+use super::ControlState;
+use crate::metrics::StreamLabels;
+use crate::ports::{LogPage, LogStream};
+use crate::types::PeerError;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+impl ControlState {
+    /// Records a successful read of `stream`.
+    pub(super) fn note_log_read(&mut self, stream: LogStream, page: &LogPage, now: Instant) {
+        let name: &'static str = stream.into();
+        let status = Arc::make_mut(&mut self.admin).streams.entry(name).or_default();
+        let read_to = page.records.last().map_or(0, |record| record.offset + 1);
+        status.next_offset = status.next_offset.max(read_to);
+        status.read_at = Some(now);
+        if status.error.take().is_some() {
+            log::info!("event=log_read_again stream={stream}");
+        }
+        let labels = StreamLabels { stream: name.to_owned() };
+        let metrics = &self.context.metrics;
+        let next_offset = i64::try_from(status.next_offset).unwrap_or(i64::MAX);
+        metrics.log_read_offset.get_or_create(&labels).set(next_offset);
+        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        metrics.log_read_timestamp_seconds.get_or_create(&labels).set(unix_time.as_secs_f64());
+    }
+
+    /// Records a failed read of `stream`; only the first failure in a row is logged as a warning.
+    pub(super) fn note_log_failure(&mut self, stream: LogStream, error: &PeerError) {
+        let name: &'static str = stream.into();
+        let status = Arc::make_mut(&mut self.admin).streams.entry(name).or_default();
+        let is_first = status.error.is_none();
+        status.error = Some(error.to_string());
+        let level = if is_first { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, "event=log_read_failed stream={stream} {error}");
+        self.context
+            .metrics
+            .log_read_failures
+            .get_or_create(&StreamLabels { stream: name.to_owned() })
+            .inc();
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,9 +3,11 @@
 //! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
 //! loop applies the events, so that no state is shared.
 
+pub mod admin;
 pub mod configuration;
 pub mod context;
 pub mod event;
+pub mod log_status;
 pub mod log_tail;
 pub mod polls;
 pub mod routing;
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshot of the control state that traffic threads decide on.
 
+use crate::admin::AdminView;
 use crate::decision::routing::RoutingView;
 use crate::document::Document;
 use crate::types::WorkspaceId;
@@ -18,6 +19,8 @@
     pub routing: RoutingView,
     /// Live nodes, this one included.
     pub live_nodes: u32,
+    /// View for the administration API.
+    pub admin: Arc<AdminView>,
 }
 
 /// Workspaces by the hash of their bearer keys.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -3,6 +3,7 @@
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
 use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
+use crate::admin::AdminView;
 use crate::decision::configuration::ConfigurationFollower;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
@@ -20,6 +21,7 @@
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) admin: Arc<AdminView>,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -37,6 +39,7 @@
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
+            admin: Arc::default(),
             snapshot,
         }
     }
@@ -53,9 +56,7 @@
         match event {
             ControlEvent::Tick => self.poll_servers(now),
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
-            ControlEvent::LogFailed { stream, error } => {
-                log::warn!("event=log_read_failed stream={stream} {error}");
-            }
+            ControlEvent::LogFailed { stream, error } => self.note_log_failure(stream, &error),
             ControlEvent::Instances(instances) => self.apply_instances(&instances, now),
             ControlEvent::Load { server, report, asked_at } => {
                 self.apply_load_report(server, report, asked_at, now);
@@ -86,6 +87,7 @@
     }
 
     fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
+        self.note_log_read(stream, &page, now);
         match stream {
             LogStream::Configuration => self.apply_configuration(page, now),
             LogStream::Claims | LogStream::Leases | LogStream::Power => {}
@@ -120,6 +122,7 @@
             keys: Arc::clone(&self.keys),
             routing: self.routing.view(),
             live_nodes: self.live_nodes,
+            admin: Arc::clone(&self.admin),
         }));
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,7 +5,9 @@
 use crate::adapters::{
     HttpInstanceList, HttpKvStore, HttpLogService, HttpModelEngine, HttpPlainService,
 };
+use crate::admin::{self, AdminContext};
 use crate::control::{self, ControlContext, ControlEvent, ControlState, Snapshot};
+use crate::metrics::Metrics;
 use crate::ports::{KvStore, ModelEngine};
 use crate::settings::Settings;
 use crate::traffic::{TrafficContext, dispatch};
@@ -49,7 +51,7 @@
 /// Listeners of a node, bound before it serves.
 struct Listeners {
     callers: TcpListener,
-    _admin: TcpListener,
+    admin: TcpListener,
     _partners: TcpListener,
 }
 
@@ -59,11 +61,11 @@
         let instance = format_smolstr!("{}-{:08x}", settings.instance_name, fastrand::u32(..));
         let listeners = Listeners {
             callers: bind(settings.listen.callers, "callers")?,
-            _admin: bind(settings.listen.admin, "admin")?,
+            admin: bind(settings.listen.admin, "admin")?,
             _partners: bind(settings.listen.partners, "partners")?,
         };
         let caller_address = listeners.callers.local_addr()?;
-        let admin_address = listeners._admin.local_addr()?;
+        let admin_address = listeners.admin.local_addr()?;
         let partner_address = listeners._partners.local_addr()?;
         let settings = Arc::new(settings);
         let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
@@ -72,12 +74,14 @@
         let (drain, draining) = async_channel::bounded(1);
         let (control_tasks, task_queue) = async_channel::unbounded();
         let engines = engines(&settings);
+        let metrics = Metrics::default();
         let traffic = Arc::new(TrafficContext::new(
             instance.clone(),
             Arc::clone(&settings),
             Arc::clone(&snapshot),
             Arc::clone(&engines),
             Arc::new(HttpPlainService::new(settings.limits.answer_bytes)),
+            metrics.clone(),
             events.clone(),
         ));
         let executor = Arc::new(Executor::new());
@@ -87,13 +91,15 @@
                 settings: Arc::clone(&settings),
                 engines,
                 snapshot,
+                metrics,
                 events,
                 control_events,
                 task_queue,
             },
             stopped.clone(),
         )?];
-        serve_callers(&executor, listeners.callers, &traffic, draining);
+        serve_callers(&executor, listeners.callers, &traffic, draining.clone());
+        serve_admin(&executor, listeners.admin, &traffic, draining);
         for number in 0..settings.traffic_threads {
             let name = format!("traffic-{number}");
             threads.push(spawn_traffic(name, Arc::clone(&executor), stopped.clone())?);
@@ -194,6 +200,7 @@
     settings: Arc<Settings>,
     engines: Arc<dyn ModelEngine>,
     snapshot: Arc<ArcSwap<Snapshot>>,
+    metrics: Metrics,
     events: Sender<ControlEvent>,
     control_events: Receiver<ControlEvent>,
     task_queue: Receiver<ControlTask>,
@@ -216,6 +223,7 @@
             instance_list: Arc::new(HttpInstanceList::new(platform.instance_list, timeout)),
             engines: parts.engines,
             kv_store,
+            metrics: parts.metrics,
             events: parts.events,
             executor,
         };
@@ -242,10 +250,33 @@
     let context = Arc::clone(traffic);
     let handler: Handler =
         Arc::new(move |request| Box::pin(dispatch(Arc::clone(&context), request)));
-    let limits = ServerLimits {
-        head_bytes: traffic.settings.limits.head_bytes,
-        head_timeout_ms: traffic.settings.limits.read_timeout_ms,
-    };
+    let limits = server_limits(&traffic.settings);
+    let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
+    executor.spawn(server).detach();
+}
+
+fn serve_admin(
+    executor: &Arc<Executor<'static>>,
+    listener: TcpListener,
+    traffic: &Arc<TrafficContext>,
+    draining: Receiver<Infallible>,
+) {
+    let settings = &traffic.settings;
+    let timeout = Duration::from_millis(settings.control.exchange_timeout_ms);
+    let context = Arc::new(AdminContext {
+        traffic: Arc::clone(traffic),
+        log: Arc::new(HttpLogService::new(settings.platform.log, timeout)),
+    });
+    let handler: Handler =
+        Arc::new(move |request| Box::pin(admin::server::dispatch(Arc::clone(&context), request)));
+    let limits = server_limits(settings);
     let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
     executor.spawn(server).detach();
 }
+
+fn server_limits(settings: &Settings) -> ServerLimits {
+    ServerLimits {
+        head_bytes: settings.limits.head_bytes,
+        head_timeout_ms: settings.limits.read_timeout_ms,
+    }
+}
--- a/src/decision/configuration/follower.rs
+++ b/src/decision/configuration/follower.rs
@@ -98,7 +98,7 @@
 impl ConfigurationFollower {
     /// Applies `event` and returns what to do.
     pub fn apply(&mut self, event: ConfigurationEvent) -> Vec<ConfigurationCommand> {
-        let before = self.announcement();
+        let before = self.state.as_ref().map(|_| self.announcement());
         let mut commands = Vec::new();
         match event {
             ConfigurationEvent::Page(page) => self.read_page(page, &mut commands),
@@ -107,7 +107,7 @@
         self.fold_buffered(&mut commands);
         self.check(&mut commands);
         let after = self.announcement();
-        if after != before {
+        if self.state.is_some() && before != Some(after) {
             commands.push(ConfigurationCommand::Announce(after));
         }
         commands
--- a/src/decision/configuration/prepare.rs
+++ b/src/decision/configuration/prepare.rs
@@ -6,13 +6,14 @@
 use super::{CheckedState, check_value};
 use crate::document::Owner;
 use crate::types::{EditId, Faults, OwnerId, SectionPath};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Request to edit the document.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, JsonSchema, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EditRequest {
     /// Id chosen by the author; the same id sent again is the same edit.
--- a/src/decision/configuration/record.rs
+++ b/src/decision/configuration/record.rs
@@ -8,6 +8,7 @@
 use crate::document::RawDocument;
 use crate::types::{EditId, Revision, SectionPath};
 use bytes::Bytes;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use smol_str::SmolStr;
@@ -57,7 +58,7 @@
 }
 
 /// New value of a section.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, JsonSchema, PartialEq, Serialize, Deserialize)]
 pub struct SectionChange {
     /// Section.
     pub section: SectionPath,
@@ -69,7 +70,7 @@
 }
 
 /// Highest revision among the sections of a kind.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, JsonSchema, PartialEq, Serialize, Deserialize)]
 pub struct KindRevision {
     /// Kind: the part of a section path before the slash.
     pub kind: SmolStr,
--- a/src/decision/configuration/state.rs
+++ b/src/decision/configuration/state.rs
@@ -4,6 +4,7 @@
 use super::sections::section_kind;
 use crate::ports::LogRecord;
 use crate::types::{EditId, LogOffset, Revision, SectionPath};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use smol_str::SmolStr;
@@ -46,7 +47,7 @@
 }
 
 /// Edit and what became of it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, JsonSchema, PartialEq, Serialize, Deserialize)]
 pub struct EditEntry {
     /// Offset of the record.
     pub offset: LogOffset,
@@ -65,7 +66,7 @@
 }
 
 /// Outcome of an edit, the same on every node.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, JsonSchema, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
 pub enum EditOutcome {
     /// All changes are made; their revision is the edit's offset.
@@ -77,7 +78,7 @@
 }
 
 /// Edit that holds the revision another edit wanted to replace.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, JsonSchema, PartialEq, Serialize, Deserialize)]
 pub struct Winner {
     /// Section.
     pub section: SectionPath,
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -6,6 +6,7 @@
 mod baseline;
 pub mod belief;
 pub mod config;
+pub mod explain;
 pub mod feedback;
 pub mod fleet;
 pub mod homes;
--- a/src/decision/routing/view.rs
+++ b/src/decision/routing/view.rs
@@ -119,7 +119,7 @@
         self.state(index)?.info.as_deref()
     }
 
-    fn state(&self, index: ServerIndex) -> Option<&ServerState> {
+    pub(super) fn state(&self, index: ServerIndex) -> Option<&ServerState> {
         self.servers.get(index as usize).map(Arc::as_ref)
     }
 
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -1,6 +1,7 @@
 //! Checks a raw document and turns it into the checked form; reports every fault with its path.
 
 use super::check_owners::{check_administrators, check_owner};
+use super::is_key_hash;
 use super::raw::{
     RawCallPattern, RawDocument, RawModel, RawServer, RawService, RawSite, RawWorkspace,
 };
@@ -12,9 +13,6 @@
 use smol_str::SmolStr;
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// Length of a SHA-256 in hexadecimal.
-const KEY_HASH_CHARS: usize = 64;
-
 impl TryFrom<RawDocument> for Document {
     type Error = Faults;
 
@@ -91,10 +89,8 @@
 
 pub(super) fn check_key_hashes(path: &str, key_hashes: &[SmolStr], faults: &mut Faults) {
     for (index, hash) in key_hashes.iter().enumerate() {
-        let is_hash = hash.len() == KEY_HASH_CHARS
-            && hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
         faults.require(
-            is_hash,
+            is_key_hash(hash),
             format!("{path}.key_hashes[{index}]"),
             "must be a SHA-256 in lower-case hexadecimal",
         );
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -5,7 +5,7 @@
 pub mod owner;
 pub mod raw;
 
-pub use owner::{Owner, OwnerRole, SectionPattern, hash_key};
+pub use owner::{Owner, OwnerRole, SectionPattern, hash_key, is_key_hash};
 pub use raw::RawDocument;
 
 use crate::types::{
--- a/src/document/owner.rs
+++ b/src/document/owner.rs
@@ -8,6 +8,9 @@
 use std::fmt::Write;
 use strum::{Display, EnumString, IntoStaticStr};
 
+/// Length of a SHA-256 in hexadecimal.
+const KEY_HASH_CHARS: usize = 64;
+
 /// What an owner may do; each role includes the ones before it.
 #[derive(
     Clone,
@@ -27,7 +30,7 @@
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum OwnerRole {
-    /// Reads everything but key hashes.
+    /// Reads everything.
     Reader,
     /// Edits its own sections.
     Editor,
@@ -85,3 +88,9 @@
     }
     text.into()
 }
+
+/// Whether `text` is a SHA-256 in lower-case hexadecimal.
+pub fn is_key_hash(text: &str) -> bool {
+    text.len() == KEY_HASH_CHARS
+        && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -88,6 +88,8 @@
     pub log_read_offset: Family<StreamLabels, Gauge>,
     /// Time of the last successful read of a log stream, in seconds since the Unix epoch.
     pub log_read_timestamp_seconds: Family<StreamLabels, SecondsGauge>,
+    /// Reads of a log stream that failed.
+    pub log_read_failures: Family<StreamLabels, Counter>,
     /// Revision of the document in force.
     pub document_revision: Gauge,
     /// Revision that the log has accepted; above the one in force if this build cannot check it.
@@ -189,6 +191,11 @@
     }
 
     fn register_configuration(&self, registry: &mut Registry) {
+        registry.register(
+            "log_read_failures",
+            "Failed reads of a stream",
+            self.log_read_failures.clone(),
+        );
         registry.register("document_revision", "Revision in force", self.document_revision.clone());
         registry.register(
             "document_accepted_revision",
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -5,6 +5,7 @@
 };
 use super::{ControlSettings, LimitSettings, ListenSettings, PlatformSettings, Settings};
 use crate::decision::routing::RoutingPolicy;
+use crate::document::is_key_hash;
 use crate::types::Faults;
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -31,12 +32,18 @@
             "traffic_threads",
             format!("must be from 1 to {MOST_TRAFFIC_THREADS}"),
         );
+        faults.require(
+            raw.bootstrap_key_hash.as_ref().is_none_or(|hash| is_key_hash(hash)),
+            "bootstrap_key_hash",
+            "must be a SHA-256 in lower-case hexadecimal",
+        );
         let settings = Settings {
             instance_name: raw.instance_name,
             availability_zone: raw.availability_zone,
             listen: check_listen(&raw.listen, &mut faults),
             platform: check_platform(&raw.platform, &mut faults),
             partner_key: raw.partner_key,
+            bootstrap_key_hash: raw.bootstrap_key_hash,
             routing_policy: check_policy(&raw.routing_policy, &mut faults),
             limits: check_limits(&raw.limits, &mut faults),
             traffic_threads: raw.traffic_threads,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -24,6 +24,8 @@
     pub platform: PlatformSettings,
     /// Key shared by all nodes, which authenticates partner links.
     pub partner_key: SmolStr,
+    /// SHA-256 of the administrator key that counts while the document names no owner.
+    pub bootstrap_key_hash: Option<SmolStr>,
     /// Routing policy.
     pub routing_policy: RoutingPolicy,
     /// Limits on calls.
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -19,6 +19,8 @@
     pub platform: RawPlatformSettings,
     /// Key shared by all nodes, which authenticates partner links.
     pub partner_key: SmolStr,
+    /// SHA-256 of the administrator key that counts while the document names no owner.
+    pub bootstrap_key_hash: Option<SmolStr>,
     /// Routing policy.
     pub routing_policy: SmolStr,
     /// Limits on calls.
@@ -37,6 +39,7 @@
             listen: RawListenSettings::default(),
             platform: RawPlatformSettings::default(),
             partner_key: SmolStr::default(),
+            bootstrap_key_hash: None,
             routing_policy: SmolStr::new_static("coriandertide"),
             limits: RawLimitSettings::default(),
             traffic_threads: 2,
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -1,12 +1,15 @@
 //! Context of the traffic threads: ports, limits, the latest snapshot and the way to control.
 
+use crate::admin::RecentDecisions;
 use crate::control::{ControlEvent, Snapshot, TrafficReport};
 use crate::decision::retry::RetryBudget;
+use crate::metrics::Metrics;
 use crate::ports::{ModelEngine, PlainService};
 use crate::settings::Settings;
 use crate::types::{InstanceId, RequestId};
 use arc_swap::ArcSwap;
 use async_channel::Sender;
+use prometheus_client::registry::Registry;
 use smol_str::format_smolstr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,6 +26,12 @@
     pub engines: Arc<dyn ModelEngine>,
     /// Plain services.
     pub services: Arc<dyn PlainService>,
+    /// Recent routing decisions.
+    pub decisions: RecentDecisions,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Registry that exposes the metrics.
+    pub registry: Registry,
     /// Set once the node drains.
     pub draining: AtomicBool,
     control: Sender<ControlEvent>,
@@ -38,6 +47,7 @@
         snapshot: Arc<ArcSwap<Snapshot>>,
         engines: Arc<dyn ModelEngine>,
         services: Arc<dyn PlainService>,
+        metrics: Metrics,
         control: Sender<ControlEvent>,
     ) -> Self {
         Self {
@@ -46,6 +56,9 @@
             snapshot,
             engines,
             services,
+            decisions: RecentDecisions::default(),
+            registry: metrics.registry(),
+            metrics,
             draining: AtomicBool::new(false),
             control,
             retry_budget: Mutex::new(RetryBudget::new(std::time::Instant::now())),
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -7,6 +7,7 @@
 use crate::decision::routing::{
     AnswerFeedback, AnswerTiming, PrefixLevel, RouteDecision, RouteQuery, RoutingView, SentRequest,
 };
+use crate::metrics::ReasonLabels;
 use crate::ports::{EngineFrame, EngineRequest, FrameStream};
 use crate::types::{Delivery, PeerError, ServerId, Step};
 use futures_lite::StreamExt;
@@ -115,6 +116,9 @@
         let decision =
             snapshot.routing.route(&query, Instant::now()).ok_or(AttemptError::NoServer)?;
         log_decision(&query, &decision, self.attempts);
+        self.context.decisions.push(&query, &decision);
+        let reason = ReasonLabels { reason: decision.reason.to_string() };
+        self.context.metrics.route_decisions.get_or_create(&reason).inc();
         self.attempts += 1;
         let engine_request = self.engine_request(&decision);
         let address = decision.address;
--- /dev/null
+++ b/tests/configuration/admin.rs
@@ -0,0 +1,54 @@
+//! Routes, roles and description of the administration API.
+
+use coriandertide::admin::access::authenticate;
+use coriandertide::admin::routes::find_route;
+use coriandertide::admin::{AdminCode, AdminRoute, openapi};
+use coriandertide::document::{Document, Owner, OwnerRole, hash_key};
+use http::Method;
+use strum::IntoEnumIterator;
+
+#[test]
+fn committed_description_is_current() {
+    super::schema::check("../openapi.json", &openapi::description());
+}
+
+#[test]
+fn every_route_is_found_and_described() {
+    let description = openapi::description();
+    for route in AdminRoute::iter() {
+        let path = route.path().replace("{edit_id}", "e-1");
+        let found = find_route(&route.method(), &path).unwrap();
+        assert_eq!(found.route, route);
+        assert_eq!(found.parameter.is_some(), route.path().contains('{'));
+        let method = route.method().as_str().to_ascii_lowercase();
+        let operation = &description["paths"][route.path()][method];
+        assert_eq!(operation["security"].is_array(), route.least_role().is_some(), "{route:?}");
+    }
+    let code = |method, path| find_route(&method, path).unwrap_err().code;
+    assert_eq!(code(Method::DELETE, "/admin/v1/document"), AdminCode::UnknownMethod);
+    assert_eq!(code(Method::GET, "/admin/v1/edits/a/b"), AdminCode::UnknownPath);
+    assert_eq!(code(Method::GET, "/admin/v1/edits/"), AdminCode::UnknownPath);
+}
+
+#[test]
+fn bootstrap_key_counts_only_without_owners() {
+    let bootstrap = hash_key("bootstrap");
+    let access = |key, document: &Document| {
+        authenticate(key, Some(document), Some(&bootstrap))
+            .map(|caller| (caller.name.to_string(), caller.owner.role))
+            .map_err(|error| error.code)
+    };
+    let mut document = Document::default();
+    let refused = Err(AdminCode::InvalidKey);
+    assert_eq!(access(None, &document), refused);
+    assert_eq!(access(Some("other"), &document), refused);
+    let expected = (String::from("bootstrap"), OwnerRole::Administrator);
+    assert_eq!(access(Some("bootstrap"), &document), Ok(expected));
+    let owner =
+        Owner { key_hashes: vec![hash_key("r")], role: OwnerRole::Reader, sections: Vec::new() };
+    document.owners.insert("team".into(), owner);
+    assert_eq!(access(Some("bootstrap"), &document), refused);
+    assert_eq!(access(Some("r"), &document), Ok((String::from("team"), OwnerRole::Reader)));
+    let caller = authenticate(Some("r"), Some(&document), None).unwrap();
+    assert_eq!(caller.require(OwnerRole::Editor).unwrap_err().code, AdminCode::Forbidden);
+}
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -2,12 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod admin;
+mod cli;
 mod decoders;
 mod document;
 mod editors;
 mod fold;
 mod generate;
 mod naive;
+mod nodes;
 mod schema;
 
 use proptest::test_runner::{Config, RngSeed};
--- /dev/null
+++ b/tests/configuration/nodes.rs
@@ -0,0 +1,154 @@
+//! Edits through the administration API of running nodes, while the log fails.
+
+use coriandertide::admin::messages::{
+    DocumentReply, EditReply, ErrorBody, HistoryReply, StatusReply,
+};
+use coriandertide::cli::{AdminClient, ClientError};
+use coriandertide::daemon::Node;
+use coriandertide::decision::configuration::{EditRequest, SectionChange};
+use coriandertide::document::hash_key;
+use coriandertide::settings::{RawSettings, Settings};
+use coriandertide_standins::log_service::LogFaults;
+use coriandertide_standins::{
+    InstanceListConfig, InstanceListStandIn, LogServiceConfig, LogServiceStandIn,
+};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+const WAIT: Duration = Duration::from_secs(20);
+const BOOTSTRAP: &str = "bootstrap-key";
+const TEAM: &str = "team-key";
+
+struct Site {
+    log: LogServiceStandIn,
+    list: InstanceListStandIn,
+}
+
+impl Site {
+    fn start() -> Self {
+        Self {
+            log: LogServiceStandIn::start(LogServiceConfig::default()).unwrap(),
+            list: InstanceListStandIn::start(InstanceListConfig::default()).unwrap(),
+        }
+    }
+
+    fn start_node(&self) -> Node {
+        let raw: RawSettings = serde_json::from_value(json!({
+            "instance_name": "entry",
+            "availability_zone": "couva",
+            "listen": { "callers": "127.0.0.1:0", "admin": "127.0.0.1:0", "partners": "127.0.0.1:0" },
+            "platform": {
+                "log": self.log.address().to_string(),
+                "instance_list": self.list.address().to_string(),
+            },
+            "partner_key": "a key for tests only",
+            "bootstrap_key_hash": hash_key(BOOTSTRAP),
+            "control": { "log_period_ms": 20 },
+            "limits": { "drain_grace_ms": 1 },
+        }))
+        .unwrap();
+        Node::start(Settings::try_from(raw).unwrap()).unwrap()
+    }
+}
+
+fn client(node: &Node, key: &str) -> AdminClient {
+    AdminClient::new(node.admin_address(), key)
+}
+
+fn request(edit_id: &str, section: &str, base_revision: u64, value: Value) -> EditRequest {
+    let change = SectionChange { section: section.into(), base_revision, value: Some(value) };
+    EditRequest { edit_id: edit_id.into(), changes: vec![change] }
+}
+
+fn edit(client: &AdminClient, request: &EditRequest) -> Result<EditReply, Box<ErrorBody>> {
+    smol::block_on(client.post("/admin/v1/edits", request)).map_err(|error| match error {
+        ClientError::Refused(body) => body,
+        ClientError::Peer(error) => panic!("{error}"),
+    })
+}
+
+fn wait_in_force(node: &Node, key: &str, revision: u64) {
+    let deadline = Instant::now() + WAIT;
+    loop {
+        let status: Result<StatusReply, _> =
+            smol::block_on(client(node, key).get("/admin/v1/status"));
+        if status.is_ok_and(|status| status.in_force >= revision) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "revision {revision} did not come into force");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn owners() -> Value {
+    json!({ "key_hashes": [hash_key(BOOTSTRAP)], "role": "administrator" })
+}
+
+/// Waits until the node has read the empty stream.
+fn wait_ready(node: &Node) {
+    let deadline = Instant::now() + WAIT;
+    while smol::block_on(client(node, BOOTSTRAP).get::<DocumentReply>("/admin/v1/document"))
+        .is_err()
+    {
+        assert!(Instant::now() < deadline, "the node did not read the stream");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn edits_take_effect_on_all_nodes_and_losers_learn_who_won() {
+    let site = Site::start();
+    let nodes: Vec<Node> = (0..3).map(|_| site.start_node()).collect();
+    wait_ready(&nodes[0]);
+    let admin = client(&nodes[0], BOOTSTRAP);
+    edit(&admin, &request("e1", "owners/operations", 0, owners())).unwrap();
+    let team = json!({ "key_hashes": [hash_key(TEAM)], "role": "editor",
+        "sections": ["workspaces/survey"] });
+    let revision = edit(&admin, &request("e2", "owners/survey", 0, team)).unwrap().revision;
+    nodes.iter().for_each(|node| wait_in_force(node, BOOTSTRAP, revision));
+
+    let survey = json!({ "requests_per_s": 5 });
+    let first = request("e3", "workspaces/survey", 0, survey.clone());
+    let accepted = edit(&client(&nodes[1], TEAM), &first).unwrap();
+    nodes.iter().for_each(|node| wait_in_force(node, BOOTSTRAP, accepted.revision));
+    assert_eq!(edit(&client(&nodes[2], TEAM), &first).unwrap(), accepted);
+
+    let late = edit(&admin, &request("e4", "workspaces/survey", 0, json!({}))).unwrap_err();
+    assert_eq!(late.code, "outdated");
+    let winner = late.winner.unwrap();
+    assert_eq!((winner.author.as_str(), winner.edit_id.as_deref()), ("survey", Some("e3")));
+    assert_eq!(late.current, Some(survey));
+
+    let team = client(&nodes[0], TEAM);
+    let code = |request| edit(&team, &request).unwrap_err().code;
+    assert_eq!(code(request("e5", "workspaces/other", 0, json!({}))), "forbidden");
+    let bad = request("e6", "workspaces/survey", accepted.revision, json!({ "tokens_per_s": 0 }));
+    let refused = edit(&team, &bad).unwrap_err();
+    assert_eq!(refused.code, "invalid_document");
+    assert_eq!(refused.faults[0].path, "workspaces.survey.tokens_per_s");
+    assert_eq!(code(request("e1", "workspaces/survey", 0, json!({}))), "edit_id_taken");
+    let history: HistoryReply = smol::block_on(team.get("/admin/v1/history")).unwrap();
+    assert_eq!(history.edits.len(), 3);
+    nodes.into_iter().for_each(Node::kill);
+}
+
+#[test]
+fn lost_answers_and_outages_neither_repeat_nor_lose_an_edit() {
+    let site = Site::start();
+    let node = site.start_node();
+    wait_ready(&node);
+    let admin = client(&node, BOOTSTRAP);
+    site.log.set_faults(LogFaults { lose_append_answers: true, ..LogFaults::default() });
+    let first = request("e1", "owners/operations", 0, owners());
+    let accepted = edit(&admin, &first).unwrap();
+    site.log.set_faults(LogFaults { outage: true, ..LogFaults::default() });
+    let second = request("e2", "models/guide", 0, json!({}));
+    let refused = edit(&admin, &second).unwrap_err();
+    assert!(matches!(refused.code.as_str(), "log_unavailable" | "outcome_unknown"));
+    site.log.set_faults(LogFaults::default());
+    let made = edit(&admin, &second).unwrap();
+    assert!(made.revision > accepted.revision);
+    let history: HistoryReply = smol::block_on(admin.get("/admin/v1/history")).unwrap();
+    assert_eq!(history.edits.len(), 2);
+    node.kill();
+}
--- a/tests/configuration/schema.rs
+++ b/tests/configuration/schema.rs
@@ -4,7 +4,8 @@
 use coriandertide::settings::RawSettings;
 use std::path::Path;
 
-fn check(file: &str, schema: &schemars::Schema) {
+/// Compares a committed file below `docs/schema` with what the code generates.
+pub fn check(file: &str, schema: &impl serde::Serialize) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/schema").join(file);
     let text = serde_json::to_string_pretty(schema).unwrap() + "\n";
     if std::env::var_os("COT_UPDATE_SCHEMAS").is_some() {
