--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,16 +4,19 @@
 //! loop applies the events, so that no state is shared.
 
 pub mod admin;
+pub mod claims;
 pub mod configuration;
 pub mod context;
 pub mod event;
 pub mod log_status;
 pub mod log_tail;
+pub mod poison;
 pub mod polls;
 pub mod routing;
 pub mod snapshot;
 pub mod state;
 
+pub use claims::ClaimsMessage;
 pub use context::ControlContext;
 pub use event::{ControlEvent, TrafficReport};
 pub use snapshot::{KeyIndex, Snapshot};
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -1,6 +1,7 @@
 //! Snapshot of the control state that traffic threads decide on.
 
 use crate::admin::AdminView;
+use crate::decision::poison::PoisonView;
 use crate::decision::routing::RoutingView;
 use crate::document::Document;
 use crate::types::WorkspaceId;
@@ -17,10 +18,14 @@
     pub keys: Arc<KeyIndex>,
     /// View for routing decisions.
     pub routing: RoutingView,
+    /// Strikes of requests that crashed servers.
+    pub poison: PoisonView,
     /// Live nodes, this one included.
     pub live_nodes: u32,
     /// View for the administration API.
     pub admin: Arc<AdminView>,
+    /// Rank of this node among the live nodes.
+    pub node_rank: u32,
 }
 
 /// Workspaces by the hash of their bearer keys.
