--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -12,7 +12,7 @@
 use crate::settings::Settings;
 use crate::traffic::context::{SharedParts, TrafficParts};
 use crate::traffic::{TrafficContext, dispatch};
-use crate::types::InstanceId;
+use crate::types::{InstanceId, Revision};
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -139,6 +139,11 @@
         self.partner_address
     }
 
+    /// Returns the revision of the document in force, 0 before the first.
+    pub fn document_revision(&self) -> Revision {
+        self.traffic.snapshot.load().document.as_ref().map_or(0, |document| document.offset)
+    }
+
     /// Stops gracefully: readiness goes first, then the listener, then the running requests end.
     pub fn drain(self) {
         let limits = self.traffic.settings.limits;
