feat(metrics): count answers, failures, latencies and peer errors; operators' pages

Cause: most families were never set, and a new operator had no first page. Change: src/traffic/measure.rs counts at the places where requests end; families without a source are gone; metrics.md (held against the registry by a test) and getting_started.md. Conclusion: leases, power and link families follow when their parts are wired into the node.

--- a/src/control/log_status.rs
+++ b/src/control/log_status.rs
@@ -1,7 +1,7 @@
 //! Records where the node stands in each log stream, for operators.
 
 use super::ControlState;
-use crate::metrics::StreamLabels;
+use crate::metrics::{PeerLabels, StreamLabels};
 use crate::ports::{LogPage, LogStream};
 use crate::types::PeerError;
 use std::sync::Arc;
@@ -34,10 +34,9 @@
         status.error = Some(error.to_string());
         let level = if is_first { log::Level::Warn } else { log::Level::Debug };
         log::log!(level, "event=log_read_failed stream={stream} {error}");
-        self.context
-            .metrics
-            .log_read_failures
-            .get_or_create(&StreamLabels { stream: name.to_owned() })
-            .inc();
+        let metrics = &self.context.metrics;
+        metrics.peer_errors.get_or_create(&PeerLabels::new("log", error)).inc();
+        let labels = StreamLabels { stream: name.to_owned() };
+        metrics.log_read_failures.get_or_create(&labels).inc();
     }
 }
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -2,6 +2,7 @@
 
 use super::{ControlContext, ControlEvent};
 use crate::decision::routing::KeptPrefix;
+use crate::metrics::PeerLabels;
 use crate::types::ServerId;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -13,7 +14,11 @@
     loop {
         match context.instance_list.list().await {
             Ok(instances) => context.send(ControlEvent::Instances(instances)).await,
-            Err(error) => log::warn!("event=instance_list_failed {error}"),
+            Err(error) => {
+                let labels = PeerLabels::new("instance_list", &error);
+                context.metrics.peer_errors.get_or_create(&labels).inc();
+                log::warn!("event=instance_list_failed {error}");
+            }
         }
         Timer::after(period).await;
     }
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -1,5 +1,6 @@
 //! Label sets of the metrics.
 
+use crate::types::PeerError;
 use prometheus_client::encoding::EncodeLabelSet;
 
 /// Labels of what a workspace asked for.
@@ -9,13 +10,13 @@
     pub workspace: String,
 }
 
-/// Labels of how a request ended.
+/// Labels of a failed call.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct OutcomeLabels {
-    /// Workspace.
-    pub workspace: String,
-    /// Outcome, such as `answered`, `refused` or `failed`.
-    pub outcome: String,
+pub struct FailureLabels {
+    /// Code of the failure.
+    pub code: String,
+    /// Whether the call was run.
+    pub run: String,
 }
 
 /// Label of a reason or outcome that comes from a closed set.
@@ -28,12 +29,19 @@
 /// Labels of a failed exchange.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerLabels {
-    /// Kind of peer: `engine`, `service`, `log`, `instance_list`, `kv_store` or `partner`.
+    /// Kind of peer: `engine`, `service`, `log` or `instance_list`.
     pub peer: String,
     /// Step at which the exchange failed.
     pub step: String,
 }
 
+impl PeerLabels {
+    /// Returns the labels of a failed exchange with a peer of this kind.
+    pub fn new(peer: &str, error: &PeerError) -> Self {
+        Self { peer: peer.to_owned(), step: error.step.to_string() }
+    }
+}
+
 /// Label of a log stream.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct StreamLabels {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod labels;
 
-pub use labels::{OutcomeLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels};
+pub use labels::{FailureLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels};
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -52,10 +52,10 @@
 /// All metrics of a node. Clones share their values.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
-    /// Requests that ended, by workspace and outcome.
-    pub requests: Family<OutcomeLabels, Counter>,
-    /// Requests under way.
-    pub requests_under_way: Gauge,
+    /// Complete answers to model requests.
+    pub answers: Family<RequestLabels, Counter>,
+    /// Calls that ended in a failure, by its code and whether they were run.
+    pub failures: Family<FailureLabels, Counter>,
     /// Time from accepting a request to its first token.
     pub first_token_seconds: LatencyFamily,
     /// Prompt tokens sent to engines.
@@ -66,12 +66,10 @@
     pub recomputed_tokens: Family<RequestLabels, Counter>,
     /// Routing decisions by reason.
     pub route_decisions: Family<ReasonLabels, Counter>,
-    /// Attempts after the first, by reason.
-    pub retries: Family<ReasonLabels, Counter>,
+    /// Attempts of model requests after the first.
+    pub retries: Counter,
     /// Exchanges with peers that failed, by peer and step.
     pub peer_errors: Family<PeerLabels, Counter>,
-    /// Claims of idempotency keys, by outcome.
-    pub claims: Family<ReasonLabels, Counter>,
     /// Leases held by this node.
     pub leases_held: Gauge,
     /// Watts that this node may commit.
@@ -98,8 +96,6 @@
     pub document_held_back: Gauge,
     /// Malformed records met on the configuration stream.
     pub configuration_bad_records: Counter,
-    /// Edits that this node submitted, by outcome.
-    pub configuration_edits: Family<ReasonLabels, Counter>,
     /// Requests to the administration API, by outcome.
     pub admin_requests: Family<ReasonLabels, Counter>,
 }
@@ -115,12 +111,8 @@
     }
 
     fn register_traffic(&self, registry: &mut Registry) {
-        registry.register("requests", "Requests that ended", self.requests.clone());
-        registry.register(
-            "requests_under_way",
-            "Requests under way",
-            self.requests_under_way.clone(),
-        );
+        registry.register("answers", "Complete answers", self.answers.clone());
+        registry.register("failures", "Failed calls by code", self.failures.clone());
         registry.register_with_unit(
             "first_token",
             "Time to the first token",
@@ -152,7 +144,6 @@
     }
 
     fn register_control(&self, registry: &mut Registry) {
-        registry.register("claims", "Claims by outcome", self.claims.clone());
         registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
         registry.register(
             "power_share_watts",
@@ -212,11 +203,6 @@
             "Malformed configuration records",
             self.configuration_bad_records.clone(),
         );
-        registry.register(
-            "configuration_edits",
-            "Edits submitted here by outcome",
-            self.configuration_edits.clone(),
-        );
         registry.register(
             "admin_requests",
             "Administration requests by outcome",
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -25,6 +25,7 @@
 
 /// Answers `request`.
 pub async fn dispatch(context: Arc<TrafficContext>, request: Request<Incoming>) -> Reply {
+    let counted = Arc::clone(&context);
     let result = match find_route(request.method(), request.uri().path()) {
         Ok(Route::Generation(endpoint)) => {
             text_generation::handle(context, endpoint, request).await
@@ -37,6 +38,7 @@
         Err(failure) => Err(failure),
     };
     result.unwrap_or_else(|failure| {
+        counted.count_failure(&failure);
         log::info!("event=refused code={} run={}", failure.code, failure.run_state);
         failure_reply(&failure)
     })
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -11,7 +11,6 @@
 use crate::decision::poison::MOST_STRIKES;
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
 use crate::decision::routing::{AnswerFeedback, RouteDecision, RouteQuery, SentRequest};
-use crate::metrics::ReasonLabels;
 use crate::ports::{EngineFrame, EngineRequest};
 use crate::types::{Delivery, PeerError, ServerId, Step};
 use futures_lite::FutureExt;
@@ -96,6 +95,11 @@
         &self.request
     }
 
+    /// Counts a failure that ended the answer after its first part.
+    pub fn count_failure(&self, failure: &Failure) {
+        self.context.count_failure(failure);
+    }
+
     /// Returns the next part; after an error the answer cannot go on.
     pub async fn next_part(&mut self) -> Result<Part, Failure> {
         loop {
@@ -145,8 +149,7 @@
         let decision = self.route(&snapshot, &query).map_err(AttemptError::Final)?;
         log_decision(&query, &decision, self.attempts);
         self.context.decisions.push(&query, &decision);
-        let reason = ReasonLabels { reason: decision.reason.to_string() };
-        self.context.metrics.route_decisions.get_or_create(&reason).inc();
+        self.context.count_decision(&decision);
         let power = self.hold_power(&decision);
         self.attempts += 1;
         let engine_request = self.engine_request(&decision);
@@ -241,6 +244,9 @@
             };
         }
         self.next_frame += 1;
+        if self.next_frame == 1 {
+            self.context.count_first_token(&self.request, Instant::now());
+        }
         if let Some(attempt) = &mut self.attempt {
             attempt.note_frame();
         }
@@ -257,6 +263,7 @@
     fn complete_attempt(&mut self, usage: Usage) {
         let Some(attempt) = &mut self.attempt else { return };
         attempt.complete();
+        self.context.count_answer(&self.request, usage, attempt.decision());
         let is_first = self.attempts == 1;
         let timing = attempt.timing(Instant::now()).filter(|_| is_first);
         self.context.report(TrafficReport::Answer(AnswerFeedback {
@@ -280,6 +287,7 @@
         let server = attempt.decision().server.clone();
         let incarnation = attempt.incarnation();
         drop(attempt);
+        self.context.count_peer_error("engine", error);
         if error.delivery == Delivery::Unknown {
             self.any_delivery_unknown = true;
         }
@@ -314,6 +322,7 @@
         match decision {
             RetryDecision::GiveUp(reason) => Err(self.given_up(reason)),
             RetryDecision::Retry => {
+                self.context.metrics.retries.inc();
                 if error.is_cut() {
                     self.run_apart().await;
                 }
--- a/src/traffic/handlers/service_call.rs
+++ b/src/traffic/handlers/service_call.rs
@@ -113,8 +113,13 @@
         log_service_call(call, server, "at_most_once");
         match context.services.call(server.address, call.clone(), deadline).await {
             Ok(response) => return Ok(response),
-            Err(error) if error.delivery == Delivery::NotSent => last_error = Some(error),
-            Err(error) => return Err(unknown_outcome(&error)),
+            Err(error) => {
+                context.count_peer_error("service", &error);
+                if error.delivery != Delivery::NotSent {
+                    return Err(unknown_outcome(&error));
+                }
+                last_error = Some(error);
+            }
         }
     }
     Err(not_run(last_error))
@@ -135,6 +140,7 @@
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
+        context.count_peer_error("service", &error);
         any_unknown |= error.delivery == Delivery::Unknown;
         let failed = FailedAttempt { attempts, delivery: error.delivery, deadline };
         last_error = Some(error);
--- a/src/traffic/handlers/text_generation.rs
+++ b/src/traffic/handlers/text_generation.rs
@@ -124,6 +124,7 @@
             Some((end_events(running.generation.request(), usage), StreamState::Ended))
         }
         Err(failure) => {
+            running.generation.count_failure(&failure);
             let request = running.generation.request();
             log::info!("event=stream_failed request={} code={}", request.id, failure.code);
             Some((encode_event(&failure_body(&failure)), StreamState::Ended))
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 pub mod generation;
 pub mod generation_request;
 pub mod handlers;
+pub mod measure;
 pub mod power_hold;
 pub mod reply;
 pub mod run_state;
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -9,6 +9,7 @@
 mod editors;
 mod fold;
 mod generate;
+mod metrics;
 mod naive;
 mod nodes;
 mod schema;
