--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -7,6 +7,7 @@
 //! anywhere. Parts that a node does not use move to partners by [`transfers`].
 
 pub mod account;
+pub mod ended;
 pub mod ledger;
 pub mod messages;
 pub mod settings;
@@ -20,11 +21,11 @@
 pub use settings::PowerSettings;
 
 use crate::decision::leases::stream::StreamRecord;
-use crate::decision::leases::tenure::drift_margin;
 use crate::ports::LogPage;
 use crate::types::{InstanceId, LogOffset};
 use account::watts_of_parts;
-use ledger::{ReadEntry, ReadShare, ShareLedger};
+use ended::EndedInstances;
+use ledger::{ReadEntry, ReadShare, ShareEntry, ShareLedger};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,9 +35,16 @@
 const ADJUST_MS: u64 = 5_000;
 /// Part of the fair share by which the share must be off to be changed before it is renewed.
 const ADJUST_DIVISOR: u64 = 10;
+/// Milliseconds after its start from which a node trusts the number of live nodes it sees.
+const COUNT_NODES_MS: u64 = 5_000;
+/// Requests whose power a node without a share asks for before it has any.
+const FIRST_ASK_REQUESTS: u64 = 4;
 /// Milliseconds over which nodes spread the release of a lapsed share.
 const RECLAIM_SPREAD_MS: u64 = 2_000;
 
+/// Instances probed in one tick.
+const PROBES_PER_TICK: usize = 2;
+
 /// Share that this node holds.
 #[derive(Clone, Copy, Debug)]
 struct HeldShare {
@@ -79,7 +87,10 @@
     last_attempt: u64,
     live_nodes: Option<u32>,
     max_nodes: u32,
+    counts_nodes_at: Instant,
+    has_asked_first: bool,
     transfers: Transfers,
+    ended: EndedInstances,
     is_stopping: bool,
 }
 
@@ -96,6 +107,7 @@
         Self {
             transfers: Transfers::new(instance.clone(), settings, Arc::clone(&account)),
             ledger: ShareLedger::new(&instance, settings.lease_ms, settings.transit_ms),
+            ended: EndedInstances::new(settings),
             instance,
             address,
             settings,
@@ -109,6 +121,8 @@
             last_attempt: 0,
             live_nodes: None,
             max_nodes: 1,
+            counts_nodes_at: now + Duration::from_millis(COUNT_NODES_MS),
+            has_asked_first: false,
             is_stopping: false,
         }
     }
@@ -120,12 +134,23 @@
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
                 self.account.set_document(&document);
+                self.ended.set_document(&document);
+                commands = self.ask_first(now);
             }
             PowerEvent::Page { page, from } => self.read_page(&page, from, now),
             PowerEvent::Message { from, message } => commands = self.receive(&from, &message, now),
             PowerEvent::Membership { partners, live_nodes } => {
                 self.transfers.set_partners(partners);
                 self.live_nodes = Some(live_nodes);
+                commands = self.ask_first(now);
+            }
+            PowerEvent::Heard(instance) => {
+                self.ended.clear_proof(&instance);
+                self.transfers.hear(&instance, now);
+            }
+            PowerEvent::Ended(instance) => self.ended.add_proof(instance, now),
+            PowerEvent::ServerIdle { server, asked_at } => {
+                self.ended.add_idle(server, asked_at);
             }
             PowerEvent::Tick => commands = self.tick(now),
             PowerEvent::Stop => commands = self.stop(now),
@@ -156,6 +181,19 @@
         }
     }
 
+    /// Asks for power as soon as a node without a share has partners, so that its first request
+    /// need not wait for an ask.
+    fn ask_first(&mut self, now: Instant) -> Vec<PowerCommand> {
+        let is_ready = self.transfers.has_partners() && self.account.shared_watts() > 0;
+        if self.held.is_some() || self.has_asked_first || !is_ready {
+            return Vec::new();
+        }
+        self.has_asked_first = true;
+        let work_limit = Duration::from_millis(self.settings.work_limit_ms);
+        self.account.add_lack(FIRST_ASK_REQUESTS, now + work_limit);
+        self.transfers.tick(now)
+    }
+
     fn receive(
         &mut self,
         from: &InstanceId,
@@ -170,7 +208,11 @@
                 self.transfers.regain(*grant);
                 Vec::new()
             }
-            PowerMessage::Ask { .. } => self.answer_ask(from, message, now),
+            PowerMessage::Ask { ask, held_grants, .. } => {
+                self.transfers.regain_unheld(from, *ask, held_grants);
+                self.refresh_share();
+                self.answer_ask(from, message, now)
+            }
         }
     }
 
@@ -228,7 +270,7 @@
         };
         let kept_parts = self.kept_parts(held);
         let parts = kept_parts.saturating_sub(self.transfers.given_parts());
-        let source = PowerSource { parts, deadline: held.deadline };
+        let source = PowerSource { parts, deadline: held.deadline, starts_until: held.deadline };
         self.account.set_source(SourceId::Share, source);
     }
 
@@ -248,6 +290,7 @@
         commands.extend(self.ledger.upkeep(now).map(PowerCommand::Append));
         if !self.is_stopping {
             commands.extend(self.reclaim(now));
+            commands.extend(self.probe(now));
         }
         commands
     }
@@ -265,7 +308,7 @@
         }
         let held_parts = self.held.map_or(0, |held| held.parts);
         let wanted_parts = self.wanted_parts(held_parts, now)?;
-        let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts() / ADJUST_DIVISOR;
+        let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts(now) / ADJUST_DIVISOR;
         let is_due = now >= self.renew_at || (is_off && now >= self.adjust_at);
         if !is_due || wanted_parts == 0 {
             return None;
@@ -276,14 +319,17 @@
         Some(self.send_hold(parts, self.settings.lease_ms, now))
     }
 
-    fn fair_parts(&self) -> u64 {
-        let nodes = self.live_nodes.unwrap_or(self.max_nodes).clamp(1, self.max_nodes);
+    /// Parts of the whole that are this node's fair share. Until links had time to open, as many
+    /// nodes as the document allows are reckoned with.
+    fn fair_parts(&self, now: Instant) -> u64 {
+        let seen_nodes = self.live_nodes.filter(|_| now >= self.counts_nodes_at);
+        let nodes = seen_nodes.unwrap_or(self.max_nodes).clamp(1, self.max_nodes);
         TOTAL_PARTS / u64::from(nodes)
     }
 
     /// Parts to hold from the next append on, or none if nothing can be said yet.
     fn wanted_parts(&self, held_parts: u64, now: Instant) -> Option<u64> {
-        let fair_parts = self.fair_parts();
+        let fair_parts = self.fair_parts(now);
         if held_parts > fair_parts {
             let surplus_parts = self.account.spare_parts(now).min(held_parts - fair_parts);
             return Some(held_parts - surplus_parts);
@@ -301,7 +347,7 @@
         let action = ShareAction::Hold {
             parts,
             lease_ms,
-            work_limit_ms: self.settings.work_limit_ms,
+            outlast_ms: self.settings.outlast_ms(),
             address: self.address.clone(),
         };
         self.renew_at = now + Duration::from_millis(self.settings.renew_ms);
@@ -335,7 +381,7 @@
             .ledger
             .entries()
             .filter(|read| read.entry.instance != self.instance)
-            .filter(|read| now >= self.reclaimable_at(read))
+            .filter(|read| self.is_reclaimable(read, now))
             .map(|read| ShareRecord {
                 instance: read.entry.instance.clone(),
                 attempt: 0,
@@ -352,20 +398,33 @@
             .collect()
     }
 
-    /// When nothing that the holder started can run any more. An instance that listened on this
-    /// node's own address had ended when this node started.
-    fn reclaimable_at(&self, read: &ReadEntry) -> Instant {
-        let entry = &read.entry;
+    /// Whether nothing that the holder started or granted can run any more.
+    fn is_reclaimable(&self, read: &ReadEntry, now: Instant) -> bool {
         let spread_seed = xxhash_rust::xxh3::xxh3_64(self.instance.as_bytes());
-        let spread = xxhash_rust::xxh3::xxh3_64_with_seed(entry.instance.as_bytes(), spread_seed);
+        let holder = read.entry.instance.as_bytes();
+        let spread = xxhash_rust::xxh3::xxh3_64_with_seed(holder, spread_seed);
         let lapsed_at = read.lapsed_at + Duration::from_millis(spread % RECLAIM_SPREAD_MS);
-        if entry.address != self.address {
-            return lapsed_at;
+        now >= lapsed_at || self.ended.has_work_ended(&read.entry, now)
+    }
+
+    /// Probes instances that have a share and no link to this node, some at a time. An instance
+    /// that listened on this node's own address had ended when this node started.
+    fn probe(&mut self, now: Instant) -> Vec<PowerCommand> {
+        let mut commands = Vec::new();
+        for read in self.ledger.entries() {
+            let ShareEntry { instance, address, .. } = &read.entry;
+            if *instance == self.instance || self.transfers.is_partner(instance) {
+                continue;
+            }
+            if *address == self.address {
+                self.ended.add_proof(instance.clone(), self.started_at);
+            } else if commands.len() < PROBES_PER_TICK && self.ended.take_probe(instance, now) {
+                let (instance, address) = (instance.clone(), address.clone());
+                commands.push(PowerCommand::Probe { instance, address });
+            }
         }
-        let work_ends_at = self.started_at
-            + Duration::from_millis(entry.work_limit_ms + self.settings.transit_ms)
-            + drift_margin(entry.work_limit_ms);
-        lapsed_at.min(work_ends_at)
+        self.ended.retain(|instance| self.ledger.entry(instance).is_some());
+        commands
     }
 
     /// Gives up the share except for what partners and requests still use, which lapses with them.
