--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
 //! loop applies the events, so that no state is shared.
 
+pub mod admin;
 pub mod claims;
 pub mod configuration;
 pub mod context;
@@ -10,6 +11,7 @@
 pub mod leases;
 mod link_listener;
 pub mod links;
+pub mod log_status;
 pub mod log_tail;
 pub mod partners;
 pub mod placement;
