--- a/tests/whole_path/partners.rs
+++ b/tests/whole_path/partners.rs
@@ -34,3 +34,35 @@
     first.kill();
     second.kill();
 }
+
+fn engine_arrivals(site: &Site) -> Vec<u64> {
+    site.engines.iter().map(|engine| engine.accepted_requests()).collect()
+}
+
+#[test]
+fn a_server_that_the_list_shows_as_leaving_gets_no_new_work_within_three_seconds() {
+    let site = Site::start();
+    let node = site.start_node();
+    let ask = |text: &str| {
+        let mut body = chat(2, false);
+        body["messages"][0]["content"] = text.into();
+        let request = post("/v1/chat/completions", body.to_string());
+        assert!(call(node.caller_address(), request).unwrap().status.is_success());
+    };
+    site.list.put_shown(Instance {
+        name: "engine-0".into(),
+        kind: "backend_server".into(),
+        address: site.engines[0].address(),
+        availability_zone: "zone".into(),
+        state: "leaving".into(),
+    });
+    std::thread::sleep(Duration::from_secs(3));
+    let before = engine_arrivals(&site);
+    for number in 0..20 {
+        ask(&format!("manual {number} "));
+    }
+    let after = engine_arrivals(&site);
+    assert_eq!(after[0], before[0]);
+    assert_eq!(after[1], before[1] + 20);
+    node.kill();
+}
