feat(routing): trust homes by rank, price recomputation for the requests behind

Change: home trust 0.8, falling by rank; a recomputed second costs the requests behind as well; occupancy without the wait; waiting tokens bounded by what requests had computed; a budget of its own for cache events, which ask for the newest only.

--- a/src/control/routing.rs
+++ b/src/control/routing.rs
@@ -17,6 +17,8 @@
 const LOADED_MODEL_BYTES: usize = 60;
 /// Bytes of an encoded cache event.
 const CACHE_EVENT_BYTES: usize = 80;
+/// Newest cache events that a page should hold at most; older ones are skipped.
+const PAGE_EVENTS: u64 = 16;
 /// Servers of a site up to which all count as about to be used.
 const SMALL_SITE_SERVERS: usize = 32;
 /// Prefixes that the KV store is asked for at once.
@@ -79,14 +81,14 @@
     ) {
         let models = report.models.len() + report.loading.len();
         let bytes = LOAD_REPORT_BYTES + models * LOADED_MODEL_BYTES;
-        self.settle_poll(&server, PollKind::Load, bytes, now);
+        self.settle_poll(&server, PollKind::Load, bytes);
         self.routing.apply(RoutingEvent::Load { server, report, asked_at }, now);
     }
 
     /// Takes in that a server did not report its load.
     pub(super) fn fail_load_report(&mut self, server: ServerId, error: &PeerError, now: Instant) {
         log::warn!("event=load_report_failed server={server} {error}");
-        self.settle_poll(&server, PollKind::Load, 0, now);
+        self.settle_poll(&server, PollKind::Load, 0);
         self.routing.apply(RoutingEvent::ServerFailed { server }, now);
     }
 
@@ -98,28 +100,27 @@
         now: Instant,
     ) {
         let bytes = page.events.len() * CACHE_EVENT_BYTES;
-        self.settle_poll(&server, PollKind::CacheEvents, bytes, now);
+        self.settle_poll(&server, PollKind::CacheEvents, bytes);
         self.routing.apply(RoutingEvent::CacheEvents { server, page }, now);
     }
 
     /// Takes in that a server published no cache events; its load report tells whether it lives.
-    pub(super) fn fail_cache_events(&mut self, server: ServerId, error: &PeerError, now: Instant) {
+    pub(super) fn fail_cache_events(&mut self, server: ServerId, error: &PeerError) {
         log::warn!("event=cache_events_failed server={server} {error}");
-        self.settle_poll(&server, PollKind::CacheEvents, 0, now);
+        self.settle_poll(&server, PollKind::CacheEvents, 0);
     }
 
-    fn settle_poll(&mut self, server: &ServerId, kind: PollKind, bytes: usize, now: Instant) {
+    fn settle_poll(&mut self, server: &ServerId, kind: PollKind, bytes: usize) {
         let poll = PollRequest { server: server.clone(), kind };
-        self.routing_polls.planner.answered(&poll, HEAD_BYTES + bytes, now);
+        self.routing_polls.planner.answered(&poll, HEAD_BYTES + bytes);
     }
 
-    fn send_poll(&self, poll: PollRequest, address: std::net::SocketAddr) {
+    fn send_poll(&mut self, poll: PollRequest, address: std::net::SocketAddr) {
         let context = self.context.clone();
         match poll.kind {
             PollKind::Load => self.context.spawn(polls::poll_load(context, poll.server, address)),
             PollKind::CacheEvents => {
-                let state = self.routing.server(&poll.server);
-                let from = state.map_or(0, |state| state.next_event);
+                let from = self.routing.next_events_from(&poll.server, PAGE_EVENTS);
                 let task = polls::poll_cache_events(context, poll.server, address, from);
                 self.context.spawn(task);
             }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -74,7 +74,7 @@
                 self.apply_cache_events(server, page, now);
             }
             ControlEvent::CacheEventsFailed { server, error } => {
-                self.fail_cache_events(server, &error, now);
+                self.fail_cache_events(server, &error);
             }
             ControlEvent::KeptPrefixes(kept) => {
                 self.routing.apply(RoutingEvent::KeptPrefixes(kept), now);
--- a/src/decision/routing/config.rs
+++ b/src/decision/routing/config.rs
@@ -19,6 +19,12 @@
     pub gap_trust: f64,
     /// Probability that a home holds a prefix that this node has no belief of.
     pub home_trust: f64,
+    /// Factor on it for the first server after the homes, and again for the second.
+    pub spare_home_factor: f64,
+    /// Weight of recomputed seconds beside those of the workspace, for the requests behind.
+    pub recomputation_cost: f64,
+    /// Prompt tokens assumed to be computed for a request before any was observed.
+    pub initial_computed_tokens: f64,
     /// Time constant of the request rates of prefixes.
     pub rate_window: Duration,
     /// Share of a server's concurrent requests that one prefix may fill before it gets a home more.
@@ -64,7 +70,10 @@
             min_cache_lifetime: Duration::from_secs(1),
             max_cache_lifetime: Duration::from_secs(300),
             gap_trust: 0.5,
-            home_trust: 0.5,
+            home_trust: 0.8,
+            spare_home_factor: 0.2,
+            recomputation_cost: 1.0,
+            initial_computed_tokens: 500.0,
             rate_window: Duration::from_secs(5),
             home_utilisation: 0.6,
             home_shrink_factor: 0.7,
--- a/src/decision/routing/feedback.rs
+++ b/src/decision/routing/feedback.rs
@@ -145,8 +145,10 @@
         let computed_tokens = answer.prompt_tokens.saturating_sub(answer.cached_tokens);
         self.update_server(&answer.server, |state| {
             let Some(info) = state.info.clone() else { return };
-            let occupancy = timing.ended_at.saturating_duration_since(timing.sent_at);
-            state.observe_occupancy(occupancy.as_secs_f64());
+            // Without the wait, which would make a queue look like demand for more homes.
+            let decode = timing.ended_at.saturating_duration_since(timing.first_token_at);
+            let prefill_s = f64::from(computed_tokens) / prefill_tokens_per_s;
+            state.observe_work(decode.as_secs_f64() + prefill_s, computed_tokens);
             let first_token = timing.first_token_at.saturating_duration_since(timing.sent_at);
             let expected_s = f64::from(computed_tokens) / prefill_tokens_per_s
                 + 2.0 * info.link_delay.as_secs_f64()
--- a/src/decision/routing/load.rs
+++ b/src/decision/routing/load.rs
@@ -37,6 +37,8 @@
     pub excess_wait: ExcessWait,
     /// Seconds for which a request occupies the server.
     pub occupancy_s: f64,
+    /// Prompt tokens that a request had computed, on average.
+    pub computed_tokens: f64,
     /// Seconds after which a belief is worth 1/e.
     pub cache_lifetime_s: f64,
     /// When events were last found missing.
@@ -52,8 +54,12 @@
     pub asked_at: Instant,
     /// Requests running or waiting.
     pub requests: u32,
+    /// Requests waiting.
+    pub waiting_requests: u32,
     /// Prompt tokens waiting.
     pub waiting_prompt_tokens: u64,
+    /// Sequence number of the next cache event.
+    pub next_event: u64,
     /// This node's requests under way when the report came.
     pub own_requests: u32,
     /// This node's prompt tokens under way when the report came.
@@ -143,6 +149,7 @@
             backoff_until: None,
             excess_wait: ExcessWait::default(),
             occupancy_s: config.initial_occupancy_s,
+            computed_tokens: config.initial_computed_tokens,
             cache_lifetime_s: config.initial_cache_lifetime.as_secs_f64(),
             gap_at: None,
             next_event: 0,
@@ -178,7 +185,9 @@
         self.report = Some(ReportedLoad {
             asked_at,
             requests: report.running_requests.saturating_add(report.waiting_requests),
+            waiting_requests: report.waiting_requests,
             waiting_prompt_tokens: report.waiting_prompt_tokens,
+            next_event: report.next_event,
             own_requests: counters.map_or(0, |counters| counters.outstanding_requests()),
             own_prefill_tokens: counters.map_or(0, |counters| counters.prefill_tokens()),
             models: report.models.clone().into(),
@@ -232,7 +241,9 @@
         let of_others = (f64::from(report.requests) - reported_own).max(0.0) * weight;
         let sent_since = (own_requests - reported_own).max(0.0);
         let reported_own_tokens = report.own_prefill_tokens as f64;
-        let waiting = report.waiting_prompt_tokens as f64;
+        // A report may count cached tokens as waiting.
+        let waiting_limit = f64::from(report.waiting_requests) * self.computed_tokens;
+        let waiting = (report.waiting_prompt_tokens as f64).min(waiting_limit);
         let tokens_of_others = (waiting - reported_own_tokens).max(0.0) * weight;
         let tokens_since = (own_tokens - reported_own_tokens).max(0.0);
         LoadEstimate {
@@ -241,9 +252,11 @@
         }
     }
 
-    /// Takes in for how long a request occupied the server.
-    pub fn observe_occupancy(&mut self, occupancy_s: f64) {
+    /// Takes in for how long a request occupied the server, and what it had computed.
+    pub fn observe_work(&mut self, occupancy_s: f64, computed_tokens: u32) {
         self.occupancy_s += (occupancy_s - self.occupancy_s) * SMOOTHING;
+        let computed_tokens = f64::from(computed_tokens);
+        self.computed_tokens += (computed_tokens - self.computed_tokens) * SMOOTHING;
     }
 
     /// Takes in whether a belief of age `age_s` turned out to be right.
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -124,6 +124,19 @@
         self.kept_queries.drain(..count).collect()
     }
 
+    /// Returns the sequence number to ask `server` for cache events from.
+    ///
+    /// Events that a page of `page_events` cannot hold are skipped: late news is worse than none.
+    pub fn next_events_from(&mut self, server: &ServerId, page_events: u64) -> u64 {
+        let mut from = 0;
+        self.update_server(server, |state| {
+            let reported = state.report.as_ref().map_or(0, |report| report.next_event);
+            state.next_event = state.next_event.max(reported.saturating_sub(page_events));
+            from = state.next_event;
+        });
+        from
+    }
+
     /// Returns the state of `server`.
     pub fn server(&self, server: &ServerId) -> Option<&ServerState> {
         let index = self.fleet.index(server)?;
--- a/src/decision/routing/poll.rs
+++ b/src/decision/routing/poll.rs
@@ -11,7 +11,7 @@
     pub budget_bytes_per_s: f64,
     /// Bytes that may be spent at once after a pause.
     pub burst_bytes: f64,
-    /// Share of the budget from which cache events are asked for; load reports may use all of it.
+    /// Share of the budget that cache events take; load reports take the rest.
     pub events_share: f64,
     /// Time between load reports of a server in use.
     pub load_interval: Duration,
@@ -30,7 +30,7 @@
         Self {
             budget_bytes_per_s: 8_000.0,
             burst_bytes: 8_000.0,
-            events_share: 0.4,
+            events_share: 0.25,
             load_interval: Duration::from_millis(250),
             events_interval: Duration::from_secs(1),
             use_lifetime: Duration::from_secs(5),
@@ -84,28 +84,40 @@
     events: PollState,
 }
 
+/// Budget of one kind of poll.
+#[derive(Clone, Copy, Debug)]
+struct KindBudget {
+    /// Share of the whole budget.
+    share: f64,
+    /// Bytes that may be spent now; below 0 after an answer that was larger than expected.
+    left_bytes: f64,
+    /// Mean bytes of an answer.
+    answer_bytes: f64,
+}
+
 /// Chooses the polls; the control thread sends them and reports what they cost.
 #[derive(Clone, Debug)]
 pub struct PollPlanner {
     config: PollConfig,
     servers: HashMap<ServerId, PolledServer>,
-    load_bytes: f64,
-    events_bytes: f64,
-    tokens_bytes: f64,
+    load_budget: KindBudget,
+    events_budget: KindBudget,
     refilled_at: Option<Instant>,
 }
 
 impl PollPlanner {
     /// Returns a planner without servers.
     pub fn new(config: PollConfig) -> Self {
-        let initial_bytes = config.initial_bytes;
-        let tokens_bytes = config.burst_bytes;
+        let budget = |share| KindBudget {
+            share,
+            left_bytes: config.burst_bytes * share,
+            answer_bytes: config.initial_bytes,
+        };
         Self {
+            load_budget: budget(1.0 - config.events_share),
+            events_budget: budget(config.events_share),
             config,
             servers: HashMap::new(),
-            load_bytes: initial_bytes,
-            events_bytes: initial_bytes,
-            tokens_bytes,
             refilled_at: None,
         }
     }
@@ -126,7 +138,7 @@
         self.servers.remove(server);
     }
 
-    /// Returns the polls to send now, the longest overdue first, load reports before events.
+    /// Returns the polls to send now, the longest overdue first.
     pub fn plan(&mut self, now: Instant) -> Vec<PollRequest> {
         self.refill(now);
         self.servers.retain(|_, server| now < server.in_use_until);
@@ -138,20 +150,16 @@
     }
 
     /// Takes in that a poll was answered with `bytes`, or failed after `bytes`.
-    pub fn answered(&mut self, poll: &PollRequest, bytes: usize, _now: Instant) {
+    pub fn answered(&mut self, poll: &PollRequest, bytes: usize) {
         let bytes = bytes as f64;
-        let mean = match poll.kind {
-            PollKind::Load => &mut self.load_bytes,
-            PollKind::CacheEvents => &mut self.events_bytes,
-        };
-        *mean += (bytes - *mean) / 8.0;
-        let Some(server) = self.servers.get_mut(&poll.server) else {
-            self.tokens_bytes -= bytes;
-            return;
-        };
-        let state = server.state(poll.kind);
-        state.pending_until = None;
-        self.tokens_bytes += std::mem::take(&mut state.charged_bytes) - bytes;
+        let state = self.servers.get_mut(&poll.server).map(|server| server.state(poll.kind));
+        let charged_bytes = state.map_or(0.0, |state| {
+            state.pending_until = None;
+            std::mem::take(&mut state.charged_bytes)
+        });
+        let budget = self.budget(poll.kind);
+        budget.answer_bytes += (bytes - budget.answer_bytes) / 8.0;
+        budget.left_bytes += charged_bytes - bytes;
     }
 
     /// Returns the time at which the next poll may be due, none if no server is in use.
@@ -162,18 +170,27 @@
     fn refill(&mut self, now: Instant) {
         let refilled_at = self.refilled_at.replace(now).unwrap_or(now);
         let elapsed_s = now.saturating_duration_since(refilled_at).as_secs_f64();
-        let refilled = self.tokens_bytes + elapsed_s * self.config.budget_bytes_per_s;
-        self.tokens_bytes = refilled.min(self.config.burst_bytes);
+        for kind in [PollKind::Load, PollKind::CacheEvents] {
+            let (rate, burst) = (self.config.budget_bytes_per_s, self.config.burst_bytes);
+            let budget = self.budget(kind);
+            let refilled_bytes = budget.left_bytes + elapsed_s * rate * budget.share;
+            budget.left_bytes = refilled_bytes.min(burst * budget.share);
+        }
+    }
+
+    fn budget(&mut self, kind: PollKind) -> &mut KindBudget {
+        match kind {
+            PollKind::Load => &mut self.load_budget,
+            PollKind::CacheEvents => &mut self.events_budget,
+        }
     }
 
     fn plan_kind(&mut self, kind: PollKind, now: Instant, polls: &mut Vec<PollRequest>) {
-        let (cost_bytes, reserve_bytes, interval) = match kind {
-            PollKind::Load => (self.load_bytes, 0.0, self.config.load_interval),
-            PollKind::CacheEvents => {
-                let reserve_bytes = self.config.burst_bytes * (1.0 - self.config.events_share);
-                (self.events_bytes, reserve_bytes, self.config.events_interval)
-            }
+        let interval = match kind {
+            PollKind::Load => self.config.load_interval,
+            PollKind::CacheEvents => self.config.events_interval,
         };
+        let cost_bytes = self.budget(kind).answer_bytes;
         let mut due: Vec<(Instant, ServerId)> = self
             .servers
             .iter_mut()
@@ -183,10 +200,11 @@
             .collect();
         due.sort_unstable();
         for (_, server) in due {
-            if self.tokens_bytes - cost_bytes < reserve_bytes {
+            let budget = self.budget(kind);
+            if budget.left_bytes < cost_bytes {
                 return;
             }
-            self.tokens_bytes -= cost_bytes;
+            budget.left_bytes -= cost_bytes;
             if let Some(known) = self.servers.get_mut(&server) {
                 let state = known.state(kind);
                 state.due_at = now + interval;
--- a/src/decision/routing/score.rs
+++ b/src/decision/routing/score.rs
@@ -8,8 +8,8 @@
 use crate::document::ScoreWeights;
 use std::time::Instant;
 
-/// Smallest probability of a home holding a prefix; keeps an idle site to the homes.
-const MIN_HOME_TRUST: f64 = 0.05;
+/// Probability that a home holds a prefix where no other node can have sent it there.
+const LONE_HOME_TRUST: f64 = 0.2;
 /// Probability from which a prefix counts as believed to be cached.
 const CACHED_TRUST: f64 = 0.5;
 
@@ -61,9 +61,8 @@
         };
         let levels: Vec<KnownLevel<'a>> = levels.iter().map(known).collect();
         let anchor = levels.iter().position(|known| known.level.anchor).unwrap_or(0);
-        let others = 1.0 - 1.0 / f64::from(live_nodes.max(1));
         let kept = kept_level(&levels, now);
-        let home_trust = (config.home_trust * others).max(MIN_HOME_TRUST);
+        let home_trust = if live_nodes > 1 { config.home_trust } else { LONE_HOME_TRUST };
         Self { levels, anchor, kept, home_trust }
     }
 
@@ -89,22 +88,31 @@
         entries.flat_map(|entry| entry.holders.iter().map(|holder| holder.server))
     }
 
-    /// Returns the tokens expected from the cache of `server`.
+    /// Returns the probability that a server holds the anchor though this node knows nothing of it.
+    fn home_trust(&self, rank: Option<usize>, config: &RoutingConfig) -> f64 {
+        let Some(rank) = rank else { return 0.0 };
+        let beyond = rank.saturating_sub(self.homes() as usize - 1);
+        let spares = i32::try_from(beyond).unwrap_or(i32::MAX);
+        self.home_trust * config.spare_home_factor.powi(spares)
+    }
+
+    /// Returns the tokens expected from the cache of `server`, a home of rank `home_rank`.
     pub fn expected_hit(
         &self,
         index: ServerIndex,
         server: &ServerState,
-        is_home: bool,
+        home_rank: Option<usize>,
         config: &RoutingConfig,
         now: Instant,
     ) -> ExpectedHit {
         let mut hit = ExpectedHit::default();
+        let home_trust = self.home_trust(home_rank, config);
         let mut trust = 0.0_f64;
         for (position, known) in self.levels.iter().enumerate().rev() {
             trust = trust.max(known.trust(index, server, config, now));
             hit.is_believed |= trust >= CACHED_TRUST;
-            if is_home && position <= self.anchor {
-                trust = trust.max(self.home_trust);
+            if position <= self.anchor {
+                trust = trust.max(home_trust);
             }
             let outer = position.checked_sub(1).map_or(0, |outer| self.levels[outer].level.tokens);
             hit.tokens += trust * f64::from(known.level.tokens.saturating_sub(outer));
@@ -198,9 +206,9 @@
         index: ServerIndex,
         server: &ServerState,
         info: &ServerInfo,
-        is_home: bool,
+        home_rank: Option<usize>,
     ) -> Score {
-        let hit = belief.expected_hit(index, server, is_home, self.config, self.now);
+        let hit = belief.expected_hit(index, server, home_rank, self.config, self.now);
         let load = server.load(self.live_nodes, self.config, self.now);
         let prompt_tokens = f64::from(belief.tokens());
         let recomputed_s = (prompt_tokens - hit.tokens) / self.model.prefill_tokens_per_s;
@@ -213,7 +221,7 @@
         let first_token_s = wait_s + excess_s + prefill_s + link_s;
         let utilisation = load.requests / f64::from(info.concurrent_requests);
         let cost_s = self.weights.first_token * first_token_s
-            + self.weights.recomputation * prefill_s
+            + (self.weights.recomputation + self.config.recomputation_cost) * prefill_s
             + self.weights.zone_link * link_s
             + utilisation * self.config.utilisation_cost_s;
         Score { cost_s, hit, load, wait_s, imports }
--- a/src/decision/routing/view.rs
+++ b/src/decision/routing/view.rs
@@ -51,7 +51,7 @@
     pub(super) index: ServerIndex,
     pub(super) state: &'a ServerState,
     pub(super) info: &'a ServerInfo,
-    is_home: bool,
+    home_rank: Option<usize>,
 }
 
 /// How willingly a server is taken; earlier variants go first whatever the score.
@@ -70,6 +70,7 @@
 struct ScoredServer<'a> {
     server: EligibleServer<'a>,
     score: Score,
+    is_home: bool,
     tier: Tier,
 }
 
@@ -128,12 +129,12 @@
         &self,
         query: &RouteQuery,
         index: ServerIndex,
-        is_home: bool,
+        home_rank: Option<usize>,
     ) -> Option<EligibleServer<'_>> {
         let state = self.state(index).filter(|state| state.is_in_service())?;
         let info = state.info.as_deref()?;
         let is_excluded = query.excluded.contains(&info.id);
-        (!is_excluded).then_some(EligibleServer { index, state, info, is_home })
+        (!is_excluded).then_some(EligibleServer { index, state, info, home_rank })
     }
 
     fn route_by_baseline(
@@ -142,7 +143,7 @@
         model: &ModelServers,
         now: Instant,
     ) -> Option<RouteDecision> {
-        let all = model.servers.iter().filter_map(|&(index, _)| self.eligible(query, index, false));
+        let all = model.servers.iter().filter_map(|&(index, _)| self.eligible(query, index, None));
         let mut eligible: Vec<EligibleServer<'_>> = all.collect();
         if eligible.iter().any(|server| !server.state.is_backing_off(now)) {
             eligible.retain(|server| !server.state.is_backing_off(now));
@@ -225,17 +226,12 @@
         let ranked =
             ranked_servers(servers.iter().copied(), belief.anchor_key(), homes + SPARE_HOMES);
         let mut candidates: Vec<EligibleServer<'_>> = Vec::with_capacity(servers.len().min(64));
-        let mut homes_left = homes;
         for ranked in ranked {
-            let Some(server) = self.eligible(query, ranked.server, homes_left > 0) else {
-                continue;
-            };
-            homes_left = homes_left.saturating_sub(1);
-            candidates.push(server);
+            candidates.extend(self.eligible(query, ranked.server, Some(candidates.len())));
         }
         let mut push = |index: ServerIndex| {
             if candidates.iter().all(|known| known.index != index) {
-                candidates.extend(self.eligible(query, index, false));
+                candidates.extend(self.eligible(query, index, None));
             }
         };
         if servers.len() <= self.config.full_scan_servers {
@@ -259,11 +255,12 @@
         input: &ScoreInput<'_>,
         seed: u64,
     ) -> ScoredServer<'a> {
-        let EligibleServer { index, state, info, is_home } = server;
-        let mut score = input.score(belief, index, state, info, is_home);
+        let EligibleServer { index, state, info, home_rank } = server;
+        let mut score = input.score(belief, index, state, info, home_rank);
         let chance = super::homes::rendezvous_rank(info.name_hash, seed) as f64 / u64::MAX as f64;
         score.cost_s += chance * TIE_BREAK_S;
-        ScoredServer { server, score, tier: self.tier(state, info, input.now) }
+        let is_home = home_rank.is_some_and(|rank| rank < belief.homes() as usize);
+        ScoredServer { server, score, is_home, tier: self.tier(state, info, input.now) }
     }
 
     fn tier(&self, state: &ServerState, info: &ServerInfo, now: Instant) -> Tier {
@@ -288,7 +285,7 @@
             RouteReason::Import
         } else if self.score.hit.is_believed {
             RouteReason::CachedPrefix
-        } else if self.server.is_home {
+        } else if self.is_home {
             RouteReason::Home
         } else {
             RouteReason::Spill
--- a/tests/routing/poll.rs
+++ b/tests/routing/poll.rs
@@ -25,7 +25,7 @@
             for (index, poll) in planner.plan(now).into_iter().enumerate() {
                 let bytes = answer_bytes[(step as usize + index) % answer_bytes.len()];
                 spent_bytes += bytes;
-                planner.answered(&poll, bytes, now);
+                planner.answered(&poll, bytes);
                 if poll.kind == PollKind::Load {
                     asked.insert(poll.server);
                 }
@@ -47,7 +47,7 @@
     assert_eq!(first.len(), 2);
     assert!(planner.plan(now + Duration::from_millis(300)).is_empty(), "answers are pending");
     assert!(first.iter().all(|poll| poll.server == server(1)));
-    first.iter().for_each(|poll| planner.answered(poll, 300, now));
+    first.iter().for_each(|poll| planner.answered(poll, 300));
     assert_eq!(planner.plan(now + Duration::from_millis(300)).len(), 1);
     assert!(planner.plan(now + Duration::from_secs(6)).is_empty(), "no longer in use");
 }
