fix(standins): the load report counts uncached prompt tokens alone

Cause: waiting_prompt_tokens counted whole prompts, so that a queue of cached prompts looked as long as one of uncached prompts and routers sent requests away from the engines that held their prefix. Change: the report counts what is left to compute; the protocol page says so. Conclusion: needed, not sufficient; the spread of prefixes over engines remains to be explained.

--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -117,11 +117,6 @@
         self.waiting.len()
     }
 
-    /// Returns the sum of the prompt tokens that wait.
-    pub fn waiting_prompt_tokens(&self) -> u64 {
-        self.waiting.values().map(|waiting| u64::from(waiting.prompt_tokens)).sum()
-    }
-
     /// Returns when the prefill under way ends, if there is one.
     pub fn prefill_ends_at(&self) -> Option<Instant> {
         self.prefill_ends_at
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -203,7 +203,7 @@
         let Some(engine) = shared.upgrade() else { return };
         let half_lag = {
             let mut state = lock(&engine.state);
-            let now = LoadReport::of(&state);
+            let now = LoadReport::of(&state, engine.config.prefill_tokens_per_s);
             let incarnation = now.incarnation;
             if let Some(report) = previous.replace(now)
                 && report.incarnation == incarnation
--- a/standins/src/engine/report.rs
+++ b/standins/src/engine/report.rs
@@ -14,7 +14,7 @@
     pub running_requests: usize,
     /// Requests waiting.
     pub waiting_requests: usize,
-    /// Prompt tokens waiting.
+    /// Prompt tokens waiting to be computed.
     pub waiting_prompt_tokens: u64,
     /// Models loaded.
     pub models: Vec<ReportedModel>,
@@ -55,7 +55,7 @@
         }
     }
 
-    pub(crate) fn of(state: &EngineState) -> Self {
+    pub(crate) fn of(state: &EngineState, prefill_tokens_per_s: u32) -> Self {
         let idle = Self::idle(state.incarnation, &state.models);
         let next_event = state.events.next_sequence();
         let leaving = state.faults.leaving;
@@ -65,7 +65,7 @@
         Self {
             running_requests: state.batch.running(),
             waiting_requests: state.batch.waiting_requests(),
-            waiting_prompt_tokens: state.batch.waiting_prompt_tokens(),
+            waiting_prompt_tokens: state.waiting_prompt_tokens(prefill_tokens_per_s),
             next_event,
             leaving,
             ..idle
--- a/standins/src/engine/shared.rs
+++ b/standins/src/engine/shared.rs
@@ -101,6 +101,21 @@
         }
     }
 
+    /// Returns the prompt tokens that wait to be computed: what is left of the prefill under way,
+    /// and of the waiting prompts what is not cached.
+    pub fn waiting_prompt_tokens(&self, prefill_tokens_per_s: u32) -> u64 {
+        let left = self
+            .batch
+            .prefill_ends_at()
+            .map_or(Duration::ZERO, |ends_at| ends_at.saturating_duration_since(Instant::now()));
+        let left_tokens = left.as_secs_f64() * f64::from(prefill_tokens_per_s);
+        let missed = |waiting: &Waiting| {
+            let cached = block_tokens(self.cache.cached_blocks(&waiting.blocks));
+            u64::from(waiting.prompt_tokens.saturating_sub(cached))
+        };
+        left_tokens as u64 + self.batch.waiting().map(missed).sum::<u64>()
+    }
+
     /// Records the changes of named levels that storing `blocks` makes.
     fn store(&mut self, config: &EngineConfig, blocks: &[u64], request: &GenerateRequest) {
         let shown_at = Instant::now() + Duration::from_millis(config.event_delay_ms);
