--- a/tests/power/power.rs
+++ b/tests/power/power.rs
@@ -108,6 +108,7 @@
     paused_until_ms: u64,
     cut_until_ms: u64,
     log_cut_until_ms: u64,
+    reads_cut_until_ms: u64,
     /// Server and time of the requests that the node starts while it can.
     demand: Option<(usize, u64)>,
 }
@@ -193,6 +194,7 @@
             paused_until_ms: 0,
             cut_until_ms: 0,
             log_cut_until_ms: 0,
+            reads_cut_until_ms: 0,
             demand: None,
         }
     }
@@ -320,7 +322,8 @@
                 continue;
             }
             let from = self.nodes[index].state.next_offset();
-            let is_cut = now_ms < self.nodes[index].log_cut_until_ms;
+            let node = &self.nodes[index];
+            let is_cut = now_ms < node.log_cut_until_ms.max(node.reads_cut_until_ms);
             let is_read = !is_cut && self.random.u8(..) > 40;
             if let Some(page) = self.log.read(from, now_ms).filter(|_| is_read) {
                 self.apply(index, PowerEvent::Page { page, from });
@@ -495,6 +498,29 @@
     }
 }
 
+/// A node that gives a part of its share up does not use it though it cannot read its own record.
+#[test]
+fn a_share_is_smaller_as_soon_as_that_is_sent() {
+    for seed in 1..20 {
+        let mut world = World::new(seed, settings());
+        world.links_lose = false;
+        (0..100).for_each(|_| world.step());
+        world.nodes[0].reads_cut_until_ms = u64::MAX;
+        let partners = world.nodes[1..].iter().map(|node| node.run.clone()).collect();
+        world.apply(0, PowerEvent::Membership { partners, live_nodes: 5 });
+        (0..60).for_each(|_| world.step());
+        for index in 0..4 {
+            world.nodes[index].demand = Some((0, 1_000));
+            if index > 0 {
+                let partners = Vec::new();
+                world.apply(index, PowerEvent::Membership { partners, live_nodes: 3 });
+            }
+        }
+        (0..150).for_each(|_| world.step());
+        assert!(world.peak_watts > BUDGETS_WATTS[0] * 9 / 10);
+    }
+}
+
 /// A grant that arrives late is used until the last moment of its validity, and not beyond.
 #[test]
 fn a_late_grant_is_used_until_it_ends_and_not_beyond() {
