--- a/examples/local_site/preset.rs
+++ b/examples/local_site/preset.rs
@@ -109,7 +109,7 @@
                 interactive_percent: 20,
                 first_token_weight: 1.0,
                 recomputation_weight: 1.0,
-                omniscient_hit_rate: 0.85,
+                omniscient_hit_rate: 0.93,
             },
             SiteName::Ramsaran => Self {
                 zones: &["couva", "point-lisas", "san-fernando", "marabella"],
@@ -131,7 +131,7 @@
                 interactive_percent: 60,
                 first_token_weight: 1.0,
                 recomputation_weight: 0.3,
-                omniscient_hit_rate: 0.85,
+                omniscient_hit_rate: 0.90,
             },
         }
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,6 +9,7 @@
 use super::{
     ControlContext, ControlEvent, Snapshot, TrafficReport, link_listener, log_tail, polls,
 };
+use crate::admin::AdminView;
 use crate::decision::configuration::ConfigurationFollower;
 use crate::decision::leases::{LeaseSettings, LeaseState};
 use crate::decision::leaving::{LeavingEvent, LeavingState};
@@ -38,6 +39,7 @@
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) admin: Arc<AdminView>,
     pub(super) node_rank: u32,
     pub(super) claims: ClaimsControl,
     pub(super) links: LinksControl,
@@ -77,6 +79,7 @@
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
+            admin: Arc::default(),
             node_rank,
             claims,
             links,
@@ -116,7 +119,7 @@
             }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
-                log::warn!("event=log_read_failed stream={stream} {error}");
+                self.note_log_failure(stream, &error);
                 self.partners.log_failed |= stream == LogStream::Configuration;
             }
             ControlEvent::Instances(instances) => self.apply_instances(instances, now),
@@ -139,7 +142,7 @@
                 self.apply_cache_events(server, page, now);
             }
             ControlEvent::CacheEventsFailed { server, error } => {
-                self.fail_cache_events(server, &error, now);
+                self.fail_cache_events(server, &error);
             }
             ControlEvent::KeptPrefixes(kept) => {
                 self.routing.apply(RoutingEvent::KeptPrefixes(kept), now);
@@ -168,6 +171,7 @@
     }
 
     fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
+        self.note_log_read(stream, &page, now);
         match stream {
             LogStream::Configuration => {
                 self.partners.log_failed = false;
@@ -215,6 +219,7 @@
             routing: self.routing.view(),
             poison: self.poison.view(),
             live_nodes: self.live_nodes,
+            admin: Arc::clone(&self.admin),
             node_rank: self.node_rank,
         }));
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,12 +5,14 @@
 use crate::adapters::{
     HttpInstanceList, HttpKvStore, HttpLogService, HttpModelEngine, HttpPlainService,
 };
+use crate::admin::{self, AdminContext};
 use crate::control::{self, ControlContext, ControlEvent, ControlState, Snapshot};
+use crate::metrics::Metrics;
 use crate::ports::{KvStore, ModelEngine};
 use crate::settings::Settings;
 use crate::traffic::context::{SharedParts, TrafficParts};
 use crate::traffic::{TrafficContext, dispatch};
-use crate::types::InstanceId;
+use crate::types::{InstanceId, Revision};
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -53,7 +55,7 @@
 /// Listeners of a node, bound before it serves.
 struct Listeners {
     callers: TcpListener,
-    _admin: TcpListener,
+    admin: TcpListener,
     partners: TcpListener,
 }
 
@@ -63,11 +65,11 @@
         let instance = format_smolstr!("{}-{:08x}", settings.instance_name, fastrand::u32(..));
         let listeners = Listeners {
             callers: bind(settings.listen.callers, "callers")?,
-            _admin: bind(settings.listen.admin, "admin")?,
+            admin: bind(settings.listen.admin, "admin")?,
             partners: bind(settings.listen.partners, "partners")?,
         };
         let caller_address = listeners.callers.local_addr()?;
-        let admin_address = listeners._admin.local_addr()?;
+        let admin_address = listeners.admin.local_addr()?;
         let partner_address = listeners.partners.local_addr()?;
         let settings = Arc::new(settings);
         let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
@@ -83,6 +85,7 @@
             snapshot,
             power: Arc::default(),
             shed_signals: Arc::default(),
+            metrics: Metrics::default(),
         };
         let traffic = Arc::new(TrafficContext::new(TrafficParts {
             shared: shared.clone(),
@@ -103,7 +106,8 @@
             },
             stopped.clone(),
         )?];
-        serve_callers(&executor, listeners.callers, &traffic, draining);
+        serve_callers(&executor, listeners.callers, &traffic, draining.clone());
+        serve_admin(&executor, listeners.admin, &traffic, draining);
         for number in 0..settings.traffic_threads {
             let name = format!("traffic-{number}");
             threads.push(spawn_traffic(name, Arc::clone(&executor), stopped.clone())?);
@@ -146,6 +150,11 @@
         self.partner_address
     }
 
+    /// Returns the revision of the document in force, 0 before the first.
+    pub fn document_revision(&self) -> Revision {
+        self.traffic.snapshot.load().document.as_ref().map_or(0, |document| document.offset)
+    }
+
     /// Stops gracefully: readiness goes first, then the listener, then the running requests end.
     pub fn drain(self) {
         let limits = self.traffic.settings.limits;
@@ -216,7 +225,8 @@
     stopped: Receiver<Infallible>,
 ) -> anyhow::Result<JoinHandle<()>> {
     let start = move |executor| {
-        let SharedParts { instance, settings, snapshot, power, shed_signals } = parts.shared;
+        let SharedParts { instance, settings, snapshot, power, shed_signals, metrics } =
+            parts.shared;
         let timeout = Duration::from_millis(settings.control.exchange_timeout_ms);
         let platform = settings.platform;
         let kv_store = platform
@@ -231,6 +241,7 @@
             instance_list: Arc::new(HttpInstanceList::new(platform.instance_list, timeout)),
             engines: parts.engines,
             kv_store,
+            metrics,
             events: parts.events,
             executor,
         };
@@ -257,10 +268,33 @@
     let context = Arc::clone(traffic);
     let handler: Handler =
         Arc::new(move |request| Box::pin(dispatch(Arc::clone(&context), request)));
-    let limits = ServerLimits {
-        head_bytes: traffic.settings.limits.head_bytes,
-        head_timeout_ms: traffic.settings.limits.read_timeout_ms,
-    };
+    let limits = server_limits(&traffic.settings);
+    let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
+    executor.spawn(server).detach();
+}
+
+fn serve_admin(
+    executor: &Arc<Executor<'static>>,
+    listener: TcpListener,
+    traffic: &Arc<TrafficContext>,
+    draining: Receiver<Infallible>,
+) {
+    let settings = &traffic.settings;
+    let timeout = Duration::from_millis(settings.control.exchange_timeout_ms);
+    let context = Arc::new(AdminContext {
+        traffic: Arc::clone(traffic),
+        log: Arc::new(HttpLogService::new(settings.platform.log, timeout)),
+    });
+    let handler: Handler =
+        Arc::new(move |request| Box::pin(admin::server::dispatch(Arc::clone(&context), request)));
+    let limits = server_limits(settings);
     let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
     executor.spawn(server).detach();
 }
+
+fn server_limits(settings: &Settings) -> ServerLimits {
+    ServerLimits {
+        head_bytes: settings.limits.head_bytes,
+        head_timeout_ms: settings.limits.read_timeout_ms,
+    }
+}
