--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -2,6 +2,7 @@
 
 use super::{ControlContext, ControlState};
 use crate::decision::leases::{HeldLease, LeaseCommand, LeaseEvent, LeaseKind};
+use crate::metrics::LeaseLabels;
 use crate::ports::{LogPage, LogStream};
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -22,6 +23,18 @@
             _ => BTreeSet::new(),
         };
         self.advance_leases(LeaseEvent::Want(wanted), now);
+        self.export_leases(now);
+    }
+
+    fn export_leases(&self, now: Instant) {
+        let metrics = &self.context.metrics;
+        let held = LeaseKind::iter().filter(|kind| self.leases.held(*kind, now).is_some());
+        metrics.leases_held.set(i64::try_from(held.count()).unwrap_or(i64::MAX));
+        for kind in LeaseKind::iter() {
+            let labels = LeaseLabels { lease: kind.to_string() };
+            let number = i64::try_from(self.leases.fencing_number(kind)).unwrap_or(i64::MAX);
+            metrics.lease_fencing_number.get_or_create(&labels).set(number);
+        }
     }
 
     /// Gives held leases up.
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -4,6 +4,7 @@
 use crate::decision::leases::{HeldLease, LeaseKind};
 use crate::decision::placement::{PlacementCommand, PlacementEvent, PlacementReason};
 use crate::decision::routing::AnswerFeedback;
+use crate::metrics::ReasonLabels;
 use crate::ports::{EngineOrder, EngineOrderKind, LoadReport, LoadedModel, OrderOutcome};
 use crate::types::{LogOffset, PeerResult, ServerId};
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
                 PlacementCommand::Order { server, address, order, reason } => {
                     let Some(held) = held else { continue };
                     log_order(&server, &order, reason);
+                    let labels = ReasonLabels { reason: reason.to_string() };
+                    self.context.metrics.placement_orders.get_or_create(&labels).inc();
                     let context = self.context.clone();
                     self.context.spawn(give_order(context, held, server, address, order));
                 }
--- a/src/control/power.rs
+++ b/src/control/power.rs
@@ -95,6 +95,16 @@
     pub(super) fn tick_power(&mut self, now: Instant) {
         self.update_power_partners(now);
         self.advance_power(PowerEvent::Tick, now);
+        self.export_power(now);
+    }
+
+    fn export_power(&self, now: Instant) {
+        let figures = self.power.figures(now);
+        let metrics = &self.context.metrics;
+        metrics.power_share_watts.set(gauge_value(figures.allowed_watts));
+        metrics.power_committed_watts.set(gauge_value(figures.committed_watts));
+        metrics.power_given_watts.set(gauge_value(figures.given_watts));
+        metrics.power_received_watts.set(gauge_value(figures.received_watts));
     }
 
     /// Takes in the partners with an open link and the number of live nodes, if they changed.
@@ -128,6 +138,7 @@
                 PowerCommand::Shed(requests) => {
                     for request in requests {
                         log::warn!("event=power_shed attempt={request}");
+                        self.context.metrics.power_shed.inc();
                         self.context.shed_signals.shed(&request);
                     }
                 }
@@ -154,6 +165,10 @@
     }
 }
 
+fn gauge_value(watts: u64) -> i64 {
+    i64::try_from(watts).unwrap_or(i64::MAX)
+}
+
 /// Tells control if the address of `instance` refuses connections.
 async fn probe(context: ControlContext, instance: InstanceId, address: SmolStr) {
     let Ok(address) = address.parse::<SocketAddr>() else { return };
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -42,6 +42,13 @@
     }
 }
 
+/// Label of a lease.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct LeaseLabels {
+    /// Lease.
+    pub lease: String,
+}
+
 /// Label of a log stream.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct StreamLabels {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,7 +4,9 @@
 
 pub mod labels;
 
-pub use labels::{FailureLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels};
+pub use labels::{
+    FailureLabels, LeaseLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels,
+};
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -72,10 +74,20 @@
     pub peer_errors: Family<PeerLabels, Counter>,
     /// Leases held by this node.
     pub leases_held: Gauge,
+    /// Fencing number of the last acquisition of a lease, by lease.
+    pub lease_fencing_number: Family<LeaseLabels, Gauge>,
+    /// Placement orders, by reason.
+    pub placement_orders: Family<ReasonLabels, Counter>,
     /// Watts that this node may commit.
     pub power_share_watts: Gauge,
     /// Watts that this node has committed.
     pub power_committed_watts: Gauge,
+    /// Watts given to partners and not regained.
+    pub power_given_watts: Gauge,
+    /// Watts received from partners.
+    pub power_received_watts: Gauge,
+    /// Attempts cancelled because the budget no longer covered them.
+    pub power_shed: Counter,
     /// Live nodes as this node sees them, itself included.
     pub live_nodes: Gauge,
     /// Bytes sent to partners.
@@ -143,8 +155,7 @@
         );
     }
 
-    fn register_control(&self, registry: &mut Registry) {
-        registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
+    fn register_power(&self, registry: &mut Registry) {
         registry.register(
             "power_share_watts",
             "Watts this node may commit",
@@ -155,6 +166,36 @@
             "Watts this node has committed",
             self.power_committed_watts.clone(),
         );
+        registry.register(
+            "power_given_watts",
+            "Watts given to partners",
+            self.power_given_watts.clone(),
+        );
+        registry.register(
+            "power_received_watts",
+            "Watts received from partners",
+            self.power_received_watts.clone(),
+        );
+        registry.register(
+            "power_shed",
+            "Attempts cancelled for want of power",
+            self.power_shed.clone(),
+        );
+    }
+
+    fn register_control(&self, registry: &mut Registry) {
+        registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
+        registry.register(
+            "lease_fencing_number",
+            "Fencing number of the last acquisition",
+            self.lease_fencing_number.clone(),
+        );
+        registry.register(
+            "placement_orders",
+            "Placement orders by reason",
+            self.placement_orders.clone(),
+        );
+        self.register_power(registry);
         registry.register("live_nodes", "Live nodes seen", self.live_nodes.clone());
         registry.register_with_unit(
             "link_sent",
