--- a/tests/together/leaving.rs
+++ b/tests/together/leaving.rs
@@ -104,3 +104,16 @@
     a minute later: {}
     "#);
 }
+
+#[test]
+fn a_server_that_left_before_it_was_ever_asked_is_back_with_its_second_incarnation() {
+    let mut case = Case::new();
+    case.list(InstanceState::Leaving);
+    case.report(7, false);
+    case.report(8, false);
+    insta::assert_snapshot!(case.snapshot(), @r#"
+    list Leaving: {"engine"}
+    report 7 leaving=false: {"engine"}
+    report 8 leaving=false: {}
+    "#);
+}
--- a/tests/together/links.rs
+++ b/tests/together/links.rs
@@ -4,7 +4,7 @@
 use coriandertide::decision::leaving::LeavingNotice;
 use coriandertide::decision::membership::{MemberRecord, MemberStatus};
 use coriandertide::decision::poison::Strike;
-use coriandertide::links::handshake::hmac_sha256;
+use coriandertide::links::handshake::{Challenge, Proof, Side, hmac_sha256};
 use coriandertide::links::{
     DecodedMessage, Identity, Link, LinkEnd, Outbox, PartnerMessage, accept, dial,
 };
@@ -56,6 +56,24 @@
     assert!(error.to_string().contains("the proof does not hold"), "{error}");
 }
 
+#[test]
+fn a_recorded_proof_holds_for_no_other_challenge_side_or_record() {
+    let identity = identity("a", "the shared key");
+    let challenge = Challenge::new().unwrap();
+    let proof = Proof::new(&identity, Side::Dialer, &challenge, 7);
+    assert!(proof.check(&identity.key, Side::Dialer, &challenge).is_ok());
+    assert!(proof.check(&identity.key, Side::Dialer, &Challenge::new().unwrap()).is_err());
+    assert!(proof.check(&identity.key, Side::Listener, &challenge).is_err());
+    assert!(
+        Proof { nonce: 8, ..proof.clone() }
+            .check("the shared key", Side::Dialer, &challenge)
+            .is_err()
+    );
+    let mut other = proof;
+    other.member.version += 1;
+    assert!(other.check(&identity.key, Side::Dialer, &challenge).is_err());
+}
+
 #[test]
 fn messages_arrive_in_order_newer_kinds_are_skipped_and_the_end_is_in_order() {
     let opened = open("the shared key", "the shared key");
--- a/tests/together/membership.rs
+++ b/tests/together/membership.rs
@@ -83,7 +83,8 @@
 #[test]
 fn a_node_that_leaves_is_gone_at_once() {
     let mut network = Network::new(4);
-    network.advance(5_000);
+    // Just after pings, so that no node is dialed before it has been told.
+    network.advance(5_300);
     network.leave(2);
     network.advance(500);
     network.nodes[2] = None;
