--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -1,18 +1,51 @@
-//! Publishes what the administration API shows of the nodes.
+//! Publishes what the administration API and monitoring show of nodes, leases, power and links.
 
 use super::ControlState;
-use crate::admin::messages::{NodeReply, NodeState};
+use crate::admin::messages::{LeaseReply, NodeReply, NodeState, PowerReply};
+use crate::decision::leases::LeaseKind;
+use crate::decision::membership::{MemberRecord, MemberStatus};
+use crate::types::InstanceId;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+use strum::IntoEnumIterator;
+
+/// Time between two looks at leases, power and links.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(500);
 
 impl ControlState {
+    /// Publishes what has changed, at most once in [`PUBLISH_PERIOD`].
+    pub(super) fn tick_admin(&mut self, now: Instant) {
+        if self.next_admin_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.next_admin_at = Some(now + PUBLISH_PERIOD);
+        self.publish_nodes();
+        self.publish_leases();
+        self.publish_power(now);
+        self.publish_links();
+    }
+
     /// Publishes the nodes and what each has in force.
     pub(super) fn publish_nodes(&mut self) {
-        let nodes = vec![self.own_node()];
+        self.forget_announcements();
+        let mut nodes = vec![self.own_node()];
+        nodes.extend(self.links.membership.live_members().map(|member| self.other_node(member)));
+        nodes.sort_by(|a, b| a.instance.cmp(&b.instance));
+        let metrics = &self.context.metrics;
+        metrics.live_nodes.set(i64::try_from(nodes.len()).unwrap_or(i64::MAX));
         if *self.admin.nodes != nodes {
             Arc::make_mut(&mut self.admin).nodes = Arc::new(nodes);
         }
     }
 
+    /// Forgets what nodes said that are gone.
+    fn forget_announcements(&mut self) {
+        let live: BTreeSet<&InstanceId> =
+            self.links.membership.live_members().map(|member| &member.instance).collect();
+        self.partners.announcements.retain(|instance, _| live.contains(instance));
+    }
+
     fn own_node(&self) -> NodeReply {
         let announcement = self.configuration.announcement();
         NodeReply {
@@ -23,4 +56,69 @@
             in_force: Some(announcement.in_force),
         }
     }
+
+    fn other_node(&self, member: &MemberRecord) -> NodeReply {
+        let announced = self.partners.announcements.get(&member.instance);
+        NodeReply {
+            instance: member.instance.clone(),
+            availability_zone: member.availability_zone.clone(),
+            state: match member.status {
+                MemberStatus::Alive => NodeState::Live,
+                MemberStatus::Suspect | MemberStatus::Dead => NodeState::Suspected,
+                MemberStatus::Left => NodeState::Leaving,
+            },
+            configuration_offset: announced.map(|announcement| announcement.offset),
+            in_force: announced.map(|announcement| announcement.in_force),
+        }
+    }
+
+    fn publish_leases(&mut self) {
+        let leases: Vec<LeaseReply> = LeaseKind::iter()
+            .map(|kind| LeaseReply {
+                kind: <&'static str>::from(kind).into(),
+                holder: self.leases.holder(kind).cloned(),
+                fencing_number: self.leases.fencing_number(kind),
+            })
+            .collect();
+        let held = LeaseKind::iter().filter(|kind| self.held_lease(*kind).is_some()).count();
+        self.context.metrics.leases_held.set(i64::try_from(held).unwrap_or(i64::MAX));
+        if *self.admin.leases != leases {
+            Arc::make_mut(&mut self.admin).leases = Arc::new(leases);
+        }
+    }
+
+    fn publish_power(&mut self, now: Instant) {
+        let figures = self.power.figures(now);
+        let budget_watts =
+            self.document.as_ref().map_or(0, |document| u64::from(document.site.budget_watts));
+        let reply = PowerReply {
+            budget_watts,
+            allowed_watts: figures.allowed_watts,
+            committed_watts: figures.committed_watts,
+            given_watts: figures.given_watts,
+            received_watts: figures.received_watts,
+        };
+        let metrics = &self.context.metrics;
+        metrics.power_share_watts.set(watts_gauge(figures.allowed_watts));
+        metrics.power_committed_watts.set(watts_gauge(figures.committed_watts));
+        if self.admin.power != reply {
+            Arc::make_mut(&mut self.admin).power = reply;
+        }
+    }
+
+    fn publish_links(&self) {
+        let metrics = &self.context.metrics;
+        let figures = self.links.figures;
+        raise(&metrics.link_sent_bytes, figures.sent_bytes);
+        raise(&metrics.link_received_bytes, figures.received_bytes);
+    }
+}
+
+/// Raises a counter to `total`.
+fn raise(counter: &prometheus_client::metrics::counter::Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn watts_gauge(watts: u64) -> i64 {
+    i64::try_from(watts).unwrap_or(i64::MAX)
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 pub mod poison;
 pub mod polls;
 pub mod power;
+pub mod republish;
 pub mod routing;
 pub mod snapshot;
 pub mod state;
--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -11,6 +11,7 @@
 use crate::links::PartnerMessage;
 use crate::ports::{InstanceKind, InstanceRecord, InstanceState};
 use crate::types::InstanceId;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time before the configuration is asked for again.
@@ -21,6 +22,8 @@
 pub struct PartnerExchange {
     /// Whether the last read of the configuration stream failed.
     pub(super) log_failed: bool,
+    /// What partners last said of their configuration.
+    pub(super) announcements: BTreeMap<InstanceId, Announcement>,
     /// When the configuration may be asked for again.
     next_request_at: Option<Instant>,
 }
@@ -35,6 +38,7 @@
     ) {
         match message {
             PartnerMessage::Ping { digest, configuration } => {
+                self.partners.announcements.insert(peer.clone(), configuration);
                 let event = MembershipEvent::Ping { peer: peer.clone(), digest };
                 self.advance_membership(event, now);
                 self.request_configuration(peer, configuration, now);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -10,7 +10,7 @@
     ControlContext, ControlEvent, Snapshot, TrafficReport, link_listener, log_tail, polls,
 };
 use crate::admin::AdminView;
-use crate::decision::configuration::ConfigurationFollower;
+use crate::decision::configuration::{ConfigurationFollower, SnapshotSchedule};
 use crate::decision::leases::{LeaseSettings, LeaseState};
 use crate::decision::leaving::{LeavingEvent, LeavingState};
 use crate::decision::placement::{PlacementEvent, PlacementSettings, PlacementState};
@@ -49,6 +49,8 @@
     pub(super) placement: PlacementState,
     pub(super) power: PowerControl,
     pub(super) is_stopping: bool,
+    pub(super) snapshots: SnapshotSchedule,
+    pub(super) next_admin_at: Option<Instant>,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
@@ -63,6 +65,7 @@
     ) -> Self {
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
+        let snapshot_period = Duration::from_millis(settings.control.snapshot_period_ms);
         let policy = settings.routing_policy;
         let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
         let claims = ClaimsControl::new(&context.instance, settings.claims);
@@ -89,6 +92,8 @@
             placement: PlacementState::new(PlacementSettings::default()),
             power,
             is_stopping: false,
+            snapshots: SnapshotSchedule::new(snapshot_period),
+            next_admin_at: None,
             snapshot,
         }
     }
@@ -116,6 +121,8 @@
                 self.tick_leases(now);
                 self.tick_placement(now);
                 self.tick_power(now);
+                self.tick_republish(now);
+                self.tick_admin(now);
             }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
--- a/src/decision/configuration/follower.rs
+++ b/src/decision/configuration/follower.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::SystemTime;
 
 /// Bad records that the status shows.
 const SHOWN_BAD_RECORDS: usize = 16;
@@ -93,6 +94,7 @@
     in_force: DocumentInForce,
     newer_record: Option<NewerRecord>,
     bad_records: VecDeque<BadRecord>,
+    snapshot_at: Option<SystemTime>,
 }
 
 impl ConfigurationFollower {
@@ -138,6 +140,11 @@
         self.newer_record
     }
 
+    /// Returns when the last record that a new node can start from was appended, by the log's clock.
+    pub fn snapshot_at(&self) -> Option<SystemTime> {
+        self.snapshot_at
+    }
+
     /// Returns the latest malformed records.
     pub fn bad_records(&self) -> impl Iterator<Item = &BadRecord> {
         self.bad_records.iter()
@@ -238,9 +245,13 @@
             let record = entry.get();
             match ConfigurationRecord::decode(&record.payload) {
                 Ok(decoded) => {
-                    if state.fold(record, &decoded) == RecordEffect::SnapshotDiffers {
+                    let effect = state.fold(record, &decoded);
+                    if effect == RecordEffect::SnapshotDiffers {
                         commands.push(ConfigurationCommand::ReportSnapshotDiffers(record.offset));
                     }
+                    if is_base(&decoded, effect) {
+                        self.snapshot_at = Some(record.appended_at);
+                    }
                 }
                 Err(RecordFault::Malformed(reason)) => {
                     state.skip(record.offset);
@@ -308,6 +319,15 @@
     }
 }
 
+/// Whether a new node can start from the record.
+fn is_base(record: &ConfigurationRecord, effect: RecordEffect) -> bool {
+    match record {
+        ConfigurationRecord::Initial(_) => effect == RecordEffect::Changed,
+        ConfigurationRecord::Edit(_) => false,
+        ConfigurationRecord::Snapshot(_) => effect == RecordEffect::Unchanged,
+    }
+}
+
 fn remember(bad_records: &mut VecDeque<BadRecord>, bad: BadRecord) {
     bad_records.push_back(bad);
     if bad_records.len() > SHOWN_BAD_RECORDS {
--- a/src/decision/configuration/mod.rs
+++ b/src/decision/configuration/mod.rs
@@ -8,6 +8,7 @@
 pub mod in_force;
 pub mod prepare;
 pub mod record;
+pub mod republish;
 pub mod sections;
 pub mod state;
 
@@ -20,6 +21,7 @@
     ConfigurationRecord, Edit, Initial, KindRevision, RECORD_FORMAT, RecordFault, SectionChange,
     Snapshot,
 };
+pub use republish::SnapshotSchedule;
 pub use state::{ConfigurationState, EditEntry, EditOutcome, RecordEffect, Section, Winner};
 
 use crate::document::{Document, RawDocument};
--- /dev/null
+++ b/src/decision/configuration/republish.rs
@@ -0,0 +1,46 @@
+//! When the state is republished as a snapshot, so that the log always holds a base.
+
+use super::follower::ConfigurationFollower;
+use super::record::{ConfigurationRecord, Snapshot};
+use bytes::Bytes;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Time after which a snapshot that was appended but not read back is appended again.
+const REPEAT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Schedule of the node that holds the lease.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotSchedule {
+    period: Duration,
+    next_attempt_at: Option<Instant>,
+}
+
+impl SnapshotSchedule {
+    /// Returns a schedule that keeps the last snapshot younger than `period`, plus the time of an
+    /// append.
+    pub fn new(period: Duration) -> Self {
+        Self { period, next_attempt_at: None }
+    }
+
+    /// Returns the payload to append now, if any. `wall_now` is compared with the log's clock.
+    pub fn take_due(
+        &mut self,
+        follower: &ConfigurationFollower,
+        now: Instant,
+        wall_now: SystemTime,
+    ) -> Option<Bytes> {
+        let state = follower.state()?;
+        let is_complete = follower.newer_record().is_none() && state.applied > 0;
+        let is_recent = follower.snapshot_at().is_some_and(|at| wall_now < at + self.period);
+        if is_recent {
+            self.next_attempt_at = None;
+        }
+        let is_waiting = self.next_attempt_at.is_some_and(|at| now < at);
+        if !is_complete || is_recent || is_waiting {
+            return None;
+        }
+        self.next_attempt_at = Some(now + REPEAT_PERIOD);
+        let snapshot = Snapshot { state: state.as_ref().clone() };
+        Some(ConfigurationRecord::Snapshot(snapshot).encode())
+    }
+}
--- a/src/decision/configuration/state.rs
+++ b/src/decision/configuration/state.rs
@@ -92,7 +92,7 @@
 }
 
 /// What a record did to the state.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RecordEffect {
     /// Sections changed.
     Changed,
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -123,6 +123,7 @@
         ("control.instance_list_period_ms", raw.instance_list_period_ms),
         ("control.load_period_ms", raw.load_period_ms),
         ("control.exchange_timeout_ms", raw.exchange_timeout_ms),
+        ("control.snapshot_period_ms", raw.snapshot_period_ms),
         ("control.poll_bytes_per_s", u64::from(raw.poll_bytes_per_s)),
         ("control.link_bytes_per_s", u64::from(raw.link_bytes_per_s)),
     ];
@@ -134,6 +135,7 @@
         instance_list_period_ms: raw.instance_list_period_ms,
         load_period_ms: raw.load_period_ms,
         exchange_timeout_ms: raw.exchange_timeout_ms,
+        snapshot_period_ms: raw.snapshot_period_ms,
         poll_bytes_per_s: raw.poll_bytes_per_s,
         link_bytes_per_s: raw.link_bytes_per_s,
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -93,6 +93,9 @@
     pub load_period_ms: u64,
     /// Milliseconds that an exchange with the platform may take.
     pub exchange_timeout_ms: u64,
+    /// Milliseconds after which the configuration is republished; below a quarter of the time for
+    /// which the log keeps records.
+    pub snapshot_period_ms: u64,
     /// Bytes a second for load reports and cache events.
     pub poll_bytes_per_s: u32,
     /// Bytes a second for partner links.
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -135,6 +135,9 @@
     pub load_period_ms: u64,
     /// Milliseconds that an exchange with the platform may take.
     pub exchange_timeout_ms: u64,
+    /// Milliseconds after which the configuration is republished; below a quarter of the time for
+    /// which the log keeps records.
+    pub snapshot_period_ms: u64,
     /// Bytes a second for load reports and cache events.
     pub poll_bytes_per_s: u32,
     /// Bytes a second for partner links.
@@ -148,6 +151,7 @@
             instance_list_period_ms: 1_000,
             load_period_ms: 500,
             exchange_timeout_ms: 2_000,
+            snapshot_period_ms: 120_000,
             poll_bytes_per_s: 6_000,
             link_bytes_per_s: 6_000,
         }
--- a/tests/configuration/nodes.rs
+++ b/tests/configuration/nodes.rs
@@ -1,13 +1,14 @@
 //! Edits through the administration API of running nodes, while the log fails.
 
 use coriandertide::admin::messages::{
-    DocumentReply, EditReply, ErrorBody, HistoryReply, StatusReply,
+    DocumentReply, EditReply, ErrorBody, HistoryReply, NodesReply, StatusReply,
 };
 use coriandertide::cli::{AdminClient, ClientError};
 use coriandertide::daemon::Node;
 use coriandertide::decision::configuration::{EditRequest, SectionChange};
 use coriandertide::document::hash_key;
 use coriandertide::settings::{RawSettings, Settings};
+use coriandertide_standins::instance_list::Instance;
 use coriandertide_standins::log_service::LogFaults;
 use coriandertide_standins::{
     InstanceListConfig, InstanceListStandIn, LogServiceConfig, LogServiceStandIn,
@@ -26,8 +27,13 @@
 
 impl Site {
     fn start() -> Self {
+        Self::with_retention(LogServiceConfig::default().retention_ms)
+    }
+
+    fn with_retention(retention_ms: u64) -> Self {
+        let config = LogServiceConfig { retention_ms, ..LogServiceConfig::default() };
         Self {
-            log: LogServiceStandIn::start(LogServiceConfig::default()).unwrap(),
+            log: LogServiceStandIn::start(config).unwrap(),
             list: InstanceListStandIn::start(InstanceListConfig::default()).unwrap(),
         }
     }
@@ -43,11 +49,19 @@
             },
             "partner_key": "a key for tests only",
             "bootstrap_key_hash": hash_key(BOOTSTRAP),
-            "control": { "log_period_ms": 20 },
+            "control": { "log_period_ms": 20, "instance_list_period_ms": 50, "snapshot_period_ms": 200 },
             "limits": { "drain_grace_ms": 1 },
         }))
         .unwrap();
-        Node::start(Settings::try_from(raw).unwrap()).unwrap()
+        let node = Node::start(Settings::try_from(raw).unwrap()).unwrap();
+        self.list.put_shown(Instance {
+            name: node.instance().to_string(),
+            kind: "entry".into(),
+            address: node.partner_address(),
+            availability_zone: "couva".into(),
+            state: "live".into(),
+        });
+        node
     }
 }
 
@@ -152,3 +166,47 @@
     assert_eq!(history.edits.len(), 2);
     node.kill();
 }
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn nodes_in_force(node: &Node, revision: u64) -> usize {
+    let reply: NodesReply = smol::block_on(client(node, BOOTSTRAP).get("/admin/v1/nodes")).unwrap();
+    reply.nodes.iter().filter(|node| node.in_force == Some(revision)).count()
+}
+
+#[test]
+fn node_starts_from_a_partner_while_the_log_is_down() {
+    let site = Site::start();
+    let first = site.start_node();
+    wait_ready(&first);
+    let made = edit(&client(&first, BOOTSTRAP), &request("e1", "owners/team", 0, owners()));
+    let revision = made.unwrap().revision;
+    site.log.set_faults(LogFaults { outage: true, ..LogFaults::default() });
+    let second = site.start_node();
+    wait_in_force(&second, BOOTSTRAP, revision);
+    wait_until("both in force", || nodes_in_force(&first, revision) == 2);
+    first.kill();
+    second.kill();
+}
+
+#[test]
+fn document_outlives_retention_and_the_restart_of_all_nodes() {
+    const RETENTION_MS: u64 = 2_000;
+    let site = Site::with_retention(RETENTION_MS);
+    let node = site.start_node();
+    wait_ready(&node);
+    let made = edit(&client(&node, BOOTSTRAP), &request("e1", "owners/team", 0, owners()));
+    let revision = made.unwrap().revision;
+    std::thread::sleep(Duration::from_millis(2 * RETENTION_MS));
+    node.kill();
+    let restarted = site.start_node();
+    wait_in_force(&restarted, BOOTSTRAP, revision);
+    assert_eq!(restarted.document_revision(), revision);
+    restarted.kill();
+}
