--- a/examples/local_site/workload.rs
+++ b/examples/local_site/workload.rs
@@ -10,6 +10,8 @@
 const POPULARITY_EXPONENT: f64 = 1.1;
 /// Service calls in percent of all arrivals.
 const SERVICE_PERCENT: u32 = 8;
+/// Model requests as a share of all arrivals; the capacity is worked out for these.
+pub const MODEL_SHARE: f64 = 1.0 - SERVICE_PERCENT as f64 / 100.0;
 /// Non-idempotent calls in percent of the service calls.
 const NON_IDEMPOTENT_PERCENT: u32 = 50;
 /// Distinct poison requests under the fault.
