feat(configuration): restore a document that expired while no node ran

Cause: when all nodes are stopped for longer than the log keeps records, no base is left, and no node could take an edit.

Figures: a test restores after a retention of 300 ms; no time measured. Conclusion: operators have a way back.

--- a/src/admin/error.rs
+++ b/src/admin/error.rs
@@ -28,6 +28,8 @@
     Outdated,
     /// A section that the validation looked at changed meanwhile; validate again.
     Overtaken,
+    /// A node knows the document; it needs no restoring.
+    NotExpired,
     /// Another author used the edit id.
     EditIdTaken,
     /// The document that would result has faults.
@@ -49,7 +51,9 @@
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::UnknownPath | Self::NotFound => StatusCode::NOT_FOUND,
             Self::UnknownMethod => StatusCode::METHOD_NOT_ALLOWED,
-            Self::Outdated | Self::Overtaken | Self::EditIdTaken => StatusCode::CONFLICT,
+            Self::Outdated | Self::Overtaken | Self::EditIdTaken | Self::NotExpired => {
+                StatusCode::CONFLICT
+            }
             Self::InvalidDocument => StatusCode::UNPROCESSABLE_ENTITY,
             Self::NotReady | Self::LogUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -73,6 +73,14 @@
     pub message: String,
 }
 
+/// Document to restore.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RestoreRequest {
+    /// Document.
+    pub document: Value,
+}
+
 /// Accepted edit.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 pub struct EditReply {
@@ -265,7 +273,7 @@
 }
 
 /// Body of an error.
-#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
 pub struct ErrorBody {
     /// What went wrong, for people.
     pub message: String,
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -8,6 +8,7 @@
 pub mod openapi;
 pub mod read;
 pub mod recent;
+pub mod restore;
 pub mod routes;
 pub mod server;
 pub mod view;
--- a/src/admin/openapi.rs
+++ b/src/admin/openapi.rs
@@ -3,8 +3,8 @@
 use super::error::AdminCode;
 use super::messages::{
     DecisionsReply, DocumentReply, EditReply, ErrorReply, ExplainReply, ExplainRequest,
-    HistoryReply, LeasesReply, NodesReply, PowerReply, ServersReply, StatusReply, ValidateReply,
-    ValidateRequest,
+    HistoryReply, LeasesReply, NodesReply, PowerReply, RestoreRequest, ServersReply, StatusReply,
+    ValidateReply, ValidateRequest,
 };
 use super::routes::AdminRoute;
 use crate::decision::configuration::{EditEntry, EditRequest};
@@ -69,7 +69,7 @@
         AdminRoute::Document => schema::<DocumentReply>(generator),
         AdminRoute::History => schema::<HistoryReply>(generator),
         AdminRoute::Validate => schema::<ValidateReply>(generator),
-        AdminRoute::SubmitEdit => schema::<EditReply>(generator),
+        AdminRoute::SubmitEdit | AdminRoute::Restore => schema::<EditReply>(generator),
         AdminRoute::FindEdit => schema::<EditEntry>(generator),
         AdminRoute::Status => schema::<StatusReply>(generator),
         AdminRoute::Nodes => schema::<NodesReply>(generator),
@@ -93,6 +93,7 @@
     match route {
         AdminRoute::Validate => Some(schema::<ValidateRequest>(generator)),
         AdminRoute::SubmitEdit => Some(schema::<EditRequest>(generator)),
+        AdminRoute::Restore => Some(schema::<RestoreRequest>(generator)),
         AdminRoute::Explain => Some(schema::<ExplainRequest>(generator)),
         _ => None,
     }
@@ -120,12 +121,13 @@
         AdminCode::InvalidRequest => route.method() == http::Method::POST,
         AdminCode::NotFound => route == AdminRoute::FindEdit,
         AdminCode::UnknownPath | AdminCode::UnknownMethod => false,
-        AdminCode::Outdated
-        | AdminCode::Overtaken
-        | AdminCode::EditIdTaken
-        | AdminCode::InvalidDocument
-        | AdminCode::LogUnavailable
-        | AdminCode::OutcomeUnknown => route == AdminRoute::SubmitEdit,
+        AdminCode::NotExpired => route == AdminRoute::Restore,
+        AdminCode::InvalidDocument | AdminCode::LogUnavailable | AdminCode::OutcomeUnknown => {
+            matches!(route, AdminRoute::SubmitEdit | AdminRoute::Restore)
+        }
+        AdminCode::Outdated | AdminCode::Overtaken | AdminCode::EditIdTaken => {
+            route == AdminRoute::SubmitEdit
+        }
     }
 }
 
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -20,6 +20,8 @@
     SubmitEdit,
     /// Outcome of an edit by its id.
     FindEdit,
+    /// Restores a document that expired on the log while no node ran.
+    Restore,
     /// State of the answering node.
     Status,
     /// Nodes and the revisions they have in force.
@@ -53,7 +55,7 @@
     /// Returns the method.
     pub fn method(self) -> Method {
         match self {
-            Self::Validate | Self::SubmitEdit | Self::Explain => Method::POST,
+            Self::Validate | Self::SubmitEdit | Self::Restore | Self::Explain => Method::POST,
             _ => Method::GET,
         }
     }
@@ -66,6 +68,7 @@
             Self::Validate => "/admin/v1/validate",
             Self::SubmitEdit => "/admin/v1/edits",
             Self::FindEdit => "/admin/v1/edits/{edit_id}",
+            Self::Restore => "/admin/v1/restore",
             Self::Status => "/admin/v1/status",
             Self::Nodes => "/admin/v1/nodes",
             Self::Servers => "/admin/v1/servers",
@@ -83,6 +86,7 @@
         match self {
             Self::Metrics | Self::Openapi => None,
             Self::SubmitEdit => Some(OwnerRole::Editor),
+            Self::Restore => Some(OwnerRole::Administrator),
             _ => Some(OwnerRole::Reader),
         }
     }
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -3,7 +3,7 @@
 use super::access::{AdminCaller, authenticate};
 use super::error::{AdminCode, AdminError};
 use super::routes::{AdminRoute, MatchedRoute, find_route};
-use super::{AdminView, edit, explain, openapi, read};
+use super::{AdminView, edit, explain, openapi, read, restore};
 use crate::adapters::http_server::Reply;
 use crate::metrics::{ReasonLabels, encode};
 use crate::ports::LogService;
@@ -69,6 +69,10 @@
             let request = read_json(context, body).await?;
             reply(&edit::submit(context, &caller, request).await?)
         }
+        AdminRoute::Restore => {
+            let request = read_json(context, body).await?;
+            reply(&restore::restore(context, request).await?)
+        }
         AdminRoute::Explain => {
             let request = read_json(context, body).await?;
             reply(&explain::explain(context, request, Instant::now())?)
--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -44,6 +44,8 @@
     pub announcement: Announcement,
     /// Faults for which the accepted document is not in force.
     pub held_back: Option<Faults>,
+    /// Last offset of a stream whose first records expired without a base in the rest.
+    pub expired_to: Option<LogOffset>,
     /// Record that needs a later build.
     pub newer_record: Option<NewerRecord>,
     /// Latest malformed records.
@@ -56,6 +58,7 @@
             state: follower.state().cloned(),
             announcement: follower.announcement(),
             held_back: follower.held_back().cloned(),
+            expired_to: follower.expired_to(),
             newer_record: follower.newer_record(),
             bad_records: follower.bad_records().cloned().collect(),
         }
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -5,11 +5,14 @@
 use super::exit::{CliError, ExitStatus};
 use super::options::{Change, Connection};
 use super::output::{print_faults, print_json, print_line};
-use crate::admin::messages::{DocumentReply, HistoryReply, ValidateReply, ValidateRequest};
+use crate::admin::messages::{
+    DocumentReply, EditReply, HistoryReply, RestoreRequest, ValidateReply, ValidateRequest,
+};
 use crate::decision::configuration::sections::join_sections;
 use crate::decision::configuration::{EditEntry, EditOutcome, SectionChange};
 use jiff::Timestamp;
 use serde_json::json;
+use std::path::Path;
 
 /// What a file would change.
 pub struct PlannedChange {
@@ -76,6 +79,14 @@
     Ok(if found.is_empty() { ExitStatus::Success } else { ExitStatus::Different })
 }
 
+/// Sets the document of a site whose log has lost it.
+pub async fn restore(connection: &Connection, file: &Path) -> Result<ExitStatus, CliError> {
+    let request = RestoreRequest { document: read_file(file)?.document };
+    let reply: EditReply = connection.client().post("/admin/v1/restore", &request).await?;
+    print_json(&reply);
+    Ok(ExitStatus::Success)
+}
+
 /// Shows recent edits.
 pub async fn history(
     connection: &Connection,
@@ -98,11 +109,7 @@
 
 /// Works out what a file would change, unless others changed the same sections since it was made.
 pub async fn plan(connection: &Connection, change: &Change) -> Result<PlannedChange, CliError> {
-    let failed = |message: String| {
-        CliError::new(ExitStatus::Failure, format!("{}: {message}", change.file.display()))
-    };
-    let text = std::fs::read_to_string(&change.file).map_err(|error| failed(error.to_string()))?;
-    let file = DocumentFile::parse(&text).map_err(failed)?;
+    let file = read_file(&change.file)?;
     let accepted: DocumentReply = connection.client().get("/admin/v1/document").await?;
     let changes = file.changes(&accepted, change.prune);
     let outdated = file.outdated(&changes);
@@ -114,6 +121,14 @@
     Err(CliError::new(ExitStatus::Conflict, lines.join("\n")))
 }
 
+fn read_file(path: &Path) -> Result<DocumentFile, CliError> {
+    let failed = |message: String| {
+        CliError::new(ExitStatus::Failure, format!("{}: {message}", path.display()))
+    };
+    let text = std::fs::read_to_string(path).map_err(|error| failed(error.to_string()))?;
+    DocumentFile::parse(&text).map_err(failed)
+}
+
 fn format_outdated(accepted: &DocumentReply, change: &SectionChange) -> String {
     let author = accepted.sections.get(&change.section).map_or("", |section| &section.author);
     format!(
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -66,7 +66,10 @@
         | AdminCode::UnknownMethod
         | AdminCode::NotFound => ExitStatus::Failure,
         AdminCode::InvalidKey | AdminCode::Forbidden => ExitStatus::Forbidden,
-        AdminCode::Outdated | AdminCode::Overtaken | AdminCode::EditIdTaken => ExitStatus::Conflict,
+        AdminCode::Outdated
+        | AdminCode::Overtaken
+        | AdminCode::EditIdTaken
+        | AdminCode::NotExpired => ExitStatus::Conflict,
         AdminCode::InvalidDocument => ExitStatus::Invalid,
         AdminCode::NotReady | AdminCode::LogUnavailable => ExitStatus::Unavailable,
         AdminCode::OutcomeUnknown => ExitStatus::OutcomeUnknown,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -52,6 +52,7 @@
             let options = apply::ApplyOptions { yes, no_wait, timeout_s };
             apply::apply(&connection, &change, options).await
         }
+        ConfigCommand::Restore { connection, file } => config::restore(&connection, &file).await,
         ConfigCommand::History { connection, section } => {
             config::history(&connection, section.as_deref()).await
         }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -127,6 +127,16 @@
         #[bpaf(external)]
         change: Change,
     },
+    /// Set the document of a site whose log has lost it while no node ran
+    #[bpaf(command)]
+    Restore {
+        /// How to reach the node
+        #[bpaf(external)]
+        connection: Connection,
+        /// Whole document in JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show recent edits and what became of them
     #[bpaf(command)]
     History {
@@ -172,6 +182,7 @@
             | Self::Validate { connection, .. }
             | Self::Diff { connection, .. }
             | Self::Apply { connection, .. }
+            | Self::Restore { connection, .. }
             | Self::History { connection, .. }
             | Self::Wait { connection, .. } => connection,
         }
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -17,7 +17,8 @@
     /// Applies an event to the follower and carries out its commands.
     pub(super) fn apply_configuration_event(&mut self, event: ConfigurationEvent, now: Instant) {
         let commands = self.configuration.apply(event);
-        if commands.is_empty() {
+        let is_shown = self.admin.configuration.expired_to == self.configuration.expired_to();
+        if commands.is_empty() && is_shown {
             return;
         }
         for command in commands {
--- a/src/decision/configuration/follower.rs
+++ b/src/decision/configuration/follower.rs
@@ -95,6 +95,7 @@
     newer_record: Option<NewerRecord>,
     bad_records: VecDeque<BadRecord>,
     snapshot_at: Option<SystemTime>,
+    stream_end: Option<LogOffset>,
 }
 
 impl ConfigurationFollower {
@@ -140,6 +141,12 @@
         self.newer_record
     }
 
+    /// Returns the last offset of the stream if its first records have expired and no base has been
+    /// found in what is left.
+    pub fn expired_to(&self) -> Option<LogOffset> {
+        self.stream_end.filter(|_| self.state.is_none())
+    }
+
     /// Returns when the last record that a new node can start from was appended, by the log's clock.
     pub fn snapshot_at(&self) -> Option<SystemTime> {
         self.snapshot_at
@@ -177,6 +184,7 @@
         if self.state.is_none() && complete_from_start {
             self.state = Some(Arc::default());
         }
+        self.stream_end = Some(page.next_offset.saturating_sub(1));
         let applied = self.applied();
         for record in page.records {
             if record.offset > applied {
--- a/src/decision/configuration/record.rs
+++ b/src/decision/configuration/record.rs
@@ -4,16 +4,17 @@
 //! sound, so nothing here depends on what a build knows of the document's fields.
 
 use super::sections::split_sections;
-use super::state::ConfigurationState;
+use super::state::{ConfigurationState, Section};
 use crate::document::RawDocument;
-use crate::types::{EditId, Revision, SectionPath};
+use crate::types::{EditId, LogOffset, Revision, SectionPath};
 use bytes::Bytes;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
+use std::sync::Arc;
 
 /// Highest record format that this build reads, and the one it writes.
 pub const RECORD_FORMAT: u32 = 1;
@@ -129,6 +130,26 @@
         })
     }
 
+    /// Returns the record that sets `raw` as the document of a stream whose records up to `expired_to`
+    /// have expired; only nodes that know of no document take it.
+    pub fn restoring(raw: &RawDocument, expired_to: LogOffset) -> Self {
+        let section = |value| Section {
+            revision: expired_to,
+            author: SmolStr::new_static("restored"),
+            edit_id: None,
+            value: Some(value),
+        };
+        let sections = split_sections(raw).into_iter();
+        Self::Snapshot(Snapshot {
+            state: ConfigurationState {
+                applied: expired_to,
+                revision: expired_to,
+                sections: sections.map(|(path, value)| (path, Arc::new(section(value)))).collect(),
+                history: VecDeque::new(),
+            },
+        })
+    }
+
     /// Returns the payload for the log.
     pub fn encode(&self) -> Bytes {
         let envelope = Envelope { format: RECORD_FORMAT, record: self };
--- a/tests/configuration/nodes.rs
+++ b/tests/configuration/nodes.rs
@@ -1,7 +1,7 @@
 //! Edits through the administration API of running nodes, while the log fails.
 
 use coriandertide::admin::messages::{
-    DocumentReply, EditReply, ErrorBody, HistoryReply, NodesReply, StatusReply,
+    DocumentReply, EditReply, ErrorBody, HistoryReply, NodesReply, RestoreRequest, StatusReply,
 };
 use coriandertide::cli::{AdminClient, ClientError};
 use coriandertide::daemon::Node;
@@ -210,3 +210,28 @@
     assert_eq!(restarted.document_revision(), revision);
     restarted.kill();
 }
+
+#[test]
+fn document_that_expired_while_no_node_ran_can_be_restored() {
+    const RETENTION_MS: u64 = 300;
+    let site = Site::with_retention(RETENTION_MS);
+    for number in 0..3 {
+        site.log.append("configuration", format!("record {number}"));
+    }
+    std::thread::sleep(Duration::from_millis(2 * RETENTION_MS));
+    let node = site.start_node();
+    let admin = client(&node, BOOTSTRAP);
+    let request = RestoreRequest { document: json!({ "owners": { "team": owners() } }) };
+    let mut restored: Result<EditReply, ClientError> = Err(ClientError::Refused(Box::default()));
+    wait_until("restored", || {
+        restored = smol::block_on(admin.post("/admin/v1/restore", &request));
+        restored.is_ok()
+    });
+    wait_in_force(&node, BOOTSTRAP, 3);
+    let again: Result<EditReply, ClientError> =
+        smol::block_on(admin.post("/admin/v1/restore", &request));
+    assert!(matches!(again, Err(ClientError::Refused(body)) if body.code == "not_expired"));
+    let made = edit(&admin, &self::request("e1", "models/guide", 0, json!({}))).unwrap();
+    assert!(made.revision > 3);
+    node.kill();
+}
