test(configuration): nodes of the measurement open partner links

Cause: leases, power and links are in the node now. Change: the example registers its nodes on the instance list.

--- a/examples/configuration_in_force.rs
+++ b/examples/configuration_in_force.rs
@@ -12,6 +12,7 @@
 };
 use coriandertide::document::{RawDocument, hash_key};
 use coriandertide::settings::{RawSettings, Settings};
+use coriandertide_standins::instance_list::Instance;
 use coriandertide_standins::{
     InstanceListConfig, InstanceListStandIn, LogServiceConfig, LogServiceStandIn,
 };
@@ -87,15 +88,23 @@
     }))?)
 }
 
-fn start_node(log: SocketAddr, list: SocketAddr) -> anyhow::Result<Node> {
+fn start_node(log: SocketAddr, list: &InstanceListStandIn) -> anyhow::Result<Node> {
     let raw: RawSettings = serde_json::from_value(json!({
         "instance_name": "entry",
         "availability_zone": "couva",
         "listen": { "callers": "127.0.0.1:0", "admin": "127.0.0.1:0", "partners": "127.0.0.1:0" },
-        "platform": { "log": log.to_string(), "instance_list": list.to_string() },
+        "platform": { "log": log.to_string(), "instance_list": list.address().to_string() },
         "partner_key": "a key for measurements only",
     }))?;
-    Node::start(Settings::try_from(raw)?)
+    let node = Node::start(Settings::try_from(raw)?)?;
+    list.put_shown(Instance {
+        name: node.instance().to_string(),
+        kind: String::from("entry"),
+        address: node.partner_address(),
+        availability_zone: String::from("couva"),
+        state: String::from("live"),
+    });
+    Ok(node)
 }
 
 fn wait_for(nodes: &[Node], revision: u64) {
@@ -123,9 +132,8 @@
     let proxy = CountingProxy::start(log.address())?;
     let mut revision =
         log.append("configuration", ConfigurationRecord::snapshot(document()?).encode());
-    let nodes: Vec<Node> = (0..count)
-        .map(|_| start_node(proxy.address, list.address()))
-        .collect::<anyhow::Result<_>>()?;
+    let nodes: Vec<Node> =
+        (0..count).map(|_| start_node(proxy.address, &list)).collect::<anyhow::Result<_>>()?;
     wait_for(&nodes, revision);
     let bytes_before = proxy.bytes.load(Ordering::Relaxed);
     thread::sleep(IDLE_PERIOD);
@@ -190,7 +198,7 @@
     let revision = fill_log(&log)?;
     for _ in 0..5 {
         let started_at = Instant::now();
-        let node = start_node(log.address(), list.address())?;
+        let node = start_node(log.address(), &list)?;
         wait_for(std::slice::from_ref(&node), 1);
         let first_ms = started_at.elapsed().as_millis();
         wait_for(std::slice::from_ref(&node), revision);
