--- a/src/decision/configuration/follower.rs
+++ b/src/decision/configuration/follower.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::SystemTime;
 
 /// Bad records that the status shows.
 const SHOWN_BAD_RECORDS: usize = 16;
@@ -93,6 +94,8 @@
     in_force: DocumentInForce,
     newer_record: Option<NewerRecord>,
     bad_records: VecDeque<BadRecord>,
+    snapshot_at: Option<SystemTime>,
+    stream_end: Option<LogOffset>,
 }
 
 impl ConfigurationFollower {
@@ -138,6 +141,17 @@
         self.newer_record
     }
 
+    /// Returns the last offset of the stream if its first records have expired and no base has been
+    /// found in what is left.
+    pub fn expired_to(&self) -> Option<LogOffset> {
+        self.stream_end.filter(|_| self.state.is_none())
+    }
+
+    /// Returns when the last record that a new node can start from was appended, by the log's clock.
+    pub fn snapshot_at(&self) -> Option<SystemTime> {
+        self.snapshot_at
+    }
+
     /// Returns the latest malformed records.
     pub fn bad_records(&self) -> impl Iterator<Item = &BadRecord> {
         self.bad_records.iter()
@@ -170,6 +184,7 @@
         if self.state.is_none() && complete_from_start {
             self.state = Some(Arc::default());
         }
+        self.stream_end = Some(page.next_offset.saturating_sub(1));
         let applied = self.applied();
         for record in page.records {
             if record.offset > applied {
@@ -238,9 +253,13 @@
             let record = entry.get();
             match ConfigurationRecord::decode(&record.payload) {
                 Ok(decoded) => {
-                    if state.fold(record, &decoded) == RecordEffect::SnapshotDiffers {
+                    let effect = state.fold(record, &decoded);
+                    if effect == RecordEffect::SnapshotDiffers {
                         commands.push(ConfigurationCommand::ReportSnapshotDiffers(record.offset));
                     }
+                    if is_base(&decoded, effect) {
+                        self.snapshot_at = Some(record.appended_at);
+                    }
                 }
                 Err(RecordFault::Malformed(reason)) => {
                     state.skip(record.offset);
@@ -308,6 +327,15 @@
     }
 }
 
+/// Whether a new node can start from the record.
+fn is_base(record: &ConfigurationRecord, effect: RecordEffect) -> bool {
+    match record {
+        ConfigurationRecord::Initial(_) => effect == RecordEffect::Changed,
+        ConfigurationRecord::Edit(_) => false,
+        ConfigurationRecord::Snapshot(_) => effect == RecordEffect::Unchanged,
+    }
+}
+
 fn remember(bad_records: &mut VecDeque<BadRecord>, bad: BadRecord) {
     bad_records.push_back(bad);
     if bad_records.len() > SHOWN_BAD_RECORDS {
