feat(routing): price delay behind a prefill, learn the hit rate of homes

Cause: a spilled request delays all that arrive before its prefill ends, which the score left out; block rounding made each belief look wrong, so that the learnt cache lifetime fell to its minimum; the bound on outstanding requests forced spills at 9 of 48 slots. Change: delayed arrivals weigh in; a belief is right up to a block; homes' hit rate is learnt by server; overload factor 3.

--- a/src/decision/routing/config.rs
+++ b/src/decision/routing/config.rs
@@ -17,12 +17,12 @@
     pub max_cache_lifetime: Duration,
     /// Factor on the trust in beliefs that are older than a gap in the server's events.
     pub gap_trust: f64,
-    /// Probability that a home holds a prefix that this node has no belief of.
+    /// Probability that a home holds a prefix that this node has no belief of, before it is learnt.
     pub home_trust: f64,
     /// Factor on it for the first server after the homes, and again for the second.
     pub spare_home_factor: f64,
-    /// Weight of recomputed seconds beside those of the workspace, for the requests behind.
-    pub recomputation_cost: f64,
+    /// Weight of the delay that a prefill causes to the requests behind it.
+    pub delay_weight: f64,
     /// Prompt tokens assumed to be computed for a request before any was observed.
     pub initial_computed_tokens: f64,
     /// Time constant of the request rates of prefixes.
@@ -72,7 +72,7 @@
             gap_trust: 0.5,
             home_trust: 0.8,
             spare_home_factor: 0.2,
-            recomputation_cost: 1.0,
+            delay_weight: 1.0,
             initial_computed_tokens: 500.0,
             rate_window: Duration::from_secs(5),
             home_utilisation: 0.6,
@@ -81,7 +81,7 @@
             full_scan_servers: 32,
             sampled_servers: 6,
             herd_factor: 0.5,
-            overload_factor: 1.5,
+            overload_factor: 3.0,
             report_lifetime: Duration::from_secs(3),
             serving_lifetime: Duration::from_secs(10),
             excess_wait_lifetime: Duration::from_secs(3),
--- a/src/decision/routing/feedback.rs
+++ b/src/decision/routing/feedback.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Tokens of an engine's cache block; only whole blocks are cached.
+const BLOCK_TOKENS: f64 = 16.0;
 /// Prefixes that wait to be asked for at the KV store.
 const MAX_KEPT_QUERIES: usize = 64;
 
@@ -83,7 +85,7 @@
             self.believe(level.key, index, answer.incarnation, now);
         }
         if let Some(timing) = &answer.timing {
-            self.learn_lifetime(answer, timing);
+            self.learn_belief(answer, timing);
             self.learn_timing(answer, timing, now);
         }
     }
@@ -124,16 +126,19 @@
     }
 
     /// Compares what was cached with what was believed when the server was chosen.
-    fn learn_lifetime(&mut self, answer: &AnswerFeedback, timing: &AnswerTiming) {
-        let Some(held) = timing.expectation.held else { return };
+    fn learn_belief(&mut self, answer: &AnswerFeedback, timing: &AnswerTiming) {
         let config = Arc::clone(&self.config);
-        let prompt_bytes = answer.levels.last().map_or(1, |level| level.bytes.max(1));
-        let share = f64::from(held.bytes) / f64::from(prompt_bytes);
-        let held_tokens = f64::from(answer.prompt_tokens) * share;
-        let was_cached = f64::from(answer.cached_tokens) + 1.0 >= held_tokens;
-        let age = timing.sent_at.saturating_duration_since(held.used_at);
-        self.update_server(&answer.server, |state| {
-            state.observe_belief(age.as_secs_f64(), was_cached, &config);
+        let Some(anchor) = answer.levels.iter().find(|level| level.anchor) else { return };
+        let expectation = timing.expectation;
+        let held = expectation.held.filter(|held| held.bytes >= anchor.bytes);
+        self.update_server(&answer.server, |state| match held {
+            Some(held) => {
+                let age = timing.sent_at.saturating_duration_since(held.used_at);
+                let was_cached = was_cached(answer, held.bytes);
+                state.observe_belief(age.as_secs_f64(), was_cached, &config);
+            }
+            None if expectation.is_home => state.observe_home(was_cached(answer, anchor.bytes)),
+            None => {}
         });
     }
 
@@ -186,3 +191,11 @@
         true
     }
 }
+
+/// Returns whether the prompt was cached up to `bytes`, but for a part of an engine's block.
+fn was_cached(answer: &AnswerFeedback, bytes: u32) -> bool {
+    let prompt_bytes = answer.levels.last().map_or(1, |level| level.bytes.max(1));
+    let share = f64::from(bytes) / f64::from(prompt_bytes);
+    let tokens = f64::from(answer.prompt_tokens) * share;
+    f64::from(answer.cached_tokens) + BLOCK_TOKENS >= tokens
+}
--- a/src/decision/routing/load.rs
+++ b/src/decision/routing/load.rs
@@ -9,6 +9,8 @@
 
 /// Weight of a new observation in a smoothed value.
 const SMOOTHING: f64 = 0.2;
+/// Weight of a new observation in the hit rate of a home.
+const HOME_SMOOTHING: f64 = 0.05;
 /// Weight of a new observation in the wait that is typical of all servers.
 const TYPICAL_SMOOTHING: f64 = 0.05;
 /// Seconds by which a first token may be late without counting as excess wait.
@@ -39,6 +41,8 @@
     pub occupancy_s: f64,
     /// Prompt tokens that a request had computed, on average.
     pub computed_tokens: f64,
+    /// Share of the requests for which this home held the prefix though this node had no belief.
+    pub home_hit_rate: f64,
     /// Seconds after which a belief is worth 1/e.
     pub cache_lifetime_s: f64,
     /// When events were last found missing.
@@ -150,6 +154,7 @@
             excess_wait: ExcessWait::default(),
             occupancy_s: config.initial_occupancy_s,
             computed_tokens: config.initial_computed_tokens,
+            home_hit_rate: config.home_trust,
             cache_lifetime_s: config.initial_cache_lifetime.as_secs_f64(),
             gap_at: None,
             next_event: 0,
@@ -259,6 +264,12 @@
         self.computed_tokens += (computed_tokens - self.computed_tokens) * SMOOTHING;
     }
 
+    /// Takes in whether this home held a prefix that this node had no belief of.
+    pub fn observe_home(&mut self, was_cached: bool) {
+        let observed = if was_cached { 1.0 } else { 0.0 };
+        self.home_hit_rate += (observed - self.home_hit_rate) * HOME_SMOOTHING;
+    }
+
     /// Takes in whether a belief of age `age_s` turned out to be right.
     pub fn observe_belief(&mut self, age_s: f64, was_cached: bool, config: &RoutingConfig) {
         let lifetime_s = self.cache_lifetime_s;
--- a/src/decision/routing/messages.rs
+++ b/src/decision/routing/messages.rs
@@ -157,6 +157,8 @@
     pub wait_ms: u32,
     /// Innermost level that the server was believed to hold.
     pub held: Option<HeldLevel>,
+    /// Whether the server is a home of the request.
+    pub is_home: bool,
 }
 
 /// Level that a server was believed to hold.
--- a/src/decision/routing/score.rs
+++ b/src/decision/routing/score.rs
@@ -27,7 +27,7 @@
     anchor: usize,
     /// Tokens that the KV store keeps of the prompt.
     kept: Option<KeptLevel>,
-    home_trust: f64,
+    is_lone_node: bool,
 }
 
 /// Innermost level that the KV store keeps.
@@ -52,7 +52,6 @@
         levels: &[PrefixLevel],
         prefixes: &'a PrefixMap,
         live_nodes: u32,
-        config: &RoutingConfig,
         now: Instant,
     ) -> Self {
         let known = |level: &PrefixLevel| {
@@ -62,8 +61,7 @@
         let levels: Vec<KnownLevel<'a>> = levels.iter().map(known).collect();
         let anchor = levels.iter().position(|known| known.level.anchor).unwrap_or(0);
         let kept = kept_level(&levels, now);
-        let home_trust = if live_nodes > 1 { config.home_trust } else { LONE_HOME_TRUST };
-        Self { levels, anchor, kept, home_trust }
+        Self { levels, anchor, kept, is_lone_node: live_nodes <= 1 }
     }
 
     /// Returns the tokens of the prompt.
@@ -88,12 +86,13 @@
         entries.flat_map(|entry| entry.holders.iter().map(|holder| holder.server))
     }
 
-    /// Returns the probability that a server holds the anchor though this node knows nothing of it.
-    fn home_trust(&self, rank: Option<usize>, config: &RoutingConfig) -> f64 {
+    /// Returns the probability that a server holds the anchor though this node has no belief of it.
+    fn home_trust(&self, rank: Option<usize>, server: &ServerState, config: &RoutingConfig) -> f64 {
         let Some(rank) = rank else { return 0.0 };
         let beyond = rank.saturating_sub(self.homes() as usize - 1);
         let spares = i32::try_from(beyond).unwrap_or(i32::MAX);
-        self.home_trust * config.spare_home_factor.powi(spares)
+        let of_home = if self.is_lone_node { LONE_HOME_TRUST } else { server.home_hit_rate };
+        of_home * config.spare_home_factor.powi(spares)
     }
 
     /// Returns the tokens expected from the cache of `server`, a home of rank `home_rank`.
@@ -106,7 +105,7 @@
         now: Instant,
     ) -> ExpectedHit {
         let mut hit = ExpectedHit::default();
-        let home_trust = self.home_trust(home_rank, config);
+        let home_trust = self.home_trust(home_rank, server, config);
         let mut trust = 0.0_f64;
         for (position, known) in self.levels.iter().enumerate().rev() {
             trust = trust.max(known.trust(index, server, config, now));
@@ -219,9 +218,13 @@
         let wait_s = self.wait_s(server, info, load);
         let excess_s = server.excess_wait.seconds(self.config.excess_wait_lifetime, self.now);
         let first_token_s = wait_s + excess_s + prefill_s + link_s;
+        // Requests that arrive before the queue and this prefill are done are delayed by it.
+        let arrivals_per_s = load.requests / server.occupancy_s;
+        let delayed_requests = arrivals_per_s * (wait_s + prefill_s);
         let utilisation = load.requests / f64::from(info.concurrent_requests);
         let cost_s = self.weights.first_token * first_token_s
-            + (self.weights.recomputation + self.config.recomputation_cost) * prefill_s
+            + (self.weights.recomputation + delayed_requests * self.config.delay_weight)
+                * prefill_s
             + self.weights.zone_link * link_s
             + utilisation * self.config.utilisation_cost_s;
         Score { cost_s, hit, load, wait_s, imports }
--- a/src/decision/routing/view.rs
+++ b/src/decision/routing/view.rs
@@ -173,8 +173,7 @@
         model: &ModelServers,
         now: Instant,
     ) -> Option<RouteDecision> {
-        let belief =
-            PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, &self.config, now);
+        let belief = PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, now);
         let input = ScoreInput {
             config: &self.config,
             model: &model.info,
@@ -205,6 +204,7 @@
             expectation: Expectation {
                 wait_ms: (best.score.wait_s * 1_000.0) as u32,
                 held: belief.held_level(best.server.index, best.server.state),
+                is_home: best.is_home,
             },
         })
     }
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -255,6 +255,15 @@
         attempt.complete();
         let is_first = self.attempts == 1;
         let timing = attempt.timing(Instant::now()).filter(|_| is_first);
+        log::debug!(
+            "event=answered request={} server={} prompt_tokens={} cached_tokens={} \
+             first_token_ms={}",
+            self.request.id,
+            attempt.decision().server,
+            usage.prompt_tokens,
+            usage.cached_tokens,
+            timing.map_or(0, |timing| (timing.first_token_at - timing.sent_at).as_millis()),
+        );
         self.context.report(TrafficReport::Answer(AnswerFeedback {
             server: attempt.decision().server.clone(),
             incarnation: attempt.incarnation().unwrap_or_default(),
