perf(adapters): name only the levels that requests may share to engines

Cause: the last level ends with the prompt itself; its stored and evicted events take a third of the poll budget and help no other request. Change: x-prefix-keys leaves the last level out unless it is the only one. Conclusion: cheap, and leaves more of the budget to load reports.

--- a/src/adapters/model_engine.rs
+++ b/src/adapters/model_engine.rs
@@ -152,9 +152,12 @@
     address: SocketAddr,
     request: EngineRequest,
 ) -> PeerResult<Request<Full<Bytes>>> {
+    // The last level ends with the prompt, which is its own: its cache events would help nobody.
+    let shared_levels = request.prefix_levels.len().saturating_sub(1).max(1);
     let prefix_keys: Vec<String> = request
         .prefix_levels
         .iter()
+        .take(shared_levels)
         .map(|level| format!("{:x}:{}", level.key, level.bytes))
         .collect();
     let import_keys: Vec<String> =
