--- /dev/null
+++ b/tests/standins/cache.rs
@@ -0,0 +1,71 @@
+//! Block cache against a naive twin that keeps its blocks in a list.
+
+use coriandertide_standins::engine::cache::{BlockCache, LevelChange, NamedLevel};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet};
+
+const CAPACITY: usize = 12;
+
+/// Twin: blocks from the least to the most recently used, and the keys named at each.
+#[derive(Default)]
+struct NaiveCache {
+    blocks: Vec<u64>,
+    keys: BTreeMap<u64, BTreeSet<u64>>,
+}
+
+impl NaiveCache {
+    fn store(&mut self, hashes: &[u64], levels: &[NamedLevel]) -> Vec<LevelChange> {
+        let mut changes = Vec::new();
+        for hash in hashes.iter().rev() {
+            self.blocks.retain(|block| block != hash);
+            if self.blocks.len() == CAPACITY {
+                let evicted = self.blocks.remove(0);
+                let keys = self.keys.remove(&evicted).unwrap_or_default();
+                changes.extend(keys.into_iter().map(|key| LevelChange::Evicted { key }));
+            }
+            self.blocks.push(*hash);
+        }
+        for level in levels.iter().filter(|level| level.blocks > 0) {
+            let last = hashes[level.blocks - 1];
+            if self.blocks.contains(&last) && self.keys.entry(last).or_default().insert(level.key) {
+                changes.push(LevelChange::Stored { key: level.key, blocks: level.blocks });
+            }
+        }
+        changes
+    }
+}
+
+/// Chain of block hashes of document `document`, `blocks` long, with its levels.
+fn prompt(document: u64, blocks: usize) -> (Vec<u64>, Vec<NamedLevel>) {
+    let hashes: Vec<u64> = (0..blocks as u64).map(|block| document * 100 + block).collect();
+    let levels = [1, blocks / 2, blocks];
+    let levels = levels.map(|blocks| NamedLevel { key: document * 1_000 + blocks as u64, blocks });
+    (hashes, levels.to_vec())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        cases: std::env::var("COT_PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(256),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn cache_agrees_with_its_naive_twin(
+        prompts in prop::collection::vec((0_u64..6, 1_usize..16), 1..40),
+    ) {
+        let mut cache = BlockCache::new(CAPACITY);
+        let mut naive = NaiveCache::default();
+        for (document, blocks) in prompts {
+            let (hashes, levels) = prompt(document, blocks);
+            prop_assert_eq!(cache.store(&hashes, &levels), naive.store(&hashes, &levels));
+            for document in 0..6 {
+                let (hashes, _) = prompt(document, 15);
+                let cached = hashes.iter().take_while(|hash| naive.blocks.contains(hash)).count();
+                prop_assert_eq!(cache.cached_blocks(&hashes), cached);
+            }
+        }
+    }
+}
--- a/tests/standins/engine.rs
+++ b/tests/standins/engine.rs
@@ -178,3 +178,32 @@
         "#);
     });
 }
+
+#[test]
+fn load_report_leaves_cached_prompts_out() {
+    let config = EngineConfig { running_requests: 1, decode_tokens_per_s: 20, ..fast() };
+    let engine = EngineStandIn::start(config).unwrap();
+    let address = engine.address();
+    smol::block_on(async {
+        let long = "manual ".repeat(2_000);
+        generate(address, &long, &[("x-request-id", "a")]).await.unwrap();
+        let ids = ["b", "c"];
+        let waiting = ids.map(|id| {
+            let long = long.clone();
+            smol::spawn(async move { generate(address, &long, &[("x-request-id", id)]).await })
+        });
+        let report = loop {
+            let load = client::call(address, Method::GET, "/load", "").await.unwrap().json();
+            if load["waiting_requests"] == 1 {
+                break load;
+            }
+            smol::Timer::after(Duration::from_millis(5)).await;
+        };
+        assert!(
+            report["waiting_prompt_tokens"].as_u64().unwrap() < u64::from(prompt::BLOCK_TOKENS)
+        );
+        for task in waiting {
+            task.cancel().await;
+        }
+    });
+}
--- a/tests/standins/main.rs
+++ b/tests/standins/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step of a test is to panic")]
 
+mod cache;
 mod client;
 mod engine;
 mod platform;
