--- a/examples/local_site/options.rs
+++ b/examples/local_site/options.rs
@@ -32,6 +32,9 @@
     pub fault: Vec<Fault>,
     /// Give the nodes the store of kept KV cache
     pub kv_store: bool,
+    /// Bytes a second that a node may spend on load reports and cache events
+    #[bpaf(argument("N"))]
+    pub poll_bytes_per_s: Option<u32>,
     /// File for the report in JSON
     #[bpaf(argument("FILE"))]
     pub report: Option<PathBuf>,
--- a/examples/local_site/site.rs
+++ b/examples/local_site/site.rs
@@ -9,7 +9,9 @@
 use coriandertide::daemon::Node;
 use coriandertide::decision::configuration::ConfigurationRecord;
 use coriandertide::settings::Settings;
-use coriandertide::settings::raw::{RawListenSettings, RawPlatformSettings, RawSettings};
+use coriandertide::settings::raw::{
+    RawControlSettings, RawListenSettings, RawPlatformSettings, RawSettings,
+};
 use coriandertide_standins::instance_list::Instance;
 use coriandertide_standins::{
     EngineConfig, EngineStandIn, InstanceListConfig, InstanceListStandIn, KvStoreConfig,
@@ -48,6 +50,7 @@
     nodes: Mutex<Vec<Node>>,
     started_nodes: AtomicU32,
     policy: PolicyChoice,
+    control: RawControlSettings,
     kv_store: Option<KvStoreStandIn>,
     _weight_store: WeightStoreStandIn,
 }
@@ -89,6 +92,7 @@
             nodes: Mutex::default(),
             started_nodes: AtomicU32::new(0),
             policy,
+            control: control_settings(options),
             kv_store,
             _weight_store: weight_store,
             preset,
@@ -122,6 +126,7 @@
             },
             partner_key: SmolStr::new_static("local-site-partner-key"),
             routing_policy: self.policy.to_smolstr(),
+            control: self.control.clone(),
             ..RawSettings::default()
         };
         let settings = Settings::try_from(settings).context("settings of a node")?;
@@ -179,6 +184,12 @@
     }
 }
 
+fn control_settings(options: &Options) -> RawControlSettings {
+    let defaults = RawControlSettings::default();
+    let poll_bytes_per_s = options.poll_bytes_per_s.unwrap_or(defaults.poll_bytes_per_s);
+    RawControlSettings { poll_bytes_per_s, ..defaults }
+}
+
 fn start_engines(preset: &Preset, engine: &EngineConfig) -> anyhow::Result<Vec<EngineStandIn>> {
     (0..preset.engines)
         .map(|number| {
