--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -6,12 +6,12 @@
 
 use coriandertide::decision::routing::{RoutingEvent, RoutingPolicy, SentRequest};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
-use fleet::{KNOWN_PREFIXES, TargetFleet, query, server};
+use fleet::{FleetSize, KNOWN_PREFIXES, TargetFleet, query, server};
 use std::hint::black_box;
 
 fn decisions(criterion: &mut Criterion) {
     for policy in [RoutingPolicy::Coriandertide, RoutingPolicy::PrefixHash] {
-        let fleet = TargetFleet::new(policy);
+        let fleet = TargetFleet::new(policy, FleetSize::TARGET);
         let view = fleet.state.view();
         let queries: Vec<_> = (0..1_000).map(|number| query(number * 97)).collect();
         let mut next = 0;
@@ -25,7 +25,7 @@
 }
 
 fn events(criterion: &mut Criterion) {
-    let mut fleet = TargetFleet::new(RoutingPolicy::Coriandertide);
+    let mut fleet = TargetFleet::new(RoutingPolicy::Coriandertide, FleetSize::TARGET);
     let mut number = 0;
     criterion.bench_function("sent_request_and_view", |bencher| {
         bencher.iter_batched(
--- /dev/null
+++ b/examples/capacity_slopes/main.rs
@@ -0,0 +1,48 @@
+//! Measures how the cost of each role grows and works out a node's budget at the target's size.
+//!
+//! `cargo run --release --example capacity_slopes`; it takes less than a minute; its running
+//! nodes and stand-ins use loopback only.
+
+mod budget;
+mod claims;
+mod configuration;
+mod fit;
+mod membership;
+mod nodes;
+mod power;
+mod resident;
+mod routing;
+
+use budget::Costs;
+
+fn main() -> anyhow::Result<()> {
+    let membership = membership::measure();
+    let claims = claims::measure()?;
+    let power = power::measure()?;
+    let configuration = configuration::measure()?;
+    let routing = routing::measure()?;
+    let nodes = nodes::measure()?;
+    println!("{:<44} {:>12} {:>12} {:>7}  points", "slope", "base", "per unit", "error");
+    let slopes = [
+        &membership.tick_us,
+        &membership.set_bytes,
+        &claims.record_bytes,
+        &claims.memory_bytes,
+        &claims.fold_us,
+        &power.tick_us,
+        &power.checkpoint_bytes,
+        &configuration.snapshot_bytes,
+        &configuration.edit_us,
+        &configuration.memory_bytes,
+        &routing.decision_us,
+        &routing.load_report_us,
+        &routing.memory_bytes,
+        &nodes.control_us_per_s,
+        &nodes.link_bytes_per_s,
+    ];
+    slopes.iter().for_each(|slope| println!("{slope}"));
+    println!();
+    let costs = Costs { membership, claims, power, configuration, routing, nodes };
+    print!("{}", budget::at_target(&costs));
+    Ok(())
+}
--- /dev/null
+++ b/examples/capacity_slopes/membership.rs
@@ -0,0 +1,74 @@
+//! Membership: time of a tick and bytes of the member set, by members.
+
+use crate::fit::{Point, Slope};
+use crate::resident::mean_us;
+use coriandertide::decision::configuration::Announcement;
+use coriandertide::decision::membership::{
+    MemberRecord, MemberStatus, MembershipEvent, MembershipSettings, MembershipState,
+};
+use coriandertide::links::PartnerMessage;
+use std::time::{Duration, Instant};
+
+/// Members measured.
+const SIZES: [u64; 4] = [8, 92, 185, 370];
+/// Links of a node.
+pub const LINKS: u64 = 8;
+/// Ticks of a measurement.
+const TICKS: u32 = 400;
+
+/// Costs of membership.
+pub struct MembershipCosts {
+    /// Microseconds of a tick with the messages of all links, by members.
+    pub tick_us: Slope,
+    /// Bytes of the member set sent to a new partner, by members.
+    pub set_bytes: Slope,
+    /// Bytes of a ping.
+    pub ping_bytes: f64,
+    /// Bytes of the update of one member.
+    pub update_bytes: f64,
+}
+
+/// Measures membership.
+pub fn measure() -> MembershipCosts {
+    let ping = PartnerMessage::Ping { digest: u64::MAX, configuration: Announcement::default() };
+    let set = |members: u64| PartnerMessage::Members((0..members).map(member).collect());
+    let tick_points = SIZES.map(|size| Point { size: size as f64, cost: tick_us(size) });
+    let set_points =
+        SIZES.map(|size| Point { size: size as f64, cost: set(size).encode().len() as f64 });
+    MembershipCosts {
+        tick_us: Slope::fit("membership: us a tick, by members", tick_points.into()),
+        set_bytes: Slope::fit("membership: bytes of the set, by members", set_points.into()),
+        ping_bytes: ping.encode().len() as f64,
+        update_bytes: set(1).encode().len() as f64,
+    }
+}
+
+fn member(number: u64) -> MemberRecord {
+    MemberRecord {
+        instance: format!("entry-{number:03}-{number:08x}").into(),
+        address: ([10, 0, (number >> 8) as u8, number as u8], 8_082).into(),
+        availability_zone: format!("region-{}-zone-{}", number % 3, number % 6).into(),
+        started_unix_ms: 1_800_000_000_000 + number,
+        version: 1,
+        status: MemberStatus::Alive,
+    }
+}
+
+fn tick_us(members: u64) -> f64 {
+    let mut state = MembershipState::new(member(0), MembershipSettings::default());
+    let mut now = Instant::now();
+    let links = LINKS.min(members - 1);
+    for number in 1..=links {
+        let peer = member(number);
+        state.apply(MembershipEvent::LinkOpened { peer, dialed: number % 2 == 0 }, now);
+    }
+    let records = (1..members).map(member).collect();
+    state.apply(MembershipEvent::Records { peer: member(1).instance, records }, now);
+    mean_us(TICKS, |_| {
+        now += Duration::from_millis(100);
+        state.apply(MembershipEvent::Tick, now);
+        for number in 1..=links {
+            state.apply(MembershipEvent::Heard(member(number).instance), now);
+        }
+    })
+}
--- a/examples/support/fleet.rs
+++ b/examples/support/fleet.rs
@@ -26,6 +26,20 @@
 /// Servers that hold each prefix.
 const HOLDERS: usize = 2;
 
+/// Size of the fleet before a node.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// Backend servers.
+    pub servers: usize,
+    /// Prefixes known to the node.
+    pub prefixes: usize,
+}
+
+impl FleetSize {
+    /// Size of the target.
+    pub const TARGET: Self = Self { servers: SERVERS, prefixes: KNOWN_PREFIXES };
+}
+
 /// State of a node at the target's size.
 pub struct TargetFleet {
     /// State.
@@ -36,16 +50,16 @@
 
 impl TargetFleet {
     /// Returns a state that knows all servers and prefixes.
-    pub fn new(policy: RoutingPolicy) -> Self {
+    pub fn new(policy: RoutingPolicy, size: FleetSize) -> Self {
         let state = RoutingState::new(policy, "zone-0".into(), RoutingConfig::default());
         let mut fleet = Self { state, now: Instant::now() };
-        fleet.apply(RoutingEvent::Document(Arc::new(document())));
+        fleet.apply(RoutingEvent::Document(Arc::new(document(size.servers))));
         fleet.apply(RoutingEvent::LiveNodes(NODES));
-        for number in 0..SERVERS {
+        for number in 0..size.servers {
             let (id, asked_at) = (server(number), fleet.now);
             fleet.apply(RoutingEvent::Load { server: id, report: report(number), asked_at });
         }
-        for number in (0..KNOWN_PREFIXES).step_by(LEVELS) {
+        for number in (0..size.prefixes).step_by(LEVELS) {
             for holder in 0..HOLDERS {
                 let levels = levels(number);
                 let server = server(number % MODELS + MODELS * holder);
@@ -92,7 +106,8 @@
         .collect()
 }
 
-fn report(number: usize) -> LoadReport {
+/// Returns a load report of a server.
+pub fn report(number: usize) -> LoadReport {
     LoadReport {
         incarnation: 1,
         running_requests: (number % 9) as u32,
@@ -110,7 +125,7 @@
     }
 }
 
-fn document() -> Document {
+fn document(servers: usize) -> Document {
     let raw_server = |number: usize| {
         let value = json!({
             "address": format!("127.0.0.1:{}", 10_000 + number),
@@ -127,7 +142,7 @@
     let raw = json!({
         "workspaces": named("workspace", WORKSPACES, 1),
         "models": named("model", MODELS, 2),
-        "servers": (0..SERVERS).map(raw_server).collect::<Map<String, Value>>(),
+        "servers": (0..servers).map(raw_server).collect::<Map<String, Value>>(),
         "site": {"budget_watts": 10_000, "max_nodes": NODES},
     });
     let raw: RawDocument = serde_json::from_value(raw).expect("the document has the raw form");
--- a/src/control/context.rs
+++ b/src/control/context.rs
@@ -9,8 +9,9 @@
 use crate::types::InstanceId;
 use async_channel::Sender;
 use smol::LocalExecutor;
+use std::cell::Cell;
 use std::future::Future;
-use std::rc::Weak;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
 /// Ports and settings that the parts of the control thread work with.
@@ -36,6 +37,8 @@
     pub metrics: Metrics,
     /// Events of the control thread.
     pub events: Sender<ControlEvent>,
+    /// Live nodes, this one included.
+    pub live_nodes: Rc<Cell<u32>>,
     /// Executor of the control thread, held weakly since its tasks hold this context.
     pub executor: Weak<LocalExecutor<'static>>,
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -19,8 +19,10 @@
 use smol::Executor;
 use smol::net::TcpListener;
 use smol_str::format_smolstr;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
@@ -243,6 +245,7 @@
             kv_store,
             metrics,
             events: parts.events,
+            live_nodes: Rc::new(Cell::new(1)),
             executor,
         };
         context.spawn(run_tasks(parts.task_queue));
