feat(power): the document says how long a share lasts

Cause: the time for which nodes work without the log, and for which a vanished machine's watts are kept back, is the operators' choice. Change: site.power_lease_s, 900 by default, from 60 to 3600.

--- a/examples/local_site/document.rs
+++ b/examples/local_site/document.rs
@@ -109,5 +109,6 @@
         budget_watts: site.preset.budget_watts(),
         max_nodes: u32::try_from(nodes)? + SPARE_NODES,
         zone_links,
+        ..RawSite::default()
     })
 }
--- a/src/decision/leases/stream.rs
+++ b/src/decision/leases/stream.rs
@@ -91,6 +91,11 @@
         self.next_offset
     }
 
+    /// Takes in that records may hold for `lapse_ms`.
+    pub fn allow_lapse(&mut self, lapse_ms: u64) {
+        self.lapse_ms = self.lapse_ms.max(lapse_ms);
+    }
+
     /// Whether the state folded is the true one as of the last record read.
     pub fn is_current(&self) -> bool {
         self.has_read && matches!(self.base, Base::Known)
--- a/src/decision/power/holding.rs
+++ b/src/decision/power/holding.rs
@@ -7,6 +7,8 @@
 use crate::decision::leases::stream::StreamRecord;
 use std::time::{Duration, Instant};
 
+/// Least number of renewals within a lease.
+const RENEWALS_A_LEASE: u64 = 4;
 /// Least time in milliseconds between two appends that change the share.
 const ADJUST_MS: u64 = 5_000;
 
@@ -103,7 +105,8 @@
             outlast_ms: self.settings.outlast_ms(),
             address: self.address.clone(),
         };
-        self.renew_at = now + Duration::from_millis(self.settings.renew_ms);
+        let renew_ms = self.settings.renew_ms.min(lease_ms / RENEWALS_A_LEASE);
+        self.renew_at = now + Duration::from_millis(renew_ms);
         self.adjust_at = now + Duration::from_millis(ADJUST_MS);
         self.send(action, now)
     }
--- a/src/decision/power/ledger.rs
+++ b/src/decision/power/ledger.rs
@@ -64,6 +64,11 @@
         Self { entries: BTreeMap::new(), reader, transit_ms }
     }
 
+    /// Takes in that shares may last `lease_ms`.
+    pub fn allow_lease(&mut self, lease_ms: u64) {
+        self.reader.allow_lapse(lease_ms + self.transit_ms);
+    }
+
     /// Returns the offset to read from.
     pub fn next_offset(&self) -> LogOffset {
         self.reader.next_offset()
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -27,7 +27,7 @@
 use crate::types::{InstanceId, LogOffset};
 use account_state::watts_of_parts;
 use ended::EndedInstances;
-use ledger::{ReadShare, ShareLedger};
+use ledger::{ReadShare, ShareEntry, ShareLedger};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -126,6 +126,7 @@
         match event {
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
+                self.set_lease(document.site.power_lease_ms);
                 self.account.set_document(&document);
                 self.ended.set_document(&document);
                 commands = self.ask_first(now);
@@ -161,6 +162,11 @@
         self.ledger.next_offset()
     }
 
+    /// Returns the share of `instance` as read from the log.
+    pub fn share(&self, instance: &InstanceId) -> Option<&ShareEntry> {
+        self.ledger.entry(instance)
+    }
+
     /// Returns the node's figures at `now`.
     pub fn figures(&self, now: Instant) -> PowerFigures {
         let shared_watts = self.account.shared_watts();
@@ -174,6 +180,12 @@
         }
     }
 
+    /// Sets how long the shares that this node takes from now on last.
+    fn set_lease(&mut self, lease_ms: u64) {
+        self.settings.lease_ms = lease_ms;
+        self.ledger.allow_lease(lease_ms);
+    }
+
     /// Asks for power as soon as a node without a share has partners, so that its first request
     /// need not wait for an ask.
     fn ask_first(&mut self, now: Instant) -> Vec<PowerCommand> {
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -12,6 +12,10 @@
 use crate::types::Faults;
 use smol_str::SmolStr;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
+
+/// Range of the time for which a node may use its share of the power without the log.
+const POWER_LEASE_S: RangeInclusive<u32> = 60..=3_600;
 
 impl TryFrom<RawDocument> for Document {
     type Error = Faults;
@@ -40,7 +44,7 @@
             document.owners.insert(name, owner);
         }
         check_administrators(&document, &mut faults);
-        document.site = check_site(raw.site);
+        document.site = check_site(raw.site, &mut faults);
         check_power(&document, &mut faults);
         faults.into_result(document)
     }
@@ -173,13 +177,23 @@
     CallPattern { method: raw.method, path_prefix: raw.path_prefix }
 }
 
-fn check_site(raw: RawSite) -> Site {
+fn check_site(raw: RawSite, faults: &mut Faults) -> Site {
+    faults.require(
+        POWER_LEASE_S.contains(&raw.power_lease_s),
+        "site.power_lease_s",
+        format!("must be from {} to {}", POWER_LEASE_S.start(), POWER_LEASE_S.end()),
+    );
     let zone_links = raw
         .zone_links
         .into_iter()
         .map(|link| ZoneLink { from: link.from, to: link.to, delay_us: link.delay_us })
         .collect();
-    Site { budget_watts: raw.budget_watts, max_nodes: raw.max_nodes, zone_links }
+    Site {
+        budget_watts: raw.budget_watts,
+        max_nodes: raw.max_nodes,
+        zone_links,
+        power_lease_ms: u64::from(raw.power_lease_s) * 1_000,
+    }
 }
 
 fn check_power(document: &Document, faults: &mut Faults) {
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -141,6 +141,8 @@
     pub max_nodes: u32,
     /// Delays between availability zones.
     pub zone_links: Vec<ZoneLink>,
+    /// Milliseconds for which a node may use its share of the power without the log.
+    pub power_lease_ms: u64,
 }
 
 /// One-way delay between two availability zones, the same in both directions.
--- a/src/document/raw.rs
+++ b/src/document/raw.rs
@@ -189,7 +189,7 @@
 }
 
 /// Site: power budget, bound on nodes and delays between availability zones.
-#[derive(Clone, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawSite {
     /// Highest draw of all backend servers together.
@@ -198,6 +198,14 @@
     pub max_nodes: u32,
     /// Delays between availability zones.
     pub zone_links: Vec<RawZoneLink>,
+    /// Seconds for which a node may use its share of the power without the log.
+    pub power_lease_s: u32,
+}
+
+impl Default for RawSite {
+    fn default() -> Self {
+        Self { budget_watts: 0, max_nodes: 0, zone_links: Vec::new(), power_lease_s: 900 }
+    }
 }
 
 /// One-way delay between two availability zones, the same in both directions.
