fix(power): a site that starts uses its whole budget after two seconds

Cause: in local_site (3 nodes, document for 5) each node held a fifth of the power for its first 5 s and refused callers while two fifths lay unused.

--- a/src/decision/power/holding.rs
+++ b/src/decision/power/holding.rs
@@ -10,7 +10,7 @@
 /// Least number of renewals within a lease.
 const RENEWALS_A_LEASE: u64 = 4;
 /// Least time in milliseconds between two appends that change the share.
-const ADJUST_MS: u64 = 5_000;
+const ADJUST_MS: u64 = 2_000;
 
 /// Part of the fair share by which the share must be off to be changed before it is renewed.
 const ADJUST_DIVISOR: u64 = 10;
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -35,7 +35,7 @@
 use transfers::Transfers;
 
 /// Milliseconds after its start from which a node trusts the number of live nodes it sees.
-const COUNT_NODES_MS: u64 = 5_000;
+const COUNT_NODES_MS: u64 = 1_500;
 /// Requests whose power a node without a share asks for before it has any.
 const FIRST_ASK_REQUESTS: u64 = 4;
 
