fix(links): forward what was received before a link ends; metrics of links and claims

Cause: a node that stopped gracefully was noticed only after 4.7 s: its last message was dropped when the link closed right after it. Change: received messages are forwarded to the end; link bytes, dropped messages, live nodes and claim verdicts are exported.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -6,6 +6,7 @@
     ClaimCommand, ClaimEntry, ClaimEvent, ClaimId, ClaimRequest, ClaimVerdict, ClaimsSettings,
     ClaimsState, KeyHash, RunEnding, encode_record,
 };
+use crate::metrics::ReasonLabels;
 use crate::ports::{LogPage, LogStream};
 use crate::types::{InstanceId, LogOffset, PeerResult, RequestId};
 use async_channel::Sender;
@@ -136,6 +137,8 @@
     fn deliver_verdict(&mut self, request: &RequestId, verdict: ClaimVerdict, now: Instant) {
         let Some(call) = self.claims.calls.remove(request) else { return };
         log_verdict(request, call.key, &verdict);
+        let labels = ReasonLabels { reason: verdict.reason().to_owned() };
+        self.context.metrics.claims.get_or_create(&labels).inc();
         let claim = match &verdict {
             ClaimVerdict::Run { claim, .. } => Some(*claim),
             _ => None,
@@ -162,6 +165,7 @@
         self.claims.read_under_way = false;
         let period = match result {
             Ok(page) => {
+                self.note_log_read(LogStream::Claims, &page, now);
                 let is_full = page.records.len() >= READ_LIMIT;
                 self.advance_claims(ClaimEvent::Page(page), now);
                 match self.claims.state.waiting_calls() {
@@ -171,7 +175,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("event=log_read_failed stream=claims {error}");
+                self.note_log_failure(LogStream::Claims, &error);
                 self.claims.read_through = 0;
                 WAITING_READ_PERIOD
             }
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -10,6 +10,7 @@
 use crate::decision::power::PowerEvent;
 use crate::links::connection::{FRAME_OVERHEAD_BYTES, ReceivedMessage};
 use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, Outbox, PartnerMessage};
+use crate::metrics::Metrics;
 use crate::types::{InstanceId, PeerError};
 use async_channel::Sender;
 use bytes::Bytes;
@@ -66,21 +67,10 @@
     pub outgoing: Sender<Bytes>,
 }
 
-/// Bytes that went over the links.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LinkFigures {
-    /// Bytes sent with their frames.
-    pub sent_bytes: u64,
-    /// Bytes received with their frames.
-    pub received_bytes: u64,
-    /// Messages dropped because a connection was full.
-    pub dropped_messages: u64,
-}
-
 /// Links, membership and the byte budget.
 pub struct LinksControl {
     pub(super) membership: MembershipState,
-    pub(super) figures: LinkFigures,
+    metrics: Metrics,
     /// Identity that links prove; its record follows the membership's.
     identity: Rc<RefCell<Identity>>,
     numbers: Rc<RefCell<u64>>,
@@ -114,7 +104,7 @@
         let identity = Identity { key: settings.partner_key.clone(), me: me.clone() };
         Self {
             membership: MembershipState::new(me, MembershipSettings::default()),
-            figures: LinkFigures::default(),
+            metrics: context.metrics.clone(),
             identity: Rc::new(RefCell::new(identity)),
             numbers: Rc::default(),
             links: BTreeMap::new(),
@@ -157,9 +147,9 @@
         }
         let sent = link.outgoing.try_send(bytes).is_ok();
         if sent {
-            self.figures.sent_bytes += size_bytes as u64;
+            self.metrics.link_sent_bytes.inc_by(size_bytes as u64);
         } else {
-            self.figures.dropped_messages += 1;
+            self.metrics.link_dropped_messages.inc();
         }
         sent
     }
@@ -174,9 +164,9 @@
                     break;
                 }
                 let Some(message) = link.outbox.take_next() else { break };
-                let before_bytes = self.figures.sent_bytes;
+                let before_bytes = self.metrics.link_sent_bytes.get();
                 self.send(&peer, &message);
-                let spent_bytes = self.figures.sent_bytes - before_bytes;
+                let spent_bytes = self.metrics.link_sent_bytes.get() - before_bytes;
                 self.budget.take(spent_bytes as f64, now);
             }
         }
@@ -257,7 +247,7 @@
     }
 
     fn receive(&mut self, link: u64, received: ReceivedMessage, now: Instant) {
-        self.links.figures.received_bytes += received.bytes as u64;
+        self.links.metrics.link_received_bytes.inc_by(received.bytes as u64);
         let Some(peer) = self.links.peers.get(&link).cloned() else { return };
         self.advance_membership(MembershipEvent::Heard(peer.clone()), now);
         self.advance_power(PowerEvent::Heard(peer.clone()), now);
@@ -336,9 +326,10 @@
                 let event = LinkEvent::Received { link: number, message };
                 context.send(ControlEvent::Link(event)).await;
             }
-            std::future::pending().await
         };
-        let end = futures_lite::FutureExt::or(link.run(outgoing_queue, incoming), forward).await;
+        let exchange = link.run(outgoing_queue, incoming);
+        // What was received before the end of the link is still forwarded.
+        let (end, ()) = futures_lite::future::zip(exchange, forward).await;
         context.send(ControlEvent::Link(LinkEvent::Ended { link: number, end })).await;
     }
 
--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -138,6 +138,7 @@
     /// Spreads a change of the number of live nodes to the parts that share by it.
     pub(super) fn note_live_nodes(&mut self, now: Instant) {
         let live_nodes = self.links.membership.live_nodes();
+        self.context.metrics.live_nodes.set(live_nodes.into());
         if live_nodes == self.live_nodes {
             return;
         }
--- a/src/decision/claims/messages.rs
+++ b/src/decision/claims/messages.rs
@@ -106,6 +106,18 @@
     OutcomeUnknown(UnknownReason),
 }
 
+impl ClaimVerdict {
+    /// Reason of the verdict, for metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Run { .. } => "run",
+            Self::Answer(_) => "kept_answer",
+            Self::NotRun { reason, .. } => reason.into(),
+            Self::OutcomeUnknown(reason) => reason.into(),
+        }
+    }
+}
+
 /// Why a call was not run.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -82,6 +82,10 @@
     pub link_sent_bytes: Counter,
     /// Bytes received from partners.
     pub link_received_bytes: Counter,
+    /// Messages to partners that were dropped because a connection was full.
+    pub link_dropped_messages: Counter,
+    /// Verdicts on calls with an idempotency key.
+    pub claims: Family<ReasonLabels, Counter>,
     /// Offset up to which a log stream has been read.
     pub log_read_offset: Family<StreamLabels, Gauge>,
     /// Time of the last successful read of a log stream, in seconds since the Unix epoch.
@@ -168,6 +172,12 @@
             Unit::Bytes,
             self.link_received_bytes.clone(),
         );
+        registry.register(
+            "link_dropped_messages",
+            "Messages to partners dropped",
+            self.link_dropped_messages.clone(),
+        );
+        registry.register("claims", "Verdicts on calls with a key", self.claims.clone());
         registry.register(
             "log_read_offset",
             "Offset up to which a stream has been read",
--- a/tests/whole_path/partners.rs
+++ b/tests/whole_path/partners.rs
@@ -1,8 +1,9 @@
 //! Partner links between nodes over real sockets.
 
-use super::caller::{call, chat, post, wait_ready};
+use super::caller::{call, chat, get, post, wait_ready};
 use super::site::Site;
 use coriandertide::daemon::Node;
+use coriandertide::decision::membership::MembershipSettings;
 use coriandertide::settings::Settings;
 use coriandertide_standins::instance_list::Instance;
 use coriandertide_standins::log_service::LogFaults;
@@ -66,3 +67,47 @@
     assert_eq!(after[1], before[1] + 20);
     node.kill();
 }
+
+fn metric(node: &Node, name: &str) -> u64 {
+    let answer = call(node.caller_address(), get("/metrics")).unwrap();
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(name).map(str::to_owned));
+    line.unwrap().trim().parse().unwrap()
+}
+
+/// Waits until each node sees `live` live nodes, and returns how long that took.
+fn wait_live(nodes: &[Node], live: u64) -> Duration {
+    let started_at = Instant::now();
+    while nodes.iter().any(|node| metric(node, "coriandertide_live_nodes ") != live) {
+        assert!(started_at.elapsed() < Duration::from_secs(30), "{live} nodes are not seen");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    println!("{live} live nodes seen after {} ms", started_at.elapsed().as_millis());
+    started_at.elapsed()
+}
+
+#[test]
+fn nodes_find_each_other_and_notice_deaths_and_departures() {
+    let site = Site::start();
+    let mut nodes: Vec<Node> = (0..4).map(|_| site.start_node()).collect();
+    for (index, node) in nodes.iter().enumerate() {
+        register(&site, &format!("entry-{index}"), node);
+    }
+    wait_live(&nodes, 4);
+    let sent = || -> u64 {
+        nodes.iter().map(|node| metric(node, "coriandertide_link_sent_bytes_total ")).sum()
+    };
+    let before_bytes = sent();
+    std::thread::sleep(Duration::from_secs(5));
+    println!("{} bytes a second and node while idle", (sent() - before_bytes) / 5 / 4);
+    nodes.pop().unwrap().kill();
+    wait_live(&nodes, 3);
+    site.list.remove("entry-2");
+    nodes.pop().unwrap().drain();
+    // A node that was not told would have to suspect the one that left first.
+    let suspicion = Duration::from_millis(MembershipSettings::default().suspicion_timeout_ms);
+    assert!(wait_live(&nodes, 2) < suspicion);
+    for node in nodes {
+        node.kill();
+    }
+}
