--- a/src/decision/routing/view.rs
+++ b/src/decision/routing/view.rs
@@ -8,7 +8,7 @@
 use super::messages::{Expectation, RouteDecision, RouteQuery, RouteReason, RoutingPolicy};
 use super::score::{PromptBelief, Score, ScoreInput};
 use crate::document::ScoreWeights;
-use crate::types::{ModelId, ServerId};
+use crate::types::{Incarnation, ModelId, ServerId};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns the incarnation in which `server` was last seen.
+    pub fn incarnation(&self, server: &ServerId) -> Option<Incarnation> {
+        self.state(self.fleet.index(server)?)?.incarnations.current()
+    }
+
     fn info(&self, server: &ServerId) -> Option<&ServerInfo> {
         let index = self.fleet.index(server)?;
         self.state(index)?.info.as_deref()
@@ -173,8 +178,7 @@
         model: &ModelServers,
         now: Instant,
     ) -> Option<RouteDecision> {
-        let belief =
-            PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, &self.config, now);
+        let belief = PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, now);
         let input = ScoreInput {
             config: &self.config,
             model: &model.info,
@@ -205,6 +209,7 @@
             expectation: Expectation {
                 wait_ms: (best.score.wait_s * 1_000.0) as u32,
                 held: belief.held_level(best.server.index, best.server.state),
+                is_home: best.is_home,
             },
         })
     }
