fix(routing): trust homes whatever the number of nodes; doubt an emptied home

Cause: a node that counted itself alone gave homes a trust of 0.2, so that every cold request went astray and the copies thrashed the caches. Change: one home trust of 0.95 for all; a home that came back empty or is in doubt starts at a fifth of it; a holder that is no home counts for 0.6. A learnt home hit rate is dropped: it fell for good once the first requests missed.

--- a/src/decision/routing/config.rs
+++ b/src/decision/routing/config.rs
@@ -17,9 +17,13 @@
     pub max_cache_lifetime: Duration,
     /// Factor on the trust in beliefs that are older than a gap in the server's events.
     pub gap_trust: f64,
-    /// Probability that a home holds a prefix that this node has no belief of, before it is learnt.
+    /// Probability that a home holds a prefix that this node has no belief of.
     pub home_trust: f64,
-    /// Factor on it for the first server after the homes, and again for the second.
+    /// Time constant with which a home that came back empty holds its prefixes again.
+    pub refill_time: Duration,
+    /// Factor on the trust in a holder that is no home: other nodes do not keep its copy in use.
+    pub stray_holder_factor: f64,
+    /// Factor on the home trust for the first server after the homes, and again for the second.
     pub spare_home_factor: f64,
     /// Weight of the delay that a prefill causes to the requests behind it.
     pub delay_weight: f64,
@@ -70,12 +74,14 @@
             min_cache_lifetime: Duration::from_secs(1),
             max_cache_lifetime: Duration::from_secs(300),
             gap_trust: 0.5,
-            home_trust: 0.8,
-            spare_home_factor: 0.2,
-            delay_weight: 1.0,
+            home_trust: 0.95,
+            refill_time: Duration::from_secs(4),
+            stray_holder_factor: 0.6,
+            spare_home_factor: 0.1,
+            delay_weight: 4.0,
             initial_computed_tokens: 500.0,
             rate_window: Duration::from_secs(5),
-            home_utilisation: 0.6,
+            home_utilisation: 0.3,
             home_shrink_factor: 0.7,
             max_homes: 64,
             full_scan_servers: 32,
--- a/src/decision/routing/feedback.rs
+++ b/src/decision/routing/feedback.rs
@@ -75,7 +75,7 @@
         let Some(index) = self.fleet.index(&answer.server) else { return };
         let mut is_current = false;
         self.update_server(&answer.server, |state| {
-            is_current = state.incarnations.observe(answer.incarnation);
+            is_current = state.observe_incarnation(answer.incarnation, now);
             state.succeed();
         });
         if !is_current {
@@ -128,17 +128,11 @@
     /// Compares what was cached with what was believed when the server was chosen.
     fn learn_belief(&mut self, answer: &AnswerFeedback, timing: &AnswerTiming) {
         let config = Arc::clone(&self.config);
-        let Some(anchor) = answer.levels.iter().find(|level| level.anchor) else { return };
-        let expectation = timing.expectation;
-        let held = expectation.held.filter(|held| held.bytes >= anchor.bytes);
-        self.update_server(&answer.server, |state| match held {
-            Some(held) => {
-                let age = timing.sent_at.saturating_duration_since(held.used_at);
-                let was_cached = was_cached(answer, held.bytes);
-                state.observe_belief(age.as_secs_f64(), was_cached, &config);
-            }
-            None if expectation.is_home => state.observe_home(was_cached(answer, anchor.bytes)),
-            None => {}
+        let Some(held) = timing.expectation.held else { return };
+        let age = timing.sent_at.saturating_duration_since(held.used_at);
+        let was_cached = was_cached(answer, held.bytes);
+        self.update_server(&answer.server, |state| {
+            state.observe_belief(age.as_secs_f64(), was_cached, &config);
         });
     }
 
@@ -169,7 +163,7 @@
     /// Takes in the head of a page of events; returns false if it is of a retired incarnation.
     fn take_page(&mut self, page: &CacheEventPage, now: Instant) -> bool {
         let before = self.incarnations.current();
-        if !self.incarnations.observe(page.incarnation) {
+        if !self.observe_incarnation(page.incarnation, now) {
             return false;
         }
         if before.is_some_and(|before| before != page.incarnation) {
--- a/src/decision/routing/fleet.rs
+++ b/src/decision/routing/fleet.rs
@@ -167,6 +167,11 @@
         self.last.filter(|_| self.is_confirmed)
     }
 
+    /// Returns the last incarnation seen.
+    pub fn last(&self) -> Option<Incarnation> {
+        self.last
+    }
+
     /// Takes in that the server may have come back empty; the next answer confirms or denies it.
     pub fn doubt(&mut self) {
         self.is_confirmed = false;
--- a/src/decision/routing/load.rs
+++ b/src/decision/routing/load.rs
@@ -3,14 +3,14 @@
 use super::config::RoutingConfig;
 use super::fleet::{Incarnations, ServerInfo};
 use crate::ports::{LoadReport, LoadedModel};
-use crate::types::{ModelId, WeightsVersion};
+use crate::types::{Incarnation, ModelId, WeightsVersion};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Weight of a new observation in a smoothed value.
 const SMOOTHING: f64 = 0.2;
-/// Weight of a new observation in the hit rate of a home.
-const HOME_SMOOTHING: f64 = 0.05;
+/// Least factor on the trust in a home that came back empty; keeps its prefixes to it.
+const MIN_REFILLED: f64 = 0.2;
 /// Weight of a new observation in the wait that is typical of all servers.
 const TYPICAL_SMOOTHING: f64 = 0.05;
 /// Seconds by which a first token may be late without counting as excess wait.
@@ -29,6 +29,8 @@
     pub is_reported_leaving: bool,
     /// Incarnations.
     pub incarnations: Incarnations,
+    /// When the server was last found to have come back empty.
+    pub emptied_at: Option<Instant>,
     /// Last report.
     pub report: Option<ReportedLoad>,
     /// Failures in a row.
@@ -41,8 +43,6 @@
     pub occupancy_s: f64,
     /// Prompt tokens that a request had computed, on average.
     pub computed_tokens: f64,
-    /// Share of the requests for which this home held the prefix though this node had no belief.
-    pub home_hit_rate: f64,
     /// Seconds after which a belief is worth 1/e.
     pub cache_lifetime_s: f64,
     /// When events were last found missing.
@@ -148,13 +148,13 @@
             is_listed_leaving: false,
             is_reported_leaving: false,
             incarnations: Incarnations::default(),
+            emptied_at: None,
             report: None,
             failures: 0,
             backoff_until: None,
             excess_wait: ExcessWait::default(),
             occupancy_s: config.initial_occupancy_s,
             computed_tokens: config.initial_computed_tokens,
-            home_hit_rate: config.home_trust,
             cache_lifetime_s: config.initial_cache_lifetime.as_secs_f64(),
             gap_at: None,
             next_event: 0,
@@ -180,7 +180,7 @@
         now: Instant,
     ) {
         let is_stale = self.report.as_ref().is_some_and(|last| asked_at < last.asked_at);
-        if is_stale || !self.incarnations.observe(report.incarnation) {
+        if is_stale || !self.observe_incarnation(report.incarnation, now) {
             return;
         }
         self.is_reported_leaving = report.leaving;
@@ -200,6 +200,16 @@
         });
     }
 
+    /// Takes in that `seen` answered; returns false if it is a retired incarnation.
+    pub fn observe_incarnation(&mut self, seen: Incarnation, now: Instant) -> bool {
+        let before = self.incarnations.last();
+        let is_current = self.incarnations.observe(seen);
+        if is_current && before.is_some_and(|before| before != seen) {
+            self.emptied_at = Some(now);
+        }
+        is_current
+    }
+
     /// Takes in that a request failed; the server is left alone for a while.
     pub fn fail(&mut self, config: &RoutingConfig, now: Instant) {
         let doublings = self.failures.min(16);
@@ -264,12 +274,6 @@
         self.computed_tokens += (computed_tokens - self.computed_tokens) * SMOOTHING;
     }
 
-    /// Takes in whether this home held a prefix that this node had no belief of.
-    pub fn observe_home(&mut self, was_cached: bool) {
-        let observed = if was_cached { 1.0 } else { 0.0 };
-        self.home_hit_rate += (observed - self.home_hit_rate) * HOME_SMOOTHING;
-    }
-
     /// Takes in whether a belief of age `age_s` turned out to be right.
     pub fn observe_belief(&mut self, age_s: f64, was_cached: bool, config: &RoutingConfig) {
         let lifetime_s = self.cache_lifetime_s;
@@ -284,6 +288,20 @@
         self.cache_lifetime_s = learnt_s.clamp(min_s, max_s);
     }
 
+    /// Returns the probability that the server holds a prefix that it is a home of.
+    ///
+    /// One that has come back empty is filled again by the requests of all nodes.
+    pub fn home_trust(&self, config: &RoutingConfig, now: Instant) -> f64 {
+        let is_in_doubt = self.incarnations.last() != self.incarnations.current();
+        if is_in_doubt {
+            return config.home_trust * MIN_REFILLED;
+        }
+        let Some(emptied_at) = self.emptied_at else { return config.home_trust };
+        let age_s = now.saturating_duration_since(emptied_at).as_secs_f64();
+        let refilled = 1.0 - (-age_s / config.refill_time.as_secs_f64()).exp();
+        config.home_trust * refilled.max(MIN_REFILLED)
+    }
+
     /// Returns the probability that what the server used at `used_at` is still cached.
     pub fn trust(&self, used_at: Instant, config: &RoutingConfig, now: Instant) -> f64 {
         let age_s = now.saturating_duration_since(used_at).as_secs_f64();
--- a/src/decision/routing/score.rs
+++ b/src/decision/routing/score.rs
@@ -8,8 +8,6 @@
 use crate::document::ScoreWeights;
 use std::time::Instant;
 
-/// Probability that a home holds a prefix where no other node can have sent it there.
-const LONE_HOME_TRUST: f64 = 0.2;
 /// Probability from which a prefix counts as believed to be cached.
 const CACHED_TRUST: f64 = 0.5;
 
@@ -27,7 +25,6 @@
     anchor: usize,
     /// Tokens that the KV store keeps of the prompt.
     kept: Option<KeptLevel>,
-    is_lone_node: bool,
 }
 
 /// Innermost level that the KV store keeps.
@@ -48,12 +45,7 @@
 
 impl<'a> PromptBelief<'a> {
     /// Returns what `prefixes` says of `levels`.
-    pub fn new(
-        levels: &[PrefixLevel],
-        prefixes: &'a PrefixMap,
-        live_nodes: u32,
-        now: Instant,
-    ) -> Self {
+    pub fn new(levels: &[PrefixLevel], prefixes: &'a PrefixMap, now: Instant) -> Self {
         let known = |level: &PrefixLevel| {
             let entry = prefixes.get(&level.key).map(AsRef::as_ref);
             KnownLevel { level: *level, entry }
@@ -61,7 +53,7 @@
         let levels: Vec<KnownLevel<'a>> = levels.iter().map(known).collect();
         let anchor = levels.iter().position(|known| known.level.anchor).unwrap_or(0);
         let kept = kept_level(&levels, now);
-        Self { levels, anchor, kept, is_lone_node: live_nodes <= 1 }
+        Self { levels, anchor, kept }
     }
 
     /// Returns the tokens of the prompt.
@@ -86,13 +78,12 @@
         entries.flat_map(|entry| entry.holders.iter().map(|holder| holder.server))
     }
 
-    /// Returns the probability that a server holds the anchor though this node has no belief of it.
-    fn home_trust(&self, rank: Option<usize>, server: &ServerState, config: &RoutingConfig) -> f64 {
+    /// Returns the factor on the home trust of a server of some rank for the anchor.
+    fn spare_factor(&self, rank: Option<usize>, config: &RoutingConfig) -> f64 {
         let Some(rank) = rank else { return 0.0 };
         let beyond = rank.saturating_sub(self.homes() as usize - 1);
         let spares = i32::try_from(beyond).unwrap_or(i32::MAX);
-        let of_home = if self.is_lone_node { LONE_HOME_TRUST } else { server.home_hit_rate };
-        of_home * config.spare_home_factor.powi(spares)
+        config.spare_home_factor.powi(spares)
     }
 
     /// Returns the tokens expected from the cache of `server`, a home of rank `home_rank`.
@@ -105,11 +96,14 @@
         now: Instant,
     ) -> ExpectedHit {
         let mut hit = ExpectedHit::default();
-        let home_trust = self.home_trust(home_rank, server, config);
+        let home_trust = self.spare_factor(home_rank, config) * server.home_trust(config, now);
+        let is_home = home_rank.is_some_and(|rank| rank < self.homes() as usize);
+        let holder_factor = if is_home { 1.0 } else { config.stray_holder_factor };
         let mut trust = 0.0_f64;
         for (position, known) in self.levels.iter().enumerate().rev() {
-            trust = trust.max(known.trust(index, server, config, now));
-            hit.is_believed |= trust >= CACHED_TRUST;
+            let believed = known.trust(index, server, config, now);
+            hit.is_believed |= believed >= CACHED_TRUST;
+            trust = trust.max(holder_factor * believed);
             if position <= self.anchor {
                 trust = trust.max(home_trust);
             }
--- a/src/decision/routing/view.rs
+++ b/src/decision/routing/view.rs
@@ -173,7 +173,7 @@
         model: &ModelServers,
         now: Instant,
     ) -> Option<RouteDecision> {
-        let belief = PromptBelief::new(&query.levels, &self.prefixes, self.live_nodes, now);
+        let belief = PromptBelief::new(&query.levels, &self.prefixes, now);
         let input = ScoreInput {
             config: &self.config,
             model: &model.info,
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -372,7 +372,7 @@
     log::info!(
         "event=routed request={} workspace={} model={} server={} runner_up={runner_up} \
          prompt_tokens={prompt_tokens} expected_hit_tokens={} queued_requests={} wait_ms={} \
-         reason={} attempts={attempts}",
+         reason={} is_home={} attempts={attempts}",
         query.request,
         query.workspace,
         query.model,
@@ -381,5 +381,6 @@
         decision.queued_requests,
         decision.expectation.wait_ms,
         decision.reason,
+        decision.expectation.is_home,
     );
 }
