--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,9 +1,12 @@
 //! Events of the control thread.
 
+use super::claims::ClaimsMessage;
+use super::links::LinkEvent;
+use super::placement::OrderAnswer;
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::routing::{AnswerFeedback, KeptPrefix, SentRequest};
 use crate::ports::{CacheEventPage, InstanceRecord, LoadReport, LogPage, LogStream};
-use crate::types::{Incarnation, PeerError, ServerId};
+use crate::types::{Incarnation, InstanceId, PeerError, ServerId};
 use std::time::Instant;
 
 /// Event of the control thread.
@@ -70,6 +73,16 @@
     },
     /// A traffic thread reports.
     Traffic(TrafficReport),
+    /// Something about claims of idempotency keys.
+    Claims(ClaimsMessage),
+    /// A backend server answered an order.
+    Ordered(OrderAnswer),
+    /// The address of an instance refuses connections.
+    InstanceEnded(InstanceId),
+    /// Something about partner links.
+    Link(LinkEvent),
+    /// The node stops gracefully.
+    Stopping,
 }
 
 /// What traffic threads report; reports are dropped while the channel is full.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,16 +3,27 @@
 //! Tasks on the same thread do the exchanges and send what they learn as [`ControlEvent`]s; one
 //! loop applies the events, so that no state is shared.
 
+pub mod admin;
+pub mod claims;
 pub mod configuration;
 pub mod context;
 pub mod event;
+pub mod leases;
+mod link_listener;
+pub mod links;
+pub mod log_status;
 pub mod log_tail;
+pub mod partners;
+pub mod placement;
 pub mod poison;
 pub mod polls;
+pub mod power;
+pub mod republish;
 pub mod routing;
 pub mod snapshot;
 pub mod state;
 
+pub use claims::ClaimsMessage;
 pub use context::ControlContext;
 pub use event::{ControlEvent, TrafficReport};
 pub use snapshot::{KeyIndex, Snapshot};
--- a/src/control/routing.rs
+++ b/src/control/routing.rs
@@ -26,7 +26,7 @@
 
 /// Plan of the polls.
 pub struct RoutingPolls {
-    planner: PollPlanner,
+    pub(super) planner: PollPlanner,
 }
 
 impl RoutingPolls {
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshot of the control state that traffic threads decide on.
 
+use crate::admin::AdminView;
 use crate::decision::poison::PoisonView;
 use crate::decision::routing::RoutingView;
 use crate::document::Document;
@@ -21,6 +22,8 @@
     pub poison: PoisonView,
     /// Live nodes, this one included.
     pub live_nodes: u32,
+    /// View for the administration API.
+    pub admin: Arc<AdminView>,
     /// Rank of this node among the live nodes.
     pub node_rank: u32,
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,17 +1,32 @@
 //! State of the control thread and the dispatch of its events.
 
+use super::claims::ClaimsControl;
+use super::links::LinksControl;
+use super::partners::PartnerExchange;
+use super::power::PowerControl;
 use super::routing::RoutingPolls;
 use super::snapshot::KeyIndex;
-use super::{ControlContext, ControlEvent, Snapshot, TrafficReport, log_tail, polls};
-use crate::decision::configuration::ConfigurationFollower;
+use super::{
+    ControlContext, ControlEvent, Snapshot, TrafficReport, link_listener, log_tail, polls,
+};
+use crate::admin::AdminView;
+use crate::decision::configuration::{ConfigurationFollower, SnapshotSchedule};
+use crate::decision::leases::{LeaseSettings, LeaseState};
+use crate::decision::leaving::{LeavingEvent, LeavingState};
+use crate::decision::placement::{PlacementEvent, PlacementSettings, PlacementState};
 use crate::decision::poison::PoisonState;
+use crate::decision::power::PowerEvent;
 use crate::decision::routing::{RoutingConfig, RoutingEvent, RoutingState};
 use crate::document::Document;
-use crate::ports::{InstanceKind, InstanceRecord, InstanceState, LogPage, LogStream};
+use crate::ports::{LogPage, LogStream};
 use arc_swap::ArcSwap;
+use smol::net::TcpListener;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+use std::time::{Duration, Instant};
+
+/// Time between reads of the streams of leases and power shares.
+const HOLD_READ_PERIOD: Duration = Duration::from_millis(500);
 
 /// All state of the control thread.
 pub struct ControlState {
@@ -23,17 +38,39 @@
     pub(super) document: Option<Arc<Document>>,
     pub(super) keys: Arc<KeyIndex>,
     pub(super) live_nodes: u32,
+    pub(super) admin: Arc<AdminView>,
     pub(super) node_rank: u32,
+    pub(super) claims: ClaimsControl,
+    pub(super) links: LinksControl,
+    pub(super) leaving: LeavingState,
+    pub(super) partners: PartnerExchange,
+    pub(super) leases: LeaseState,
+    pub(super) placement: PlacementState,
+    pub(super) power: PowerControl,
+    pub(super) is_stopping: bool,
+    pub(super) snapshots: SnapshotSchedule,
+    pub(super) next_admin_at: Option<Instant>,
     snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
 impl ControlState {
     /// Returns the state of a node that knows nothing yet.
-    pub fn new(context: ControlContext, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
+    ///
+    /// It listens for partners on `partner_address`.
+    pub fn new(
+        context: ControlContext,
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        partner_address: SocketAddr,
+    ) -> Self {
         let settings = Arc::clone(&context.settings);
         let zone = settings.availability_zone.clone();
+        let snapshot_period = Duration::from_millis(settings.control.snapshot_period_ms);
         let policy = settings.routing_policy;
-        let node_rank = (xxh3_64(context.instance.as_bytes()) >> 32) as u32;
+        let claims = ClaimsControl::new(&context.instance, settings.claims);
+        let now = Instant::now();
+        let links = LinksControl::new(&context, partner_address, now);
+        let leases = LeaseState::new(context.instance.clone(), LeaseSettings::default());
+        let power = PowerControl::new(&context, partner_address, now);
         Self {
             context,
             configuration: ConfigurationFollower::default(),
@@ -43,31 +80,67 @@
             document: None,
             keys: Arc::default(),
             live_nodes: 1,
-            node_rank,
+            admin: Arc::default(),
+            node_rank: 0,
+            claims,
+            links,
+            leaving: LeavingState::default(),
+            partners: PartnerExchange::default(),
+            leases,
+            placement: PlacementState::new(PlacementSettings::default()),
+            power,
+            is_stopping: false,
+            snapshots: SnapshotSchedule::new(snapshot_period),
+            next_admin_at: None,
             snapshot,
         }
     }
 
-    /// Starts the periodic exchanges.
-    pub fn start(&self) {
+    /// Starts the periodic exchanges and the listener of partner links.
+    pub fn start(&self, partners: TcpListener) {
         let context = &self.context;
+        let opener = self.links.opener();
+        context.spawn(link_listener::listen(context.clone(), opener, partners));
         context.spawn(log_tail::follow(context.clone(), LogStream::Configuration));
+        for stream in [LogStream::Leases, LogStream::Power] {
+            context.spawn(log_tail::follow_every(context.clone(), stream, HOLD_READ_PERIOD));
+        }
         context.spawn(polls::poll_instance_list(context.clone()));
     }
 
     /// Applies `event` and publishes the snapshot that follows from it.
     pub fn handle(&mut self, event: ControlEvent, now: Instant) {
         match event {
-            ControlEvent::Tick => self.poll_servers(now),
+            ControlEvent::Tick => {
+                self.poll_servers(now);
+                self.tick_claims(now);
+                self.tick_links(now);
+                self.tick_leaving(now);
+                self.tick_leases(now);
+                self.tick_placement(now);
+                self.tick_power(now);
+                self.tick_republish(now);
+                self.tick_admin(now);
+            }
             ControlEvent::LogRead { stream, page, .. } => self.apply_log(stream, page, now),
             ControlEvent::LogFailed { stream, error } => {
-                log::warn!("event=log_read_failed stream={stream} {error}");
+                self.note_log_failure(stream, &error);
+                self.partners.log_failed |= stream == LogStream::Configuration;
             }
-            ControlEvent::Instances(instances) => self.apply_instances(&instances, now),
+            ControlEvent::Instances(instances) => self.apply_instances(instances, now),
             ControlEvent::Load { server, report, asked_at } => {
+                let event = LeavingEvent::Reported {
+                    server: server.clone(),
+                    incarnation: report.incarnation,
+                    leaving: report.leaving,
+                };
+                self.advance_leaving(None, event, now);
+                self.place_by_report(&server, &report, asked_at, now);
+                self.note_idle(&server, &report, asked_at, now);
                 self.apply_load_report(server, report, asked_at, now);
             }
             ControlEvent::LoadFailed { server, error } => {
+                self.place_without_report(&server, now);
                 self.fail_load_report(server, &error, now);
             }
             ControlEvent::CacheEvents { server, page } => {
@@ -83,6 +156,11 @@
                 self.apply_crash_check(strike, crashed, now);
             }
             ControlEvent::Traffic(report) => self.apply_traffic(report, now),
+            ControlEvent::Claims(message) => self.apply_claims(message, now),
+            ControlEvent::Link(event) => self.apply_link(event, now),
+            ControlEvent::InstanceEnded(instance) => self.end_instance(instance, now),
+            ControlEvent::Ordered(answer) => self.apply_order_answer(answer, now),
+            ControlEvent::Stopping => self.stop(now),
         }
         self.publish();
     }
@@ -92,33 +170,34 @@
         log::info!("event=document_in_force offset={}", document.offset);
         self.keys = Arc::new(KeyIndex::new(&document));
         self.routing.apply(RoutingEvent::Document(Arc::clone(&document)), now);
+        self.placement.apply(PlacementEvent::Document(Arc::clone(&document)), now);
+        self.advance_power(PowerEvent::Document(Arc::clone(&document)), now);
         self.document = Some(document);
     }
 
     fn apply_log(&mut self, stream: LogStream, page: LogPage, now: Instant) {
+        self.note_log_read(stream, &page, now);
         match stream {
-            LogStream::Configuration => self.apply_configuration(page, now),
-            LogStream::Claims | LogStream::Leases | LogStream::Power => {}
+            LogStream::Configuration => {
+                self.partners.log_failed = false;
+                self.apply_configuration(page, now);
+            }
+            LogStream::Leases => self.apply_lease_page(page, now),
+            LogStream::Power => self.apply_power_page(page, now),
+            LogStream::Claims => {}
         }
     }
 
-    fn apply_instances(&mut self, instances: &[InstanceRecord], now: Instant) {
-        let leaving = instances
-            .iter()
-            .filter(|instance| instance.kind == InstanceKind::BackendServer)
-            .filter(|instance| instance.state == InstanceState::Leaving)
-            .map(|instance| instance.name.clone())
-            .collect();
-        self.routing.apply(RoutingEvent::Leaving(leaving), now);
-    }
-
     fn apply_traffic(&mut self, report: TrafficReport, now: Instant) {
         let event = match report {
             TrafficReport::Sent(sent) => {
                 self.note_sent(&sent, now);
                 RoutingEvent::Sent(sent)
             }
-            TrafficReport::Answer(feedback) => RoutingEvent::Answer(feedback),
+            TrafficReport::Answer(feedback) => {
+                self.place_by_answer(&feedback, now);
+                RoutingEvent::Answer(feedback)
+            }
             TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
             TrafficReport::AttemptCut { server, incarnation, fingerprint } => {
                 return self.check_crash(server, incarnation, fingerprint);
@@ -130,6 +209,14 @@
         self.routing.apply(event, now);
     }
 
+    /// Gives up what this node holds for all, then leaves.
+    fn stop(&mut self, now: Instant) {
+        self.is_stopping = true;
+        self.stop_leases(now);
+        self.advance_power(PowerEvent::Stop, now);
+        self.leave_partners(now);
+    }
+
     fn publish(&self) {
         self.snapshot.store(Arc::new(Snapshot {
             document: self.document.clone(),
@@ -137,6 +224,7 @@
             routing: self.routing.view(),
             poison: self.poison.view(),
             live_nodes: self.live_nodes,
+            admin: Arc::clone(&self.admin),
             node_rank: self.node_rank,
         }));
     }
--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -7,35 +7,37 @@
 //! anywhere. Parts that a node does not use move to partners by [`transfers`].
 
 pub mod account;
+pub mod account_state;
+pub mod ended;
+mod holding;
 pub mod ledger;
 pub mod messages;
+mod reclaim;
 pub mod settings;
 pub mod transfers;
 
 pub use account::{PowerAccount, PowerSource, SourceId};
+pub use account_state::shared_watts;
 pub use messages::{
     PowerAnswer, PowerCommand, PowerEvent, PowerFigures, PowerMessage, PowerRequest, ShareAction,
     ShareRecord, TOTAL_PARTS,
 };
 pub use settings::PowerSettings;
 
-use crate::decision::leases::stream::StreamRecord;
-use crate::decision::leases::tenure::drift_margin;
 use crate::ports::LogPage;
 use crate::types::{InstanceId, LogOffset};
-use account::watts_of_parts;
-use ledger::{ReadEntry, ReadShare, ShareLedger};
+use account_state::watts_of_parts;
+use ended::EndedInstances;
+use ledger::{ReadShare, ShareLedger};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use transfers::Transfers;
 
-/// Least time in milliseconds between two appends that change the share.
-const ADJUST_MS: u64 = 5_000;
-/// Part of the fair share by which the share must be off to be changed before it is renewed.
-const ADJUST_DIVISOR: u64 = 10;
-/// Milliseconds over which nodes spread the release of a lapsed share.
-const RECLAIM_SPREAD_MS: u64 = 2_000;
+/// Milliseconds after its start from which a node trusts the number of live nodes it sees.
+const COUNT_NODES_MS: u64 = 5_000;
+/// Requests whose power a node without a share asks for before it has any.
+const FIRST_ASK_REQUESTS: u64 = 4;
 
 /// Share that this node holds.
 #[derive(Clone, Copy, Debug)]
@@ -79,7 +81,10 @@
     last_attempt: u64,
     live_nodes: Option<u32>,
     max_nodes: u32,
+    counts_nodes_at: Instant,
+    has_asked_first: bool,
     transfers: Transfers,
+    ended: EndedInstances,
     is_stopping: bool,
 }
 
@@ -96,6 +101,7 @@
         Self {
             transfers: Transfers::new(instance.clone(), settings, Arc::clone(&account)),
             ledger: ShareLedger::new(&instance, settings.lease_ms, settings.transit_ms),
+            ended: EndedInstances::new(settings),
             instance,
             address,
             settings,
@@ -109,6 +115,8 @@
             last_attempt: 0,
             live_nodes: None,
             max_nodes: 1,
+            counts_nodes_at: now + Duration::from_millis(COUNT_NODES_MS),
+            has_asked_first: false,
             is_stopping: false,
         }
     }
@@ -120,12 +128,23 @@
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
                 self.account.set_document(&document);
+                self.ended.set_document(&document);
+                commands = self.ask_first(now);
             }
             PowerEvent::Page { page, from } => self.read_page(&page, from, now),
             PowerEvent::Message { from, message } => commands = self.receive(&from, &message, now),
             PowerEvent::Membership { partners, live_nodes } => {
                 self.transfers.set_partners(partners);
                 self.live_nodes = Some(live_nodes);
+                commands = self.ask_first(now);
+            }
+            PowerEvent::Heard(instance) => {
+                self.ended.clear_proof(&instance);
+                self.transfers.hear(&instance, now);
+            }
+            PowerEvent::Ended(instance) => self.ended.add_proof(instance, now),
+            PowerEvent::ServerIdle { server, asked_at } => {
+                self.ended.add_idle(server, asked_at);
             }
             PowerEvent::Tick => commands = self.tick(now),
             PowerEvent::Stop => commands = self.stop(now),
@@ -156,6 +175,19 @@
         }
     }
 
+    /// Asks for power as soon as a node without a share has partners, so that its first request
+    /// need not wait for an ask.
+    fn ask_first(&mut self, now: Instant) -> Vec<PowerCommand> {
+        let is_ready = self.transfers.has_partners() && self.account.shared_watts() > 0;
+        if self.held.is_some() || self.has_asked_first || !is_ready {
+            return Vec::new();
+        }
+        self.has_asked_first = true;
+        let work_limit = Duration::from_millis(self.settings.work_limit_ms);
+        self.account.add_lack(FIRST_ASK_REQUESTS, now + work_limit);
+        self.transfers.tick(now)
+    }
+
     fn receive(
         &mut self,
         from: &InstanceId,
@@ -170,7 +202,11 @@
                 self.transfers.regain(*grant);
                 Vec::new()
             }
-            PowerMessage::Ask { .. } => self.answer_ask(from, message, now),
+            PowerMessage::Ask { ask, held_grants, .. } => {
+                self.transfers.regain_unheld(from, *ask, held_grants);
+                self.refresh_share();
+                self.answer_ask(from, message, now)
+            }
         }
     }
 
@@ -218,173 +254,4 @@
             }
         }
     }
-
-    /// Sets the account's share: what is held and stays held if the pending append counts, less
-    /// what was given.
-    fn refresh_share(&self) {
-        let Some(held) = self.held else {
-            self.account.remove_source(&SourceId::Share);
-            return;
-        };
-        let kept_parts = self.kept_parts(held);
-        let parts = kept_parts.saturating_sub(self.transfers.given_parts());
-        let source = PowerSource { parts, deadline: held.deadline };
-        self.account.set_source(SourceId::Share, source);
-    }
-
-    /// Parts that are held whether the pending append counts or not.
-    fn kept_parts(&self, held: HeldShare) -> u64 {
-        self.pending.as_ref().map_or(held.parts, |pending| held.parts.min(pending.parts()))
-    }
-
-    fn tick(&mut self, now: Instant) -> Vec<PowerCommand> {
-        self.held = self.held.filter(|held| now < held.deadline);
-        self.refresh_share();
-        let mut commands = self.transfers.tick(now);
-        self.refresh_share();
-        if let Some(record) = self.next_append(now) {
-            commands.push(PowerCommand::Append(StreamRecord::Change(record)));
-        }
-        commands.extend(self.ledger.upkeep(now).map(PowerCommand::Append));
-        if !self.is_stopping {
-            commands.extend(self.reclaim(now));
-        }
-        commands
-    }
-
-    fn next_append(&mut self, now: Instant) -> Option<ShareRecord> {
-        if let Some(pending) = &mut self.pending {
-            if now < pending.repeat_at {
-                return None;
-            }
-            pending.repeat_at = now + Duration::from_millis(self.settings.repeat_ms);
-            return Some(pending.record.clone());
-        }
-        if self.is_stopping {
-            return None;
-        }
-        let held_parts = self.held.map_or(0, |held| held.parts);
-        let wanted_parts = self.wanted_parts(held_parts, now)?;
-        let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts() / ADJUST_DIVISOR;
-        let is_due = now >= self.renew_at || (is_off && now >= self.adjust_at);
-        if !is_due || wanted_parts == 0 {
-            return None;
-        }
-        let surplus_parts = held_parts.saturating_sub(wanted_parts);
-        let given_up_parts = self.account.take_spare(surplus_parts, now);
-        let parts = wanted_parts + (surplus_parts - given_up_parts);
-        Some(self.send_hold(parts, self.settings.lease_ms, now))
-    }
-
-    fn fair_parts(&self) -> u64 {
-        let nodes = self.live_nodes.unwrap_or(self.max_nodes).clamp(1, self.max_nodes);
-        TOTAL_PARTS / u64::from(nodes)
-    }
-
-    /// Parts to hold from the next append on, or none if nothing can be said yet.
-    fn wanted_parts(&self, held_parts: u64, now: Instant) -> Option<u64> {
-        let fair_parts = self.fair_parts();
-        if held_parts > fair_parts {
-            let surplus_parts = self.account.spare_parts(now).min(held_parts - fair_parts);
-            return Some(held_parts - surplus_parts);
-        }
-        match self.ledger.free_parts() {
-            Some(free_parts) => {
-                let own_parts = self.ledger.entry(&self.instance).map_or(0, |entry| entry.parts);
-                Some(fair_parts.min(own_parts + free_parts))
-            }
-            None => self.held.map(|held| held.parts),
-        }
-    }
-
-    fn send_hold(&mut self, parts: u64, lease_ms: u64, now: Instant) -> ShareRecord {
-        let action = ShareAction::Hold {
-            parts,
-            lease_ms,
-            work_limit_ms: self.settings.work_limit_ms,
-            address: self.address.clone(),
-        };
-        self.renew_at = now + Duration::from_millis(self.settings.renew_ms);
-        self.adjust_at = now + Duration::from_millis(ADJUST_MS);
-        self.send(action, now)
-    }
-
-    fn send(&mut self, action: ShareAction, now: Instant) -> ShareRecord {
-        self.last_attempt += 1;
-        let record = ShareRecord {
-            instance: self.instance.clone(),
-            attempt: self.last_attempt,
-            replaces: self.ledger.offset(&self.instance),
-            action,
-        };
-        self.pending = Some(PendingShare {
-            record: record.clone(),
-            first_sent_at: now,
-            repeat_at: now + Duration::from_millis(self.settings.repeat_ms),
-        });
-        self.refresh_share();
-        record
-    }
-
-    /// Releases lapsed shares of other instances, spread over the nodes.
-    fn reclaim(&mut self, now: Instant) -> Vec<PowerCommand> {
-        if now < self.reclaim_at {
-            return Vec::new();
-        }
-        let lapsed: Vec<ShareRecord> = self
-            .ledger
-            .entries()
-            .filter(|read| read.entry.instance != self.instance)
-            .filter(|read| now >= self.reclaimable_at(read))
-            .map(|read| ShareRecord {
-                instance: read.entry.instance.clone(),
-                attempt: 0,
-                replaces: read.entry.offset,
-                action: ShareAction::Release,
-            })
-            .collect();
-        if !lapsed.is_empty() {
-            self.reclaim_at = now + Duration::from_millis(self.settings.repeat_ms);
-        }
-        lapsed
-            .into_iter()
-            .map(|record| PowerCommand::Append(StreamRecord::Change(record)))
-            .collect()
-    }
-
-    /// When nothing that the holder started can run any more. An instance that listened on this
-    /// node's own address had ended when this node started.
-    fn reclaimable_at(&self, read: &ReadEntry) -> Instant {
-        let entry = &read.entry;
-        let spread_seed = xxhash_rust::xxh3::xxh3_64(self.instance.as_bytes());
-        let spread = xxhash_rust::xxh3::xxh3_64_with_seed(entry.instance.as_bytes(), spread_seed);
-        let lapsed_at = read.lapsed_at + Duration::from_millis(spread % RECLAIM_SPREAD_MS);
-        if entry.address != self.address {
-            return lapsed_at;
-        }
-        let work_ends_at = self.started_at
-            + Duration::from_millis(entry.work_limit_ms + self.settings.transit_ms)
-            + drift_margin(entry.work_limit_ms);
-        lapsed_at.min(work_ends_at)
-    }
-
-    /// Gives up the share except for what partners and requests still use, which lapses with them.
-    fn stop(&mut self, now: Instant) -> Vec<PowerCommand> {
-        self.is_stopping = true;
-        let mut commands = self.transfers.return_unneeded(now);
-        let Some(held) = self.held else { return commands };
-        let kept_parts = self.kept_parts(held);
-        let used_parts = kept_parts - self.account.take_spare(kept_parts, now);
-        let used_until = self.transfers.last_regain_at().max(self.account.last_work_deadline());
-        let record = match used_until.filter(|_| used_parts > 0) {
-            None => self.send(ShareAction::Release, now),
-            Some(used_until) => {
-                let lasts = used_until.min(held.deadline).saturating_duration_since(now);
-                let lease_ms = u64::try_from(lasts.as_millis()).unwrap_or(u64::MAX / 4) + 1;
-                self.send_hold(used_parts, lease_ms, now)
-            }
-        };
-        commands.push(PowerCommand::Append(StreamRecord::Change(record)));
-        commands
-    }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,7 +4,9 @@
 
 pub mod labels;
 
-pub use labels::{OutcomeLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels};
+pub use labels::{
+    FailureLabels, LeaseLabels, PeerLabels, ReasonLabels, RequestLabels, StreamLabels,
+};
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -52,10 +54,10 @@
 /// All metrics of a node. Clones share their values.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
-    /// Requests that ended, by workspace and outcome.
-    pub requests: Family<OutcomeLabels, Counter>,
-    /// Requests under way.
-    pub requests_under_way: Gauge,
+    /// Complete answers to model requests.
+    pub answers: Family<RequestLabels, Counter>,
+    /// Calls that ended in a failure, by its code and whether they were run.
+    pub failures: Family<FailureLabels, Counter>,
     /// Time from accepting a request to its first token.
     pub first_token_seconds: LatencyFamily,
     /// Prompt tokens sent to engines.
@@ -66,18 +68,26 @@
     pub recomputed_tokens: Family<RequestLabels, Counter>,
     /// Routing decisions by reason.
     pub route_decisions: Family<ReasonLabels, Counter>,
-    /// Attempts after the first, by reason.
-    pub retries: Family<ReasonLabels, Counter>,
+    /// Attempts of model requests after the first.
+    pub retries: Counter,
     /// Exchanges with peers that failed, by peer and step.
     pub peer_errors: Family<PeerLabels, Counter>,
-    /// Claims of idempotency keys, by outcome.
-    pub claims: Family<ReasonLabels, Counter>,
     /// Leases held by this node.
     pub leases_held: Gauge,
+    /// Fencing number of the last acquisition of a lease, by lease.
+    pub lease_fencing_number: Family<LeaseLabels, Gauge>,
+    /// Placement orders, by reason.
+    pub placement_orders: Family<ReasonLabels, Counter>,
     /// Watts that this node may commit.
     pub power_share_watts: Gauge,
     /// Watts that this node has committed.
     pub power_committed_watts: Gauge,
+    /// Watts given to partners and not regained.
+    pub power_given_watts: Gauge,
+    /// Watts received from partners.
+    pub power_received_watts: Gauge,
+    /// Attempts cancelled because the budget no longer covered them.
+    pub power_shed: Counter,
     /// Live nodes as this node sees them, itself included.
     pub live_nodes: Gauge,
     /// Bytes sent to partners.
@@ -88,6 +98,8 @@
     pub log_read_offset: Family<StreamLabels, Gauge>,
     /// Time of the last successful read of a log stream, in seconds since the Unix epoch.
     pub log_read_timestamp_seconds: Family<StreamLabels, SecondsGauge>,
+    /// Reads of a log stream that failed.
+    pub log_read_failures: Family<StreamLabels, Counter>,
     /// Revision of the document in force.
     pub document_revision: Gauge,
     /// Revision that the log has accepted; above the one in force if this build cannot check it.
@@ -96,8 +108,6 @@
     pub document_held_back: Gauge,
     /// Malformed records met on the configuration stream.
     pub configuration_bad_records: Counter,
-    /// Edits that this node submitted, by outcome.
-    pub configuration_edits: Family<ReasonLabels, Counter>,
     /// Requests to the administration API, by outcome.
     pub admin_requests: Family<ReasonLabels, Counter>,
 }
@@ -113,12 +123,8 @@
     }
 
     fn register_traffic(&self, registry: &mut Registry) {
-        registry.register("requests", "Requests that ended", self.requests.clone());
-        registry.register(
-            "requests_under_way",
-            "Requests under way",
-            self.requests_under_way.clone(),
-        );
+        registry.register("answers", "Complete answers", self.answers.clone());
+        registry.register("failures", "Failed calls by code", self.failures.clone());
         registry.register_with_unit(
             "first_token",
             "Time to the first token",
@@ -149,9 +155,7 @@
         );
     }
 
-    fn register_control(&self, registry: &mut Registry) {
-        registry.register("claims", "Claims by outcome", self.claims.clone());
-        registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
+    fn register_power(&self, registry: &mut Registry) {
         registry.register(
             "power_share_watts",
             "Watts this node may commit",
@@ -162,6 +166,36 @@
             "Watts this node has committed",
             self.power_committed_watts.clone(),
         );
+        registry.register(
+            "power_given_watts",
+            "Watts given to partners",
+            self.power_given_watts.clone(),
+        );
+        registry.register(
+            "power_received_watts",
+            "Watts received from partners",
+            self.power_received_watts.clone(),
+        );
+        registry.register(
+            "power_shed",
+            "Attempts cancelled for want of power",
+            self.power_shed.clone(),
+        );
+    }
+
+    fn register_control(&self, registry: &mut Registry) {
+        registry.register("leases_held", "Leases held by this node", self.leases_held.clone());
+        registry.register(
+            "lease_fencing_number",
+            "Fencing number of the last acquisition",
+            self.lease_fencing_number.clone(),
+        );
+        registry.register(
+            "placement_orders",
+            "Placement orders by reason",
+            self.placement_orders.clone(),
+        );
+        self.register_power(registry);
         registry.register("live_nodes", "Live nodes seen", self.live_nodes.clone());
         registry.register_with_unit(
             "link_sent",
@@ -189,6 +223,11 @@
     }
 
     fn register_configuration(&self, registry: &mut Registry) {
+        registry.register(
+            "log_read_failures",
+            "Failed reads of a stream",
+            self.log_read_failures.clone(),
+        );
         registry.register("document_revision", "Revision in force", self.document_revision.clone());
         registry.register(
             "document_accepted_revision",
@@ -205,11 +244,6 @@
             "Malformed configuration records",
             self.configuration_bad_records.clone(),
         );
-        registry.register(
-            "configuration_edits",
-            "Edits submitted here by outcome",
-            self.configuration_edits.clone(),
-        );
         registry.register(
             "admin_requests",
             "Administration requests by outcome",
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,10 +1,13 @@
 //! Checks raw settings and reports every fault with its path in the file.
 
 use super::raw::{
-    RawControlSettings, RawLimitSettings, RawListenSettings, RawPlatformSettings, RawSettings,
+    RawClaimsSettings, RawControlSettings, RawLimitSettings, RawListenSettings,
+    RawPlatformSettings, RawSettings,
 };
 use super::{ControlSettings, LimitSettings, ListenSettings, PlatformSettings, Settings};
+use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
+use crate::document::is_key_hash;
 use crate::types::Faults;
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -31,16 +34,23 @@
             "traffic_threads",
             format!("must be from 1 to {MOST_TRAFFIC_THREADS}"),
         );
+        faults.require(
+            raw.bootstrap_key_hash.as_ref().is_none_or(|hash| is_key_hash(hash)),
+            "bootstrap_key_hash",
+            "must be a SHA-256 in lower-case hexadecimal",
+        );
         let settings = Settings {
             instance_name: raw.instance_name,
             availability_zone: raw.availability_zone,
             listen: check_listen(&raw.listen, &mut faults),
             platform: check_platform(&raw.platform, &mut faults),
             partner_key: raw.partner_key,
+            bootstrap_key_hash: raw.bootstrap_key_hash,
             routing_policy: check_policy(&raw.routing_policy, &mut faults),
             limits: check_limits(&raw.limits, &mut faults),
             traffic_threads: raw.traffic_threads,
             control: check_control(&raw.control, &mut faults),
+            claims: check_claims(&raw.claims, &mut faults),
         };
         faults.into_result(settings)
     }
@@ -113,6 +123,7 @@
         ("control.instance_list_period_ms", raw.instance_list_period_ms),
         ("control.load_period_ms", raw.load_period_ms),
         ("control.exchange_timeout_ms", raw.exchange_timeout_ms),
+        ("control.snapshot_period_ms", raw.snapshot_period_ms),
         ("control.poll_bytes_per_s", u64::from(raw.poll_bytes_per_s)),
         ("control.link_bytes_per_s", u64::from(raw.link_bytes_per_s)),
     ];
@@ -124,11 +135,24 @@
         instance_list_period_ms: raw.instance_list_period_ms,
         load_period_ms: raw.load_period_ms,
         exchange_timeout_ms: raw.exchange_timeout_ms,
+        snapshot_period_ms: raw.snapshot_period_ms,
         poll_bytes_per_s: raw.poll_bytes_per_s,
         link_bytes_per_s: raw.link_bytes_per_s,
     }
 }
 
+fn check_claims(raw: &RawClaimsSettings, faults: &mut Faults) -> ClaimsSettings {
+    let claims = ClaimsSettings {
+        key_age_ms: raw.key_age_ms,
+        clock_skew_ms: raw.clock_skew_ms,
+        log_retention_ms: raw.log_retention_ms,
+        appends_per_s: raw.appends_per_s,
+        ..ClaimsSettings::default()
+    };
+    claims.check("claims", faults);
+    claims
+}
+
 fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
     raw.parse().unwrap_or_else(|_| {
         faults.add(path, format!("`{raw}` is not an ip:port address"));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 pub use raw::RawSettings;
 
+use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
 use crate::types::AvailabilityZone;
 use smol_str::SmolStr;
@@ -24,6 +25,8 @@
     pub platform: PlatformSettings,
     /// Key shared by all nodes, which authenticates partner links.
     pub partner_key: SmolStr,
+    /// SHA-256 of the administrator key that counts while the document names no owner.
+    pub bootstrap_key_hash: Option<SmolStr>,
     /// Routing policy.
     pub routing_policy: RoutingPolicy,
     /// Limits on calls.
@@ -32,6 +35,8 @@
     pub traffic_threads: usize,
     /// Periods of the control thread's exchanges.
     pub control: ControlSettings,
+    /// Claims of idempotency keys.
+    pub claims: ClaimsSettings,
 }
 
 /// Addresses that a node listens on; port 0 takes a free one.
@@ -88,6 +93,9 @@
     pub load_period_ms: u64,
     /// Milliseconds that an exchange with the platform may take.
     pub exchange_timeout_ms: u64,
+    /// Milliseconds after which the configuration is republished; below a quarter of the time for
+    /// which the log keeps records.
+    pub snapshot_period_ms: u64,
     /// Bytes a second for load reports and cache events.
     pub poll_bytes_per_s: u32,
     /// Bytes a second for partner links.
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -1,5 +1,6 @@
 //! Raw form of the settings file.
 
+use crate::decision::claims::ClaimsSettings;
 use crate::types::AvailabilityZone;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,8 @@
     pub platform: RawPlatformSettings,
     /// Key shared by all nodes, which authenticates partner links.
     pub partner_key: SmolStr,
+    /// SHA-256 of the administrator key that counts while the document names no owner.
+    pub bootstrap_key_hash: Option<SmolStr>,
     /// Routing policy.
     pub routing_policy: SmolStr,
     /// Limits on calls.
@@ -27,6 +30,8 @@
     pub traffic_threads: usize,
     /// Periods of the control thread's exchanges.
     pub control: RawControlSettings,
+    /// Claims of idempotency keys.
+    pub claims: RawClaimsSettings,
 }
 
 impl Default for RawSettings {
@@ -37,10 +42,12 @@
             listen: RawListenSettings::default(),
             platform: RawPlatformSettings::default(),
             partner_key: SmolStr::default(),
+            bootstrap_key_hash: None,
             routing_policy: SmolStr::new_static("coriandertide"),
             limits: RawLimitSettings::default(),
             traffic_threads: 2,
             control: RawControlSettings::default(),
+            claims: RawClaimsSettings::default(),
         }
     }
 }
@@ -128,6 +135,9 @@
     pub load_period_ms: u64,
     /// Milliseconds that an exchange with the platform may take.
     pub exchange_timeout_ms: u64,
+    /// Milliseconds after which the configuration is republished; below a quarter of the time for
+    /// which the log keeps records.
+    pub snapshot_period_ms: u64,
     /// Bytes a second for load reports and cache events.
     pub poll_bytes_per_s: u32,
     /// Bytes a second for partner links.
@@ -141,8 +151,35 @@
             instance_list_period_ms: 1_000,
             load_period_ms: 500,
             exchange_timeout_ms: 2_000,
+            snapshot_period_ms: 120_000,
             poll_bytes_per_s: 6_000,
             link_bytes_per_s: 6_000,
         }
     }
 }
+
+/// Claims of idempotency keys; the same on all nodes.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawClaimsSettings {
+    /// Milliseconds after its first use, or after the time that it carries, for which a key holds.
+    pub key_age_ms: u64,
+    /// Largest difference in milliseconds between the clocks of callers and of the log.
+    pub clock_skew_ms: u64,
+    /// Milliseconds for which the log is known to keep records.
+    pub log_retention_ms: u64,
+    /// Appends a second to the stream of claims, over all nodes.
+    pub appends_per_s: u32,
+}
+
+impl Default for RawClaimsSettings {
+    fn default() -> Self {
+        let claims = ClaimsSettings::default();
+        Self {
+            key_age_ms: claims.key_age_ms,
+            clock_skew_ms: claims.clock_skew_ms,
+            log_retention_ms: claims.log_retention_ms,
+            appends_per_s: claims.appends_per_s,
+        }
+    }
+}
--- a/tests/together/main.rs
+++ b/tests/together/main.rs
@@ -5,6 +5,10 @@
 mod claims;
 mod claims_cases;
 mod claims_world;
+mod leaving;
+mod links;
+mod membership;
+mod network;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,6 +4,9 @@
 
 mod answers;
 mod caller;
+mod claims;
+mod partners;
+mod poison;
 mod refusals;
 mod services;
 mod settings;
