--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -151,7 +151,6 @@
         }
         log::info!("event=live_nodes live={live_nodes} before={}", self.live_nodes);
         self.live_nodes = live_nodes;
-        self.context.metrics.live_nodes.set(live_nodes.into());
         self.context.live_nodes.set(live_nodes);
         self.routing.apply(RoutingEvent::LiveNodes(live_nodes), now);
         self.placement.apply(PlacementEvent::LiveNodes(live_nodes), now);
