feat(admission): refuse a request early if even its best server would keep it waiting too long

Change: the first attempt is refused with a time to come back when the expected wait at the chosen server exceeds what the priority allows.

--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -24,6 +24,9 @@
 /// Time after which a caller should come back when no server can take its request.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(1_000);
 
+/// Shortest time after which a refused caller is told to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+
 /// Time that nodes take to confirm a crash and to tell each other of the strikes.
 const STRIKE_EXCHANGE: Duration = Duration::from_millis(150);
 
@@ -198,7 +201,22 @@
         } else {
             snapshot.routing.route(query, now)
         };
-        decision.ok_or_else(|| self.no_server())
+        let decision = decision.ok_or_else(|| self.no_server())?;
+        self.check_wait(&decision, now)?;
+        Ok(decision)
+    }
+
+    /// Refuses a request that has not been run if even the best server would keep it waiting
+    /// longer than its priority allows.
+    fn check_wait(&self, decision: &RouteDecision, now: Instant) -> Result<(), Failure> {
+        let longest_wait = AdmissionConfig::default().longest_wait(self.request.priority);
+        let wait = Duration::from_millis(decision.expectation.wait_ms.into());
+        if self.attempts > 0 || wait <= longest_wait {
+            return Ok(());
+        }
+        let message = format!("the best server would start it after {} ms", wait.as_millis());
+        let retry_at = now + (wait - longest_wait).max(SHORTEST_RETRY);
+        Err(Failure::not_run(FailureCode::Overloaded, message).retry_at(retry_at))
     }
 
     /// Commits the watts of an attempt, waiting for them as long as the priority allows.
