--- a/tests/traffic/admission.rs
+++ b/tests/traffic/admission.rs
@@ -99,6 +99,29 @@
     ));
 }
 
+#[test]
+fn a_wait_ends_after_the_longest_wait_of_its_priority() {
+    let now = Instant::now();
+    let mut lines = String::new();
+    for priority in [Priority::Batch, Priority::Normal, Priority::Interactive] {
+        let mut admission = admission(&document(1_000, 1), 1, now);
+        admission.offer(request(0, "small", priority, now), now);
+        // A short service time lets the next request wait instead of being refused at once.
+        admission.finish(0, now);
+        admission.offer(request(1, "small", priority, now), now);
+        let verdict = admission.offer(request(2, "small", priority, now), now);
+        let Verdict::Wait { until } = verdict else { panic!("{verdict:?}") };
+        assert!(admission.expire(until - Duration::from_millis(1)).is_empty());
+        assert_eq!(admission.expire(until).len(), 1);
+        writeln!(lines, "{priority}: {} ms", (until - now).as_millis()).unwrap();
+    }
+    insta::assert_snapshot!(lines, @r"
+    batch: 5000 ms
+    normal: 600 ms
+    interactive: 300 ms
+    ");
+}
+
 /// Runs a flood of `large` beside steady calls of `small`; each request takes 100 ms.
 #[test]
 fn a_flood_of_one_workspace_leaves_the_others_alone() {
