--- a/examples/capacity_slopes/budget.rs
+++ b/examples/capacity_slopes/budget.rs
@@ -103,7 +103,7 @@
     Row {
         role: "control thread, 8 links, idle",
         core_us_per_s: costs.nodes.control_us_per_s.at(MEASURED_NODES),
-        memory_bytes: 0.0,
+        memory_bytes: costs.nodes.memory_bytes.at(MEASURED_NODES),
         bytes_per_s: costs.nodes.link_bytes_per_s.at(MEASURED_NODES),
     }
 }
--- a/examples/capacity_slopes/main.rs
+++ b/examples/capacity_slopes/main.rs
@@ -10,8 +10,8 @@
 mod membership;
 mod nodes;
 mod power;
-mod resident;
 mod routing;
+mod usage;
 
 use budget::Costs;
 
@@ -39,6 +39,7 @@
         &routing.memory_bytes,
         &nodes.control_us_per_s,
         &nodes.link_bytes_per_s,
+        &nodes.memory_bytes,
     ];
     slopes.iter().for_each(|slope| println!("{slope}"));
     println!();
--- a/examples/capacity_slopes/nodes.rs
+++ b/examples/capacity_slopes/nodes.rs
@@ -1,6 +1,7 @@
 //! Running nodes: processor time of the control thread and bytes on links, by nodes.
 
 use crate::fit::{Point, Slope};
+use crate::usage::used_bytes;
 use coriandertide::adapters::http_client::send;
 use coriandertide::daemon::Node;
 use coriandertide::decision::configuration::ConfigurationRecord;
@@ -34,29 +35,43 @@
     pub control_us_per_s: Slope,
     /// Bytes a second sent and received on partner links, by nodes.
     pub link_bytes_per_s: Slope,
+    /// Bytes of memory of a node, by nodes.
+    pub memory_bytes: Slope,
+}
+
+/// Costs of one node in a site of some size.
+struct NodeCost {
+    control_us_per_s: f64,
+    link_bytes_per_s: f64,
+    memory_bytes: f64,
 }
 
 /// Measures running nodes in this process.
 pub fn measure() -> anyhow::Result<NodeCosts> {
     let mut control_points = Vec::new();
     let mut link_points = Vec::new();
-    for size in SIZES {
-        let (control_us_per_s, link_bytes_per_s) = measure_site(size)?;
-        control_points.push(Point { size: size as f64, cost: control_us_per_s });
-        link_points.push(Point { size: size as f64, cost: link_bytes_per_s });
+    let mut memory_points = Vec::new();
+    for nodes in SIZES {
+        let cost = measure_site(nodes)?;
+        let size = nodes as f64;
+        control_points.push(Point { size, cost: cost.control_us_per_s });
+        link_points.push(Point { size, cost: cost.link_bytes_per_s });
+        memory_points.push(Point { size, cost: cost.memory_bytes });
     }
     Ok(NodeCosts {
         control_us_per_s: Slope::fit("node: control us a second, by nodes", control_points),
         link_bytes_per_s: Slope::fit("node: link bytes a second, by nodes", link_points),
+        memory_bytes: Slope::fit("node: bytes of memory, by nodes", memory_points),
     })
 }
 
-fn measure_site(size: usize) -> anyhow::Result<(f64, f64)> {
+fn measure_site(size: usize) -> anyhow::Result<NodeCost> {
     let log = LogServiceStandIn::start(LogServiceConfig::default())?;
     let list = InstanceListStandIn::start(InstanceListConfig::default())?;
     let engines = (0..ENGINES).map(start_engine).collect::<anyhow::Result<Vec<_>>>()?;
     let raw: RawDocument = serde_json::from_value(document(&engines))?;
     log.append("configuration", ConfigurationRecord::snapshot(raw).encode());
+    let used_before = used_bytes();
     let nodes = (0..size)
         .map(|number| start_node(number, &log, &list))
         .collect::<anyhow::Result<Vec<_>>>()?;
@@ -64,10 +79,15 @@
     let (cpu_before, links_before) = (control_us()?, link_bytes(&nodes)?);
     let started_at = Instant::now();
     thread::sleep(PERIOD);
+    let used = used_bytes().saturating_sub(used_before);
     let (cpu, links) = (control_us()? - cpu_before, link_bytes(&nodes)? - links_before);
     let node_seconds = started_at.elapsed().as_secs_f64() * size as f64;
     nodes.into_iter().for_each(Node::kill);
-    Ok((cpu / node_seconds, links / node_seconds))
+    Ok(NodeCost {
+        control_us_per_s: cpu / node_seconds,
+        link_bytes_per_s: links / node_seconds,
+        memory_bytes: used as f64 / size as f64,
+    })
 }
 
 fn start_engine(number: usize) -> anyhow::Result<EngineStandIn> {
--- a/examples/capacity_slopes/routing.rs
+++ b/examples/capacity_slopes/routing.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use crate::fit::{Point, Slope};
-use crate::resident::{grown_bytes, mean_us};
+use crate::usage::{grown_bytes, mean_us};
 use coriandertide::decision::routing::{RoutingEvent, RoutingPolicy};
 use fleet::{FleetSize, TargetFleet, query, report, server};
 use std::hint::black_box;
