--- a/src/decision/power/holding.rs
+++ b/src/decision/power/holding.rs
@@ -65,7 +65,8 @@
         let wanted_parts = self.wanted_parts(held_parts, now)?;
         let is_off = wanted_parts.abs_diff(held_parts) > self.fair_parts(now) / ADJUST_DIVISOR;
         let is_due = now >= self.renew_at || (is_off && now >= self.adjust_at);
-        if !is_due || wanted_parts == 0 {
+        let is_worth_it = self.held.is_some() || is_off;
+        if !is_due || !is_worth_it || wanted_parts == 0 {
             return None;
         }
         let surplus_parts = held_parts.saturating_sub(wanted_parts);
