--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -43,6 +43,7 @@
                 let event = MembershipEvent::Ping { peer: peer.clone(), digest };
                 self.advance_membership(event, now);
                 self.request_configuration(peer, configuration, now);
+                self.read_if_ahead(configuration);
             }
             PartnerMessage::Members(records) => {
                 let event = MembershipEvent::Records { peer: peer.clone(), records };
@@ -143,13 +144,14 @@
     /// Spreads a change of the number of live nodes to the parts that share by it.
     pub(super) fn note_live_nodes(&mut self, now: Instant) {
         let live_nodes = self.links.membership.live_nodes();
+        self.context.metrics.live_nodes.set(live_nodes.into());
         self.node_rank = self.find_rank(live_nodes);
         if live_nodes == self.live_nodes {
             return;
         }
         log::info!("event=live_nodes live={live_nodes} before={}", self.live_nodes);
         self.live_nodes = live_nodes;
-        self.context.metrics.live_nodes.set(live_nodes.into());
+        self.context.live_nodes.set(live_nodes);
         self.routing.apply(RoutingEvent::LiveNodes(live_nodes), now);
         self.placement.apply(PlacementEvent::LiveNodes(live_nodes), now);
         self.share_claim_appends(live_nodes, now);
