--- a/src/decision/power/mod.rs
+++ b/src/decision/power/mod.rs
@@ -28,14 +28,14 @@
 use crate::types::{InstanceId, LogOffset};
 use account_state::watts_of_parts;
 use ended::EndedInstances;
-use ledger::{ReadShare, ShareLedger};
+use ledger::{ReadShare, ShareEntry, ShareLedger};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use transfers::Transfers;
 
 /// Milliseconds after its start from which a node trusts the number of live nodes it sees.
-const COUNT_NODES_MS: u64 = 5_000;
+const COUNT_NODES_MS: u64 = 1_500;
 /// Requests whose power a node without a share asks for before it has any.
 const FIRST_ASK_REQUESTS: u64 = 4;
 
@@ -127,6 +127,7 @@
         match event {
             PowerEvent::Document(document) => {
                 self.max_nodes = document.site.max_nodes.max(1);
+                self.set_lease(document.site.power_lease_ms);
                 self.account.set_document(&document);
                 self.ended.set_document(&document);
                 commands = self.ask_first(now);
@@ -162,6 +163,11 @@
         self.ledger.next_offset()
     }
 
+    /// Returns the share of `instance` as read from the log.
+    pub fn share(&self, instance: &InstanceId) -> Option<&ShareEntry> {
+        self.ledger.entry(instance)
+    }
+
     /// Returns the node's figures at `now`.
     pub fn figures(&self, now: Instant) -> PowerFigures {
         let shared_watts = self.account.shared_watts();
@@ -175,6 +181,12 @@
         }
     }
 
+    /// Sets how long the shares that this node takes from now on last.
+    fn set_lease(&mut self, lease_ms: u64) {
+        self.settings.lease_ms = lease_ms;
+        self.ledger.allow_lease(lease_ms);
+    }
+
     /// Asks for power as soon as a node without a share has partners, so that its first request
     /// need not wait for an ask.
     fn ask_first(&mut self, now: Instant) -> Vec<PowerCommand> {
