--- a/src/decision/routing/belief.rs
+++ b/src/decision/routing/belief.rs
@@ -82,6 +82,8 @@
             return;
         }
         if self.holders.len() < max_holders {
+            // Most prefixes have one or two holders; a doubled capacity would cost more than they do.
+            self.holders.reserve_exact(1);
             self.holders.push(holder);
             return;
         }
