--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -23,7 +23,6 @@
         self.publish_nodes();
         self.publish_leases();
         self.publish_power(now);
-        self.publish_links();
     }
 
     /// Publishes the nodes and what each has in force.
@@ -105,18 +104,6 @@
             Arc::make_mut(&mut self.admin).power = reply;
         }
     }
-
-    fn publish_links(&self) {
-        let metrics = &self.context.metrics;
-        let figures = self.links.figures;
-        raise(&metrics.link_sent_bytes, figures.sent_bytes);
-        raise(&metrics.link_received_bytes, figures.received_bytes);
-    }
-}
-
-/// Raises a counter to `total`.
-fn raise(counter: &prometheus_client::metrics::counter::Counter, total: u64) {
-    counter.inc_by(total.saturating_sub(counter.get()));
 }
 
 fn watts_gauge(watts: u64) -> i64 {
