fix(power): hold watts of an unconfirmed attempt for the transit time too; fix(metrics): one writer of live_nodes

Cause: a server may end a request up to transit_ms after its deadline, but its watts came back at the deadline; live_nodes was set in two places from two sources, so that a test took nodes for linked that were not. Change: watts come back after deadline and transit; membership alone sets the gauge; the poison test waits for bytes on the link.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -31,8 +31,6 @@
         let mut nodes = vec![self.own_node()];
         nodes.extend(self.links.membership.live_members().map(|member| self.other_node(member)));
         nodes.sort_by(|a, b| a.instance.cmp(&b.instance));
-        let metrics = &self.context.metrics;
-        metrics.live_nodes.set(i64::try_from(nodes.len()).unwrap_or(i64::MAX));
         if *self.admin.nodes != nodes {
             Arc::make_mut(&mut self.admin).nodes = Arc::new(nodes);
         }
--- a/src/traffic/power_hold.rs
+++ b/src/traffic/power_hold.rs
@@ -1,7 +1,7 @@
 //! Watts committed to an attempt until its server no longer runs it.
 
 use super::TrafficContext;
-use crate::decision::power::{PowerAnswer, PowerRequest};
+use crate::decision::power::{PowerAnswer, PowerRequest, PowerSettings};
 use crate::types::{Priority, RequestId, ServerId};
 use smol::Timer;
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 ///
 /// When it is dropped before [`PowerHold::release`], the server may still run the request: the
 /// watts are then held until the server has confirmed a cancel, or until the work deadline that
-/// the server itself enforces.
+/// the server itself enforces has passed for a request that was under way.
 pub struct PowerHold {
     context: Arc<TrafficContext>,
     key: RequestId,
@@ -98,11 +98,12 @@
         let (key, request) = (self.key.clone(), self.request.clone());
         let (server, address) = (self.server.clone(), self.address);
         let work_deadline = self.work_deadline;
+        let transit = Duration::from_millis(PowerSettings::default().transit_ms);
         self.context.spawn(async move {
             if let Err(error) = context.engines.cancel(address, request).await {
                 log::warn!("event=cancel_failed server={server} {error}");
                 if !error.is_connection_refused() {
-                    Timer::at(work_deadline).await;
+                    Timer::at(work_deadline + transit).await;
                 }
             }
             context.power.finish(&key);
--- a/tests/whole_path/poison.rs
+++ b/tests/whole_path/poison.rs
@@ -20,12 +20,16 @@
     call(address, post("/v1/chat/completions", body.to_string())).unwrap()
 }
 
-/// Waits until each node sees the other.
+/// Waits until each node sees the other and has heard from it.
 fn wait_linked(nodes: &[SocketAddr]) {
     let deadline = Instant::now() + Duration::from_secs(20);
     let is_linked = |node: &SocketAddr| {
         let metrics = call(*node, get("/metrics")).unwrap().body;
-        String::from_utf8_lossy(&metrics).contains("coriandertide_live_nodes 2\n")
+        let metrics = String::from_utf8_lossy(&metrics).into_owned();
+        let has_heard = metrics.lines().any(|line| {
+            line.starts_with("coriandertide_link_received_bytes_total") && !line.ends_with(" 0")
+        });
+        has_heard && metrics.contains("coriandertide_live_nodes 2\n")
     };
     while !nodes.iter().all(is_linked) {
         assert!(Instant::now() < deadline, "the nodes do not see each other");
