feat(routing): load reports that come with the head of an answer

Cause: twelve servers asked twice a second need 11.8 KB/s for load reports, twice the poll budget, so nodes chose on stale loads. Change: an engine may send its report in the header x-load; the node takes it in and puts off the next poll of that server.

--- a/examples/capacity_slopes/claims.rs
+++ b/examples/capacity_slopes/claims.rs
@@ -46,14 +46,10 @@
         record_bytes: Slope::fit("claims: bytes of a record, by claims", record_points.into()),
         memory_bytes: Slope::fit("claims: bytes of memory, by keys", memory_points),
         fold_us: Slope::fit("claims: us to encode and fold, by claims", fold_points),
-        memory_ms: settings().memory_ms(),
+        memory_ms: ClaimsSettings::default().memory_ms(),
     })
 }
 
-fn settings() -> ClaimsSettings {
-    ClaimsSettings { key_age_ms: 3_600_000, ..ClaimsSettings::default() }
-}
-
 fn claim(number: u64) -> ClaimEntry {
     let spread = u128::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
     let claim = ClaimId { run: 0x0123_4567_89ab_cdef + number % 370, sequence: number };
@@ -61,7 +57,7 @@
 }
 
 fn fold(keys: u64) -> anyhow::Result<ClaimsState> {
-    let mut state = ClaimsState::new(&"entry-0".into(), settings());
+    let mut state = ClaimsState::new(&"entry-0".into(), ClaimsSettings::default());
     let now = Instant::now();
     for number in 0..keys {
         let record = LogRecord {
--- a/src/adapters/model_engine.rs
+++ b/src/adapters/model_engine.rs
@@ -100,6 +100,7 @@
             return Err(refusal(&mut exchange, deadline).await);
         }
         let incarnation = header_number(&exchange.headers, "x-incarnation").unwrap_or(0);
+        let load = header_report(&exchange.headers);
         let data = read_data(exchange, self.frame_timeout, deadline);
         let reader = FrameReader {
             events: data.eventsource(),
@@ -108,7 +109,7 @@
             ended: false,
         };
         let frames = Box::pin(stream::unfold(reader, next_frame));
-        Ok(EngineAnswer { incarnation, frames })
+        Ok(EngineAnswer { incarnation, load, frames })
     }
 
     async fn cancel(&self, address: SocketAddr, request_id: RequestId) -> PeerResult<()> {
@@ -189,6 +190,10 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+fn header_report(headers: &HeaderMap) -> Option<LoadReport> {
+    serde_json::from_slice(headers.get("x-load")?.as_bytes()).ok()
+}
+
 fn read_data(exchange: Exchange, frame_timeout: Duration, deadline: Instant) -> DataStream {
     Box::pin(stream::unfold(Some(exchange), move |exchange| async move {
         let mut exchange = exchange?;
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -94,6 +94,15 @@
     Sent(SentRequest),
     /// A server completed an answer.
     Answer(AnswerFeedback),
+    /// A server sent its load report with the head of an answer.
+    Load {
+        /// Server.
+        server: ServerId,
+        /// Report.
+        report: LoadReport,
+        /// When the request was sent.
+        asked_at: Instant,
+    },
     /// A server broke off an answer, perhaps since it crashed.
     AttemptCut {
         /// Server.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -202,6 +202,10 @@
                 self.place_by_answer(&feedback, now);
                 RoutingEvent::Answer(feedback)
             }
+            TrafficReport::Load { server, report, asked_at } => {
+                self.routing_polls.planner.note_report(&server, now);
+                RoutingEvent::Load { server, report, asked_at }
+            }
             TrafficReport::AttemptFailed { server } => RoutingEvent::ServerFailed { server },
             TrafficReport::AttemptCut { server, incarnation, fingerprint } => {
                 return self.check_crash(server, incarnation, fingerprint);
--- a/src/decision/routing/poll.rs
+++ b/src/decision/routing/poll.rs
@@ -133,6 +133,13 @@
         self.servers.insert(server.clone(), PolledServer { in_use_until, load, events });
     }
 
+    /// Takes in that a load report came with an answer, so that none need be asked for yet.
+    pub fn note_report(&mut self, server: &ServerId, now: Instant) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.load.due_at = known.load.due_at.max(now + self.config.load_interval);
+        }
+    }
+
     /// Forgets a server that left the document.
     pub fn forget(&mut self, server: &ServerId) {
         self.servers.remove(server);
--- a/src/ports/model_engine.rs
+++ b/src/ports/model_engine.rs
@@ -64,6 +64,8 @@
 pub struct EngineAnswer {
     /// Incarnation of the engine that runs the request.
     pub incarnation: Incarnation,
+    /// Load report that came with the head of the answer, if the engine sends one.
+    pub load: Option<LoadReport>,
     /// Frames.
     pub frames: FrameStream,
 }
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a model request on a server.
 
 use super::power_hold::PowerHold;
+use crate::control::TrafficReport;
 use crate::decision::routing::{AnswerTiming, PrefixLevel, RouteDecision, RoutingView};
 use crate::ports::{EngineAnswer, EngineFrame, FrameStream};
 use crate::types::{Delivery, Incarnation, PeerError, PeerResult, Step};
@@ -54,10 +55,12 @@
         }
     }
 
-    /// Takes in that the server runs the request.
-    pub fn run(&mut self, answer: EngineAnswer) {
-        let EngineAnswer { incarnation, frames } = answer;
+    /// Takes in that the server runs the request; returns the load report that it sent, if any.
+    pub fn run(&mut self, answer: EngineAnswer) -> Option<TrafficReport> {
+        let EngineAnswer { incarnation, load, frames } = answer;
         self.answer = Some(RunningAnswer { incarnation, frames });
+        let (server, asked_at) = (self.decision.server.clone(), self.sent_at);
+        load.map(|report| TrafficReport::Load { server, report, asked_at })
     }
 
     /// Returns the choice of the server.
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -172,7 +172,9 @@
         let answer = self.context.engines.generate(address, engine_request).await;
         match answer {
             Ok(answer) => {
-                attempt.run(answer);
+                if let Some(report) = attempt.run(answer) {
+                    self.context.report(report);
+                }
                 Ok(())
             }
             Err(error) => {
--- a/src/traffic/suspects.rs
+++ b/src/traffic/suspects.rs
@@ -29,19 +29,18 @@
     }
 }
 
-/// Chooses a server for a suspect: nodes of different rank take different servers, so that a
-/// crash points at one suspect.
+/// Chooses a server for a suspect: nodes of different rank begin at different parts of the list of
+/// servers, so that a crash points at one suspect.
 pub fn route_apart(snapshot: &Snapshot, query: &RouteQuery, now: Instant) -> Option<RouteDecision> {
     let document = snapshot.document.as_ref()?;
-    let servers: Vec<&ServerId> =
-        document.servers.keys().filter(|server| !query.excluded.contains(server)).collect();
-    let start = snapshot.node_rank as usize;
-    (0..servers.len()).find_map(|step| {
-        let chosen = servers[(start + step) % servers.len()];
+    let servers: Vec<&ServerId> = document.servers.keys().collect();
+    let nodes = snapshot.live_nodes.max(1) as usize;
+    let first = snapshot.node_rank as usize * servers.len().div_ceil(nodes);
+    let in_turn = (0..servers.len()).map(|step| servers[(first + step) % servers.len()]);
+    in_turn.filter(|chosen| !query.excluded.contains(chosen)).find_map(|chosen| {
         let mut query = query.clone();
-        query
-            .excluded
-            .extend(servers.iter().filter(|server| **server != chosen).map(|&s| s.clone()));
+        let others = servers.iter().copied().filter(|server| *server != chosen);
+        query.excluded = others.cloned().collect();
         snapshot.routing.route(&query, now)
     })
 }
--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -60,13 +60,17 @@
         Ok(ticket) => ticket,
         Err(refusal) => return refuse(refusal),
     };
-    let incarnation = lock(&shared.state).incarnation;
+    let (incarnation, load) = {
+        let state = lock(&shared.state);
+        (state.incarnation, serde_json::to_string(&state.published)?)
+    };
     let id = request.id.clone();
     let body = GeneratedBody::new(shared, request, ticket, link_delay);
     let response = Response::builder()
         .header(header::CONTENT_TYPE, "text/event-stream")
         .header("x-request-id", id)
         .header("x-incarnation", incarnation)
+        .header("x-load", load)
         .body(StreamBody::new(body).boxed_unsync())?;
     Ok(response)
 }
--- a/tests/routing/poll.rs
+++ b/tests/routing/poll.rs
@@ -51,3 +51,21 @@
     assert_eq!(planner.plan(now + Duration::from_millis(300)).len(), 1);
     assert!(planner.plan(now + Duration::from_secs(6)).is_empty(), "no longer in use");
 }
+
+#[test]
+fn a_report_that_came_with_an_answer_spares_a_poll() {
+    let mut planner = PollPlanner::new(PollConfig::default());
+    let start = Instant::now();
+    planner.note_use(&server(1), start);
+    planner.plan(start).iter().for_each(|poll| planner.answered(poll, 300));
+    let mut polls = 0;
+    for step in 1..=10 {
+        let now = start + Duration::from_millis(step * 250);
+        planner.note_use(&server(1), now);
+        planner.note_report(&server(1), now);
+        let due = planner.plan(now);
+        polls += due.iter().filter(|poll| poll.kind == PollKind::Load).count();
+        due.iter().for_each(|poll| planner.answered(poll, 300));
+    }
+    assert_eq!(polls, 0);
+}
