--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -4,6 +4,7 @@
 use super::reply::failure_reply;
 use super::{Failure, FailureCode, TrafficContext};
 use crate::adapters::http_server::Reply;
+use crate::logging::Quoted;
 use crate::traffic::generation_request::Endpoint;
 use http::{Method, Request};
 use hyper::body::Incoming;
@@ -39,7 +40,12 @@
     };
     result.unwrap_or_else(|failure| {
         counted.count_failure(&failure);
-        log::info!("event=refused code={} run={}", failure.code, failure.run_state);
+        log::info!(
+            "event=refused code={} run={} message={}",
+            failure.code,
+            failure.run_state,
+            Quoted(&failure.message)
+        );
         failure_reply(&failure)
     })
 }
