refactor(traffic): the order of frames is a decision of its own; fix(poison): only strikes make a request poison

Cause: the rule by which frames are relayed stood inside the relay, without a test of its own; a request whose connections were cut three times by the network counted as poison though no server had crashed. Change: decision/frame_order with a property test over lost, repeated, swapped and early frames; after two cuts a request is refused as poison only if confirmed strikes say so, else the retry limits end it. Conclusion: the relay is shorter, and a network cut condemns no request.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod claims;
 pub mod configuration;
+pub mod frame_order;
 pub mod leases;
 pub mod leaving;
 pub mod membership;
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -9,6 +9,7 @@
 use crate::adapters::deadline::within;
 use crate::control::{Snapshot, TrafficReport};
 use crate::decision::admission::AdmissionConfig;
+use crate::decision::frame_order::{FrameOrder, FramePlace, FrameVerdict};
 use crate::decision::poison::{MOST_STRIKES, Suspicion};
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
 use crate::decision::routing::{AnswerFeedback, RouteDecision, RouteQuery, SentRequest};
@@ -60,7 +61,7 @@
     attempts: u32,
     crashes: usize,
     excluded: Vec<ServerId>,
-    next_frame: u64,
+    order: FrameOrder,
     any_delivery_unknown: bool,
 }
 
@@ -89,7 +90,7 @@
             attempts: 0,
             crashes: 0,
             excluded: Vec::new(),
-            next_frame: 0,
+            order: FrameOrder::default(),
             any_delivery_unknown: false,
         };
         if is_suspect {
@@ -246,7 +247,7 @@
             body: self.request.body.clone(),
             priority: self.request.priority,
             weights_version: self.request.weights_version.clone(),
-            resume_from_frame: self.next_frame,
+            resume_from_frame: self.order.next_frame(),
             prefix_levels: self.request.levels.clone(),
             import_keys: decision.import_keys.clone(),
             time_limit_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
@@ -255,24 +256,16 @@
 
     /// Takes a frame in order; skips one that has been relayed and refuses one that is too early.
     fn accept(&mut self, frame: EngineFrame) -> Result<Option<Part>, PeerError> {
-        let number = match &frame {
-            EngineFrame::Piece { number, .. } | EngineFrame::End { number, .. } => *number,
+        let place = match &frame {
+            EngineFrame::Piece { number, .. } => FramePlace::Piece(*number),
+            EngineFrame::End { number, .. } => FramePlace::End(*number),
         };
-        if number > self.next_frame {
-            let error = anyhow::anyhow!("frame {number} came before frame {}", self.next_frame);
-            return Err(self.attempt_error(error));
+        match self.order.judge(place) {
+            FrameVerdict::Relay => {}
+            FrameVerdict::Skip => return Ok(None),
+            FrameVerdict::Refuse(fault) => return Err(self.attempt_error(fault.into())),
         }
-        if number < self.next_frame {
-            return match frame {
-                EngineFrame::Piece { .. } => Ok(None),
-                EngineFrame::End { .. } => {
-                    let error = anyhow::anyhow!("answer ended before frame {}", self.next_frame);
-                    Err(self.attempt_error(error))
-                }
-            };
-        }
-        self.next_frame += 1;
-        if self.next_frame == 1 {
+        if self.order.next_frame() == 1 {
             self.context.count_first_token(&self.request, Instant::now());
         }
         if let Some(attempt) = &mut self.attempt {
@@ -341,7 +334,7 @@
             "event=attempt_failed request={} server={server} attempts={} frames={} then={decision:?} {error}",
             self.request.id,
             self.attempts,
-            self.next_frame,
+            self.order.next_frame(),
         );
         if error.is_cut() {
             self.context.report(TrafficReport::AttemptCut {
@@ -370,9 +363,6 @@
 
     /// Returns whether strikes name this request as the cause, once partners could tell theirs.
     async fn is_poison(&mut self) -> bool {
-        if self.crashes > MOST_STRIKES {
-            return true;
-        }
         Timer::after(STRIKE_EXCHANGE).await;
         let suspicion =
             self.context.snapshot.load().poison.suspicion(self.request.fingerprint, Instant::now());
@@ -399,7 +389,7 @@
     }
 
     fn failure(&self, code: FailureCode, message: String) -> Failure {
-        let failure = if self.any_delivery_unknown || self.next_frame > 0 {
+        let failure = if self.any_delivery_unknown || self.order.next_frame() > 0 {
             Failure::unknown(code, message)
         } else {
             Failure::not_run(code, message)
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod fairness;
+mod frames;
 mod naive_queue;
 mod poison;
 mod retry;
