--- a/tests/whole_path/settings.rs
+++ b/tests/whole_path/settings.rs
@@ -25,3 +25,9 @@
     let error = serde_json::from_str::<RawSettings>(r#"{ "zone": "couva" }"#).unwrap_err();
     assert!(error.to_string().starts_with("unknown field `zone`"), "{error}");
 }
+
+#[test]
+fn the_example_settings_are_valid() {
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/operators/node.json");
+    assert_eq!(Settings::load(&file).unwrap().availability_zone, "couva");
+}
