--- a/tests/power/main.rs
+++ b/tests/power/main.rs
@@ -6,4 +6,5 @@
 mod placement;
 mod power;
 mod power_account;
+mod transfers;
 mod world;
--- a/tests/power/power.rs
+++ b/tests/power/power.rs
@@ -36,7 +36,7 @@
     }
 }
 
-fn document(budget_watts: u64) -> Arc<Document> {
+pub fn document(budget_watts: u64) -> Arc<Document> {
     let servers: serde_json::Map<_, _> = (0..SERVERS)
         .map(|index| {
             let server = serde_json::json!({
