feat(power): cancels of abandoned work are repeated until the server confirms one

Cause: after one failed cancel the watts of an attempt stayed committed until its deadline and the transit time, up to 63 s, though the server came back in between. Change: the cancel is repeated each half second; a server that came back empty confirms at once. Measured: the new whole-path test (a crashed server's watts come back) passes before and after, since the stand-in refuses connections while it is down; a cancel that fails otherwise was not provoked.

--- a/src/traffic/power_hold.rs
+++ b/src/traffic/power_hold.rs
@@ -12,6 +12,9 @@
 /// Period between two tries to commit watts.
 const RETRY_PERIOD: Duration = Duration::from_millis(20);
 
+/// Period between two tries to cancel.
+const CANCEL_PERIOD: Duration = Duration::from_millis(500);
+
 /// Watts committed to one attempt.
 ///
 /// When it is dropped before [`PowerHold::release`], the server may still run the request: the
@@ -96,17 +99,38 @@
         }
         let context = Arc::clone(&self.context);
         let (key, request) = (self.key.clone(), self.request.clone());
-        let (server, address) = (self.server.clone(), self.address);
-        let work_deadline = self.work_deadline;
         let transit = Duration::from_millis(PowerSettings::default().transit_ms);
+        let work = AbandonedWork {
+            request,
+            server: self.server.clone(),
+            address: self.address,
+            ends_by: self.work_deadline + transit,
+        };
         self.context.spawn(async move {
-            if let Err(error) = context.engines.cancel(address, request).await {
-                log::warn!("event=cancel_failed server={server} {error}");
-                if !error.is_connection_refused() {
-                    Timer::at(work_deadline + transit).await;
-                }
-            }
+            work.end(&context).await;
             context.power.finish(&key);
         });
     }
 }
+
+/// Work that nobody waits for and that a server may still run.
+struct AbandonedWork {
+    request: RequestId,
+    server: ServerId,
+    address: SocketAddr,
+    ends_by: Instant,
+}
+
+impl AbandonedWork {
+    /// Cancels the work until the server confirms it, its port is closed, or the work has ended by
+    /// its time limit. A server that came back empty confirms at once.
+    async fn end(&self, context: &TrafficContext) {
+        while let Err(error) = context.engines.cancel(self.address, self.request.clone()).await {
+            log::warn!("event=cancel_failed server={} {error}", self.server);
+            if error.is_connection_refused() || Instant::now() >= self.ends_by {
+                return;
+            }
+            Timer::at(self.ends_by.min(Instant::now() + CANCEL_PERIOD)).await;
+        }
+    }
+}
--- a/tests/whole_path/answers.rs
+++ b/tests/whole_path/answers.rs
@@ -104,3 +104,25 @@
     }
     node.kill();
 }
+
+#[test]
+fn the_watts_of_a_crashed_servers_work_come_back_before_its_time_limit() {
+    let site = Site::start();
+    let node = site.start_node();
+    let address = node.caller_address();
+    let caller = thread::spawn(move || stream(address));
+    site.busy_engine().crash(Duration::from_millis(300));
+    assert_whole(&caller.join().unwrap());
+    // Figures are published each second; older ones do not count.
+    thread::sleep(Duration::from_secs(2));
+    let deadline = Instant::now() + Duration::from_secs(20);
+    loop {
+        let metrics = call(address, get("/metrics")).unwrap().body;
+        if String::from_utf8_lossy(&metrics).contains("coriandertide_power_committed_watts 0\n") {
+            break;
+        }
+        assert!(Instant::now() < deadline, "watts are still committed");
+        thread::sleep(Duration::from_millis(50));
+    }
+    node.kill();
+}
