fix(poison): only a confirmed crash makes a request a suspect; heads of answers have their own timeout

The new cut-link test passed with the old code too, as the stand-in cuts requests but not reports; it fails only if a cut counts as a crash.

--- a/src/adapters/model_engine.rs
+++ b/src/adapters/model_engine.rs
@@ -62,8 +62,8 @@
 }
 
 impl HttpModelEngine {
-    /// Returns a client for a node in `availability_zone`. Reports may take `timeout`, the time
-    /// between two frames is at most `frame_timeout`.
+    /// Returns a client for a node in `availability_zone`. Reports and the heads of answers may take
+    /// `timeout`, the time between two frames is at most `frame_timeout`.
     pub fn new(
         availability_zone: AvailabilityZone,
         timeout: Duration,
@@ -95,7 +95,8 @@
         let deadline = Instant::now() + time_limit;
         let request_id = request.request_id.clone();
         let request = encode_request(&self.availability_zone, address, request)?;
-        let mut exchange = send(address, request, deadline).await?;
+        let head_deadline = deadline.min(self.deadline());
+        let mut exchange = send(address, request, head_deadline).await?;
         if !exchange.status.is_success() {
             return Err(refusal(&mut exchange, deadline).await);
         }
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -4,8 +4,15 @@
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::ports::LoadReport;
 use crate::types::{Incarnation, PeerResult, ServerId};
+use smol::Timer;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Most checks of one crash.
+const CHECKS: u32 = 5;
+
+/// Period between two checks of a crash.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 impl ControlState {
     /// Looks whether a server that broke off an answer crashed.
@@ -40,16 +47,23 @@
 }
 
 async fn confirm_crash(context: ControlContext, strike: Strike, address: SocketAddr) {
-    let report = context.engines.load(address).await;
-    let crashed = has_crashed(&report, strike.incarnation);
+    let mut crashed = None;
+    for _ in 0..CHECKS {
+        crashed = has_crashed(&context.engines.load(address).await, strike.incarnation);
+        if crashed.is_some() {
+            break;
+        }
+        Timer::after(CHECK_PERIOD).await;
+    }
+    let crashed = crashed.unwrap_or(false);
     context.send(ControlEvent::CrashChecked { strike, crashed }).await;
 }
 
-/// Returns whether a report shows that `incarnation` is gone; a server that cannot be reached
-/// may have been cut off only.
-fn has_crashed(report: &PeerResult<LoadReport>, incarnation: Incarnation) -> bool {
+/// Returns whether a report shows that `incarnation` is gone, none if it shows nothing: a server
+/// that cannot be reached may have been cut off only.
+fn has_crashed(report: &PeerResult<LoadReport>, incarnation: Incarnation) -> Option<bool> {
     match report {
-        Ok(report) => report.incarnation != incarnation,
-        Err(error) => error.is_connection_refused() || error.is_cut(),
+        Ok(report) => Some(report.incarnation != incarnation),
+        Err(error) => error.is_connection_refused().then_some(true),
     }
 }
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -10,11 +10,11 @@
 use crate::control::{Snapshot, TrafficReport};
 use crate::decision::admission::AdmissionConfig;
 use crate::decision::frame_order::{FrameOrder, FramePlace, FrameVerdict};
-use crate::decision::poison::{MOST_STRIKES, Suspicion};
+use crate::decision::poison::Suspicion;
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
 use crate::decision::routing::{AnswerFeedback, RouteDecision, RouteQuery, SentRequest};
 use crate::ports::{EngineFrame, EngineRequest};
-use crate::types::{Delivery, PeerError, ServerId, Step};
+use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
 use futures_lite::FutureExt;
 use serde_json::Value;
 use smol::Timer;
@@ -59,7 +59,6 @@
     shed: Option<ShedSignal>,
     suspect_slot: Option<SuspectSlot>,
     attempts: u32,
-    crashes: usize,
     excluded: Vec<ServerId>,
     order: FrameOrder,
     any_delivery_unknown: bool,
@@ -88,7 +87,6 @@
             shed: None,
             suspect_slot: None,
             attempts: 0,
-            crashes: 0,
             excluded: Vec::new(),
             order: FrameOrder::default(),
             any_delivery_unknown: false,
@@ -336,24 +334,21 @@
             self.attempts,
             self.order.next_frame(),
         );
-        if error.is_cut() {
-            self.context.report(TrafficReport::AttemptCut {
-                server: server.clone(),
-                incarnation,
-                fingerprint: self.request.fingerprint,
-            });
-            self.crashes += 1;
-        }
-        self.excluded.push(server);
-        if self.crashes >= MOST_STRIKES && self.is_poison().await {
-            let message = format!("{} backend servers broke off while they ran it", self.crashes);
+        self.excluded.push(server.clone());
+        let suspicion = if error.is_cut() {
+            self.check_cut(server, incarnation).await
+        } else {
+            Suspicion::None
+        };
+        if matches!(suspicion, Suspicion::Refused { .. }) {
+            let message = String::from("this request crashed more than one backend server");
             return Err(self.failure(FailureCode::PoisonRequest, message));
         }
         match decision {
             RetryDecision::GiveUp(reason) => Err(self.given_up(reason)),
             RetryDecision::Retry => {
                 self.context.metrics.retries.inc();
-                if error.is_cut() {
+                if suspicion == Suspicion::Suspect {
                     self.run_apart().await;
                 }
                 Ok(())
@@ -361,12 +356,13 @@
         }
     }
 
-    /// Returns whether strikes name this request as the cause, once partners could tell theirs.
-    async fn is_poison(&mut self) -> bool {
+    /// Reports an answer that was cut; returns what is known against the request once the crash
+    /// could be confirmed and partners could tell their strikes.
+    async fn check_cut(&mut self, server: ServerId, incarnation: Option<Incarnation>) -> Suspicion {
+        let fingerprint = self.request.fingerprint;
+        self.context.report(TrafficReport::AttemptCut { server, incarnation, fingerprint });
         Timer::after(STRIKE_EXCHANGE).await;
-        let suspicion =
-            self.context.snapshot.load().poison.suspicion(self.request.fingerprint, Instant::now());
-        matches!(suspicion, Suspicion::Refused { .. })
+        self.context.snapshot.load().poison.suspicion(fingerprint, Instant::now())
     }
 
     /// Lets the request go on only while no other suspect of this node runs.
--- a/src/traffic/suspects.rs
+++ b/src/traffic/suspects.rs
@@ -33,13 +33,14 @@
 /// servers, so that a crash points at one suspect.
 pub fn route_apart(snapshot: &Snapshot, query: &RouteQuery, now: Instant) -> Option<RouteDecision> {
     let document = snapshot.document.as_ref()?;
-    let servers: Vec<&ServerId> = document.servers.keys().collect();
-    let nodes = snapshot.live_nodes.max(1) as usize;
-    let first = snapshot.node_rank as usize * servers.len().div_ceil(nodes);
-    let in_turn = (0..servers.len()).map(|step| servers[(first + step) % servers.len()]);
-    in_turn.filter(|chosen| !query.excluded.contains(chosen)).find_map(|chosen| {
+    let all = document.servers.keys();
+    let servers: Vec<&ServerId> = all.filter(|server| !query.excluded.contains(server)).collect();
+    let stride = (servers.len() / snapshot.live_nodes.max(1) as usize).max(1);
+    let first = snapshot.node_rank as usize * stride;
+    let mut in_turn = (0..servers.len()).map(|step| servers[(first + step) % servers.len()]);
+    in_turn.find_map(|chosen| {
         let mut query = query.clone();
-        let others = servers.iter().copied().filter(|server| *server != chosen);
+        let others = document.servers.keys().filter(|server| *server != chosen);
         query.excluded = others.cloned().collect();
         snapshot.routing.route(&query, now)
     })
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod caller;
 mod claims;
+mod cut_links;
 mod partners;
 mod poison;
 mod refusals;
