--- a/examples/capacity_slopes/budget.rs
+++ b/examples/capacity_slopes/budget.rs
@@ -5,7 +5,7 @@
 use crate::membership::{LINKS, MembershipCosts};
 use crate::nodes::NodeCosts;
 use crate::power::PowerCosts;
-use crate::routing::RoutingCosts;
+use crate::routing::{EVENT_BYTES, RoutingCosts};
 use coriandertide::control::log_tail::read_period;
 use coriandertide::decision::power::PowerSettings;
 use coriandertide::settings::RawSettings;
@@ -16,6 +16,7 @@
 const SERVERS: f64 = 620.0;
 const WORKSPACES: f64 = 810.0;
 const REQUESTS_PER_S: f64 = 2_900.0;
+const CACHE_EVENTS_PER_S: f64 = 580_000.0;
 const EDITS_PER_DAY: f64 = 2_900.0;
 const MEMBER_CHANGES_PER_DAY: f64 = 2.0 * (12.0 + 72.0);
 const KNOWN_PREFIXES: f64 = 100_000.0;
@@ -82,6 +83,7 @@
     )
     .expect("writing to a string succeeds");
     write_messages(&mut text, costs);
+    write_events(&mut text, costs);
     write_claims(&mut text, costs, &total);
     write_log(&mut text, costs);
     text
@@ -181,6 +183,19 @@
     .expect("writing to a string succeeds");
 }
 
+/// Writes what an even share of all cache events would cost a node.
+fn write_events(text: &mut String, costs: &Costs) {
+    let events_per_s = CACHE_EVENTS_PER_S / NODES;
+    let core_percent = events_per_s * costs.routing.events_us.per_unit / 1e4;
+    writeln!(
+        text,
+        "an even share of all cache events, not taken: {events_per_s:.0} a second, {core_percent:.2}% \
+         of a core, {:.0} B/s",
+        events_per_s * EVENT_BYTES
+    )
+    .expect("writing to a string succeeds");
+}
+
 /// Writes how many claims a second fit into what the other roles leave.
 fn write_claims(text: &mut String, costs: &Costs, used: &Row) {
     let claim_bytes = costs.claims.record_bytes.per_unit * BASE64;
--- a/examples/capacity_slopes/main.rs
+++ b/examples/capacity_slopes/main.rs
@@ -36,6 +36,7 @@
         &configuration.memory_bytes,
         &routing.decision_us,
         &routing.load_report_us,
+        &routing.events_us,
         &routing.memory_bytes,
         &nodes.control_us_per_s,
         &nodes.link_bytes_per_s,
