refactor(admission): one rule for the refusal of a wait, one owner of its settings

Cause: the time at which a caller refused for its wait should come back was worked out in admission and again in the relay, with a constant in each, and the relay made default settings of its own. Change: AdmissionConfig::wait_refusal serves both; the relay asks the gate for its settings; a needless copy in the reply is gone. Conclusion: a change of the longest waits is made in one place.

--- a/src/decision/admission/config.rs
+++ b/src/decision/admission/config.rs
@@ -1,7 +1,11 @@
 //! Settings of admission.
 
+use super::{Refusal, RefusalReason};
 use crate::types::Priority;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Shortest time after which a refused caller is told to come back.
+pub const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 
 /// Settings of admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,6 +35,13 @@
 }
 
 impl AdmissionConfig {
+    /// Returns the refusal of a request that would wait for `wait`; its caller is told to come back
+    /// when the wait has shrunk to what its priority allows.
+    pub fn wait_refusal(&self, priority: Priority, wait: Duration, now: Instant) -> Refusal {
+        let excess = wait.saturating_sub(self.longest_wait(priority));
+        Refusal { reason: RefusalReason::WaitTooLong, retry_at: now + excess.max(SHORTEST_RETRY) }
+    }
+
     /// Returns the longest wait of a request of `priority`.
     pub fn longest_wait(&self, priority: Priority) -> Duration {
         Duration::from_millis(match priority {
--- a/src/decision/admission/mod.rs
+++ b/src/decision/admission/mod.rs
@@ -7,7 +7,7 @@
 pub mod state;
 pub mod token_bucket;
 
-pub use config::AdmissionConfig;
+pub use config::{AdmissionConfig, SHORTEST_RETRY};
 pub use fair_queue::FairQueue;
 pub use messages::{AdmissionRequest, Refusal, RefusalReason, Refused, Ticket, Verdict};
 pub use state::Admission;
--- a/src/decision/admission/state.rs
+++ b/src/decision/admission/state.rs
@@ -2,8 +2,8 @@
 
 use super::fair_queue::Waiting;
 use super::{
-    AdmissionConfig, AdmissionRequest, FairQueue, Refusal, RefusalReason, Refused, Ticket,
-    TokenBucket, Verdict,
+    AdmissionConfig, AdmissionRequest, FairQueue, Refusal, RefusalReason, Refused, SHORTEST_RETRY,
+    Ticket, TokenBucket, Verdict,
 };
 use crate::decision::power::shared_watts;
 use crate::document::{Document, Workspace};
@@ -17,9 +17,6 @@
 /// Service time assumed before the first request has ended.
 const FIRST_SERVICE_TIME_S: f64 = 1.0;
 
-/// Shortest time after which a refused caller is told to come back.
-const SHORTEST_RETRY: Duration = Duration::from_millis(100);
-
 /// Admission of one node.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -113,8 +110,7 @@
         let longest_wait = self.config.longest_wait(request.priority);
         let wait = self.expected_wait(&request);
         if wait > longest_wait || now + wait >= request.deadline {
-            let retry_at = now + (wait.saturating_sub(longest_wait)).max(SHORTEST_RETRY);
-            return Verdict::Refuse(Refusal { reason: RefusalReason::WaitTooLong, retry_at });
+            return Verdict::Refuse(self.config.wait_refusal(request.priority, wait, now));
         }
         let until = request.deadline.min(now + longest_wait);
         self.queue.push(Waiting {
--- a/src/traffic/admission_gate.rs
+++ b/src/traffic/admission_gate.rs
@@ -14,6 +14,7 @@
 
 /// Gate in front of all model requests of a node.
 pub struct AdmissionGate {
+    config: AdmissionConfig,
     state: Mutex<GateState>,
 }
 
@@ -58,13 +59,14 @@
 
 impl Default for AdmissionGate {
     fn default() -> Self {
+        let config = AdmissionConfig::default();
         let state = GateState {
-            admission: Admission::new(AdmissionConfig::default()),
+            admission: Admission::new(config),
             limits: LimitsInForce::default(),
             waiting: HashMap::new(),
             next_ticket: 0,
         };
-        Self { state: Mutex::new(state) }
+        Self { config, state: Mutex::new(state) }
     }
 }
 
@@ -89,6 +91,11 @@
         }
     }
 
+    /// Returns the settings of admission.
+    pub fn config(&self) -> &AdmissionConfig {
+        &self.config
+    }
+
     /// Returns the numbers of running and waiting requests.
     pub fn occupancy(&self) -> (usize, usize) {
         let state = self.lock();
--- a/src/traffic/generation.rs
+++ b/src/traffic/generation.rs
@@ -8,7 +8,6 @@
 use super::{Failure, FailureCode, TrafficContext};
 use crate::adapters::deadline::within;
 use crate::control::{Snapshot, TrafficReport};
-use crate::decision::admission::AdmissionConfig;
 use crate::decision::frame_order::{FrameOrder, FramePlace, FrameVerdict};
 use crate::decision::poison::Suspicion;
 use crate::decision::retry::{self, FailedAttempt, GiveUpReason, RetryDecision};
@@ -25,9 +24,6 @@
 /// Time after which a caller should come back when no server can take its request.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(1_000);
 
-/// Shortest time after which a refused caller is told to come back.
-const SHORTEST_RETRY: Duration = Duration::from_millis(100);
-
 /// Time that nodes take to confirm a crash and to tell each other of the strikes.
 const STRIKE_EXCHANGE: Duration = Duration::from_millis(150);
 
@@ -210,13 +206,14 @@
     /// Refuses a request that has not been run if even the best server would keep it waiting
     /// longer than its priority allows.
     fn check_wait(&self, decision: &RouteDecision, now: Instant) -> Result<(), Failure> {
-        let longest_wait = AdmissionConfig::default().longest_wait(self.request.priority);
+        let admission = self.context.admission.config();
+        let priority = self.request.priority;
         let wait = Duration::from_millis(decision.expectation.wait_ms.into());
-        if self.attempts > 0 || wait <= longest_wait {
+        if self.attempts > 0 || wait <= admission.longest_wait(priority) {
             return Ok(());
         }
         let message = format!("the best server would start it after {} ms", wait.as_millis());
-        let retry_at = now + (wait - longest_wait).max(SHORTEST_RETRY);
+        let retry_at = admission.wait_refusal(priority, wait, now).retry_at;
         Err(Failure::not_run(FailureCode::Overloaded, message).retry_at(retry_at))
     }
 
@@ -231,7 +228,7 @@
             work_deadline: self.request.deadline,
         };
         self.shed = Some(self.context.shed_signals.register(attempt.key.clone()));
-        let longest_wait = AdmissionConfig::default().longest_wait(self.request.priority);
+        let longest_wait = self.context.admission.config().longest_wait(self.request.priority);
         let give_up_at = self.request.deadline.min(Instant::now() + longest_wait);
         let committed = PowerHold::commit(Arc::clone(&self.context), attempt, give_up_at).await;
         committed.map_err(|refusal| self.failure(FailureCode::Overloaded, refusal.to_string()))
--- a/src/traffic/reply.rs
+++ b/src/traffic/reply.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use super::{Failure, RunState};
+use super::Failure;
 use crate::adapters::http_server::{Reply, ReplyBody};
 use bytes::Bytes;
 use futures_lite::Stream;
@@ -67,14 +67,13 @@
 
 /// Returns the body for `failure` in the published form.
 pub fn failure_body(failure: &Failure) -> Value {
-    let run_state: RunState = failure.run_state;
     json!({
         "error": {
             "message": failure.message,
             "type": failure.code.error_type(),
             "param": null,
             "code": failure.code.to_string(),
-            "run": run_state.to_string(),
+            "run": failure.run_state.to_string(),
         }
     })
 }
