--- /dev/null
+++ b/src/adapters/connection_pool.rs
@@ -0,0 +1,238 @@
+//! Kept HTTP/1.1 connections to backend servers.
+//!
+//! A connection is used again only after a whole answer that the caller accepted; whatever else
+//! happens on it closes it.
+
+use super::deadline::within;
+use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
+use anyhow::anyhow;
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use rustix::net::sockopt;
+use smol::net::TcpStream;
+use smol::{Executor, Task};
+use smol_hyper::rt::FuturesIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+/// Time that opening a connection may take: several round trips between availability zones, and
+/// less than the first retransmission of a lost packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which the kernel gives up on sent bytes that are not acknowledged.
+const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 1_500;
+
+/// Idle time after which the kernel probes a connection; with the next two constants a silent peer
+/// is noticed within two seconds.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time between two probes of the kernel.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Time that a kept connection may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Largest read buffer of a connection.
+const BUFFER_BYTES: usize = 32 * 1024;
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Drives the connection; dropping it closes the connection.
+    _driver: Task<()>,
+}
+
+struct IdleConnection {
+    connection: Connection,
+    usable_until: Instant,
+}
+
+type IdleConnections = HashMap<(ServerId, SocketAddr), Vec<IdleConnection>>;
+
+/// Kept connections to servers.
+pub struct ConnectionPool {
+    executor: Weak<Executor<'static>>,
+    idle: Mutex<IdleConnections>,
+}
+
+/// Answer under way on a connection of the pool.
+pub struct PooledExchange {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    connection: Connection,
+    key: (ServerId, SocketAddr),
+}
+
+impl ConnectionPool {
+    /// Returns an empty pool whose connections are driven by `executor`.
+    pub fn new(executor: Weak<Executor<'static>>) -> Self {
+        Self { executor, idle: Mutex::default() }
+    }
+
+    /// Sends `request` to `server` and returns once the head of the answer has arrived.
+    ///
+    /// # Errors
+    ///
+    /// The step that failed; the delivery says whether the server may have got the request.
+    pub async fn send(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> PeerResult<PooledExchange> {
+        let key = (server.clone(), address);
+        let mut connection = self.connection(&key, deadline).await?;
+        let sent = within(deadline, connection.sender.send_request(request)).await;
+        let answer = sent.map_err(|error| head_error(&key, Delivery::Unknown, error.into()))?;
+        let answer = answer.map_err(|error| {
+            let delivery = if error.is_canceled() { Delivery::NotSent } else { Delivery::Unknown };
+            head_error(&key, delivery, error.into())
+        })?;
+        let (parts, body) = answer.into_parts();
+        Ok(PooledExchange { status: parts.status, headers: parts.headers, body, connection, key })
+    }
+
+    /// Closes idle connections that may not be used any more.
+    pub fn close_expired(&self, now: Instant) {
+        self.lock().retain(|_, idle| {
+            idle.retain(|kept| now < kept.usable_until && !kept.connection.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close_server(&self, server: &ServerId) {
+        self.lock().retain(|(kept, _), _| kept != server);
+    }
+
+    /// Keeps the connection of an exchange whose answer was read to its end.
+    pub fn keep(&self, exchange: PooledExchange, usable_until: Instant) {
+        let PooledExchange { connection, key, .. } = exchange;
+        self.lock().entry(key).or_default().push(IdleConnection { connection, usable_until });
+    }
+
+    async fn connection(
+        &self,
+        key: &(ServerId, SocketAddr),
+        deadline: Instant,
+    ) -> PeerResult<Connection> {
+        while let Some(mut connection) = self.take_idle(key) {
+            let ready = within(Instant::now() + READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(connection);
+            }
+        }
+        self.open(key, deadline).await
+    }
+
+    fn take_idle(&self, key: &(ServerId, SocketAddr)) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        let kept = idle.get_mut(key)?;
+        while let Some(IdleConnection { connection, usable_until }) = kept.pop() {
+            if now < usable_until && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn open(
+        &self,
+        key: &(ServerId, SocketAddr),
+        deadline: Instant,
+    ) -> PeerResult<Connection> {
+        let failed = |error: anyhow::Error| {
+            PeerError::new(Step::Connect, key.0.clone(), Delivery::NotSent, error)
+        };
+        let executor = self.executor.upgrade().ok_or_else(|| failed(anyhow!("stopping")))?;
+        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = within(deadline, TcpStream::connect(key.1))
+            .await
+            .map_err(|error| failed(error.into()))?
+            .map_err(|error| failed(error.into()))?;
+        set_options(&stream).map_err(|error| failed(error.into()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| failed(error.into()))?;
+        let driver = executor.spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=server_connection_ended error=\"{error}\"");
+            }
+        });
+        Ok(Connection { sender, _driver: driver })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IdleConnections> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn head_error(key: &(ServerId, SocketAddr), delivery: Delivery, error: anyhow::Error) -> PeerError {
+    PeerError::new(Step::ReadHead, key.0.clone(), delivery, error)
+}
+
+/// Makes the kernel notice a peer that has fallen silent.
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+    Ok(())
+}
+
+impl PooledExchange {
+    /// Returns the next data of the body, or none at its end.
+    ///
+    /// # Errors
+    ///
+    /// The answer broke off, or the deadline passed.
+    pub async fn next_data(&mut self, deadline: Instant) -> PeerResult<Option<Bytes>> {
+        loop {
+            let frame = match within(deadline, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(error))) => return Err(self.body_error(error.into())),
+                Err(error) => return Err(self.body_error(error.into())),
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Reads the whole body, at most `limit_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// The answer broke off or is too long, or the deadline passed.
+    pub async fn read_all(&mut self, limit_bytes: usize, deadline: Instant) -> PeerResult<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(data) = self.next_data(deadline).await? {
+            if whole.len() + data.len() > limit_bytes {
+                return Err(self.body_error(anyhow!("body exceeds {limit_bytes} bytes")));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn body_error(&self, error: anyhow::Error) -> PeerError {
+        PeerError::new(Step::ReadBody, self.key.0.clone(), Delivery::Unknown, error)
+    }
+}
--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 listener: accepts connections, bounds heads, and closes gracefully.
 
+use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -12,14 +13,27 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::convert::Infallible;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+/// A response broke off; the connection closes so that it cannot look complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BrokenBody;
+
+impl fmt::Display for BrokenBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the response broke off")
+    }
+}
+
+impl std::error::Error for BrokenBody {}
+
 /// Body of a response.
-pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenBody>;
 
 /// Response to a caller.
 pub type Reply = Response<ReplyBody>;
@@ -51,12 +65,13 @@
 
 /// Accepts connections until `drain` closes; open connections then finish their requests.
 ///
-/// Connections are tasks on `executor`, which is held weakly so that dropping it drops them.
+/// Connections are tasks on `executor`, which is held weakly so that dropping it drops them. A
+/// connection has the limits in force when it was opened.
 pub async fn serve(
     listener: TcpListener,
     executor: Weak<Executor<'static>>,
     handler: Handler,
-    limits: ServerLimits,
+    limits: Arc<ArcSwap<ServerLimits>>,
     drain: Receiver<Infallible>,
 ) {
     loop {
@@ -76,7 +91,7 @@
         };
         let Some(executor) = executor.upgrade() else { return };
         executor
-            .spawn(serve_connection(stream, Arc::clone(&handler), limits, drain.clone()))
+            .spawn(serve_connection(stream, Arc::clone(&handler), **limits.load(), drain.clone()))
             .detach();
     }
 }
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,5 +1,6 @@
 //! Adapters: the published protocols behind the ports, over HTTP/1.1.
 
+pub mod connection_pool;
 pub mod deadline;
 pub mod http_client;
 pub mod http_server;
--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -61,6 +61,13 @@
                 log::info!("event=configuration_from_partner peer={peer}");
                 self.apply_configuration_event(ConfigurationEvent::Copy(*copy), now);
             }
+            PartnerMessage::Topics(_)
+            | PartnerMessage::RecordsRequest(_)
+            | PartnerMessage::Records(_)
+            | PartnerMessage::RelayLoad(_)
+            | PartnerMessage::Rollout(_) => {
+                log::debug!("event=relay_message_ignored peer={peer}");
+            }
         }
     }
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -295,9 +295,9 @@
     executor.spawn(server).detach();
 }
 
-fn server_limits(settings: &Settings) -> ServerLimits {
-    ServerLimits {
+fn server_limits(settings: &Settings) -> Arc<ArcSwap<ServerLimits>> {
+    Arc::new(ArcSwap::from_pointee(ServerLimits {
         head_bytes: settings.limits.head_bytes,
         head_timeout_ms: settings.limits.read_timeout_ms,
-    }
+    }))
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -10,5 +10,6 @@
 pub mod placement;
 pub mod poison;
 pub mod power;
+pub mod relay;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/decision/relay/health.rs
@@ -0,0 +1,110 @@
+//! What a node believes of a server's health, from its own exchanges with it alone.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time without a sign of a server that owes answers after which it gets no new requests; several
+/// times the usual time to an answer.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
+/// First time for which a server that cannot be reached gets no new requests.
+const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
+
+/// Doublings of the suspension at most.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// Weight of the newest outcome in the moving averages.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Time in which the averages fall to a third without news, so that a bad server is tried again.
+const DECAY_PERIOD: Duration = Duration::from_secs(4);
+
+/// Milliseconds that a request loses to a server that fails all requests, used as cost.
+const FAILURE_COST_MS: f64 = 600.0;
+
+/// Slowness in milliseconds that is within the usual spread of answers.
+const USUAL_SPREAD_MS: f64 = 60.0;
+
+/// Health of a server.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    suspended_until: Option<Instant>,
+    suspensions: u32,
+    failure: f64,
+    slow_ms: f64,
+    updated_at: Option<Instant>,
+    heard_at: Option<Instant>,
+    awaited: BTreeMap<u64, Instant>,
+}
+
+impl Health {
+    /// Takes in that request `attempt` was sent.
+    pub fn note_sent(&mut self, attempt: u64, now: Instant) {
+        self.awaited.insert(attempt, now);
+    }
+
+    /// Takes in a sign of life.
+    pub fn note_heard(&mut self, now: Instant) {
+        self.heard_at = Some(now);
+    }
+
+    /// Takes in that nothing more is awaited for `attempt`.
+    pub fn note_ended(&mut self, attempt: u64) {
+        self.awaited.remove(&attempt);
+    }
+
+    /// Takes in the outcome of an attempt and by how much it was slower than expected.
+    pub fn note_outcome(&mut self, succeeded: bool, slower_by_ms: f64, now: Instant) {
+        self.decay(now);
+        if succeeded {
+            self.suspensions = 0;
+            self.suspended_until = None;
+            self.slow_ms += NEWEST_WEIGHT * (slower_by_ms.max(0.0) - self.slow_ms);
+        }
+        let failure = if succeeded { 0.0 } else { 1.0 };
+        self.failure += NEWEST_WEIGHT * (failure - self.failure);
+    }
+
+    /// Takes in that the server could not be reached; returns until when it gets no new requests.
+    pub fn note_unreachable(&mut self, now: Instant) -> Instant {
+        let period = FIRST_SUSPENSION * 2_u32.pow(self.suspensions.min(MOST_DOUBLINGS));
+        if self.suspended_until.is_none_or(|until| until <= now) {
+            self.suspensions += 1;
+            self.suspended_until = Some(now + period);
+        }
+        self.suspended_until.unwrap_or(now)
+    }
+
+    /// Returns until when the server gets no new requests, none if it may get them.
+    pub fn suspended_until(&self, now: Instant) -> Option<Instant> {
+        let suspended = self.suspended_until.filter(|until| now < *until);
+        suspended.or_else(|| self.is_silent(now).then_some(now + SILENCE_LIMIT))
+    }
+
+    /// Whether the server owes answers and has given no sign for longer than usual.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let Some(oldest) = self.awaited.values().min() else { return false };
+        let since = self.heard_at.map_or(*oldest, |heard| heard.max(*oldest));
+        now.saturating_duration_since(since) > SILENCE_LIMIT
+    }
+
+    /// Returns the milliseconds that a request is expected to lose at this server.
+    pub fn cost_ms(&self, now: Instant) -> f64 {
+        let kept = self.kept_part(now);
+        let slow_ms = (self.slow_ms * kept - USUAL_SPREAD_MS).max(0.0);
+        self.failure * kept * FAILURE_COST_MS + slow_ms
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let kept = self.kept_part(now);
+        self.failure *= kept;
+        self.slow_ms *= kept;
+        self.updated_at = Some(now);
+    }
+
+    fn kept_part(&self, now: Instant) -> f64 {
+        let Some(updated_at) = self.updated_at else { return 1.0 };
+        let age = now.saturating_duration_since(updated_at);
+        (-age.as_secs_f64() / DECAY_PERIOD.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/src/decision/relay/mod.rs
@@ -0,0 +1,26 @@
+//! Decisions of the relay: which route a request takes, which server gets it, when it is refused or
+//! sent again, and how servers are brought to new weights.
+//!
+//! Everything here is deterministic: no sockets, no clock and no random source of its own.
+
+pub mod configuration;
+pub mod event_splitter;
+pub mod fleet;
+pub mod health;
+pub mod kept_prefixes;
+pub mod prompt;
+pub mod register_lease;
+pub mod replica;
+pub mod resend;
+pub mod rollout;
+pub mod server;
+
+pub use configuration::{Configuration, Repetition, Route, Service};
+pub use event_splitter::EventSplitter;
+pub use fleet::{Choice, Fleet, Unavailable};
+pub use prompt::{Prompt, PromptPart};
+pub use register_lease::RegisterLease;
+pub use replica::{KeyedRecord, RecordTopic, Replica};
+pub use resend::ResendBudget;
+pub use rollout::Rollout;
+pub use server::{ServerEntry, ServerState};
--- /dev/null
+++ b/src/decision/relay/prompt.rs
@@ -0,0 +1,58 @@
+//! Prompt of a request: its parts as the caller declares them, and the keys of its shared levels.
+
+use crate::types::ModelId;
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Part of a prompt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Id; equal ids stand for equal text.
+    pub id: SmolStr,
+    /// Tokens.
+    pub tokens: u32,
+}
+
+/// Prompt of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// Model.
+    pub model: ModelId,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that may be generated.
+    pub output_tokens: u32,
+    /// Parts in order; the last belongs to the request alone.
+    pub parts: Vec<PromptPart>,
+}
+
+/// Hash of the parts of a prompt up to one of them.
+pub type PrefixKey = u64;
+
+impl Prompt {
+    /// Returns the keys of the shared levels, each for all parts up to it, under `salt`.
+    pub fn shared_keys(&self, salt: &str) -> Vec<PrefixKey> {
+        let mut key = xxh3_64_with_seed(salt.as_bytes(), 0);
+        let shared = self.shared_parts().iter();
+        shared
+            .map(|part| {
+                key = xxh3_64_with_seed(part.id.as_bytes(), key);
+                key
+            })
+            .collect()
+    }
+
+    /// Returns the tokens of the shared parts.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the tokens that no other request has.
+    pub fn own_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_sub(self.shared_tokens())
+    }
+
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_own, shared)| shared)
+    }
+}
--- /dev/null
+++ b/src/decision/relay/resend.rs
@@ -0,0 +1,87 @@
+//! Budget of requests that are sent once more, kept by all nodes together without a message: each
+//! takes its part of the site's allowance.
+
+use crate::types::ServiceId;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Part of the allowance that is used; the rest covers nodes that see different numbers of nodes.
+const USED_PART: f64 = 0.75;
+
+/// Site's allowance of requests that are sent once more.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResendSettings {
+    /// Resends that each first request allows.
+    pub ratio: f64,
+    /// Resends allowed in each window beyond that, for all nodes together.
+    pub slack: f64,
+    /// Milliseconds of the window.
+    pub window_ms: u64,
+}
+
+impl Default for ResendSettings {
+    fn default() -> Self {
+        Self { ratio: 0.1, slack: 20.0, window_ms: 10_000 }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceWindow {
+    firsts: VecDeque<Instant>,
+    resends: VecDeque<Instant>,
+}
+
+/// Budget of one node.
+#[derive(Clone, Debug)]
+pub struct ResendBudget {
+    settings: ResendSettings,
+    windows: HashMap<ServiceId, ServiceWindow>,
+    nodes: u32,
+}
+
+impl ResendBudget {
+    /// Returns the budget of one of `nodes` nodes.
+    pub fn new(settings: ResendSettings, nodes: u32) -> Self {
+        Self { settings, windows: HashMap::new(), nodes: nodes.max(1) }
+    }
+
+    /// Sets the number of nodes that share the slack.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Counts a request that is sent for the first time.
+    pub fn count_first(&mut self, service: &ServiceId, now: Instant) {
+        let window = self.window(service, now);
+        window.firsts.push_back(now);
+    }
+
+    /// Takes one resend and returns whether there was one.
+    pub fn try_take(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let ResendSettings { ratio, slack, .. } = self.settings;
+        let slack = slack / f64::from(self.nodes);
+        let window = self.window(service, now);
+        let allowed = USED_PART * (ratio * window.firsts.len() as f64 + slack);
+        if (window.resends.len() + 1) as f64 > allowed {
+            return false;
+        }
+        window.resends.push_back(now);
+        true
+    }
+
+    fn window(&mut self, service: &ServiceId, now: Instant) -> &mut ServiceWindow {
+        let length = Duration::from_millis(self.settings.window_ms);
+        if !self.windows.contains_key(service) {
+            self.windows.insert(service.clone(), ServiceWindow::default());
+        }
+        let window = self.windows.get_mut(service).expect("inserted above");
+        for times in [&mut window.firsts, &mut window.resends] {
+            while times.front().is_some_and(|at| *at + length <= now) {
+                times.pop_front();
+            }
+        }
+        window
+    }
+}
--- /dev/null
+++ b/src/decision/relay/server.rs
@@ -0,0 +1,180 @@
+//! Backend server as a node sees it.
+
+use super::health::Health;
+use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use strum::Display;
+
+/// Time for which a server whose entry vanished without notice still gets requests that no other
+/// server can take: entries that lapse in an outage of the list are back within two seconds.
+const VANISHED_GRACE: Duration = Duration::from_millis(1_700);
+
+/// Time for which a partner's count of its requests holds.
+const PARTNER_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// State that a server reports of itself.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum ServerState {
+    /// Takes requests.
+    Ready,
+    /// Is leaving and takes no new requests.
+    Draining,
+}
+
+/// What a server reports of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEntry {
+    /// Id.
+    pub id: ServerId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// State.
+    pub state: ServerState,
+    /// Start by its own clock, as a Unix time in milliseconds; tells runs under one id apart.
+    pub started_unix_ms: Option<u64>,
+    /// Weights that it holds.
+    pub weights: BTreeMap<ModelId, WeightsRevision>,
+}
+
+/// Requests at a server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerLoad {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens that are not read yet.
+    pub unread_tokens: u64,
+    /// Tokens that the requests keep in memory.
+    pub memory_tokens: u64,
+}
+
+impl ServerLoad {
+    pub(super) fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+
+    pub(super) fn subtract(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+/// Backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Last report of the server.
+    pub entry: ServerEntry,
+    /// Newest weights known, from reports, answers and partners.
+    pub weights: BTreeMap<ModelId, WeightsRevision>,
+    /// Health.
+    pub health: Health,
+    /// Requests of this node.
+    pub own_load: ServerLoad,
+    /// Hash of the id, for rendezvous.
+    pub id_hash: u64,
+    partner_loads: BTreeMap<InstanceId, (ServerLoad, Instant)>,
+    vanished_until: Option<Instant>,
+    closed_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+impl Server {
+    /// Returns a server with its first report.
+    pub fn new(entry: ServerEntry) -> Self {
+        Self {
+            weights: entry.weights.clone(),
+            id_hash: xxhash_rust::xxh3::xxh3_64(entry.id.as_bytes()),
+            entry,
+            health: Health::default(),
+            own_load: ServerLoad::default(),
+            partner_loads: BTreeMap::new(),
+            vanished_until: None,
+            closed_until: None,
+            full_until: None,
+        }
+    }
+
+    /// Takes in a later report; a new run of the server starts without what was known.
+    pub fn update(&mut self, entry: ServerEntry) {
+        let is_same_run = self.entry.started_unix_ms == entry.started_unix_ms
+            && self.entry.address == entry.address;
+        self.vanished_until = None;
+        if is_same_run {
+            for (model, revision) in &entry.weights {
+                let known = self.weights.entry(model.clone()).or_default();
+                *known = (*known).max(*revision);
+            }
+        } else {
+            self.weights = entry.weights.clone();
+            self.health = Health::default();
+            self.closed_until = None;
+            self.full_until = None;
+        }
+        self.entry = entry;
+    }
+
+    /// Takes in that the server's entry vanished; returns whether it is kept for a while.
+    pub fn vanish(&mut self, now: Instant) -> bool {
+        self.vanished_until.get_or_insert(now + VANISHED_GRACE);
+        self.entry.state == ServerState::Ready
+    }
+
+    /// Whether the entry vanished and has not come back in time.
+    pub fn is_gone(&self, now: Instant) -> bool {
+        self.vanished_until.is_some_and(|until| until <= now)
+    }
+
+    /// Whether the entry has vanished.
+    pub fn is_vanished(&self) -> bool {
+        self.vanished_until.is_some()
+    }
+
+    /// Keeps new requests away until `until`, while the server changes its weights.
+    pub fn close_until(&mut self, until: Instant) {
+        self.closed_until = Some(until);
+    }
+
+    /// Lets new requests through again.
+    pub fn reopen(&mut self) {
+        self.closed_until = None;
+        self.full_until = None;
+    }
+
+    /// Keeps new requests away until `until`, after the server rejected one as full.
+    pub fn set_full_until(&mut self, until: Instant) {
+        self.full_until = Some(until);
+    }
+
+    /// Whether a rollout or a rejection keeps new requests away; returns until when.
+    pub fn closed_until(&self, now: Instant) -> Option<Instant> {
+        self.closed_until.max(self.full_until).filter(|until| now < *until)
+    }
+
+    /// Sets the load that a partner has at this server.
+    pub fn set_partner_load(&mut self, partner: InstanceId, load: ServerLoad, now: Instant) {
+        self.partner_loads.insert(partner, (load, now + PARTNER_LOAD_LIFETIME));
+    }
+
+    /// Returns the load of all nodes as far as it is known.
+    pub fn total_load(&self, now: Instant) -> ServerLoad {
+        let mut total = self.own_load;
+        for (load, until) in self.partner_loads.values() {
+            if now < *until {
+                total.add(*load);
+            }
+        }
+        total
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod ports;
+pub mod relay;
 pub mod settings;
 pub mod traffic;
 pub mod types;
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -5,7 +5,12 @@
 use crate::decision::membership::MemberRecord;
 use crate::decision::poison::Strike;
 use crate::decision::power::PowerMessage;
-use crate::types::LogOffset;
+use crate::decision::relay::RecordTopic;
+use crate::decision::relay::prompt::PrefixKey;
+use crate::decision::relay::register_lease::RegisterRecord;
+use crate::decision::relay::replica::TopicPart;
+use crate::decision::relay::server::ServerLoad;
+use crate::types::{LogOffset, ModelId, ServerId, WeightsRevision};
 use bytes::Bytes;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
@@ -45,6 +50,49 @@
     },
     /// Configuration for a partner that cannot read the log.
     Configuration(Box<ConfigurationCopy>),
+    /// What the sender knows of each topic of keyed records.
+    Topics(Vec<TopicDigest>),
+    /// Asks for the records of a topic above an offset.
+    RecordsRequest(TopicDigest),
+    /// Keyed records.
+    Records(Box<TopicPart>),
+    /// Requests of the sender at backend servers, and prefixes that it had saved.
+    RelayLoad(RelayLoad),
+    /// State of a rollout of weights.
+    Rollout(RolloutNotice),
+}
+
+/// What a node knows of a topic of keyed records.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TopicDigest {
+    /// Topic.
+    pub topic: RecordTopic,
+    /// Offset up to which every key's newest record is known, none before the first listing.
+    pub through: Option<LogOffset>,
+}
+
+/// Requests of a node at backend servers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayLoad {
+    /// Load at each server that has some, or had some in the message before.
+    pub loads: Vec<(ServerId, ServerLoad)>,
+    /// Prefixes saved to the store of kept KV cache since the message before.
+    pub stored: Vec<PrefixKey>,
+}
+
+/// State of a rollout of weights, as its coordinator tells it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RolloutNotice {
+    /// Model.
+    pub model: ModelId,
+    /// Servers that get no new requests for now.
+    pub closed: Vec<ServerId>,
+    /// Servers that changed, with their weights.
+    pub changed: Vec<(ServerId, WeightsRevision)>,
+    /// Servers that are open again without having changed.
+    pub reopened: Vec<ServerId>,
+    /// Record of the lease under which the rollout runs.
+    pub lease: RegisterRecord,
 }
 
 /// What the bytes of a message turned out to be.
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -4,6 +4,9 @@
 //! go through [`Quoted`]. Level and module filters come from `COT_LOG` in the form that
 //! `env_logger` reads, and default to [`DEFAULT_FILTER`].
 
+pub mod bounded;
+
+use bounded::BoundedWriter;
 use env_logger::{Builder, Env, Target};
 use std::fmt;
 use std::io::Write;
@@ -15,8 +18,17 @@
 
 /// Starts logging to standard error. A logger that is already set stays.
 pub fn init() {
+    start(Target::Stderr);
+}
+
+/// Starts logging to standard output through `writer`, which never blocks.
+pub fn init_bounded(writer: BoundedWriter) {
+    start(Target::Pipe(Box::new(writer)));
+}
+
+fn start(target: Target) {
     let started = Builder::from_env(Env::new().filter_or(FILTER_VARIABLE, DEFAULT_FILTER))
-        .target(Target::Stderr)
+        .target(target)
         .format(|buffer, record| {
             let timestamp = buffer.timestamp_millis();
             let line = format_line(record.level(), record.target(), &record.args().to_string());
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -1,11 +1,17 @@
 //! Traits at the edges of a process, and the messages that cross them.
 
+pub mod coordination_store;
+pub mod dialect;
+pub mod engine_control;
 pub mod instance_list;
 pub mod kv_store;
 pub mod log_service;
 pub mod model_engine;
 pub mod plain_service;
 
+pub use coordination_store::{AnnouncedNode, CoordinationStore, RecordPage, Replacement};
+pub use dialect::{AnswerFacts, Dialect, OperatorRecord, RequestFacts, SendFacts};
+pub use engine_control::{EngineControl, WeightsOrder};
 pub use instance_list::{InstanceKind, InstanceList, InstanceRecord, InstanceState};
 pub use kv_store::KvStore;
 pub use log_service::{LogPage, LogRecord, LogService, LogStream};
--- /dev/null
+++ b/src/relay/attempt.rs
@@ -0,0 +1,317 @@
+//! One attempt: a request at one server, up to the head of the answer.
+
+use super::RelayContext;
+use super::control::RelayEvent;
+use super::exchange::RelayedRequest;
+use crate::adapters::connection_pool::PooledExchange;
+use crate::decision::relay::fleet::Choice;
+use crate::decision::relay::server::ServerLoad;
+use crate::metrics::labels::ReasonLabels;
+use crate::ports::{AnswerFacts, SendFacts};
+use crate::types::{Delivery, PeerError, ServerId, Step};
+use anyhow::anyhow;
+use futures_lite::FutureExt;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use smol::Timer;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use strum::Display;
+
+/// Time for which a server that rejected a request as full gets no further ones.
+const FULL_PERIOD: Duration = Duration::from_millis(120);
+
+/// Period in which a repeatable request looks whether its server has fallen silent.
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Latency objectives after which an idempotent request is given to another server.
+const IDEMPOTENT_PATIENCE: u32 = 2;
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The server answered; the answer may say that it failed.
+    Answered(Box<Answer>),
+    /// The server did not run the request and never will.
+    NotRun(NotRunReason),
+    /// Nothing reached the server.
+    NotSent(PeerError),
+    /// The server may have run the request.
+    Unknown(PeerError),
+}
+
+/// Why a server did not run a request.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum NotRunReason {
+    /// It was full or changed its weights.
+    Full,
+    /// Another server answers at the address.
+    Misdirected,
+    /// It holds other weights.
+    OtherWeights,
+}
+
+/// Answer whose head has arrived.
+pub struct Answer {
+    /// Exchange with the server.
+    pub exchange: PooledExchange,
+    /// What the head says.
+    pub facts: AnswerFacts,
+    /// Place that the request takes at the server.
+    pub ticket: Ticket,
+}
+
+/// Place that a request takes at a server, until it is dropped.
+pub struct Ticket {
+    context: Arc<RelayContext>,
+    /// Server.
+    pub server: ServerId,
+    attempt: u64,
+    load: ServerLoad,
+    is_read: bool,
+}
+
+impl Ticket {
+    fn new(context: Arc<RelayContext>, choice: &Choice) -> Self {
+        let attempt = context.next_attempt.fetch_add(1, Ordering::Relaxed);
+        let (server, load) = (choice.server.clone(), choice.load);
+        context.fleet().begin(&server, attempt, load, Instant::now());
+        Self { context, server, attempt, load, is_read: false }
+    }
+
+    /// Takes in a sign of the server.
+    pub fn note_heard(&mut self) {
+        let mut fleet = self.context.fleet();
+        if let Some(server) = fleet.server_mut(&self.server) {
+            server.health.note_heard(Instant::now());
+        }
+        if !self.is_read {
+            self.is_read = true;
+            fleet.note_first_answer(&self.server, self.attempt, self.load.unread_tokens);
+            self.load.unread_tokens = 0;
+        }
+    }
+
+    /// Takes in whether the server did what it was asked, and how much later than expected.
+    pub fn note_outcome(&self, succeeded: bool, slower_by_ms: f64) {
+        if let Some(server) = self.context.fleet().server_mut(&self.server) {
+            server.health.note_outcome(succeeded, slower_by_ms, Instant::now());
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.context.fleet().end(&self.server, self.attempt, self.load);
+    }
+}
+
+/// Sends `request` to the chosen server and waits for the head of its answer.
+pub async fn send(
+    context: &Arc<RelayContext>,
+    request: &RelayedRequest,
+    choice: &Choice,
+    last_event_id: Option<SmolStr>,
+    is_last: bool,
+) -> AttemptEnd {
+    let sent_at = Instant::now();
+    let mut ticket = Ticket::new(Arc::clone(context), choice);
+    let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
+    let exchange = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
+    let sent = if request.route.repetition.is_repeatable() && !is_last {
+        exchange.or(watch(context, request, &choice.server, sent_at)).await
+    } else {
+        exchange.await
+    };
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(error) => return failed(context, request, choice, &ticket, error),
+    };
+    ticket.note_heard();
+    let facts = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
+    learn_weights(context, request, choice, &facts);
+    if facts.is_not_run {
+        return AttemptEnd::NotRun(not_run(context, choice, &facts));
+    }
+    let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
+    let succeeded = !exchange.status.is_server_error();
+    ticket.note_outcome(succeeded, first_ms - choice.expected_ms);
+    if let Some(error) = unusable(request, choice, exchange.status, &facts) {
+        ticket.note_outcome(false, 0.0);
+        return AttemptEnd::Unknown(error);
+    }
+    if succeeded && let Some(prompt) = &choice.prompt {
+        let mut fleet = context.fleet();
+        fleet.kept.add_held(&prompt.keys, &choice.server, Instant::now());
+        if prompt.saves {
+            fleet.kept.add_stored(&prompt.keys, Instant::now());
+        }
+    }
+    AttemptEnd::Answered(Box::new(Answer { exchange, facts, ticket }))
+}
+
+fn outgoing_request(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    last_event_id: Option<SmolStr>,
+    now: Instant,
+) -> Request<Full<bytes::Bytes>> {
+    let remaining = request.deadline.saturating_duration_since(now);
+    let workspace = request.workspace.as_ref();
+    let prompt = choice.prompt.as_ref();
+    let kv_store = context.fleet().kv_store;
+    let facts = SendFacts {
+        server: choice.server.clone(),
+        remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX).max(1),
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+        hides_key: request.hides_key,
+        priority: prompt.map(|_| request.priority()),
+        weights: prompt.map(|prompt| prompt.weights),
+        cache_salt: prompt.map(|prompt| prompt.cache_salt.clone()),
+        fetch_from: prompt.filter(|prompt| prompt.fetches).and(kv_store),
+        save_to: prompt.filter(|prompt| prompt.saves).and(kv_store),
+        last_event_id,
+    };
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    *outgoing.headers_mut() = request.headers.clone();
+    context.ports.dialect.write_request(outgoing.headers_mut(), &facts);
+    outgoing
+}
+
+/// Ends when the server has fallen silent or takes longer than another one would.
+async fn watch<T>(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    server: &ServerId,
+    sent_at: Instant,
+) -> Result<T, PeerError> {
+    let objective = Duration::from_millis(request.route.latency_objective_ms.max(1));
+    let is_stream = request.route.repetition.is_stream();
+    loop {
+        Timer::after(SILENCE_CHECK_PERIOD).await;
+        let now = Instant::now();
+        let is_silent = context.fleet().server(server).is_none_or(|s| s.health.is_silent(now));
+        let is_slow = !is_stream && now >= sent_at + objective * IDEMPOTENT_PATIENCE;
+        if is_silent || is_slow {
+            let reason = if is_silent { "the server is silent" } else { "the server is slow" };
+            let error = anyhow!(reason);
+            return Err(PeerError::new(Step::ReadHead, server.clone(), Delivery::Unknown, error));
+        }
+    }
+}
+
+fn failed(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    ticket: &Ticket,
+    error: PeerError,
+) -> AttemptEnd {
+    let labels = ReasonLabels { reason: error.step.to_string() };
+    context.metrics.server_failures.get_or_create(&labels).inc();
+    log::info!("event=attempt_failed request={} route={} {error}", request.id, request.route.name);
+    if error.delivery == Delivery::NotSent {
+        if error.step == Step::Connect {
+            suspend(context, choice);
+        }
+        return AttemptEnd::NotSent(error);
+    }
+    ticket.note_outcome(false, 0.0);
+    if error.is_cut() {
+        note_cut(context, request, choice);
+    }
+    AttemptEnd::Unknown(error)
+}
+
+fn suspend(context: &RelayContext, choice: &Choice) {
+    context.pool.close_server(&choice.server);
+    let now = Instant::now();
+    let Some(until) = context
+        .fleet()
+        .server_mut(&choice.server)
+        .map(|server| server.health.note_unreachable(now))
+    else {
+        return;
+    };
+    let for_ms = until.saturating_duration_since(now).as_millis();
+    log::info!("event=server_suspended server={} for_ms={for_ms}", choice.server);
+}
+
+/// Has the control thread look whether the server crashed, and counts that against the request.
+pub fn note_cut(context: &RelayContext, request: &RelayedRequest, choice: &Choice) {
+    let run = context.fleet().server(&choice.server).and_then(|s| s.entry.started_unix_ms);
+    context.tell_control(RelayEvent::Cut {
+        server: choice.server.clone(),
+        address: choice.address,
+        run: run.unwrap_or_default(),
+        fingerprint: request.fingerprint,
+    });
+}
+
+fn learn_weights(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    facts: &AnswerFacts,
+) {
+    let Some(model) = request.facts.prompt.as_ref().map(|prompt| &prompt.model) else { return };
+    let Some(revision) = facts.weights.filter(|_| !is_misdirected(choice, facts)) else { return };
+    let expected = choice.prompt.as_ref().map(|prompt| prompt.weights);
+    if expected != Some(revision) {
+        log::info!(
+            "event=weights_learned server={} revision={revision} believed={}",
+            choice.server,
+            expected.unwrap_or_default()
+        );
+        context.fleet().set_weights(&choice.server, model, revision);
+    }
+}
+
+/// Whether another server answers at the address.
+fn is_misdirected(choice: &Choice, facts: &AnswerFacts) -> bool {
+    facts.server.as_ref().is_some_and(|server| *server != choice.server)
+}
+
+fn not_run(context: &RelayContext, choice: &Choice, facts: &AnswerFacts) -> NotRunReason {
+    let now = Instant::now();
+    if is_misdirected(choice, facts) {
+        suspend(context, choice);
+        return NotRunReason::Misdirected;
+    }
+    let expected = choice.prompt.as_ref().map(|prompt| prompt.weights);
+    if facts.weights.is_some() && expected.is_some() && facts.weights != expected {
+        return NotRunReason::OtherWeights;
+    }
+    if let Some(server) = context.fleet().server_mut(&choice.server) {
+        server.set_full_until(now + FULL_PERIOD);
+    }
+    NotRunReason::Full
+}
+
+/// Returns an error if the answer cannot be the server's answer to this request.
+fn unusable(
+    request: &RelayedRequest,
+    choice: &Choice,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) -> Option<PeerError> {
+    let promises_no_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    let fault = if facts.request_id.as_ref() != Some(&request.id) {
+        "the answer belongs to another request"
+    } else if status.is_success() && !facts.is_signed {
+        "the answer bears no signature"
+    } else if facts.is_encoded {
+        "the answer is encoded"
+    } else if promises_no_run || status.is_informational() {
+        "the status does not fit a request that was run"
+    } else {
+        return None;
+    };
+    let error = anyhow!("{fault} (status {status})");
+    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
+}
--- /dev/null
+++ b/src/relay/context.rs
@@ -0,0 +1,82 @@
+//! What the parts of a relay node share.
+
+use super::control::RelayEvent;
+use super::metrics::RelayMetrics;
+use super::settings::RelaySettings;
+use crate::adapters::connection_pool::ConnectionPool;
+use crate::adapters::http_server::ServerLimits;
+use crate::decision::poison::PoisonState;
+use crate::decision::relay::{Configuration, Fleet, ResendBudget};
+use crate::ports::{CoordinationStore, Dialect, EngineControl};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_channel::Sender;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Ports through which a relay node meets its site.
+#[derive(Clone)]
+pub struct RelayPorts {
+    /// Translator of headers and records.
+    pub dialect: Arc<dyn Dialect>,
+    /// Store of records.
+    pub store: Arc<dyn CoordinationStore>,
+    /// Engines.
+    pub engines: Arc<dyn EngineControl>,
+}
+
+/// Shared parts of a relay node.
+pub struct RelayContext {
+    /// Settings.
+    pub settings: RelaySettings,
+    /// Ports.
+    pub ports: RelayPorts,
+    /// Configuration in force, none before the first.
+    pub configuration: ArcSwapOption<Configuration>,
+    /// Limits of the callers' listener.
+    pub caller_limits: Arc<ArcSwap<ServerLimits>>,
+    /// Connections to servers.
+    pub pool: Arc<ConnectionPool>,
+    /// Metrics.
+    pub metrics: RelayMetrics,
+    /// Way to the control thread.
+    pub control: Sender<RelayEvent>,
+    /// Whether the node stops.
+    pub is_stopping: AtomicBool,
+    /// Whether servers were listed once.
+    pub knows_servers: AtomicBool,
+    pub(super) fleet: Mutex<Fleet>,
+    pub(super) budget: Mutex<ResendBudget>,
+    pub(super) poison: Mutex<PoisonState>,
+    pub(super) next_attempt: AtomicU64,
+}
+
+impl RelayContext {
+    /// Locks the servers.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the budget of resends.
+    pub fn budget(&self) -> MutexGuard<'_, ResendBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the strikes against requests that crash servers.
+    pub fn poison(&self) -> MutexGuard<'_, PoisonState> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the node should get new connections.
+    pub fn is_ready(&self) -> bool {
+        let knows_site =
+            self.configuration.load().is_some() && self.knows_servers.load(Ordering::Acquire);
+        knows_site && !self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Tells the control thread of an event; one that it has no room for is dropped.
+    pub(super) fn tell_control(&self, event: RelayEvent) {
+        if self.control.try_send(event).is_err() {
+            log::warn!("event=control_event_dropped reason=queue_full");
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/control/partners.rs
@@ -0,0 +1,422 @@
+//! Partner links of a relay node: records, loads, strikes and rollouts go over them.
+
+use super::RelayEvent;
+use super::state::ControlState;
+use crate::decision::membership::{
+    MemberRecord, MemberStatus, MembershipCommand, MembershipEvent, MembershipSettings,
+    MembershipState,
+};
+use crate::decision::relay::RecordTopic;
+use crate::decision::relay::server::ServerLoad;
+use crate::links::connection::ReceivedMessage;
+use crate::links::message::{RelayLoad, TopicDigest};
+use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, PartnerMessage};
+use crate::ports::AnnouncedNode;
+use crate::relay::RelayContext;
+use crate::types::{InstanceId, ServerId};
+use async_channel::Sender;
+use bytes::Bytes;
+use smol::Timer;
+use smol::net::TcpListener;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use strum::IntoEnumIterator;
+
+/// Messages that may wait for a link's connection.
+const LINK_QUEUE: usize = 64;
+
+/// Period in which a node tells its partners of its load.
+const LOAD_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time after which an unchanged load is told again; less than it holds at the partners.
+const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
+
+/// Time to wait after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Bytes of keyed records in one message at most.
+const PART_BYTES: usize = MESSAGE_LIMIT_BYTES / 2;
+
+struct OpenLink {
+    number: u64,
+    dialed: bool,
+    outgoing: Sender<Bytes>,
+}
+
+/// Links and membership.
+pub(super) struct Partners {
+    membership: MembershipState,
+    identity: Rc<RefCell<Identity>>,
+    links: BTreeMap<InstanceId, OpenLink>,
+    /// Highest number of live nodes seen; the shares of a site's allowances go by it.
+    most_nodes: u32,
+    next_load_at: Instant,
+    repeat_load_at: Instant,
+    last_loads: Vec<(ServerId, ServerLoad)>,
+    announced_topics: Vec<TopicDigest>,
+    are_topics_changed: bool,
+}
+
+impl Partners {
+    /// Returns the partners of a node that has just started.
+    pub(super) fn new(
+        context: &RelayContext,
+        instance: InstanceId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = MemberRecord {
+            instance,
+            address,
+            availability_zone: context.settings.availability_zone.clone(),
+            started_unix_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            version: 0,
+            status: MemberStatus::Alive,
+        };
+        let identity = Identity { key: context.settings.partner_key.clone(), me: me.clone() };
+        let settings = MembershipSettings { redial_after_ms: 300, ..MembershipSettings::default() };
+        Self {
+            membership: MembershipState::new(me, settings),
+            identity: Rc::new(RefCell::new(identity)),
+            links: BTreeMap::new(),
+            most_nodes: 1,
+            next_load_at: now,
+            repeat_load_at: now,
+            last_loads: Vec::new(),
+            announced_topics: Vec::new(),
+            are_topics_changed: false,
+        }
+    }
+
+    /// Returns what links prove.
+    pub(super) fn identity(&self) -> Rc<RefCell<Identity>> {
+        Rc::clone(&self.identity)
+    }
+
+    /// Returns the live members with this node, in the order of their ids.
+    pub(super) fn live_instances(&self) -> Vec<InstanceId> {
+        let others = self.membership.live_members().map(|member| member.instance.clone());
+        let mut all: Vec<InstanceId> = others.collect();
+        all.push(self.membership.me().instance.clone());
+        all.sort();
+        all
+    }
+
+    fn send(&self, to: &InstanceId, message: &PartnerMessage) {
+        let Some(link) = self.links.get(to) else { return };
+        let bytes = message.encode();
+        if bytes.len() > MESSAGE_LIMIT_BYTES {
+            log::error!("event=link_message_too_large peer={to} kind={}", message.kind());
+        } else if link.outgoing.try_send(bytes).is_err() {
+            log::warn!("event=link_message_dropped peer={to} kind={}", message.kind());
+        }
+    }
+
+    fn peer(&self, number: u64) -> Option<&InstanceId> {
+        self.links.iter().find(|(_, link)| link.number == number).map(|(peer, _)| peer)
+    }
+}
+
+impl ControlState {
+    /// Sends a message to all partners but `source`.
+    pub(super) fn send_partners(&self, source: Option<&InstanceId>, message: &PartnerMessage) {
+        for peer in self.partners.links.keys().filter(|peer| Some(*peer) != source) {
+            self.partners.send(peer, message);
+        }
+    }
+
+    /// Takes in nodes that announced themselves.
+    pub(super) fn apply_announced(&mut self, nodes: &[AnnouncedNode], now: Instant) {
+        let own = self.partners.membership.me().address;
+        let announced = nodes.iter().map(|node| node.address);
+        let mut addresses: Vec<SocketAddr> =
+            announced.chain(self.context.settings.seed_partners.iter().copied()).collect();
+        addresses.retain(|address| *address != own);
+        addresses.sort();
+        addresses.dedup();
+        log::info!("event=nodes_announced addresses={}", addresses.len());
+        self.advance_membership(MembershipEvent::Listed(addresses), now);
+    }
+
+    /// Adds a link; of two links to one peer, that of the dialer with the lower id stays.
+    pub(super) fn open_link(
+        &mut self,
+        number: u64,
+        peer: MemberRecord,
+        dialed: bool,
+        outgoing: Sender<Bytes>,
+        now: Instant,
+    ) {
+        let own = &self.partners.membership.me().instance;
+        if peer.instance == *own {
+            return;
+        }
+        if let Some(current) = self.partners.links.get(&peer.instance) {
+            let own_dial_stays = *own < peer.instance;
+            if current.dialed != dialed && current.dialed == own_dial_stays {
+                return;
+            }
+        }
+        log::info!("event=link_opened peer={} address={}", peer.instance, peer.address);
+        let instance = peer.instance.clone();
+        self.partners.links.insert(instance.clone(), OpenLink { number, dialed, outgoing });
+        self.advance_membership(MembershipEvent::LinkOpened { peer, dialed }, now);
+        self.partners.send(&instance, &PartnerMessage::Topics(self.topic_digests()));
+        let strikes = self.context.poison().strikes();
+        if !strikes.is_empty() {
+            self.partners.send(&instance, &PartnerMessage::Strikes(strikes));
+        }
+    }
+
+    /// Takes in a message of a partner.
+    pub(super) fn receive(&mut self, number: u64, received: ReceivedMessage, now: Instant) {
+        let Some(peer) = self.partners.peer(number).cloned() else { return };
+        self.advance_membership(MembershipEvent::Heard(peer.clone()), now);
+        let Some(message) = received.message else { return };
+        match message {
+            PartnerMessage::Ping { digest, .. } => {
+                self.advance_membership(MembershipEvent::Ping { peer, digest }, now);
+            }
+            PartnerMessage::Members(records) => {
+                self.advance_membership(MembershipEvent::Records { peer, records }, now);
+            }
+            PartnerMessage::Strikes(strikes) => self.add_strikes(Some(&peer), strikes, now),
+            PartnerMessage::Topics(digests) => self.request_records(&peer, &digests),
+            PartnerMessage::RecordsRequest(digest) => self.send_records(&peer, digest),
+            PartnerMessage::Records(part) => {
+                let news = self.replica.apply_part(*part);
+                self.apply_news(&news, &peer, now);
+                self.note_listed();
+            }
+            PartnerMessage::RelayLoad(RelayLoad { loads, stored }) => {
+                let mut fleet = self.context.fleet();
+                fleet.set_partner_loads(&peer, &loads, now);
+                fleet.kept.add_stored_elsewhere(&stored, now);
+            }
+            PartnerMessage::Rollout(notice) => self.apply_rollout_notice(&notice, now),
+            other => log::debug!("event=message_ignored peer={peer} kind={}", other.kind()),
+        }
+    }
+
+    /// Takes in the end of a link.
+    pub(super) fn end_link(&mut self, number: u64, end: &LinkEnd, now: Instant) {
+        let Some(peer) = self.partners.peer(number).cloned() else { return };
+        let in_order = match end {
+            LinkEnd::InOrder => true,
+            LinkEnd::Broken(error) => {
+                log::warn!("event=link_broken peer={peer} error=\"{error:#}\"");
+                false
+            }
+        };
+        self.partners.links.remove(&peer);
+        self.advance_membership(MembershipEvent::LinkClosed { peer, in_order }, now);
+    }
+
+    /// Takes in that a link could not be opened.
+    pub(super) fn fail_dial(&mut self, address: SocketAddr, now: Instant) {
+        self.advance_membership(MembershipEvent::DialFailed(address), now);
+    }
+
+    /// Tells partners that the node stops.
+    pub(super) fn leave_partners(&mut self, now: Instant) {
+        self.advance_membership(MembershipEvent::Leave, now);
+    }
+
+    /// Does the periodic work.
+    pub(super) fn tick_partners(&mut self, now: Instant) {
+        self.advance_membership(MembershipEvent::Tick, now);
+        if now >= self.partners.next_load_at {
+            self.partners.next_load_at = now + LOAD_PERIOD;
+            self.send_load(now);
+        }
+        if std::mem::take(&mut self.partners.are_topics_changed) {
+            self.send_topics();
+        }
+    }
+
+    /// Has partners told of newer records with the next tick.
+    pub(super) fn announce_topics(&mut self) {
+        self.partners.are_topics_changed = true;
+    }
+
+    fn send_topics(&mut self) {
+        let digests = self.topic_digests();
+        if digests != self.partners.announced_topics {
+            self.send_partners(None, &PartnerMessage::Topics(digests.clone()));
+            self.partners.announced_topics = digests;
+        }
+    }
+
+    fn topic_digests(&self) -> Vec<TopicDigest> {
+        let digest = |topic| TopicDigest { topic, through: self.replica.through(topic) };
+        RecordTopic::iter().map(digest).collect()
+    }
+
+    /// Asks a partner for what it knows beyond this node.
+    fn request_records(&self, peer: &InstanceId, digests: &[TopicDigest]) {
+        for digest in digests {
+            let known = self.replica.through(digest.topic);
+            if digest.through > known {
+                let request = TopicDigest { topic: digest.topic, through: known };
+                self.partners.send(peer, &PartnerMessage::RecordsRequest(request));
+            }
+        }
+    }
+
+    /// Sends a partner what it lacks, in parts that fit into messages.
+    fn send_records(&self, peer: &InstanceId, digest: TopicDigest) {
+        let Some(mut part) = self.replica.part(digest.topic, digest.through) else { return };
+        part.records.sort_by_key(|record| record.offset);
+        let size = |value: &Option<Bytes>| value.as_ref().map_or(0, Bytes::len);
+        let through = part.through;
+        let mut rest = std::mem::take(&mut part.records).into_iter().peekable();
+        loop {
+            let mut part = part.clone();
+            let mut bytes = 0;
+            while let Some(record) =
+                rest.next_if(|next| bytes == 0 || bytes + size(&next.value) <= PART_BYTES)
+            {
+                bytes += size(&record.value).max(1);
+                part.records.push(record);
+            }
+            let is_last = rest.peek().is_none();
+            if !is_last {
+                // Only the last part makes the receiver's knowledge complete.
+                part.above = Some(u64::MAX);
+            }
+            part.through = through;
+            self.partners.send(peer, &PartnerMessage::Records(Box::new(part)));
+            if is_last {
+                return;
+            }
+        }
+    }
+
+    /// Tells partners of this node's requests at the servers.
+    fn send_load(&mut self, now: Instant) {
+        let (mut loads, stored) = {
+            let mut fleet = self.context.fleet();
+            (fleet.own_loads(), fleet.kept.take_newly_stored())
+        };
+        let is_unchanged = loads == self.partners.last_loads && stored.is_empty();
+        if is_unchanged && now < self.partners.repeat_load_at {
+            return;
+        }
+        self.partners.repeat_load_at = now + LOAD_REPEAT;
+        let last_loads = std::mem::replace(&mut self.partners.last_loads, loads.clone());
+        for (server, _) in last_loads {
+            if !loads.iter().any(|(loaded, _)| *loaded == server) {
+                loads.push((server, ServerLoad::default()));
+            }
+        }
+        self.send_partners(None, &PartnerMessage::RelayLoad(RelayLoad { loads, stored }));
+    }
+
+    fn advance_membership(&mut self, event: MembershipEvent, now: Instant) {
+        for command in self.partners.membership.apply(event, now) {
+            match command {
+                MembershipCommand::Dial(address) => {
+                    let identity = Rc::clone(&self.partners.identity);
+                    self.spawn(dial(Arc::clone(&self.context), identity, address));
+                }
+                MembershipCommand::Close(peer) => {
+                    log::info!("event=link_closed peer={peer}");
+                    self.partners.links.remove(&peer);
+                }
+                MembershipCommand::SendRecords { to, records } => {
+                    self.partners.send(&to, &PartnerMessage::Members(records));
+                }
+                MembershipCommand::SendPing { to, digest } => {
+                    let configuration = Default::default();
+                    self.partners.send(&to, &PartnerMessage::Ping { digest, configuration });
+                }
+            }
+        }
+        self.partners.identity.borrow_mut().me = self.partners.membership.me().clone();
+        self.note_nodes();
+    }
+
+    fn note_nodes(&mut self) {
+        let links = i64::try_from(self.partners.links.len()).unwrap_or(i64::MAX);
+        self.context.metrics.links.set(links);
+        let nodes = self.partners.membership.live_nodes();
+        if nodes > self.partners.most_nodes {
+            self.partners.most_nodes = nodes;
+            self.context.budget().set_nodes(nodes);
+            log::info!("event=nodes_known nodes={nodes}");
+        }
+    }
+}
+
+/// Accepts partner links without end.
+pub(super) async fn listen(
+    context: Arc<RelayContext>,
+    identity: Rc<RefCell<Identity>>,
+    listener: TcpListener,
+) {
+    let executor = smol::LocalExecutor::new();
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
+                    let task = async move {
+                        let own = identity.borrow().clone();
+                        match crate::links::accept(stream, &own).await {
+                            Ok(link) => run_link(&context, link, false).await,
+                            Err(error) => log::warn!("event=link_refused {error}"),
+                        }
+                    };
+                    executor.spawn(task).detach();
+                }
+                Err(error) => {
+                    log::warn!("event=link_accept_failed error=\"{error}\"");
+                    Timer::after(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    };
+    executor.run(accept).await
+}
+
+async fn dial(context: Arc<RelayContext>, identity: Rc<RefCell<Identity>>, address: SocketAddr) {
+    let own = identity.borrow().clone();
+    match crate::links::dial(address, &own).await {
+        Ok(link) => run_link(&context, link, true).await,
+        Err(error) => {
+            log::debug!("event=link_failed {error}");
+            if context.control.send(RelayEvent::DialFailed(address)).await.is_err() {
+                log::debug!("event=control_stopped");
+            }
+        }
+    }
+}
+
+/// Runs an open link until it ends.
+async fn run_link(context: &RelayContext, link: Link, dialed: bool) {
+    let number = context.next_attempt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let peer = link.peer().clone();
+    let (outgoing, outgoing_queue) = async_channel::bounded(LINK_QUEUE);
+    let (incoming, incoming_queue) = async_channel::bounded(1);
+    let events = &context.control;
+    let opened = RelayEvent::LinkOpened { link: number, peer, dialed, outgoing };
+    if events.send(opened).await.is_err() {
+        return;
+    }
+    let forward = async {
+        while let Ok(message) = incoming_queue.recv().await {
+            if events.send(RelayEvent::LinkReceived { link: number, message }).await.is_err() {
+                return;
+            }
+        }
+    };
+    let (end, ()) = futures_lite::future::zip(link.run(outgoing_queue, incoming), forward).await;
+    if events.send(RelayEvent::LinkEnded { link: number, end }).await.is_err() {
+        log::debug!("event=control_stopped");
+    }
+}
--- /dev/null
+++ b/src/relay/control/records.rs
@@ -0,0 +1,183 @@
+//! Records of operators and servers: from the store and from partners into what traffic uses.
+
+use super::state::ControlState;
+use crate::adapters::http_server::ServerLimits;
+use crate::decision::relay::configuration::CallerLimits;
+use crate::decision::relay::replica::TopicListing;
+use crate::decision::relay::{Configuration, KeyedRecord, RecordTopic};
+use crate::ports::OperatorRecord;
+use crate::types::LogOffset;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+/// Milliseconds beyond the idle limit for which a connection waits for the next head.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+impl ControlState {
+    /// Takes in a listing of a topic.
+    pub(super) fn apply_listing(
+        &mut self,
+        topic: RecordTopic,
+        listing: TopicListing,
+        now: Instant,
+    ) {
+        log::info!(
+            "event=topic_listed topic={topic} records={} end={}",
+            listing.records.len(),
+            listing.end
+        );
+        let news = self.replica.apply_listing(topic, listing);
+        self.apply_news(&news, "store", now);
+        self.note_listed();
+    }
+
+    /// Takes in records that follow a known offset.
+    pub(super) fn apply_records(
+        &mut self,
+        topic: RecordTopic,
+        records: Vec<KeyedRecord>,
+        next_offset: LogOffset,
+        now: Instant,
+    ) {
+        let news = self.replica.apply_records(topic, records, next_offset);
+        self.apply_news(&news, "store", now);
+    }
+
+    /// Takes in whether servers were listed.
+    pub(super) fn note_listed(&self) {
+        if self.replica.through(RecordTopic::Servers).is_some() {
+            self.context.knows_servers.store(true, Ordering::Release);
+        }
+    }
+
+    /// Puts newer records in force.
+    pub(super) fn apply_news(&mut self, news: &[KeyedRecord], source: &str, now: Instant) {
+        for record in news {
+            match (record.topic, &record.value) {
+                (RecordTopic::Operator, Some(value)) => {
+                    self.apply_operator_record(record, value, source, now);
+                }
+                (RecordTopic::Operator, None) => {
+                    log::info!("event=operator_record_deleted key={} source={source}", record.key);
+                }
+                (RecordTopic::Servers, Some(value)) => {
+                    self.apply_server_record(record, value, source, now);
+                }
+                (RecordTopic::Servers, None) => {
+                    log::info!(
+                        "event=server_entry_gone server={} offset={} source={source}",
+                        record.key,
+                        record.offset
+                    );
+                    self.context.fleet().remove_entry(&record.key, now);
+                }
+            }
+        }
+        if !news.is_empty() {
+            self.announce_topics();
+            let servers = self.context.fleet().servers().count();
+            self.context.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
+        }
+    }
+
+    fn apply_operator_record(
+        &mut self,
+        record: &KeyedRecord,
+        value: &Bytes,
+        source: &str,
+        now: Instant,
+    ) {
+        let KeyedRecord { key, offset, .. } = record;
+        match self.context.ports.dialect.read_operator_record(key, value) {
+            Ok(OperatorRecord::Configuration(configuration)) => {
+                self.put_in_force(*configuration, *offset, source);
+            }
+            Ok(OperatorRecord::Weights { model, revision }) => {
+                if self.context.fleet().set_target(model.clone(), revision, now) {
+                    log::info!(
+                        "event=weights_named model={model} revision={revision} offset={offset} \
+                         source={source}"
+                    );
+                    self.targets.insert(model, revision);
+                }
+            }
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => log::warn!(
+                "event=operator_record_unreadable key={key} offset={offset} error=\"{error:#}\""
+            ),
+        }
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    fn put_in_force(&mut self, configuration: Configuration, offset: LogOffset, source: &str) {
+        let revision = configuration.revision;
+        let current = self.context.configuration.load().as_ref().map(|current| current.revision);
+        if current >= Some(revision) {
+            log::warn!(
+                "event=configuration_ignored revision={revision} offset={offset} reason=older"
+            );
+            return;
+        }
+        log::info!(
+            "event=configuration_in_force revision={revision} offset={offset} source={source} \
+             routes={} services={}",
+            configuration.route_count(),
+            configuration.services.len()
+        );
+        {
+            let mut fleet = self.context.fleet();
+            for (name, service) in &configuration.services {
+                if let Some(engine) = &service.engine {
+                    fleet.set_kv_capacity(name.clone(), engine.kv_capacity_tokens);
+                }
+            }
+        }
+        if let Some(limits) = configuration.limits {
+            self.context.caller_limits.store(Arc::new(server_limits(limits)));
+        }
+        self.kv_store.set(configuration.kv_stores.first().map(|store| store.address));
+        self.context
+            .metrics
+            .configuration_revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.context.configuration.store(Some(Arc::new(configuration)));
+    }
+
+    fn apply_server_record(
+        &mut self,
+        record: &KeyedRecord,
+        value: &Bytes,
+        source: &str,
+        now: Instant,
+    ) {
+        let KeyedRecord { key, offset, .. } = record;
+        let entry = match self.context.ports.dialect.read_server_record(key, value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                log::warn!(
+                    "event=server_record_unreadable server={key} offset={offset} \
+                     error=\"{error:#}\""
+                );
+                self.context.fleet().remove_entry(key, now);
+                return;
+            }
+        };
+        log::info!(
+            "event=server_entry server={key} service={} state={} weights={:?} offset={offset} \
+             source={source}",
+            entry.service,
+            entry.state,
+            entry.weights.values().collect::<Vec<_>>()
+        );
+        self.context.fleet().set_entry(entry);
+    }
+}
+
+fn server_limits(limits: CallerLimits) -> ServerLimits {
+    ServerLimits {
+        head_bytes: limits.head_bytes,
+        head_timeout_ms: limits.idle_timeout_ms.max(limits.head_timeout_ms) + IDLE_MARGIN_MS,
+    }
+}
--- /dev/null
+++ b/src/relay/control/state.rs
@@ -0,0 +1,183 @@
+//! State of the control thread and its loop.
+
+use super::partners::Partners;
+use super::rollout::RolloutControl;
+use super::{RelayEvent, follow, kv_store, partners};
+use crate::decision::relay::Replica;
+use crate::links::Identity;
+use crate::relay::RelayContext;
+use crate::relay::suspend_clock::SuspendClock;
+use crate::types::{InstanceId, ModelId, WeightsRevision};
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use smol::net::TcpListener;
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Period of the loop's own work.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Period while a rollout is under way.
+const ROLLOUT_TICK_PERIOD: Duration = Duration::from_millis(25);
+
+/// What the control thread starts from.
+pub struct ControlParts {
+    /// Shared parts of the node.
+    pub context: Arc<RelayContext>,
+    /// Id of this run of the node.
+    pub instance: InstanceId,
+    /// Events.
+    pub events: Receiver<RelayEvent>,
+    /// Listener of partner links.
+    pub partners: TcpListener,
+    /// Address of that listener.
+    pub partner_address: SocketAddr,
+}
+
+/// Control state; owned by the control thread.
+pub(super) struct ControlState {
+    pub(super) context: Arc<RelayContext>,
+    pub(super) executor: Weak<LocalExecutor<'static>>,
+    pub(super) replica: Replica,
+    pub(super) partners: Partners,
+    pub(super) rollout: RolloutControl,
+    pub(super) targets: BTreeMap<ModelId, WeightsRevision>,
+    /// Whether the store answers, for the tasks that follow it.
+    pub(super) kv_store: Rc<Cell<Option<SocketAddr>>>,
+    suspend_clock: SuspendClock,
+    is_stopping: bool,
+}
+
+/// Runs the control thread's main task.
+pub async fn start(executor: Weak<LocalExecutor<'static>>, parts: ControlParts) {
+    let now = Instant::now();
+    let ControlParts { context, instance, events, partners: listener, partner_address } = parts;
+    let partners = Partners::new(&context, instance.clone(), partner_address, now);
+    let identity: Rc<RefCell<Identity>> = partners.identity();
+    let kv_store = Rc::new(Cell::new(None));
+    let state = ControlState {
+        rollout: RolloutControl::new(instance, context.settings.rollout_lease_ms),
+        replica: Replica::default(),
+        partners,
+        targets: BTreeMap::new(),
+        kv_store: Rc::clone(&kv_store),
+        suspend_clock: SuspendClock::new(),
+        is_stopping: false,
+        executor,
+        context: Arc::clone(&context),
+    };
+    follow::start(&state, partner_address);
+    state.spawn(partners::listen(Arc::clone(&context), identity, listener));
+    state.spawn(kv_store::watch(context, kv_store));
+    run(state, events).await;
+}
+
+async fn run(mut state: ControlState, events: Receiver<RelayEvent>) {
+    let mut next_tick_at = Instant::now();
+    loop {
+        let received = async { events.recv().await.map(Some).ok() };
+        let tick = async {
+            Timer::at(next_tick_at).await;
+            Some(None)
+        };
+        let Some(event) = received.or(tick).await else { return };
+        let now = Instant::now();
+        state.note_suspension();
+        match event {
+            Some(event) => state.handle(event, now),
+            None => {
+                state.tick(now);
+                next_tick_at = now + state.tick_period();
+            }
+        }
+        next_tick_at = next_tick_at.min(Instant::now() + state.tick_period());
+    }
+}
+
+impl ControlState {
+    /// Runs `task` on the control thread.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
+    }
+
+    fn tick_period(&self) -> Duration {
+        if self.rollout.is_active() { ROLLOUT_TICK_PERIOD } else { TICK_PERIOD }
+    }
+
+    fn handle(&mut self, event: RelayEvent, now: Instant) {
+        match event {
+            RelayEvent::Listed(topic, listing) => self.apply_listing(topic, listing, now),
+            RelayEvent::Records { topic, records, next_offset } => {
+                self.apply_records(topic, records, next_offset, now);
+            }
+            RelayEvent::Announced(nodes) => self.apply_announced(&nodes, now),
+            RelayEvent::LinkOpened { link, peer, dialed, outgoing } => {
+                self.open_link(link, peer, dialed, outgoing, now);
+            }
+            RelayEvent::LinkReceived { link, message } => self.receive(link, message, now),
+            RelayEvent::LinkEnded { link, end } => self.end_link(link, &end, now),
+            RelayEvent::DialFailed(address) => self.fail_dial(address, now),
+            RelayEvent::Cut { server, address, run, fingerprint } => {
+                self.check_crash(server, address, run, fingerprint);
+            }
+            RelayEvent::Crashed(strike) => self.add_strikes(None, vec![strike], now),
+            RelayEvent::Reported { model, server, report } => {
+                self.apply_report(&model, &server, report, now);
+            }
+            RelayEvent::Ordered { model, server, fencing_number, outcome } => {
+                self.apply_order(&model, &server, fencing_number, outcome, now);
+            }
+            RelayEvent::RegisterRead(read) => self.apply_register(read, now),
+            RelayEvent::RegisterReplaced { sent_at, outcome } => {
+                self.apply_replaced(sent_at, outcome, now);
+            }
+            RelayEvent::KvStore { address, is_emptied } => {
+                self.apply_kv_store(address, is_emptied);
+            }
+            RelayEvent::Stop => {
+                self.is_stopping = true;
+                self.leave_partners(now);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let gone = self.context.fleet().drop_gone(now);
+        for server in gone {
+            log::info!("event=server_gone server={server} reason=entry_not_back");
+            self.context.pool.close_server(&server);
+        }
+        self.context.pool.close_expired(now);
+        self.tick_partners(now);
+        if !self.is_stopping {
+            self.tick_rollouts(now);
+        }
+    }
+
+    fn apply_kv_store(&mut self, address: Option<SocketAddr>, is_emptied: bool) {
+        let mut fleet = self.context.fleet();
+        if fleet.kv_store != address {
+            let state = if address.is_some() { "regained" } else { "lost" };
+            log::info!("event=kv_store_{state}");
+        }
+        fleet.kv_store = address;
+        if is_emptied {
+            log::info!("event=kv_store_emptied");
+            fleet.kept.forget_stored();
+        }
+    }
+
+    /// Drops what must not outlast a suspension of the machine.
+    fn note_suspension(&mut self) {
+        let Some(gap) = self.suspend_clock.take_suspension() else { return };
+        log::warn!("event=suspended gap_ms={}", gap.as_millis());
+        self.rollout.drop_lease();
+    }
+}
--- /dev/null
+++ b/src/relay/metrics.rs
@@ -0,0 +1,134 @@
+//! Metrics of a relay node.
+//!
+//! Every family is described in `docs/operators/relay_metrics.md`.
+
+use crate::metrics::labels::ReasonLabels;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.7, 1.5, 5.0, 15.0];
+
+/// Routes with metrics of their own at most; the others share one label.
+pub const MOST_ROUTE_LABELS: usize = 64;
+
+/// Labels of an answered request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AnswerLabels {
+    /// Route.
+    pub route: String,
+    /// Outcome: `complete`, `failed`, `refused`, `broken` or `left`.
+    pub outcome: String,
+}
+
+/// Labels of a route.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RouteLabels {
+    /// Route.
+    pub route: String,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LatencyHistogram;
+
+impl MetricConstructor<Histogram> for LatencyHistogram {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(LATENCY_BUCKETS_S)
+    }
+}
+
+/// Latency histogram for each route.
+#[derive(Clone, Debug)]
+pub struct RouteLatency(Family<RouteLabels, Histogram, LatencyHistogram>);
+
+impl RouteLatency {
+    /// Counts a latency in seconds.
+    pub fn observe(&self, route: &str, latency_s: f64) {
+        self.0.get_or_create(&RouteLabels { route: route.to_owned() }).observe(latency_s);
+    }
+}
+
+impl Default for RouteLatency {
+    fn default() -> Self {
+        Self(Family::new_with_constructor(LatencyHistogram))
+    }
+}
+
+/// All metrics of a relay node. Clones share their values.
+#[derive(Clone, Debug, Default)]
+pub struct RelayMetrics {
+    /// Requests by route and outcome.
+    pub requests: Family<AnswerLabels, Counter>,
+    /// Time to the first byte of an answer.
+    pub first_answer: RouteLatency,
+    /// Refusals by reason.
+    pub refusals: Family<ReasonLabels, Counter>,
+    /// Requests sent once more, by reason.
+    pub resends: Family<ReasonLabels, Counter>,
+    /// Streams that went on at another server.
+    pub resumed_streams: Counter,
+    /// Failed exchanges with servers, by step.
+    pub server_failures: Family<ReasonLabels, Counter>,
+    /// Calls to the coordination store, by call.
+    pub store_calls: Family<ReasonLabels, Counter>,
+    /// Failed calls to the coordination store, by call.
+    pub store_failures: Family<ReasonLabels, Counter>,
+    /// Orders to servers, by outcome.
+    pub orders: Family<ReasonLabels, Counter>,
+    /// Open partner links.
+    pub links: Gauge,
+    /// Revision of the configuration in force.
+    pub configuration_revision: Gauge,
+    /// Servers known.
+    pub servers: Gauge,
+    /// Dropped log lines.
+    pub dropped_log_lines: Counter,
+}
+
+impl RelayMetrics {
+    /// Registers all metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("relay_requests", "Requests by route and outcome", self.requests.clone());
+        registry.register_with_unit(
+            "relay_first_answer",
+            "Time to the first byte of an answer",
+            Unit::Seconds,
+            self.first_answer.0.clone(),
+        );
+        registry.register("relay_refusals", "Refusals by reason", self.refusals.clone());
+        registry.register("relay_resends", "Requests sent once more", self.resends.clone());
+        registry.register(
+            "relay_resumed_streams",
+            "Streams that went on at another server",
+            self.resumed_streams.clone(),
+        );
+        registry.register(
+            "relay_server_failures",
+            "Failed exchanges with servers by step",
+            self.server_failures.clone(),
+        );
+        registry.register("relay_store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "relay_store_failures",
+            "Failed calls to the store",
+            self.store_failures.clone(),
+        );
+        registry.register("relay_orders", "Orders to servers by outcome", self.orders.clone());
+        registry.register("relay_links", "Open partner links", self.links.clone());
+        registry.register(
+            "relay_configuration_revision",
+            "Revision of the configuration in force",
+            self.configuration_revision.clone(),
+        );
+        registry.register("relay_servers", "Servers known", self.servers.clone());
+        registry.register(
+            "relay_dropped_log_lines",
+            "Log lines dropped because standard output did not take them in time",
+            self.dropped_log_lines.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/src/relay/node.rs
@@ -0,0 +1,257 @@
+//! Assembles a relay node and runs it on threads of its own.
+
+use super::control::{self, ControlParts, RelayEvent};
+use super::exchange;
+use super::metrics::RelayMetrics;
+use super::{RelayContext, RelayPorts, RelaySettings};
+use crate::adapters::connection_pool::ConnectionPool;
+use crate::adapters::http_server::{self, Handler, Reply, ServerLimits};
+use crate::daemon::threads::{spawn_control, spawn_traffic};
+use crate::decision::poison::PoisonState;
+use crate::decision::relay::{Fleet, ResendBudget};
+use crate::metrics::encode;
+use crate::traffic::reply::text_reply;
+use crate::types::InstanceId;
+use anyhow::Context;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_channel::{Receiver, Sender};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use prometheus_client::registry::Registry;
+use smol::Executor;
+use smol::net::TcpListener;
+use smol_str::format_smolstr;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Events that may wait for the control thread.
+const CONTROL_QUEUE: usize = 1_024;
+
+/// Limits of the callers' listener until a configuration names some.
+const FIRST_LIMITS: ServerLimits = ServerLimits { head_bytes: 16 * 1024, head_timeout_ms: 16_000 };
+
+/// Limits of the listeners for operators' tools.
+const TOOL_LIMITS: ServerLimits = ServerLimits { head_bytes: 8 * 1024, head_timeout_ms: 60_000 };
+
+/// Period in which a stopping node looks whether its connections have ended.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Running relay node.
+pub struct RelayNode {
+    context: Arc<RelayContext>,
+    caller_address: SocketAddr,
+    readiness_address: SocketAddr,
+    partner_address: SocketAddr,
+    /// Closes when connections are to end after their requests.
+    drain: Sender<Infallible>,
+    /// Closes when the threads are to stop.
+    stop: Sender<Infallible>,
+    threads: Vec<JoinHandle<()>>,
+    executor: Arc<Executor<'static>>,
+}
+
+impl RelayNode {
+    /// Starts a node; `ports` gets the pool of connections and returns the node's ports.
+    ///
+    /// # Errors
+    ///
+    /// A listener that cannot be bound or a thread that cannot be started.
+    pub fn start(
+        settings: RelaySettings,
+        metrics: RelayMetrics,
+        ports: impl FnOnce(Arc<ConnectionPool>) -> RelayPorts,
+    ) -> anyhow::Result<Self> {
+        let executor: Arc<Executor<'static>> = Arc::default();
+        let pool = Arc::new(ConnectionPool::new(Arc::downgrade(&executor)));
+        let ports = ports(Arc::clone(&pool));
+        let callers = bind(settings.listen.callers, "callers")?;
+        let readiness = bind(settings.listen.readiness, "readiness")?;
+        let metrics_listener = bind(settings.listen.metrics, "metrics")?;
+        let partners = bind(settings.listen.partners, "partners")?;
+        let partner_address = partners.local_addr()?;
+        let caller_address = callers.local_addr()?;
+        let readiness_address = readiness.local_addr()?;
+        let instance = instance_id(&settings);
+        let (control, events) = async_channel::bounded(CONTROL_QUEUE);
+        let context = Arc::new(new_context(settings, metrics, ports, pool, control));
+        let (drain, draining) = async_channel::bounded(1);
+        let (stop, stopped) = async_channel::bounded(1);
+        let control_parts = ControlParts {
+            context: Arc::clone(&context),
+            instance: instance.clone(),
+            events,
+            partners,
+            partner_address,
+        };
+        let control_thread = spawn_control(
+            String::from("control"),
+            move |executor| control::start(executor, control_parts),
+            stopped.clone(),
+        )?;
+        serve_callers(&executor, &context, callers, draining);
+        serve_tools(&executor, &context, readiness, metrics_listener, stopped.clone());
+        let traffic_thread =
+            spawn_traffic(String::from("traffic"), Arc::clone(&executor), stopped)?;
+        log::info!(
+            "event=started instance={instance} version={} callers={caller_address} \
+             partners={partner_address}",
+            env!("CARGO_PKG_VERSION")
+        );
+        Ok(Self {
+            context,
+            caller_address,
+            readiness_address,
+            partner_address,
+            drain,
+            stop,
+            threads: vec![control_thread, traffic_thread],
+            executor,
+        })
+    }
+
+    /// Returns the address of the callers' listener.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address of the readiness listener.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.readiness_address
+    }
+
+    /// Returns the address of the partner listener.
+    pub fn partner_address(&self) -> SocketAddr {
+        self.partner_address
+    }
+
+    /// Stops gracefully: readiness goes first, then the listener, then the running requests end.
+    pub fn drain(self) {
+        let limits = self.context.settings.stop;
+        let started_at = Instant::now();
+        log::info!("event=drain_started");
+        self.context.is_stopping.store(true, Ordering::Release);
+        self.context.tell_control(RelayEvent::Stop);
+        thread::sleep(Duration::from_millis(limits.accept_ms));
+        self.drain.close();
+        let deadline = started_at + Duration::from_millis(limits.limit_ms);
+        while self.drain.receiver_count() > 0 && Instant::now() < deadline {
+            thread::sleep(STOP_CHECK_PERIOD);
+        }
+        log::info!("event=stopped cut={}", self.drain.receiver_count());
+        self.kill();
+    }
+
+    /// Stops abruptly: all connections close at once.
+    pub fn kill(self) {
+        self.stop.close();
+        let Self { threads, executor, .. } = self;
+        for thread in threads {
+            if thread.join().is_err() {
+                log::error!("event=thread_panicked");
+            }
+        }
+        drop(executor);
+    }
+}
+
+fn instance_id(settings: &RelaySettings) -> InstanceId {
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format_smolstr!("{}-{:x}", settings.instance_name, started.as_millis())
+}
+
+fn new_context(
+    settings: RelaySettings,
+    metrics: RelayMetrics,
+    ports: RelayPorts,
+    pool: Arc<ConnectionPool>,
+    control: Sender<RelayEvent>,
+) -> RelayContext {
+    RelayContext {
+        configuration: ArcSwapOption::empty(),
+        caller_limits: Arc::new(ArcSwap::from_pointee(FIRST_LIMITS)),
+        pool,
+        metrics,
+        control,
+        is_stopping: AtomicBool::new(false),
+        knows_servers: AtomicBool::new(false),
+        fleet: Mutex::new(Fleet::new(settings.availability_zone.clone())),
+        budget: Mutex::new(ResendBudget::new(settings.resend, 1)),
+        poison: Mutex::new(PoisonState::default()),
+        next_attempt: AtomicU64::new(1),
+        settings,
+        ports,
+    }
+}
+
+fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    http_server::bind(address)
+        .with_context(|| format!("step=bind listener={name} address={address}"))
+}
+
+fn serve_callers(
+    executor: &Arc<Executor<'static>>,
+    context: &Arc<RelayContext>,
+    listener: TcpListener,
+    draining: Receiver<Infallible>,
+) {
+    let shared = Arc::clone(context);
+    let handler: Handler =
+        Arc::new(move |request| Box::pin(exchange::handle(Arc::clone(&shared), request)));
+    let limits = Arc::clone(&context.caller_limits);
+    let server = http_server::serve(listener, Arc::downgrade(executor), handler, limits, draining);
+    executor.spawn(server).detach();
+}
+
+fn serve_tools(
+    executor: &Arc<Executor<'static>>,
+    context: &Arc<RelayContext>,
+    readiness: TcpListener,
+    metrics: TcpListener,
+    stopped: Receiver<Infallible>,
+) {
+    let limits = Arc::new(ArcSwap::from_pointee(TOOL_LIMITS));
+    let shared = Arc::clone(context);
+    let answer_readiness: Handler = Arc::new(move |request| {
+        let reply = readiness_reply(&shared, &request);
+        Box::pin(async move { reply })
+    });
+    let weak = Arc::downgrade(executor);
+    let server = http_server::serve(
+        readiness,
+        weak.clone(),
+        answer_readiness,
+        Arc::clone(&limits),
+        stopped.clone(),
+    );
+    executor.spawn(server).detach();
+    let mut registry = Registry::with_prefix("coriandertide");
+    context.metrics.register(&mut registry);
+    let path = context.settings.listen.metrics_path.clone();
+    let answer_metrics: Handler = Arc::new(move |request| {
+        let reply = metrics_reply(&registry, &path, &request);
+        Box::pin(async move { reply })
+    });
+    executor.spawn(http_server::serve(metrics, weak, answer_metrics, limits, stopped)).detach();
+}
+
+fn readiness_reply(context: &RelayContext, request: &Request<Incoming>) -> Reply {
+    if request.uri().path() != context.settings.listen.readiness_path {
+        return text_reply(StatusCode::NOT_FOUND, "");
+    }
+    let status = if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    text_reply(status, "")
+}
+
+fn metrics_reply(registry: &Registry, path: &str, request: &Request<Incoming>) -> Reply {
+    if request.uri().path() != path {
+        return text_reply(StatusCode::NOT_FOUND, "");
+    }
+    match encode(registry) {
+        Ok(text) => text_reply(StatusCode::OK, text),
+        Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/relay/settings.rs
@@ -0,0 +1,196 @@
+//! Settings of a relay node: the raw form and the checked form.
+
+use crate::decision::relay::resend::ResendSettings;
+use crate::types::{AvailabilityZone, Faults};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Least length of the partner key in bytes.
+const LEAST_PARTNER_KEY_BYTES: usize = 16;
+
+/// Settings of a relay node as read from a file.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
+#[serde(default)]
+pub struct RawRelaySettings {
+    /// Name of the instance.
+    pub instance_name: SmolStr,
+    /// Availability zone of the instance.
+    pub availability_zone: SmolStr,
+    /// Listeners.
+    pub listen: RawRelayListen,
+    /// Key shared by all nodes, which authenticates partner links.
+    pub partner_key: SmolStr,
+    /// Partner listeners of nodes that may be running, as `ip:port`.
+    pub seed_partners: Vec<SmolStr>,
+    /// Requests that may be sent once more.
+    pub resend: RawResendSettings,
+    /// Milliseconds that the rollout lease lasts.
+    pub rollout_lease_ms: u64,
+    /// Stopping.
+    pub stop: StopSettings,
+}
+
+/// Listeners as read from a file, each as `ip:port`.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
+#[serde(default)]
+pub struct RawRelayListen {
+    /// Callers.
+    pub callers: SmolStr,
+    /// Readiness.
+    pub readiness: SmolStr,
+    /// Path of the readiness answer.
+    pub readiness_path: SmolStr,
+    /// Partner links.
+    pub partners: SmolStr,
+    /// Metrics.
+    pub metrics: SmolStr,
+    /// Path of the metrics.
+    pub metrics_path: SmolStr,
+}
+
+/// Allowance of requests that are sent once more, as read from a file.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(default)]
+pub struct RawResendSettings {
+    /// Resends that each first request allows.
+    pub ratio: f64,
+    /// Resends allowed in each window beyond that, for all nodes together.
+    pub slack: f64,
+    /// Seconds of the window.
+    pub window_s: f64,
+}
+
+impl Default for RawResendSettings {
+    fn default() -> Self {
+        let ResendSettings { ratio, slack, window_ms } = ResendSettings::default();
+        Self { ratio, slack, window_s: window_ms as f64 / 1_000.0 }
+    }
+}
+
+/// Stopping of a node.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(default)]
+pub struct StopSettings {
+    /// Milliseconds for which a stopping node still accepts connections, until balancers know.
+    pub accept_ms: u64,
+    /// Milliseconds after which a stopping node ends whatever still runs.
+    pub limit_ms: u64,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self { accept_ms: 2_500, limit_ms: 7_400 }
+    }
+}
+
+/// Checked settings of a relay node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// Name of the instance.
+    pub instance_name: SmolStr,
+    /// Availability zone of the instance.
+    pub availability_zone: AvailabilityZone,
+    /// Listeners.
+    pub listen: RelayListen,
+    /// Key shared by all nodes, which authenticates partner links.
+    pub partner_key: SmolStr,
+    /// Partner listeners of nodes that may be running.
+    pub seed_partners: Vec<SocketAddr>,
+    /// Requests that may be sent once more.
+    pub resend: ResendSettings,
+    /// Milliseconds that the rollout lease lasts.
+    pub rollout_lease_ms: u64,
+    /// Stopping.
+    pub stop: StopSettings,
+}
+
+/// Listeners of a relay node; port 0 takes a free one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelayListen {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Readiness.
+    pub readiness: SocketAddr,
+    /// Path of the readiness answer.
+    pub readiness_path: SmolStr,
+    /// Partner links.
+    pub partners: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+    /// Path of the metrics.
+    pub metrics_path: SmolStr,
+}
+
+impl TryFrom<RawRelaySettings> for RelaySettings {
+    type Error = Faults;
+
+    fn try_from(raw: RawRelaySettings) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        faults.require(!raw.instance_name.is_empty(), "instance_name", "must not be empty");
+        faults.require(!raw.availability_zone.is_empty(), "availability_zone", "must not be empty");
+        faults.require(
+            raw.partner_key.len() >= LEAST_PARTNER_KEY_BYTES,
+            "partner_key",
+            format!("must have at least {LEAST_PARTNER_KEY_BYTES} bytes"),
+        );
+        faults.require(raw.rollout_lease_ms > 0, "rollout_lease_ms", "must be above 0");
+        let RawResendSettings { ratio, slack, window_s } = raw.resend;
+        faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
+        faults.require(slack >= 0.0, "resend.slack", "must not be negative");
+        faults.require(window_s > 0.0, "resend.window_s", "must be above 0");
+        faults.require(
+            raw.stop.accept_ms < raw.stop.limit_ms,
+            "stop.accept_ms",
+            "must be below stop.limit_ms",
+        );
+        let listen = check_listen(raw.listen, &mut faults);
+        let seeds = raw.seed_partners.iter().enumerate();
+        let seed_partners = seeds
+            .map(|(index, seed)| {
+                check_address(&format!("seed_partners.{index}"), seed, &mut faults)
+            })
+            .collect();
+        let settings = Self {
+            instance_name: raw.instance_name,
+            availability_zone: raw.availability_zone,
+            listen,
+            partner_key: raw.partner_key,
+            seed_partners,
+            resend: ResendSettings { ratio, slack, window_ms: (window_s * 1_000.0) as u64 },
+            rollout_lease_ms: raw.rollout_lease_ms,
+            stop: raw.stop,
+        };
+        faults.into_result(settings)
+    }
+}
+
+fn check_listen(raw: RawRelayListen, faults: &mut Faults) -> RelayListen {
+    faults.require(
+        raw.readiness_path.starts_with('/'),
+        "listen.readiness_path",
+        "must begin with a slash",
+    );
+    faults.require(
+        raw.metrics_path.starts_with('/'),
+        "listen.metrics_path",
+        "must begin with a slash",
+    );
+    RelayListen {
+        callers: check_address("listen.callers", &raw.callers, faults),
+        readiness: check_address("listen.readiness", &raw.readiness, faults),
+        readiness_path: raw.readiness_path,
+        partners: check_address("listen.partners", &raw.partners, faults),
+        metrics: check_address("listen.metrics", &raw.metrics, faults),
+        metrics_path: raw.metrics_path,
+    }
+}
+
+/// Returns the address, or reports a fault at `path`.
+pub fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
+    raw.parse().unwrap_or_else(|_| {
+        faults.add(path, format!("`{raw}` is not an ip:port address"));
+        SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0))
+    })
+}
--- a/src/traffic/reply.rs
+++ b/src/traffic/reply.rs
@@ -17,7 +17,7 @@
 
 /// Returns a body of `bytes`.
 pub fn full_body(bytes: impl Into<Bytes>) -> ReplyBody {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Returns a JSON response.
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -20,6 +20,8 @@
 pub type OwnerId = SmolStr;
 /// Id of a request, unique over all nodes.
 pub type RequestId = SmolStr;
+/// Name of a route.
+pub type RouteId = SmolStr;
 /// Revision of a document section: the log offset of the edit that set it.
 pub type Revision = u64;
 /// Path of a document section, such as `workspaces/survey` or `site`.
@@ -28,6 +30,8 @@
 pub type ServerId = SmolStr;
 /// Name of a plain service.
 pub type ServiceId = SmolStr;
+/// Revision of a model's weights as an operator names it; higher is newer.
+pub type WeightsRevision = u64;
 /// Version of a model's weights.
 pub type WeightsVersion = SmolStr;
 /// Name of a workspace.
