--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Everything here is deterministic: no sockets, no clock and no random source of its own.
 
+pub mod choose;
 pub mod configuration;
 pub mod event_splitter;
 pub mod fleet;
@@ -15,9 +16,10 @@
 pub mod rollout;
 pub mod server;
 
+pub use choose::{Choice, Unavailable, UnavailableReason, Wanted};
 pub use configuration::{Configuration, Repetition, Route, Service};
 pub use event_splitter::EventSplitter;
-pub use fleet::{Choice, Fleet, Unavailable};
+pub use fleet::Fleet;
 pub use prompt::{Prompt, PromptPart};
 pub use register_lease::RegisterLease;
 pub use replica::{KeyedRecord, RecordTopic, Replica};
--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -4,6 +4,13 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Output tokens from which a run counts as long.
+const LONG_RUN_OUTPUT_TOKENS: u32 = 20;
+
+/// Prompt tokens that are read in the time of a token, with a margin: 110 a millisecond against six
+/// milliseconds and more.
+const LONG_RUN_PROMPT_RATIO: u32 = 200;
+
 /// Part of a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -52,6 +59,22 @@
         self.prompt_tokens.saturating_sub(self.shared_tokens())
     }
 
+    /// Returns the tokens of each shared part.
+    pub fn shared_part_tokens(&self) -> impl Iterator<Item = u32> {
+        self.shared_parts().iter().map(|part| part.tokens)
+    }
+
+    /// Returns the key of the part that belongs to the request alone.
+    pub fn own_key(&self) -> PrefixKey {
+        self.parts.last().map_or(0, |part| xxh3_64_with_seed(part.id.as_bytes(), 0))
+    }
+
+    /// Whether generating takes the most of the request's time, rather than reading the prompt.
+    pub fn is_long_run(&self) -> bool {
+        self.output_tokens >= LONG_RUN_OUTPUT_TOKENS
+            && self.prompt_tokens < self.output_tokens.saturating_mul(LONG_RUN_PROMPT_RATIO)
+    }
+
     fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
     }
--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -12,15 +12,23 @@
 /// Settings of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutSettings {
-    /// Part of the servers that may be closed at once.
-    pub closed_part: f64,
+    /// Part of the servers that may load at once without slowing each other.
+    pub loading_part: f64,
+    /// Servers that may load at once whatever their number.
+    pub least_loading: usize,
+    /// Milliseconds that a server takes to load weights while few others do.
+    pub load_ms: u64,
+    /// Milliseconds by which a server's report lags.
+    pub report_lag_ms: u64,
     /// Milliseconds between the notice that closes a server and the order: the way to all nodes.
     pub notice_ms: u64,
+    /// Milliseconds for which a closed server's requests are waited for before it is ordered.
+    pub drain_ms: u64,
     /// Milliseconds until an order or report without an answer counts as lost.
     pub answer_timeout_ms: u64,
     /// Milliseconds between reports of a server that changes.
     pub report_period_ms: u64,
-    /// Milliseconds after which runs are no longer waited for.
+    /// Milliseconds after which runs on outdated weights are no longer waited for.
     pub wait_limit_ms: u64,
     /// Milliseconds for which a server that does not answer is left alone.
     pub retry_ms: u64,
@@ -29,11 +37,15 @@
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
-            closed_part: 0.5,
+            loading_part: 0.2,
+            least_loading: 2,
+            load_ms: 430,
+            report_lag_ms: 200,
             notice_ms: 30,
+            drain_ms: 1_500,
             answer_timeout_ms: 400,
-            report_period_ms: 120,
-            wait_limit_ms: 4_000,
+            report_period_ms: 60,
+            wait_limit_ms: 4_500,
             retry_ms: 700,
         }
     }
@@ -58,6 +70,8 @@
     pub revision: WeightsRevision,
     /// Requests at the server.
     pub requests: u32,
+    /// Since when its weights have been outdated, none if they are not.
+    pub outdated_since: Option<Instant>,
 }
 
 /// Report of a server about its weights.
@@ -118,10 +132,17 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Closing { report_at: Instant },
+    /// Closed; its requests end.
+    Draining { since: Instant },
+    /// Asked for its report before the order.
     Reporting { lost_at: Instant, failures: u32 },
-    Ordering { lost_at: Instant },
-    Changing { report_at: Instant },
+    /// Ordered to change.
+    Ordering { lost_at: Instant, accepted_orders: u64 },
+    /// Changes; `loaded_at` is when it should have loaded.
+    Loading { loaded_at: Instant, report_at: Instant, accepted_orders: u64 },
+    /// Asked whether it has changed.
+    Confirming { lost_at: Instant, loaded_at: Instant, accepted_orders: u64 },
+    /// Did not answer and is left alone.
     Resting { until: Instant },
 }
 
@@ -134,19 +155,15 @@
     settings: RolloutSettings,
     model: ModelId,
     revision: WeightsRevision,
-    started_at: Instant,
     steps: BTreeMap<ServerId, Step>,
+    waits_for_runs: BTreeMap<ServerId, bool>,
 }
 
 impl Rollout {
-    /// Returns the rollout of `revision`, which was named at `started_at`.
-    pub fn new(
-        settings: RolloutSettings,
-        model: ModelId,
-        revision: WeightsRevision,
-        started_at: Instant,
-    ) -> Self {
-        Self { settings, model, revision, started_at, steps: BTreeMap::new() }
+    /// Returns the rollout of `revision`.
+    pub fn new(settings: RolloutSettings, model: ModelId, revision: WeightsRevision) -> Self {
+        let (steps, waits_for_runs) = Default::default();
+        Self { settings, model, revision, steps, waits_for_runs }
     }
 
     /// Returns the revision that the servers are brought to.
@@ -161,9 +178,8 @@
     }
 
     /// Takes in that a newer revision was named.
-    pub fn retarget(&mut self, revision: WeightsRevision, started_at: Instant) {
-        self.revision = revision;
-        self.started_at = started_at;
+    pub fn retarget(&mut self, revision: WeightsRevision) {
+        self.revision = self.revision.max(revision);
     }
 
     /// Does what is due, for the model's `servers` that take requests.
@@ -173,15 +189,11 @@
             Step::Resting { until } => now < *until,
             _ => servers.iter().any(|server| server.id == *id),
         });
-        let due: Vec<ServerId> = self
-            .steps
-            .iter()
-            .filter(|(_, step)| step.is_due(now))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
+        let ids: Vec<ServerId> = self.steps.keys().cloned().collect();
+        for id in ids {
             self.advance(&id, now, &mut commands);
         }
+        self.order_drained(servers, now, &mut commands);
         self.close_more(servers, now, &mut commands);
         commands
     }
@@ -193,27 +205,14 @@
         report: Option<&WeightsReport>,
         now: Instant,
     ) -> Vec<RolloutCommand> {
-        let Some(Step::Reporting { failures, .. }) = self.steps.get(id).copied() else {
-            return Vec::new();
-        };
-        let Some(report) = report else { return self.fail_report(id, failures, now) };
-        let held = report.weights.get(&self.model).copied().unwrap_or_default();
-        if held >= self.revision && !report.is_busy {
-            self.steps.remove(id);
-            return vec![RolloutCommand::Finish { server: id.clone(), revision: held }];
-        }
-        if report.is_busy {
-            self.await_change(id, now);
-            return Vec::new();
+        match (self.steps.get(id).copied(), report) {
+            (Some(Step::Reporting { failures, .. }), None) => self.fail_report(id, failures, now),
+            (Some(Step::Reporting { .. }), Some(report)) => self.begin_order(id, report, now),
+            (Some(Step::Confirming { loaded_at, accepted_orders, .. }), report) => {
+                self.confirm(id, report, loaded_at, accepted_orders, now)
+            }
+            _ => Vec::new(),
         }
-        let lost_at = now + self.answer_timeout();
-        self.steps.insert(id.clone(), Step::Ordering { lost_at });
-        let waits = now < self.started_at + Duration::from_millis(self.settings.wait_limit_ms);
-        vec![RolloutCommand::Order {
-            server: id.clone(),
-            accepted_orders: report.accepted_orders,
-            runs: if waits { RunPolicy::Wait } else { RunPolicy::Keep },
-        }]
     }
 
     /// Takes in the answer to an order.
@@ -223,67 +222,177 @@
         outcome: WeightsOrderOutcome,
         now: Instant,
     ) -> Vec<RolloutCommand> {
-        if !matches!(self.steps.get(id), Some(Step::Ordering { .. })) {
+        let Some(Step::Ordering { accepted_orders, .. }) = self.steps.get(id).copied() else {
             return Vec::new();
-        }
+        };
         match outcome {
             WeightsOrderOutcome::Invalid | WeightsOrderOutcome::Fenced => {
-                vec![self.give_up(id, now)]
+                return vec![self.give_up(id, now)];
+            }
+            WeightsOrderOutcome::Accepted => {
+                let loaded_at = now + Duration::from_millis(self.settings.load_ms);
+                let lag = Duration::from_millis(self.settings.report_lag_ms);
+                let report_at = loaded_at + lag / 2;
+                let step = Step::Loading { loaded_at, report_at, accepted_orders };
+                self.steps.insert(id.clone(), step);
             }
-            WeightsOrderOutcome::Accepted
-            | WeightsOrderOutcome::AlreadyHolds
+            WeightsOrderOutcome::AlreadyHolds
             | WeightsOrderOutcome::Conflict
             | WeightsOrderOutcome::Unknown => {
-                self.await_change(id, now);
-                Vec::new()
+                let lag = Duration::from_millis(self.settings.report_lag_ms);
+                let step = Step::Loading { loaded_at: now, report_at: now + lag, accepted_orders };
+                self.steps.insert(id.clone(), step);
             }
         }
+        Vec::new()
+    }
+
+    /// Orders the server unless its report shows that it has changed or is changing.
+    fn begin_order(
+        &mut self,
+        id: &ServerId,
+        report: &WeightsReport,
+        now: Instant,
+    ) -> Vec<RolloutCommand> {
+        let accepted_orders = report.accepted_orders;
+        if self.has_changed(report) {
+            return vec![self.finish(id, report)];
+        }
+        if report.is_busy {
+            let report_at = now + self.report_period();
+            let step = Step::Loading { loaded_at: now, report_at, accepted_orders };
+            self.steps.insert(id.clone(), step);
+            return Vec::new();
+        }
+        let lost_at = now + self.answer_timeout();
+        self.steps.insert(id.clone(), Step::Ordering { lost_at, accepted_orders });
+        let waits = self.waits_for_runs.get(id).copied().unwrap_or(true);
+        let runs = if waits { RunPolicy::Wait } else { RunPolicy::Keep };
+        vec![RolloutCommand::Order { server: id.clone(), accepted_orders, runs }]
+    }
+
+    /// Looks whether an ordered server has changed.
+    fn confirm(
+        &mut self,
+        id: &ServerId,
+        report: Option<&WeightsReport>,
+        loaded_at: Instant,
+        accepted_orders: u64,
+        now: Instant,
+    ) -> Vec<RolloutCommand> {
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        let report_at = now + self.report_period();
+        let again = Step::Loading { loaded_at, report_at, accepted_orders };
+        let Some(report) = report else {
+            self.steps.insert(id.clone(), Step::Reporting { lost_at: report_at, failures: 0 });
+            return Vec::new();
+        };
+        if self.has_changed(report) {
+            return vec![self.finish(id, report)];
+        }
+        let is_stale = report.accepted_orders <= accepted_orders && now < loaded_at + lag * 2;
+        if report.is_busy || is_stale {
+            self.steps.insert(id.clone(), again);
+            return Vec::new();
+        }
+        self.begin_order(id, report, now)
+    }
+
+    fn has_changed(&self, report: &WeightsReport) -> bool {
+        let held = report.weights.get(&self.model).copied().unwrap_or_default();
+        held >= self.revision && !report.is_busy
+    }
+
+    fn finish(&mut self, id: &ServerId, report: &WeightsReport) -> RolloutCommand {
+        self.steps.remove(id);
+        let revision = report.weights.get(&self.model).copied().unwrap_or_default();
+        RolloutCommand::Finish { server: id.clone(), revision }
     }
 
     fn advance(&mut self, id: &ServerId, now: Instant, commands: &mut Vec<RolloutCommand>) {
+        let lost_at = now + self.answer_timeout();
         match self.steps.get(id).copied() {
-            Some(Step::Closing { .. } | Step::Changing { .. }) => {
-                let lost_at = now + self.answer_timeout();
-                self.steps.insert(id.clone(), Step::Reporting { lost_at, failures: 0 });
+            Some(Step::Reporting { lost_at, failures }) if now >= lost_at => {
+                commands.extend(self.fail_report(id, failures, now));
+            }
+            Some(Step::Ordering { lost_at: lost, accepted_orders }) if now >= lost => {
+                let step = Step::Confirming { lost_at, loaded_at: now, accepted_orders };
+                self.steps.insert(id.clone(), step);
                 commands.push(RolloutCommand::Report(id.clone()));
             }
-            Some(Step::Reporting { failures, .. }) => {
-                commands.extend(self.fail_report(id, failures, now));
+            Some(Step::Loading { loaded_at, report_at, accepted_orders }) if now >= report_at => {
+                let step = Step::Confirming { lost_at, loaded_at, accepted_orders };
+                self.steps.insert(id.clone(), step);
+                commands.push(RolloutCommand::Report(id.clone()));
+            }
+            Some(Step::Confirming { lost_at: lost, .. }) if now >= lost => {
+                self.steps.insert(id.clone(), Step::Reporting { lost_at, failures: 0 });
+                commands.push(RolloutCommand::Report(id.clone()));
             }
-            Some(Step::Ordering { .. }) => self.await_change(id, now),
-            Some(Step::Resting { .. }) | None => {}
+            _ => {}
         }
     }
 
-    fn fail_report(&mut self, id: &ServerId, failures: u32, now: Instant) -> Vec<RolloutCommand> {
-        if failures + 1 >= MOST_FAILURES {
-            return vec![self.give_up(id, now)];
+    /// Orders closed servers whose requests have ended, as many as may load at once.
+    fn order_drained(
+        &mut self,
+        servers: &[RolloutServer],
+        now: Instant,
+        commands: &mut Vec<RolloutCommand>,
+    ) {
+        let notice = Duration::from_millis(self.settings.notice_ms);
+        let drain = Duration::from_millis(self.settings.drain_ms);
+        let is_loading = |step: &&Step| match step {
+            Step::Reporting { .. } | Step::Ordering { .. } => true,
+            Step::Loading { loaded_at, .. } | Step::Confirming { loaded_at, .. } => {
+                now < *loaded_at
+            }
+            Step::Draining { .. } | Step::Resting { .. } => false,
+        };
+        let mut room = self
+            .most_loading(servers)
+            .saturating_sub(self.steps.values().filter(is_loading).count());
+        let mut drained: Vec<&RolloutServer> = servers
+            .iter()
+            .filter(|server| match self.steps.get(&server.id) {
+                Some(Step::Draining { since }) => {
+                    let is_empty = server.requests == 0 && now >= *since + notice;
+                    is_empty || now >= *since + drain
+                }
+                _ => false,
+            })
+            .collect();
+        drained.sort_by_key(|server| server.requests);
+        while room > 0 && !drained.is_empty() {
+            let server = drained.remove(0);
+            let limit = Duration::from_millis(self.settings.wait_limit_ms);
+            let waits = server.outdated_since.is_none_or(|since| now < since + limit);
+            self.waits_for_runs.insert(server.id.clone(), waits);
+            let lost_at = now + self.answer_timeout();
+            self.steps.insert(server.id.clone(), Step::Reporting { lost_at, failures: 0 });
+            commands.push(RolloutCommand::Report(server.id.clone()));
+            room -= 1;
         }
-        let step = Step::Reporting { lost_at: now + self.answer_timeout(), failures: failures + 1 };
-        self.steps.insert(id.clone(), step);
-        vec![RolloutCommand::Report(id.clone())]
-    }
-
-    fn give_up(&mut self, id: &ServerId, now: Instant) -> RolloutCommand {
-        let until = now + Duration::from_millis(self.settings.retry_ms);
-        self.steps.insert(id.clone(), Step::Resting { until });
-        RolloutCommand::GiveUp(id.clone())
-    }
-
-    fn await_change(&mut self, id: &ServerId, now: Instant) {
-        let report_at = now + Duration::from_millis(self.settings.report_period_ms);
-        self.steps.insert(id.clone(), Step::Changing { report_at });
     }
 
-    /// Closes further servers with older weights, those with the fewest requests first.
+    /// Closes further servers with older weights, those with the fewest requests first, so that as
+    /// many drain as load.
     fn close_more(
         &mut self,
         servers: &[RolloutServer],
         now: Instant,
         commands: &mut Vec<RolloutCommand>,
     ) {
-        let most = (servers.len() as f64 * self.settings.closed_part).ceil() as usize;
-        let room = most.saturating_sub(self.closed().count());
+        let half = servers.len().div_ceil(2);
+        let most = (2 * self.most_loading(servers)).min(half).max(1);
+        let busy = self.steps.values().filter(|step| match step {
+            Step::Loading { loaded_at, .. } | Step::Confirming { loaded_at, .. } => {
+                now < *loaded_at
+            }
+            Step::Resting { .. } => false,
+            _ => true,
+        });
+        let room = most.saturating_sub(busy.count());
         let mut outdated: Vec<&RolloutServer> = servers
             .iter()
             .filter(|server| server.revision < self.revision)
@@ -291,24 +400,36 @@
             .collect();
         outdated.sort_by_key(|server| server.requests);
         for server in outdated.into_iter().take(room) {
-            let report_at = now + Duration::from_millis(self.settings.notice_ms);
-            self.steps.insert(server.id.clone(), Step::Closing { report_at });
+            self.steps.insert(server.id.clone(), Step::Draining { since: now });
             commands.push(RolloutCommand::Close(server.id.clone()));
         }
     }
 
+    fn most_loading(&self, servers: &[RolloutServer]) -> usize {
+        let part = (servers.len() as f64 * self.settings.loading_part) as usize;
+        part.max(self.settings.least_loading)
+    }
+
+    fn fail_report(&mut self, id: &ServerId, failures: u32, now: Instant) -> Vec<RolloutCommand> {
+        if failures + 1 >= MOST_FAILURES {
+            return vec![self.give_up(id, now)];
+        }
+        let step = Step::Reporting { lost_at: now + self.answer_timeout(), failures: failures + 1 };
+        self.steps.insert(id.clone(), step);
+        vec![RolloutCommand::Report(id.clone())]
+    }
+
+    fn give_up(&mut self, id: &ServerId, now: Instant) -> RolloutCommand {
+        let until = now + Duration::from_millis(self.settings.retry_ms);
+        self.steps.insert(id.clone(), Step::Resting { until });
+        RolloutCommand::GiveUp(id.clone())
+    }
+
     fn answer_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.answer_timeout_ms)
     }
-}
 
-impl Step {
-    fn is_due(self, now: Instant) -> bool {
-        let due_at = match self {
-            Self::Closing { report_at } | Self::Changing { report_at } => report_at,
-            Self::Reporting { lost_at, .. } | Self::Ordering { lost_at } => lost_at,
-            Self::Resting { until } => until,
-        };
-        now >= due_at
+    fn report_period(&self) -> Duration {
+        Duration::from_millis(self.settings.report_period_ms)
     }
 }
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -51,6 +51,8 @@
 pub struct ServerLoad {
     /// Requests sent and not ended.
     pub requests: u32,
+    /// Long runs among them.
+    pub long_runs: u32,
     /// Prompt tokens that are not read yet.
     pub unread_tokens: u64,
     /// Tokens that the requests keep in memory.
@@ -60,12 +62,14 @@
 impl ServerLoad {
     pub(super) fn add(&mut self, other: Self) {
         self.requests += other.requests;
+        self.long_runs += other.long_runs;
         self.unread_tokens += other.unread_tokens;
         self.memory_tokens += other.memory_tokens;
     }
 
     pub(super) fn subtract(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
+        self.long_runs = self.long_runs.saturating_sub(other.long_runs);
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
     }
--- a/src/ports/engine_control.rs
+++ b/src/ports/engine_control.rs
@@ -27,6 +27,15 @@
     pub accepted_orders: u64,
 }
 
+/// What a look at the store of kept KV cache shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KvStoreLook {
+    /// Run of the store, none if it is busy; another run means that it lost what it kept.
+    pub run: Option<u64>,
+    /// Change after which the next look waits.
+    pub next: u64,
+}
+
 /// Engines as the relay controls them.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
@@ -46,7 +55,12 @@
         deadline: Instant,
     ) -> WeightsOrderOutcome;
 
-    /// Returns the run of the store of kept KV cache at `address`, after a while; another run means
-    /// that it lost what it kept.
-    async fn kv_store_run(&self, address: SocketAddr, deadline: Instant) -> PeerResult<u64>;
+    /// Looks at the store of kept KV cache; returns once it has changed beyond `since`, or after a
+    /// while.
+    async fn look_at_kv_store(
+        &self,
+        address: SocketAddr,
+        since: u64,
+        deadline: Instant,
+    ) -> PeerResult<KvStoreLook>;
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -11,7 +11,7 @@
 
 pub use coordination_store::{AnnouncedNode, CoordinationStore, RecordPage, Replacement};
 pub use dialect::{AnswerFacts, Dialect, OperatorRecord, RequestFacts, SendFacts};
-pub use engine_control::{EngineControl, WeightsOrder};
+pub use engine_control::{EngineControl, KvStoreLook, WeightsOrder};
 pub use instance_list::{InstanceKind, InstanceList, InstanceRecord, InstanceState};
 pub use kv_store::KvStore;
 pub use log_service::{LogPage, LogRecord, LogService, LogStream};
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use super::control::RelayEvent;
 use super::exchange::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::relay::fleet::Choice;
+use crate::decision::relay::Choice;
 use crate::decision::relay::server::ServerLoad;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerFacts, SendFacts};
@@ -77,7 +77,13 @@
     fn new(context: Arc<RelayContext>, choice: &Choice) -> Self {
         let attempt = context.next_attempt.fetch_add(1, Ordering::Relaxed);
         let (server, load) = (choice.server.clone(), choice.load);
-        context.fleet().begin(&server, attempt, load, Instant::now());
+        let now = Instant::now();
+        let mut fleet = context.fleet();
+        fleet.begin(&server, attempt, load, now);
+        if let Some(prompt) = &choice.prompt {
+            fleet.kept.add_held(&prompt.keys, &server, now);
+        }
+        drop(fleet);
         Self { context, server, attempt, load, is_read: false }
     }
 
@@ -142,12 +148,9 @@
         ticket.note_outcome(false, 0.0);
         return AttemptEnd::Unknown(error);
     }
-    if succeeded && let Some(prompt) = &choice.prompt {
-        let mut fleet = context.fleet();
-        fleet.kept.add_held(&prompt.keys, &choice.server, Instant::now());
-        if prompt.saves {
-            fleet.kept.add_stored(&prompt.keys, Instant::now());
-        }
+    if succeeded && let Some(prompt) = choice.prompt.as_ref().filter(|prompt| prompt.saves) {
+        context.fleet().kept.add_stored(&prompt.keys, Instant::now());
+        context.tell_control(RelayEvent::Stored);
     }
     AttemptEnd::Answered(Box::new(Answer { exchange, facts, ticket }))
 }
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -14,8 +14,9 @@
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator;
 
-/// Time for which a read waits for records: a read that hangs is noticed that much later.
-const WAIT_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time for which a read waits for records. A read that hangs is noticed by the kernel's probes, and
+/// partners tell of records meanwhile.
+const WAIT_PERIOD: Duration = Duration::from_secs(8);
 
 /// First wait after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
--- a/src/relay/control/kv_store.rs
+++ b/src/relay/control/kv_store.rs
@@ -12,27 +12,35 @@
 /// Time that a look may take, the wait at the store included.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// Time between two looks at a store that answers.
+const LOOK_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Wait before the next look after a failed one, or while there is no such store.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
 
 /// Watches the store whose address is in `configured`, without end.
 pub(super) async fn watch(context: Arc<RelayContext>, configured: Rc<Cell<Option<SocketAddr>>>) {
     let mut known: Option<(SocketAddr, u64)> = None;
+    let mut since = 0;
     let mut is_answering = false;
     loop {
         let Some(address) = configured.get() else {
             Timer::after(RETRY_PERIOD).await;
             continue;
         };
-        let deadline = Instant::now() + LOOK_TIMEOUT;
-        match context.ports.engines.kv_store_run(address, deadline).await {
-            Ok(run) => {
-                let is_emptied = known.is_some_and(|known| known != (address, run));
+        let asked_at = Instant::now();
+        let deadline = asked_at + LOOK_TIMEOUT;
+        match context.ports.engines.look_at_kv_store(address, since, deadline).await {
+            Ok(look) => {
+                since = look.next;
+                let run = look.run.map(|run| (address, run));
+                let is_emptied = known.is_some() && run.is_some() && known != run;
                 if is_emptied || !is_answering {
                     is_answering = true;
                     send(&context, Some(address), is_emptied).await;
                 }
-                known = Some((address, run));
+                known = run.or(known);
+                Timer::at(asked_at + LOOK_PERIOD).await;
             }
             Err(error) => {
                 if is_answering {
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -69,6 +69,8 @@
     },
     /// A link could not be opened.
     DialFailed(SocketAddr),
+    /// Prefixes were saved to the store of kept KV cache.
+    Stored,
     /// A server broke off an exchange.
     Cut {
         /// Server.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -298,7 +298,7 @@
     }
 
     /// Tells partners of this node's requests at the servers.
-    fn send_load(&mut self, now: Instant) {
+    pub(super) fn send_load(&mut self, now: Instant) {
         let (mut loads, stored) = {
             let mut fleet = self.context.fleet();
             (fleet.own_loads(), fleet.kept.take_newly_stored())
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -134,34 +134,29 @@
     fn rollout_servers(&self, model: &ModelId) -> Vec<RolloutServer> {
         let now = Instant::now();
         let fleet = self.context.fleet();
+        let target = fleet.targets().get(model);
         let servers = fleet.servers().filter(|server| is_takeable(server));
         servers
             .filter_map(|server| {
+                let revision = *server.weights.get(model)?;
                 Some(RolloutServer {
                     id: server.entry.id.clone(),
-                    revision: *server.weights.get(model)?,
+                    revision,
                     requests: server.total_load(now).requests,
+                    outdated_since: target.and_then(|target| target.outdated_since(revision)),
                 })
             })
             .collect()
     }
 
     fn ensure_rollout(&mut self, model: &ModelId) {
-        let Some(target) = self.context.fleet().targets().get(model).copied() else { return };
+        let Some(target) = self.context.fleet().targets().get(model).cloned() else { return };
+        let revision = target.revision();
         match self.rollout.rollouts.get_mut(model) {
-            Some(rollout) if rollout.revision() < target.revision => {
-                rollout.retarget(target.revision, target.known_at);
-            }
-            Some(_) => {}
+            Some(rollout) => rollout.retarget(revision),
             None => {
-                log::info!(
-                    "event=rollout_started model={model} revision={} age_ms={}",
-                    target.revision,
-                    target.known_at.elapsed().as_millis()
-                );
-                let settings = RolloutSettings::default();
-                let rollout =
-                    Rollout::new(settings, model.clone(), target.revision, target.known_at);
+                log::info!("event=rollout_started model={model} revision={revision}");
+                let rollout = Rollout::new(RolloutSettings::default(), model.clone(), revision);
                 self.rollout.rollouts.insert(model.clone(), rollout);
             }
         }
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -124,6 +124,7 @@
             RelayEvent::LinkReceived { link, message } => self.receive(link, message, now),
             RelayEvent::LinkEnded { link, end } => self.end_link(link, &end, now),
             RelayEvent::DialFailed(address) => self.fail_dial(address, now),
+            RelayEvent::Stored => self.send_load(now),
             RelayEvent::Cut { server, address, run, fingerprint } => {
                 self.check_crash(server, address, run, fingerprint);
             }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,7 +8,7 @@
 use crate::adapters::http_server::Reply;
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
-use crate::decision::relay::fleet::{Choice, Unavailable, UnavailableReason, Wanted};
+use crate::decision::relay::{Choice, Unavailable, UnavailableReason, Wanted};
 use crate::decision::relay::{Configuration, Route};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::RequestFacts;
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -2,7 +2,7 @@
 
 use super::RelayContext;
 use crate::adapters::http_server::Reply;
-use crate::decision::relay::fleet::UnavailableReason;
+use crate::decision::relay::UnavailableReason;
 use crate::metrics::labels::ReasonLabels;
 use crate::traffic::reply::full_body;
 use crate::types::RequestId;
