fix(relay): only runs that generate for most of their time count as long

Cause: a ratio of 200 prompt tokens for each output token put most long prompts into the pool of long runs, so that half of the servers stayed idle.

--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -7,9 +7,9 @@
 /// Output tokens from which a run counts as long.
 const LONG_RUN_OUTPUT_TOKENS: u32 = 20;
 
-/// Prompt tokens that are read in the time of a token, with a margin: 110 a millisecond against six
-/// milliseconds and more.
-const LONG_RUN_PROMPT_RATIO: u32 = 200;
+/// Prompt tokens for each output token below which generating takes most of the time: an engine reads
+/// some 700 tokens in the time of one step.
+const LONG_RUN_PROMPT_RATIO: u32 = 40;
 
 /// Part of a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
