feat(relay): prefixes come from their home or within a share of the store's link

Cause: every request saved and fetched, so that the store's one link made requests wait up to two seconds.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -22,8 +22,11 @@
 /// Milliseconds by which each running request slows the others.
 const REQUEST_COST_MS: f64 = 1.5;
 
-/// Milliseconds that a fetch of a prefix from the store takes, queueing included.
-const FETCH_COST_MS: f64 = 30.0;
+/// Milliseconds that a fetch of a prefix takes beside the transfer.
+const FETCH_COST_MS: f64 = 4.0;
+
+/// Milliseconds in which 1,000 tokens come from another server or the store, queueing included.
+const FETCH_1K_TOKENS_MS: f64 = 4.0;
 
 /// Cost of reading 1,000 tokens again that another server has read, beside the time: wasted work.
 const READ_AGAIN_COST_MS: f64 = 100.0;
@@ -64,14 +67,17 @@
 /// Wait before a caller comes back if no server is known.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(700);
 
+/// Milliseconds in which a server of the pool of long runs generates a token of each.
+const LONG_RUN_TOKEN_MS: f64 = 8.0;
+
 /// Long runs that a server of their pool takes before the pool grows.
 const LONG_RUNS_PER_SERVER: f64 = 10.0;
 
 /// Cost of a long run outside its pool: each prompt read there delays all of its tokens.
-const OUTSIDE_POOL_COST_MS: f64 = 80.0;
+const OUTSIDE_POOL_COST_MS: f64 = 150.0;
 
 /// Cost of a long prompt at a server of the pool of long runs.
-const INSIDE_POOL_COST_MS: f64 = 120.0;
+const INSIDE_POOL_COST_MS: f64 = 400.0;
 
 /// Server chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -101,10 +107,14 @@
     pub cache_salt: SmolStr,
     /// Keys of the shared prefixes.
     pub keys: Vec<PrefixKey>,
-    /// Whether the server should fetch what the store has.
-    pub fetches: bool,
-    /// Whether the server should save the prefix to the store.
-    pub saves: bool,
+    /// Where the server should fetch the prefix from.
+    pub fetch_from: Option<SocketAddr>,
+    /// Where the server should save the prefix to.
+    pub save_to: Option<SocketAddr>,
+    /// Seconds of the store's link that the fetch takes.
+    pub fetch_s: f64,
+    /// Seconds of the store's link that the save takes.
+    pub save_s: f64,
     /// Rank of the server among the prefix's homes, 0 for the first.
     pub rank: usize,
 }
@@ -232,7 +242,7 @@
         let mut costs = Vec::with_capacity(ranked.len());
         let mut plans = Vec::with_capacity(ranked.len());
         for (rank, server) in ranked.iter().enumerate() {
-            let plan = self.plan(server, prompt, wall, rank, now);
+            let plan = self.plan(server, ranked[0], prompt, wall, rank, now);
             let mut cost_ms = self.engine_cost_ms(server, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
             costs.push((cost_ms, *server));
@@ -261,8 +271,8 @@
         prompt: &Prompt,
         now: Instant,
     ) -> Vec<ServerId> {
-        let long_runs: u32 = candidates.iter().map(|server| server.total_load(now).long_runs).sum();
-        let wanted = (f64::from(long_runs + 1) / LONG_RUNS_PER_SERVER).ceil() as usize;
+        let long_runs = self.long_tokens.per_s(now) * LONG_RUN_TOKEN_MS / 1_000.0;
+        let wanted = (long_runs / LONG_RUNS_PER_SERVER).ceil() as usize;
         let size = wanted.clamp(1, (candidates.len() / 2).max(1));
         let held = |server: &Server| server.weights.get(&prompt.model).copied().unwrap_or_default();
         let mut ranked: Vec<&&Server> = candidates.iter().collect();
@@ -293,9 +303,11 @@
         key.unwrap_or_else(|| prompt.own_key())
     }
 
+    /// Works out what a server would read, fetch and save of a prompt whose home is `home`.
     fn plan(
         &self,
         server: &Server,
+        home: &Server,
         prompt: &Prompt,
         wall: Option<&str>,
         rank: usize,
@@ -304,36 +316,74 @@
         let weights = server.weights.get(&prompt.model).copied().unwrap_or_default();
         let cache_salt = cache_salt(prompt, weights, wall);
         let keys = prompt.shared_keys(&cache_salt);
-        let is_kept = prompt.shared_tokens() >= LEAST_KEPT_TOKENS && self.kv_store.is_some();
+        let id = &server.entry.id;
+        let is_held = |key: &PrefixKey| self.kept.holder(*key, now) == Some(id);
+        let held = keys.iter().take_while(|key| is_held(key)).count();
+        let tokens: Vec<u32> = prompt.shared_part_tokens().collect();
+        let missing: u32 = tokens[held..].iter().sum();
         let mut plan = EnginePlan::default();
-        let mut is_prefix_held = true;
-        for (key, tokens) in keys.iter().zip(prompt.shared_part_tokens()) {
-            let holder = self.kept.holder(*key, now);
-            let is_stored = is_kept && self.kept.is_stored(*key, now);
-            is_prefix_held &= holder == Some(&server.entry.id);
-            if is_prefix_held {
-                continue;
-            }
-            if is_stored {
-                plan.fetched_tokens += tokens;
-            } else {
-                plan.unread_tokens += u64::from(tokens);
-                plan.read_again_tokens += if holder.is_some() { tokens } else { 0 };
+        let is_other_home = rank > 0 && home.weights.get(&prompt.model) == Some(&weights);
+        let home_has = is_other_home
+            && keys.last().is_some_and(|key| {
+                self.kept.holder(*key, now).is_some_and(|holder| *holder == home.entry.id)
+            });
+        let stored = keys.iter().rposition(|key| self.kept.is_stored(*key, now));
+        let stored = stored.map_or(0, |last| last + 1);
+        let stored_missing: u32 = tokens[held..stored.max(held)].iter().sum();
+        if missing > 0 && home_has {
+            plan.choice.fetch_from = Some(home.entry.address);
+            plan.fetched_tokens = missing;
+        } else if let Some(store) = self.kv_store.as_ref().filter(|_| stored_missing > 0) {
+            let fetch_s = store.transfer_s(stored_missing);
+            if store.may_fetch(fetch_s, now) {
+                plan.choice.fetch_from = Some(store.address());
+                plan.choice.fetch_s = fetch_s;
+                plan.fetched_tokens = stored_missing;
             }
         }
-        plan.unread_tokens += u64::from(prompt.own_tokens());
-        let is_stored = |key: &PrefixKey| self.kept.is_stored(*key, now);
-        plan.choice = PromptChoice {
-            weights,
-            fetches: is_kept && keys.iter().any(is_stored),
-            saves: is_kept && !keys.last().is_some_and(is_stored),
-            cache_salt,
-            keys,
-            rank,
-        };
+        if plan.choice.fetch_from.is_none() && missing > 0 && is_other_home {
+            // The home may have it from another node's request; a miss costs a millisecond.
+            plan.choice.fetch_from = Some(home.entry.address);
+        }
+        self.plan_save(&mut plan.choice, prompt, &keys, &tokens, now);
+        let read = keys.iter().zip(&tokens).skip(held);
+        let is_known = |key: &PrefixKey| self.kept.holder(*key, now).is_some();
+        let known: u32 = read.filter(|(key, _)| is_known(key)).map(|(_, tokens)| tokens).sum();
+        plan.read_again_tokens = known.saturating_sub(plan.fetched_tokens);
+        plan.unread_tokens = u64::from(missing - plan.fetched_tokens + prompt.own_tokens());
+        plan.choice.weights = weights;
+        plan.choice.cache_salt = cache_salt;
+        plan.choice.keys = keys;
+        plan.choice.rank = rank;
         plan
     }
 
+    /// Has a long prefix saved that the store lacks: the first one of a prompt in any case, since
+    /// all servers need it, the others as far as the store's link allows.
+    fn plan_save(
+        &self,
+        choice: &mut PromptChoice,
+        prompt: &Prompt,
+        keys: &[PrefixKey],
+        tokens: &[u32],
+        now: Instant,
+    ) {
+        let Some(store) = &self.kv_store else { return };
+        let is_long = |tokens: u32| tokens >= LEAST_KEPT_TOKENS;
+        let mut unsaved = keys
+            .iter()
+            .zip(tokens)
+            .enumerate()
+            .filter(|(_, (key, tokens))| is_long(**tokens) && self.kept.is_unsaved(**key, now));
+        let Some((level, _)) = unsaved.next() else { return };
+        let save_s = store.transfer_s(prompt.prompt_tokens);
+        let is_first = level == 0 && keys.len() > 1;
+        if is_first || store.may_save(save_s, now) {
+            choice.save_to = Some(store.address());
+            choice.save_s = save_s;
+        }
+    }
+
     fn engine_cost_ms(
         &self,
         server: &Server,
@@ -346,7 +396,8 @@
         cost_ms += f64::from(load.requests) * REQUEST_COST_MS;
         cost_ms += RANK_COST_MS[plan.choice.rank.min(RANK_COST_MS.len() - 1)];
         if plan.fetched_tokens > 0 {
-            cost_ms += FETCH_COST_MS;
+            let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
+            cost_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
         }
         cost_ms += f64::from(plan.read_again_tokens) / 1_000.0 * READ_AGAIN_COST_MS;
         cost_ms += self.old_weights_cost_ms(prompt, plan.choice.weights, now);
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -90,6 +90,8 @@
     pub slots: u32,
     /// Tokens that a server's KV cache holds.
     pub kv_capacity_tokens: u64,
+    /// Bytes of a token in the KV cache.
+    pub kv_token_bytes: u64,
     /// Models that the servers hold.
     pub models: Vec<ModelId>,
 }
@@ -104,12 +106,14 @@
 }
 
 /// Store of kept KV cache.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct KvCacheStore {
     /// Address.
     pub address: SocketAddr,
     /// Availability zone.
     pub availability_zone: AvailabilityZone,
+    /// Megabits that its link carries in a second.
+    pub link_mbit_per_s: f64,
 }
 
 /// Limits on what a caller may send.
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,10 +1,11 @@
 //! All backend servers as a node knows them.
 
 use super::kept_prefixes::KeptPrefixes;
+use super::long_tokens::LongTokens;
 use super::server::{Server, ServerEntry, ServerLoad};
+use super::store_link::StoreLink;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Instant;
 
 /// Revisions of a model's weights that are remembered; servers are never that far behind.
@@ -49,8 +50,10 @@
     pub(super) kv_capacity_tokens: BTreeMap<ServiceId, u64>,
     /// Prefixes that were read lately.
     pub kept: KeptPrefixes,
-    /// Address of the store of kept KV cache while it answers.
-    pub kv_store: Option<SocketAddr>,
+    /// Rate of the output tokens of long runs.
+    pub long_tokens: LongTokens,
+    /// Link of the store of kept KV cache, while the store answers.
+    pub kv_store: Option<StoreLink>,
 }
 
 impl Fleet {
@@ -62,6 +65,7 @@
             targets: BTreeMap::new(),
             kv_capacity_tokens: BTreeMap::new(),
             kept: KeptPrefixes::default(),
+            long_tokens: LongTokens::default(),
             kv_store: None,
         }
     }
--- a/src/decision/relay/kept_prefixes.rs
+++ b/src/decision/relay/kept_prefixes.rs
@@ -10,6 +10,9 @@
 /// within minutes.
 const STORED_LIFETIME: Duration = Duration::from_secs(45);
 
+/// Time for which a save that was asked for is not asked for again.
+const SAVING_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Time for which a server counts as holding a prefix after its last use; engines evict within
 /// seconds.
 const HELD_LIFETIME: Duration = Duration::from_secs(8);
@@ -20,6 +23,7 @@
 #[derive(Clone, Debug, Default)]
 struct KeptPrefix {
     stored_until: Option<Instant>,
+    saving_until: Option<Instant>,
     held: Option<(ServerId, Instant)>,
 }
 
@@ -41,6 +45,19 @@
         }
     }
 
+    /// Takes in that a server is asked to save the prefixes `keys`.
+    pub fn add_saving(&mut self, keys: &[PrefixKey], now: Instant) {
+        for key in keys {
+            self.entry(*key, now).saving_until = Some(now + SAVING_PERIOD);
+        }
+    }
+
+    /// Whether a prefix is neither stored nor being saved.
+    pub fn is_unsaved(&self, key: PrefixKey, now: Instant) -> bool {
+        let saving = self.prefixes.get(&key).and_then(|prefix| prefix.saving_until);
+        !self.is_stored(key, now) && saving.is_none_or(|until| until <= now)
+    }
+
     /// Takes in prefixes that partners had saved.
     pub fn add_stored_elsewhere(&mut self, keys: &[PrefixKey], now: Instant) {
         keys.iter().for_each(|key| self.set_stored(*key, now));
--- /dev/null
+++ b/src/decision/relay/long_tokens.rs
@@ -0,0 +1,50 @@
+//! Rate of the output tokens that long runs ask for, of this node and of its partners.
+
+use crate::types::InstanceId;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time over which this node's rate is averaged.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Time for which a partner's rate holds.
+const PARTNER_LIFETIME: Duration = Duration::from_millis(2_500);
+
+/// Rate of output tokens.
+#[derive(Clone, Debug, Default)]
+pub struct LongTokens {
+    decayed_tokens: f64,
+    updated_at: Option<Instant>,
+    partners: BTreeMap<InstanceId, (f64, Instant)>,
+}
+
+impl LongTokens {
+    /// Counts the output tokens of a long run that this node sends.
+    pub fn count(&mut self, tokens: u32, now: Instant) {
+        self.decayed_tokens = self.decayed(now) + f64::from(tokens);
+        self.updated_at = Some(now);
+    }
+
+    /// Takes in a partner's rate.
+    pub fn set_partner(&mut self, partner: InstanceId, per_s: f64, now: Instant) {
+        self.partners.insert(partner, (per_s, now + PARTNER_LIFETIME));
+        self.partners.retain(|_, (_, until)| now < *until);
+    }
+
+    /// Returns this node's tokens a second.
+    pub fn own_per_s(&self, now: Instant) -> f64 {
+        self.decayed(now) / WINDOW.as_secs_f64()
+    }
+
+    /// Returns the tokens a second of all nodes.
+    pub fn per_s(&self, now: Instant) -> f64 {
+        let live = self.partners.values().filter(|(_, until)| now < *until);
+        self.own_per_s(now) + live.map(|(per_s, _)| per_s).sum::<f64>()
+    }
+
+    fn decayed(&self, now: Instant) -> f64 {
+        let Some(updated_at) = self.updated_at else { return 0.0 };
+        let age = now.saturating_duration_since(updated_at);
+        self.decayed_tokens * (-age.as_secs_f64() / WINDOW.as_secs_f64()).exp()
+    }
+}
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -78,6 +78,8 @@
     pub loads: Vec<(ServerId, ServerLoad)>,
     /// Prefixes saved to the store of kept KV cache since the message before.
     pub stored: Vec<PrefixKey>,
+    /// Output tokens a second of the long runs that the sender started.
+    pub long_tokens_per_s: u32,
 }
 
 /// State of a rollout of weights, as its coordinator tells it.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -74,14 +74,23 @@
 }
 
 impl Ticket {
-    fn new(context: Arc<RelayContext>, choice: &Choice) -> Self {
+    fn new(context: Arc<RelayContext>, request: &RelayedRequest, choice: &Choice) -> Self {
         let attempt = context.next_attempt.fetch_add(1, Ordering::Relaxed);
         let (server, load) = (choice.server.clone(), choice.load);
         let now = Instant::now();
         let mut fleet = context.fleet();
         fleet.begin(&server, attempt, load, now);
+        if let Some(prompt) = request.facts.prompt.as_ref().filter(|prompt| prompt.is_long_run()) {
+            fleet.long_tokens.count(prompt.output_tokens, now);
+        }
         if let Some(prompt) = &choice.prompt {
             fleet.kept.add_held(&prompt.keys, &server, now);
+            if prompt.save_to.is_some() {
+                fleet.kept.add_saving(&prompt.keys, now);
+            }
+            if let Some(store) = &mut fleet.kv_store {
+                store.take(prompt.fetch_s, prompt.save_s, now);
+            }
         }
         drop(fleet);
         Self { context, server, attempt, load, is_read: false }
@@ -123,7 +132,7 @@
     is_last: bool,
 ) -> AttemptEnd {
     let sent_at = Instant::now();
-    let mut ticket = Ticket::new(Arc::clone(context), choice);
+    let mut ticket = Ticket::new(Arc::clone(context), request, choice);
     let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
     let exchange = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
     let sent = if request.route.repetition.is_repeatable() && !is_last {
@@ -148,7 +157,9 @@
         ticket.note_outcome(false, 0.0);
         return AttemptEnd::Unknown(error);
     }
-    if succeeded && let Some(prompt) = choice.prompt.as_ref().filter(|prompt| prompt.saves) {
+    if succeeded
+        && let Some(prompt) = choice.prompt.as_ref().filter(|prompt| prompt.save_to.is_some())
+    {
         context.fleet().kept.add_stored(&prompt.keys, Instant::now());
         context.tell_control(RelayEvent::Stored);
     }
@@ -165,7 +176,6 @@
     let remaining = request.deadline.saturating_duration_since(now);
     let workspace = request.workspace.as_ref();
     let prompt = choice.prompt.as_ref();
-    let kv_store = context.fleet().kv_store;
     let facts = SendFacts {
         server: choice.server.clone(),
         remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX).max(1),
@@ -174,8 +184,8 @@
         priority: prompt.map(|_| request.priority()),
         weights: prompt.map(|prompt| prompt.weights),
         cache_salt: prompt.map(|prompt| prompt.cache_salt.clone()),
-        fetch_from: prompt.filter(|prompt| prompt.fetches).and(kv_store),
-        save_to: prompt.filter(|prompt| prompt.saves).and(kv_store),
+        fetch_from: prompt.and_then(|prompt| prompt.fetch_from),
+        save_to: prompt.and_then(|prompt| prompt.save_to),
         last_event_id,
     };
     let mut outgoing = Request::new(Full::new(request.body.clone()));
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -98,6 +98,11 @@
         Rc::clone(&self.identity)
     }
 
+    /// Returns the highest number of live nodes seen.
+    pub(super) fn most_nodes(&self) -> u32 {
+        self.most_nodes
+    }
+
     /// Returns the live members with this node, in the order of their ids.
     pub(super) fn live_instances(&self) -> Vec<InstanceId> {
         let others = self.membership.live_members().map(|member| member.instance.clone());
@@ -193,8 +198,9 @@
                 self.apply_news(&news, &peer, now);
                 self.note_listed();
             }
-            PartnerMessage::RelayLoad(RelayLoad { loads, stored }) => {
+            PartnerMessage::RelayLoad(RelayLoad { loads, stored, long_tokens_per_s }) => {
                 let mut fleet = self.context.fleet();
+                fleet.long_tokens.set_partner(peer.clone(), f64::from(long_tokens_per_s), now);
                 fleet.set_partner_loads(&peer, &loads, now);
                 fleet.kept.add_stored_elsewhere(&stored, now);
             }
@@ -299,9 +305,10 @@
 
     /// Tells partners of this node's requests at the servers.
     pub(super) fn send_load(&mut self, now: Instant) {
-        let (mut loads, stored) = {
+        let (mut loads, stored, long_tokens_per_s) = {
             let mut fleet = self.context.fleet();
-            (fleet.own_loads(), fleet.kept.take_newly_stored())
+            let long_tokens_per_s = fleet.long_tokens.own_per_s(now).round() as u32;
+            (fleet.own_loads(), fleet.kept.take_newly_stored(), long_tokens_per_s)
         };
         let is_unchanged = loads == self.partners.last_loads && stored.is_empty();
         if is_unchanged && now < self.partners.repeat_load_at {
@@ -314,7 +321,8 @@
                 loads.push((server, ServerLoad::default()));
             }
         }
-        self.send_partners(None, &PartnerMessage::RelayLoad(RelayLoad { loads, stored }));
+        let load = RelayLoad { loads, stored, long_tokens_per_s };
+        self.send_partners(None, &PartnerMessage::RelayLoad(load));
     }
 
     fn advance_membership(&mut self, event: MembershipEvent, now: Instant) {
@@ -348,6 +356,9 @@
         if nodes > self.partners.most_nodes {
             self.partners.most_nodes = nodes;
             self.context.budget().set_nodes(nodes);
+            if let Some(store) = &mut self.context.fleet().kv_store {
+                store.set_nodes(nodes, Instant::now());
+            }
             log::info!("event=nodes_known nodes={nodes}");
         }
     }
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -3,7 +3,7 @@
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayEvent, follow, kv_store, partners};
-use crate::decision::relay::Replica;
+use crate::decision::relay::{Replica, StoreLink};
 use crate::links::Identity;
 use crate::relay::RelayContext;
 use crate::relay::suspend_clock::SuspendClock;
@@ -140,7 +140,7 @@
                 self.apply_replaced(sent_at, outcome, now);
             }
             RelayEvent::KvStore { address, is_emptied } => {
-                self.apply_kv_store(address, is_emptied);
+                self.apply_kv_store(address, is_emptied, now);
             }
             RelayEvent::Stop => {
                 self.is_stopping = true;
@@ -162,15 +162,21 @@
         }
     }
 
-    fn apply_kv_store(&mut self, address: Option<SocketAddr>, is_emptied: bool) {
+    fn apply_kv_store(&mut self, address: Option<SocketAddr>, is_emptied: bool, now: Instant) {
+        let state = if address.is_some() { "regained" } else { "lost" };
+        log::info!("event=kv_store_{state} emptied={is_emptied}");
+        let configuration = self.context.configuration.load_full();
+        let store = configuration.iter().flat_map(|known| &known.kv_stores);
+        let mut store = store;
+        let store = store.find(|store| Some(store.address) == address).cloned();
+        let engines = configuration.iter().flat_map(|known| known.services.values());
+        let token_bytes =
+            engines.filter_map(|service| service.engine.as_ref()).map(|e| e.kv_token_bytes).max();
+        let nodes = self.partners.most_nodes();
         let mut fleet = self.context.fleet();
-        if fleet.kv_store != address {
-            let state = if address.is_some() { "regained" } else { "lost" };
-            log::info!("event=kv_store_{state}");
-        }
-        fleet.kv_store = address;
+        fleet.kv_store =
+            store.map(|store| StoreLink::new(store, token_bytes.unwrap_or_default(), nodes, now));
         if is_emptied {
-            log::info!("event=kv_store_emptied");
             fleet.kept.forget_stored();
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -432,8 +432,8 @@
         choice.expected_ms,
         prompt.map_or(0, |prompt| prompt.weights),
         prompt.map_or(0, |prompt| prompt.rank),
-        prompt.is_some_and(|prompt| prompt.fetches),
-        prompt.is_some_and(|prompt| prompt.saves),
+        prompt.is_some_and(|prompt| prompt.fetch_from.is_some()),
+        prompt.is_some_and(|prompt| prompt.save_to.is_some()),
         request.age_ms()
     );
 }
