--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -71,7 +71,7 @@
 const LONG_RUN_TOKEN_MS: f64 = 8.0;
 
 /// Long runs that a server of their pool takes before the pool grows.
-const LONG_RUNS_PER_SERVER: f64 = 10.0;
+const LONG_RUNS_PER_SERVER: f64 = 28.0;
 
 /// Cost of a long run outside its pool: each prompt read there delays all of its tokens.
 const OUTSIDE_POOL_COST_MS: f64 = 150.0;
@@ -258,7 +258,7 @@
             requests: 1,
             long_runs: u32::from(prompt.is_long_run()),
             unread_tokens: plan.unread_tokens,
-            memory_tokens: u64::from(prompt.own_tokens() + prompt.output_tokens),
+            memory_tokens: u64::from(prompt.own_tokens() + prompt.expected_output_tokens()),
         };
         choice(best, runner_up, Some(plan.choice), load)
     }
--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -4,12 +4,15 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Output tokens from which a run counts as long.
-const LONG_RUN_OUTPUT_TOKENS: u32 = 20;
+/// Output tokens that a long run may generate at least.
+const LONG_RUN_OUTPUT_TOKENS: u32 = 100;
 
-/// Prompt tokens for each output token below which generating takes most of the time: an engine reads
-/// some 700 tokens in the time of one step.
-const LONG_RUN_PROMPT_RATIO: u32 = 40;
+/// Prompt tokens for each output token below which generating takes most of the time: an engine
+/// reads some hundred tokens in the time of one step.
+const LONG_RUN_PROMPT_RATIO: u32 = 10;
+
+/// Part of the tokens that it may generate that a run generates if its caller gives no estimate.
+const USUAL_OUTPUT_DIVISOR: u32 = 3;
 
 /// Part of a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,6 +32,8 @@
     pub prompt_tokens: u32,
     /// Tokens that may be generated.
     pub output_tokens: u32,
+    /// Tokens that the caller expects to be generated.
+    pub output_estimate_tokens: Option<u32>,
     /// Parts in order; the last belongs to the request alone.
     pub parts: Vec<PromptPart>,
 }
@@ -69,6 +74,12 @@
         self.parts.last().map_or(0, |part| xxh3_64_with_seed(part.id.as_bytes(), 0))
     }
 
+    /// Returns the tokens that will probably be generated.
+    pub fn expected_output_tokens(&self) -> u32 {
+        let usual = self.output_tokens / USUAL_OUTPUT_DIVISOR;
+        self.output_estimate_tokens.unwrap_or(usual).min(self.output_tokens)
+    }
+
     /// Whether generating takes the most of the request's time, rather than reading the prompt.
     pub fn is_long_run(&self) -> bool {
         self.output_tokens >= LONG_RUN_OUTPUT_TOKENS
--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -22,6 +22,8 @@
     pub report_lag_ms: u64,
     /// Milliseconds between the notice that closes a server and the order: the way to all nodes.
     pub notice_ms: u64,
+    /// Milliseconds after which streams that can go on elsewhere are taken off a closed server.
+    pub evict_ms: u64,
     /// Milliseconds for which a closed server's requests are waited for before it is ordered.
     pub drain_ms: u64,
     /// Milliseconds until an order or report without an answer counts as lost.
@@ -42,6 +44,7 @@
             load_ms: 430,
             report_lag_ms: 200,
             notice_ms: 30,
+            evict_ms: 250,
             drain_ms: 1_500,
             answer_timeout_ms: 400,
             report_period_ms: 60,
@@ -108,6 +111,8 @@
 pub enum RolloutCommand {
     /// Close the server to new requests on all nodes.
     Close(ServerId),
+    /// Take streams that can go on elsewhere off the server, on all nodes.
+    Evict(ServerId),
     /// Ask the server for its report.
     Report(ServerId),
     /// Order the server to change.
@@ -132,8 +137,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// Closed; its requests end.
-    Draining { since: Instant },
+    /// Closed; its requests end, and those that can go on elsewhere are taken off it at last.
+    Draining { since: Instant, evicts: bool },
     /// Asked for its report before the order.
     Reporting { lost_at: Instant, failures: u32 },
     /// Ordered to change.
@@ -177,6 +182,16 @@
         self.steps.iter().filter(move |(_, step)| is_closed(step)).map(|(id, _)| id)
     }
 
+    /// Returns the servers that streams are taken off.
+    pub fn evicted(&self) -> impl Iterator<Item = &ServerId> {
+        let is_evicted = |step: &Step| match step {
+            Step::Draining { evicts, .. } => *evicts,
+            Step::Resting { .. } => false,
+            _ => true,
+        };
+        self.steps.iter().filter(move |(_, step)| is_evicted(step)).map(|(id, _)| id)
+    }
+
     /// Takes in that a newer revision was named.
     pub fn retarget(&mut self, revision: WeightsRevision) {
         self.revision = self.revision.max(revision);
@@ -311,7 +326,12 @@
 
     fn advance(&mut self, id: &ServerId, now: Instant, commands: &mut Vec<RolloutCommand>) {
         let lost_at = now + self.answer_timeout();
+        let evict = Duration::from_millis(self.settings.evict_ms);
         match self.steps.get(id).copied() {
+            Some(Step::Draining { since, evicts: false }) if now >= since + evict => {
+                self.steps.insert(id.clone(), Step::Draining { since, evicts: true });
+                commands.push(RolloutCommand::Evict(id.clone()));
+            }
             Some(Step::Reporting { lost_at, failures }) if now >= lost_at => {
                 commands.extend(self.fail_report(id, failures, now));
             }
@@ -355,7 +375,7 @@
         let mut drained: Vec<&RolloutServer> = servers
             .iter()
             .filter(|server| match self.steps.get(&server.id) {
-                Some(Step::Draining { since }) => {
+                Some(Step::Draining { since, .. }) => {
                     let is_empty = server.requests == 0 && now >= *since + notice;
                     is_empty || now >= *since + drain
                 }
@@ -400,7 +420,7 @@
             .collect();
         outdated.sort_by_key(|server| server.requests);
         for server in outdated.into_iter().take(room) {
-            self.steps.insert(server.id.clone(), Step::Draining { since: now });
+            self.steps.insert(server.id.clone(), Step::Draining { since: now, evicts: false });
             commands.push(RolloutCommand::Close(server.id.clone()));
         }
     }
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -91,6 +91,7 @@
     partner_loads: BTreeMap<InstanceId, (ServerLoad, Instant)>,
     vanished_until: Option<Instant>,
     closed_until: Option<Instant>,
+    evicted_until: Option<Instant>,
     full_until: Option<Instant>,
 }
 
@@ -106,6 +107,7 @@
             partner_loads: BTreeMap::new(),
             vanished_until: None,
             closed_until: None,
+            evicted_until: None,
             full_until: None,
         }
     }
@@ -145,14 +147,22 @@
         self.vanished_until.is_some()
     }
 
-    /// Keeps new requests away until `until`, while the server changes its weights.
-    pub fn close_until(&mut self, until: Instant) {
+    /// Keeps new requests away until `until`, while the server changes its weights; `evicts` takes
+    /// streams that can go on elsewhere off it.
+    pub fn close_until(&mut self, until: Instant, evicts: bool) {
         self.closed_until = Some(until);
+        self.evicted_until = evicts.then_some(until);
+    }
+
+    /// Whether streams that can go on elsewhere are to leave the server.
+    pub fn is_evicted(&self, now: Instant) -> bool {
+        self.evicted_until.is_some_and(|until| now < until)
     }
 
     /// Lets new requests through again.
     pub fn reopen(&mut self) {
         self.closed_until = None;
+        self.evicted_until = None;
         self.full_until = None;
     }
 
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -89,6 +89,8 @@
     pub model: ModelId,
     /// Servers that get no new requests for now.
     pub closed: Vec<ServerId>,
+    /// Closed servers that streams are taken off.
+    pub evicted: Vec<ServerId>,
     /// Servers that changed, with their weights.
     pub changed: Vec<(ServerId, WeightsRevision)>,
     /// Servers that are open again without having changed.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -81,7 +81,7 @@
         let mut fleet = context.fleet();
         fleet.begin(&server, attempt, load, now);
         if let Some(prompt) = request.facts.prompt.as_ref().filter(|prompt| prompt.is_long_run()) {
-            fleet.long_tokens.count(prompt.output_tokens, now);
+            fleet.long_tokens.count(prompt.expected_output_tokens(), now);
         }
         if let Some(prompt) = &choice.prompt {
             fleet.kept.add_held(&prompt.keys, &server, now);
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -83,6 +83,7 @@
         Some(RolloutNotice {
             model: model.clone(),
             closed: rollout.closed().cloned().collect(),
+            evicted: rollout.evicted().cloned().collect(),
             changed: Vec::new(),
             reopened: Vec::new(),
             lease: self.lease.known()?.clone(),
@@ -312,6 +313,7 @@
                     log::info!("event=server_closed server={server} model={model}");
                     tells = true;
                 }
+                RolloutCommand::Evict(_) => tells = true,
                 RolloutCommand::Report(server) => self.ask_report(model, server),
                 RolloutCommand::Order { server, accepted_orders, runs } => {
                     let Some(fencing_number) = self.rollout.lease.held(now) else { continue };
@@ -420,7 +422,7 @@
         }
         for id in &notice.closed {
             if let Some(server) = fleet.server_mut(id) {
-                server.close_until(now + CLOSED_PERIOD);
+                server.close_until(now + CLOSED_PERIOD, notice.evicted.contains(id));
             }
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -9,7 +9,7 @@
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
 use crate::decision::relay::{Choice, Unavailable, UnavailableReason, Wanted};
-use crate::decision::relay::{Configuration, Route};
+use crate::decision::relay::{Configuration, Prompt, Route};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::RequestFacts;
 use crate::types::{Delivery, RequestId, ServerId, ServiceId};
@@ -419,13 +419,14 @@
 
 fn log_choice(request: &RelayedRequest, choice: &Choice) {
     let prompt = choice.prompt.as_ref();
+    let declared = request.facts.prompt.as_ref();
     let (runner_up, runner_up_ms) = match &choice.runner_up {
         Some((server, cost_ms)) => (server.as_str(), *cost_ms),
         None => ("none", 0.0),
     };
     log::info!(
         "event=routed request={} route={} server={} cost_ms={:.0} runner_up={runner_up} \
-         runner_up_ms={runner_up_ms:.0} weights={} rank={} fetches={} saves={} age_ms={}",
+         runner_up_ms={runner_up_ms:.0} weights={} rank={} fetches={} saves={} tokens={}/{}/{} age_ms={}",
         request.id,
         request.route.name,
         choice.server,
@@ -434,6 +435,9 @@
         prompt.map_or(0, |prompt| prompt.rank),
         prompt.is_some_and(|prompt| prompt.fetch_from.is_some()),
         prompt.is_some_and(|prompt| prompt.save_to.is_some()),
+        declared.map_or(0, Prompt::shared_tokens),
+        declared.map_or(0, Prompt::own_tokens),
+        declared.map_or(0, Prompt::expected_output_tokens),
         request.age_ms()
     );
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,13 +7,14 @@
 use super::exchange::{Attempts, RelayedRequest, choose, end_to_end_headers};
 use super::metrics::AnswerLabels;
 use crate::adapters::http_server::{BrokenBody, Reply};
-use crate::decision::relay::{EventSplitter, Repetition};
+use crate::decision::relay::{Choice, EventSplitter, Repetition};
 use crate::types::PeerError;
 use bytes::Bytes;
 use futures_lite::stream::unfold;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -80,8 +81,13 @@
     /// Returns what the caller gets next, none at the end of a complete stream.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         while !self.is_over {
+            if self.is_evicted() {
+                self.move_on().await;
+            }
             let deadline = self.read_deadline();
-            let answer = self.answer.as_mut()?;
+            let Some(answer) = self.answer.as_mut() else {
+                return Some(Err(self.break_off("no_server_goes_on")));
+            };
             match answer.exchange.next_data(deadline).await {
                 Ok(Some(data)) => {
                     answer.ticket.note_heard();
@@ -103,12 +109,14 @@
     }
 
     fn read_deadline(&self) -> Instant {
-        let request = &self.request;
-        let may_resume = self.splitter.is_some() && self.attempts.sent < request.route.max_attempts;
-        if !may_resume {
-            return request.deadline;
+        if !self.may_resume() {
+            return self.request.deadline;
         }
-        request.deadline.min(Instant::now() + STREAM_SILENCE)
+        self.request.deadline.min(Instant::now() + STREAM_SILENCE)
+    }
+
+    fn may_resume(&self) -> bool {
+        self.splitter.is_some() && self.attempts.sent < self.request.route.max_attempts
     }
 
     fn whole_events(&mut self, data: Bytes) -> Result<Bytes, BrokenBody> {
@@ -147,6 +155,30 @@
         BrokenBody
     }
 
+    /// Whether the stream is to leave its server, and can.
+    fn is_evicted(&self) -> bool {
+        let Some(answer) = self.answer.as_ref().filter(|_| self.may_resume()) else { return false };
+        let has_begun = self.splitter.as_ref().is_some_and(|s| s.last_event_id().is_some());
+        let fleet = self.context.fleet();
+        let server = fleet.server(&answer.ticket.server);
+        has_begun && server.is_some_and(|server| server.is_evicted(Instant::now()))
+    }
+
+    /// Goes on at another server, if there is one, while this one still works.
+    async fn move_on(&mut self) {
+        let Some(splitter) = &self.splitter else { return };
+        let last_event_id = splitter.last_event_id().cloned();
+        let Ok(choice) = choose(&self.context, &self.request, &self.attempts).await else { return };
+        if !self.attempts.try_resend(&self.context, &self.request, "evicted") {
+            return;
+        }
+        // The run ends before the next one begins: the two must not overlap.
+        self.answer = None;
+        if !self.send_on(&choice, last_event_id.clone()).await {
+            self.go_on(last_event_id).await;
+        }
+    }
+
     /// Goes on at another server after the last whole event; returns whether that worked.
     async fn resume(&mut self, error: &PeerError) -> bool {
         let broken = self.answer.take();
@@ -158,26 +190,40 @@
         let Some(splitter) = &mut self.splitter else { return false };
         splitter.take_rest();
         let last_event_id = splitter.last_event_id().cloned();
+        self.go_on(last_event_id).await
+    }
+
+    /// Sends the request to further servers until one goes on after `last_event_id`.
+    async fn go_on(&mut self, last_event_id: Option<SmolStr>) -> bool {
         while self.attempts.try_resend(&self.context, &self.request, "resume") {
             let Ok(choice) = choose(&self.context, &self.request, &self.attempts).await else {
                 return false;
             };
-            let is_last = self.attempts.is_next_last(&self.request.route);
-            self.attempts.tried.push(choice.server.clone());
-            self.attempts.sent += 1;
-            let after = last_event_id.clone();
-            let end = attempt::send(&self.context, &self.request, &choice, after, is_last).await;
-            if let AttemptEnd::Answered(answer) = end
-                && answer.exchange.status.is_success()
-            {
-                self.answer = Some(*answer);
-                self.context.metrics.resumed_streams.inc();
+            if self.send_on(&choice, last_event_id.clone()).await {
                 return true;
             }
         }
         false
     }
 
+    async fn send_on(&mut self, choice: &Choice, last_event_id: Option<SmolStr>) -> bool {
+        if let Some(splitter) = &mut self.splitter {
+            splitter.take_rest();
+        }
+        let is_last = self.attempts.is_next_last(&self.request.route);
+        self.attempts.tried.push(choice.server.clone());
+        self.attempts.sent += 1;
+        let end = attempt::send(&self.context, &self.request, choice, last_event_id, is_last).await;
+        match end {
+            AttemptEnd::Answered(answer) if answer.exchange.status.is_success() => {
+                self.answer = Some(*answer);
+                self.context.metrics.resumed_streams.inc();
+                true
+            }
+            _ => false,
+        }
+    }
+
     fn log(&self, outcome: &str, server: &str) {
         count(&self.context, &self.request, outcome);
         log::info!(
