feat(relay): servers open when they should have loaded; emptiness is told by fresh counts

Cause: a changed server stayed closed until its lagging report showed it, 0.3 s in every wave of two; a lost order opened it too early.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -74,10 +74,10 @@
 const LONG_RUNS_PER_SERVER: f64 = 28.0;
 
 /// Cost of a long run outside its pool: each prompt read there delays all of its tokens.
-const OUTSIDE_POOL_COST_MS: f64 = 150.0;
+const OUTSIDE_POOL_COST_MS: f64 = 60.0;
 
 /// Cost of a long prompt at a server of the pool of long runs.
-const INSIDE_POOL_COST_MS: f64 = 400.0;
+const INSIDE_POOL_COST_MS: f64 = 80.0;
 
 /// Server chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -43,7 +43,7 @@
             least_loading: 2,
             load_ms: 430,
             report_lag_ms: 200,
-            notice_ms: 30,
+            notice_ms: 60,
             evict_ms: 250,
             drain_ms: 1_500,
             answer_timeout_ms: 400,
@@ -144,13 +144,24 @@
     /// Ordered to change.
     Ordering { lost_at: Instant, accepted_orders: u64 },
     /// Changes; `loaded_at` is when it should have loaded.
-    Loading { loaded_at: Instant, report_at: Instant, accepted_orders: u64 },
+    Loading { loaded_at: Instant, report_at: Instant, accepted_orders: u64, is_open: bool },
     /// Asked whether it has changed.
-    Confirming { lost_at: Instant, loaded_at: Instant, accepted_orders: u64 },
+    Confirming { lost_at: Instant, loaded_at: Instant, accepted_orders: u64, is_open: bool },
     /// Did not answer and is left alone.
     Resting { until: Instant },
 }
 
+/// What an order to a server was decided by.
+#[derive(Clone, Copy, Debug)]
+struct OrderFacts {
+    /// Whether the server had no requests, so that it loads at once.
+    is_empty: bool,
+    /// What happens to its runs.
+    runs: RunPolicy,
+    /// Weights that it is ordered to load.
+    revision: WeightsRevision,
+}
+
 /// Reports in a row without an answer after which a server is left alone for a while.
 const MOST_FAILURES: u32 = 2;
 
@@ -161,14 +172,14 @@
     model: ModelId,
     revision: WeightsRevision,
     steps: BTreeMap<ServerId, Step>,
-    waits_for_runs: BTreeMap<ServerId, bool>,
+    orders: BTreeMap<ServerId, OrderFacts>,
 }
 
 impl Rollout {
     /// Returns the rollout of `revision`.
     pub fn new(settings: RolloutSettings, model: ModelId, revision: WeightsRevision) -> Self {
-        let (steps, waits_for_runs) = Default::default();
-        Self { settings, model, revision, steps, waits_for_runs }
+        let (steps, orders) = Default::default();
+        Self { settings, model, revision, steps, orders }
     }
 
     /// Returns the revision that the servers are brought to.
@@ -178,16 +189,14 @@
 
     /// Returns the servers that are closed to new requests.
     pub fn closed(&self) -> impl Iterator<Item = &ServerId> {
-        let is_closed = |step: &Step| !matches!(step, Step::Resting { .. });
-        self.steps.iter().filter(move |(_, step)| is_closed(step)).map(|(id, _)| id)
+        self.steps.iter().filter(|(_, step)| step.is_closed()).map(|(id, _)| id)
     }
 
     /// Returns the servers that streams are taken off.
     pub fn evicted(&self) -> impl Iterator<Item = &ServerId> {
         let is_evicted = |step: &Step| match step {
             Step::Draining { evicts, .. } => *evicts,
-            Step::Resting { .. } => false,
-            _ => true,
+            step => step.is_closed(),
         };
         self.steps.iter().filter(move |(_, step)| is_evicted(step)).map(|(id, _)| id)
     }
@@ -223,8 +232,8 @@
         match (self.steps.get(id).copied(), report) {
             (Some(Step::Reporting { failures, .. }), None) => self.fail_report(id, failures, now),
             (Some(Step::Reporting { .. }), Some(report)) => self.begin_order(id, report, now),
-            (Some(Step::Confirming { loaded_at, accepted_orders, .. }), report) => {
-                self.confirm(id, report, loaded_at, accepted_orders, now)
+            (Some(Step::Confirming { loaded_at, accepted_orders, is_open, .. }), report) => {
+                self.confirm(id, report, loaded_at, accepted_orders, is_open, now)
             }
             _ => Vec::new(),
         }
@@ -247,16 +256,17 @@
             WeightsOrderOutcome::Accepted => {
                 let loaded_at = now + Duration::from_millis(self.settings.load_ms);
                 let lag = Duration::from_millis(self.settings.report_lag_ms);
-                let report_at = loaded_at + lag / 2;
-                let step = Step::Loading { loaded_at, report_at, accepted_orders };
+                let opens_early = self.orders.get(id).is_some_and(|facts| facts.is_empty);
+                let report_at = if opens_early { loaded_at + lag } else { loaded_at };
+                let is_open = false;
+                let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open };
                 self.steps.insert(id.clone(), step);
             }
             WeightsOrderOutcome::AlreadyHolds
             | WeightsOrderOutcome::Conflict
             | WeightsOrderOutcome::Unknown => {
                 let lag = Duration::from_millis(self.settings.report_lag_ms);
-                let step = Step::Loading { loaded_at: now, report_at: now + lag, accepted_orders };
-                self.steps.insert(id.clone(), step);
+                self.await_report(id, now + lag, accepted_orders);
             }
         }
         Vec::new()
@@ -274,18 +284,30 @@
             return vec![self.finish(id, report)];
         }
         if report.is_busy {
-            let report_at = now + self.report_period();
-            let step = Step::Loading { loaded_at: now, report_at, accepted_orders };
-            self.steps.insert(id.clone(), step);
+            self.await_report(id, now + self.report_period(), accepted_orders);
             return Vec::new();
         }
         let lost_at = now + self.answer_timeout();
         self.steps.insert(id.clone(), Step::Ordering { lost_at, accepted_orders });
-        let waits = self.waits_for_runs.get(id).copied().unwrap_or(true);
-        let runs = if waits { RunPolicy::Wait } else { RunPolicy::Keep };
+        let revision = self.revision;
+        let facts = self.orders.entry(id.clone()).or_insert(OrderFacts {
+            is_empty: false,
+            runs: RunPolicy::Wait,
+            revision,
+        });
+        facts.revision = revision;
+        let runs = facts.runs;
         vec![RolloutCommand::Order { server: id.clone(), accepted_orders, runs }]
     }
 
+    /// Has the server asked at `report_at`, closed until then.
+    fn await_report(&mut self, id: &ServerId, report_at: Instant, accepted_orders: u64) {
+        // Without a known time of loading the server is opened by its report alone.
+        let loaded_at = report_at;
+        let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open: false };
+        self.steps.insert(id.clone(), step);
+    }
+
     /// Looks whether an ordered server has changed.
     fn confirm(
         &mut self,
@@ -293,11 +315,11 @@
         report: Option<&WeightsReport>,
         loaded_at: Instant,
         accepted_orders: u64,
+        is_open: bool,
         now: Instant,
     ) -> Vec<RolloutCommand> {
         let lag = Duration::from_millis(self.settings.report_lag_ms);
         let report_at = now + self.report_period();
-        let again = Step::Loading { loaded_at, report_at, accepted_orders };
         let Some(report) = report else {
             self.steps.insert(id.clone(), Step::Reporting { lost_at: report_at, failures: 0 });
             return Vec::new();
@@ -305,11 +327,21 @@
         if self.has_changed(report) {
             return vec![self.finish(id, report)];
         }
-        let is_stale = report.accepted_orders <= accepted_orders && now < loaded_at + lag * 2;
-        if report.is_busy || is_stale {
-            self.steps.insert(id.clone(), again);
+        let is_stale = now < loaded_at + lag + self.report_period();
+        if is_stale {
+            let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open };
+            self.steps.insert(id.clone(), step);
             return Vec::new();
         }
+        if report.is_busy {
+            // It loads for longer than others do.
+            self.await_report(id, report_at, accepted_orders);
+            return if is_open { vec![RolloutCommand::Close(id.clone())] } else { Vec::new() };
+        }
+        if report.accepted_orders > accepted_orders || is_open {
+            // It carried out an order for older weights; it is closed and ordered again.
+            return vec![self.finish(id, report)];
+        }
         self.begin_order(id, report, now)
     }
 
@@ -336,15 +368,27 @@
                 commands.extend(self.fail_report(id, failures, now));
             }
             Some(Step::Ordering { lost_at: lost, accepted_orders }) if now >= lost => {
-                let step = Step::Confirming { lost_at, loaded_at: now, accepted_orders };
+                let is_open = false;
+                let step = Step::Confirming { lost_at, loaded_at: now, accepted_orders, is_open };
                 self.steps.insert(id.clone(), step);
                 commands.push(RolloutCommand::Report(id.clone()));
             }
-            Some(Step::Loading { loaded_at, report_at, accepted_orders }) if now >= report_at => {
-                let step = Step::Confirming { lost_at, loaded_at, accepted_orders };
+            Some(Step::Loading { loaded_at, report_at, accepted_orders, is_open })
+                if now >= report_at =>
+            {
+                let step = Step::Confirming { lost_at, loaded_at, accepted_orders, is_open };
                 self.steps.insert(id.clone(), step);
                 commands.push(RolloutCommand::Report(id.clone()));
             }
+            Some(Step::Loading { loaded_at, report_at, accepted_orders, is_open: false })
+                if now >= loaded_at && report_at > loaded_at =>
+            {
+                // Reports lag; the server is opened when it should have loaded, and asked later.
+                let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open: true };
+                self.steps.insert(id.clone(), step);
+                let revision = self.orders.get(id).map_or(self.revision, |facts| facts.revision);
+                commands.push(RolloutCommand::Finish { server: id.clone(), revision });
+            }
             Some(Step::Confirming { lost_at: lost, .. }) if now >= lost => {
                 self.steps.insert(id.clone(), Step::Reporting { lost_at, failures: 0 });
                 commands.push(RolloutCommand::Report(id.clone()));
@@ -387,7 +431,12 @@
             let server = drained.remove(0);
             let limit = Duration::from_millis(self.settings.wait_limit_ms);
             let waits = server.outdated_since.is_none_or(|since| now < since + limit);
-            self.waits_for_runs.insert(server.id.clone(), waits);
+            let facts = OrderFacts {
+                is_empty: server.requests == 0,
+                runs: if waits { RunPolicy::Wait } else { RunPolicy::Keep },
+                revision: self.revision,
+            };
+            self.orders.insert(server.id.clone(), facts);
             let lost_at = now + self.answer_timeout();
             self.steps.insert(server.id.clone(), Step::Reporting { lost_at, failures: 0 });
             commands.push(RolloutCommand::Report(server.id.clone()));
@@ -453,3 +502,13 @@
         Duration::from_millis(self.settings.report_period_ms)
     }
 }
+
+impl Step {
+    fn is_closed(&self) -> bool {
+        match self {
+            Self::Resting { .. } => false,
+            Self::Loading { is_open, .. } | Self::Confirming { is_open, .. } => !is_open,
+            Self::Draining { .. } | Self::Reporting { .. } | Self::Ordering { .. } => true,
+        }
+    }
+}
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -32,6 +32,9 @@
 /// Period in which a node tells its partners of its load.
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
 
+/// Period while a rollout waits for requests to end.
+const ROLLOUT_LOAD_PERIOD: Duration = Duration::from_millis(50);
+
 /// Time after which an unchanged load is told again; less than it holds at the partners.
 const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
 
@@ -237,7 +240,9 @@
     pub(super) fn tick_partners(&mut self, now: Instant) {
         self.advance_membership(MembershipEvent::Tick, now);
         if now >= self.partners.next_load_at {
-            self.partners.next_load_at = now + LOAD_PERIOD;
+            let is_rollout = self.rollout.is_active();
+            let period = if is_rollout { ROLLOUT_LOAD_PERIOD } else { LOAD_PERIOD };
+            self.partners.next_load_at = now + period;
             self.send_load(now);
         }
         if std::mem::take(&mut self.partners.are_topics_changed) {
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -407,6 +407,8 @@
         self.rollout.last_notice_at = Some(now);
         self.rollout.last_coordinator = Some(notice.lease.holder.clone());
         self.apply_notice_locally(notice, now);
+        // The coordinator waits for the requests that are still at closed servers.
+        self.send_load(now);
     }
 
     fn apply_notice_locally(&self, notice: &RolloutNotice, now: Instant) {
