--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -425,11 +425,12 @@
         None => ("none", 0.0),
     };
     log::info!(
-        "event=routed request={} route={} server={} cost_ms={:.0} runner_up={runner_up} \
+        "event=routed request={} route={} server={} zone={} cost_ms={:.0} runner_up={runner_up} \
          runner_up_ms={runner_up_ms:.0} weights={} rank={} fetches={} saves={} tokens={}/{}/{} age_ms={}",
         request.id,
         request.route.name,
         choice.server,
+        choice.availability_zone,
         choice.expected_ms,
         prompt.map_or(0, |prompt| prompt.weights),
         prompt.map_or(0, |prompt| prompt.rank),
