--- /dev/null
+++ b/src/decision/relay/admission.rs
@@ -0,0 +1,60 @@
+//! Whether a request is sent to the server chosen for it, or refused at once.
+//!
+//! A server with more work than it can begin within the latency objective would answer everything
+//! late. Refusing what exceeds the objective keeps the others on time; a caller that comes back after
+//! a refusal is late already and is served whatever the backlog, behind those that can be on time.
+
+use std::time::{Duration, Instant};
+
+/// Part of the latency objective that the work ahead of a new request may take.
+const NEW_OBJECTIVE_PART: f64 = 0.85;
+
+/// Part of the remaining time that the work ahead of any request may take.
+const REMAINING_PART: f64 = 0.6;
+
+/// Part of the time at first from which a request counts as one that comes back.
+const RETURNED_PART: f64 = 0.95;
+
+/// Longest time after which a refused caller is asked to come back.
+const LONGEST_RETRY_MS: f64 = 1_500.0;
+
+/// Priorities by which a request that comes back stands behind new ones.
+const RETURNED_PRIORITY_STEP: u8 = 1;
+
+/// Request as far as it decides the admission.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionRequest {
+    /// Milliseconds that the caller waits from now on.
+    pub remaining_ms: f64,
+    /// Milliseconds that callers of the route wait at first.
+    pub patience_ms: f64,
+    /// Milliseconds within which the answer should begin.
+    pub objective_ms: f64,
+}
+
+impl AdmissionRequest {
+    /// Whether the caller has used some of its time before, at another node or try.
+    pub fn has_returned(&self) -> bool {
+        self.remaining_ms < self.patience_ms * RETURNED_PART
+    }
+
+    /// Returns the priority with which servers are to take the request.
+    pub fn priority(&self, priority: u8) -> u8 {
+        if self.has_returned() { priority.saturating_add(RETURNED_PRIORITY_STEP) } else { priority }
+    }
+
+    /// Returns when the caller should come back if the server that would begin in `expected_ms`
+    /// must not get the request, none if it may.
+    pub fn refused_until(&self, expected_ms: f64, now: Instant) -> Option<Instant> {
+        let limit_ms = if self.has_returned() {
+            self.remaining_ms * REMAINING_PART
+        } else {
+            (self.objective_ms * NEW_OBJECTIVE_PART).min(self.remaining_ms * REMAINING_PART)
+        };
+        if expected_ms <= limit_ms {
+            return None;
+        }
+        let excess_ms = (expected_ms - limit_ms / 2.0).min(LONGEST_RETRY_MS);
+        Some(now + Duration::from_secs_f64(excess_ms / 1_000.0))
+    }
+}
--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -8,7 +8,7 @@
 
 use super::fleet::Fleet;
 use super::prompt::{PrefixKey, Prompt};
-use super::server::{Server, ServerLoad, ServerState};
+use super::server::{Server, ServerLoad, ServerState, UnreadTokens};
 use crate::decision::routing::homes::rendezvous_rank;
 use crate::types::{AvailabilityZone, ModelId, ServerId, ServiceId, WeightsRevision};
 use smol_str::{SmolStr, format_smolstr};
@@ -16,8 +16,9 @@
 use std::time::{Duration, Instant};
 use strum::{Display, IntoStaticStr};
 
-/// Prompt tokens that an engine reads in a millisecond, by the sheets of the engines in use.
-const READ_TOKENS_PER_MS: f64 = 110.0;
+/// Prompt tokens that an engine reads in a millisecond between the steps of its runs: 4,096 in a
+/// step of 50 ms, by the sheets of the engines in use.
+const READ_TOKENS_PER_MS: f64 = 80.0;
 
 /// Milliseconds by which each running request slows the others.
 const REQUEST_COST_MS: f64 = 1.5;
@@ -88,7 +89,9 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub availability_zone: AvailabilityZone,
-    /// Expected milliseconds until the first token or the answer begins.
+    /// Cost in milliseconds, penalties included.
+    pub cost_ms: f64,
+    /// Expected milliseconds until the server begins to answer.
     pub expected_ms: f64,
     /// Cost of the next best server in milliseconds, none if there is no other.
     pub runner_up: Option<(ServerId, f64)>,
@@ -151,6 +154,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Isolated workspace, whose cache entries no other one may use.
     pub wall: Option<&'a str>,
+    /// Priority, 0 is the highest.
+    pub priority: u8,
     /// Servers that had the request already.
     pub tried: &'a [ServerId],
 }
@@ -189,7 +194,7 @@
         }
         candidates.retain(|server| server.health.suspended_until(now).is_none());
         match wanted.prompt {
-            Some(prompt) => Ok(self.choose_engine(&candidates, prompt, wanted.wall, now)),
+            Some(prompt) => Ok(self.choose_engine(&candidates, prompt, wanted, now)),
             None => self.choose_plain(&candidates, now),
         }
     }
@@ -215,23 +220,27 @@
                 + taken * PLAIN_CALL_MS / 2.0
                 + self.zone_cost_ms(server)
                 + server.health.cost_ms(now);
-            costs.push((cost_ms, server));
+            costs.push((cost_ms, *server));
         }
         let Some((best, runner_up)) = two_cheapest(&costs) else {
             let call = Duration::from_millis(PLAIN_CALL_MS as u64) * PLAIN_QUEUE_FACTOR;
             return Err(unavailable(UnavailableReason::Closed, now + call));
         };
         let load = ServerLoad { requests: 1, ..ServerLoad::default() };
-        Ok(choice(best, runner_up, None, load))
+        let slots = best.1.entry.slots.max(1);
+        let waiting = best.1.total_load(now).requests.saturating_sub(slots - 1);
+        let expected_ms = f64::from(waiting) / f64::from(slots) * PLAIN_CALL_MS;
+        Ok(choice(best, expected_ms, runner_up, None, load))
     }
 
     fn choose_engine(
         &self,
         candidates: &[&Server],
         prompt: &Prompt,
-        wall: Option<&str>,
+        wanted: Wanted<'_>,
         now: Instant,
     ) -> Choice {
+        let wall = wanted.wall;
         let pool = self.long_run_pool(candidates, prompt, now);
         let home_key = self.home_key(candidates, prompt, wall, now);
         let mut ranked: Vec<&Server> = candidates.to_vec();
@@ -243,24 +252,25 @@
         let mut plans = Vec::with_capacity(ranked.len());
         for (rank, server) in ranked.iter().enumerate() {
             let plan = self.plan(server, ranked[0], prompt, wall, rank, now);
-            let mut cost_ms = self.engine_cost_ms(server, prompt, &plan, now);
+            let expected_ms = self.engine_expected_ms(server, &plan, wanted.priority, now);
+            let mut cost_ms = expected_ms + self.engine_cost_ms(server, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
             costs.push((cost_ms, *server));
-            plans.push(plan);
+            plans.push((plan, expected_ms));
         }
         let (best, runner_up) = two_cheapest(&costs).expect("there is a candidate");
         let position = ranked
             .iter()
             .position(|server| server.entry.id == best.1.entry.id)
             .expect("the best is one of the ranked");
-        let plan = plans.swap_remove(position);
+        let (plan, expected_ms) = plans.swap_remove(position);
         let load = ServerLoad {
             requests: 1,
             long_runs: u32::from(prompt.is_long_run()),
-            unread_tokens: plan.unread_tokens,
+            unread_tokens: UnreadTokens::new(wanted.priority, plan.unread_tokens),
             memory_tokens: u64::from(prompt.own_tokens() + prompt.expected_output_tokens()),
         };
-        choice(best, runner_up, Some(plan.choice), load)
+        choice(best, expected_ms, runner_up, Some(plan.choice), load)
     }
 
     /// Returns the servers that take long runs: as many as these need, the same on all nodes, those
@@ -350,7 +360,7 @@
         let is_known = |key: &PrefixKey| self.kept.holder(*key, now).is_some();
         let known: u32 = read.filter(|(key, _)| is_known(key)).map(|(_, tokens)| tokens).sum();
         plan.read_again_tokens = known.saturating_sub(plan.fetched_tokens);
-        plan.unread_tokens = u64::from(missing - plan.fetched_tokens + prompt.own_tokens());
+        plan.unread_tokens = missing - plan.fetched_tokens + prompt.own_tokens();
         plan.choice.weights = weights;
         plan.choice.cache_salt = cache_salt;
         plan.choice.keys = keys;
@@ -384,6 +394,24 @@
         }
     }
 
+    /// Returns the milliseconds until a server has read the prompt, behind what is as urgent.
+    fn engine_expected_ms(
+        &self,
+        server: &Server,
+        plan: &EnginePlan,
+        priority: u8,
+        now: Instant,
+    ) -> f64 {
+        let ahead = server.total_load(now).unread_tokens.ahead_of(priority);
+        let mut expected_ms = f64::from(ahead + plan.unread_tokens) / READ_TOKENS_PER_MS;
+        if plan.fetched_tokens > 0 {
+            let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
+            expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
+        }
+        expected_ms
+    }
+
+    /// Returns what speaks against a server beside the time until it answers.
     fn engine_cost_ms(
         &self,
         server: &Server,
@@ -392,13 +420,8 @@
         now: Instant,
     ) -> f64 {
         let load = server.total_load(now);
-        let mut cost_ms = (load.unread_tokens + plan.unread_tokens) as f64 / READ_TOKENS_PER_MS;
-        cost_ms += f64::from(load.requests) * REQUEST_COST_MS;
+        let mut cost_ms = f64::from(load.requests) * REQUEST_COST_MS;
         cost_ms += RANK_COST_MS[plan.choice.rank.min(RANK_COST_MS.len() - 1)];
-        if plan.fetched_tokens > 0 {
-            let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
-            cost_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
-        }
         cost_ms += f64::from(plan.read_again_tokens) / 1_000.0 * READ_AGAIN_COST_MS;
         cost_ms += self.old_weights_cost_ms(prompt, plan.choice.weights, now);
         cost_ms += self.room_cost_ms(server, load, prompt);
@@ -436,7 +459,7 @@
 
 #[derive(Default)]
 struct EnginePlan {
-    unread_tokens: u64,
+    unread_tokens: u32,
     read_again_tokens: u32,
     fetched_tokens: u32,
     choice: PromptChoice,
@@ -463,6 +486,7 @@
 
 fn choice(
     best: Costed<'_>,
+    expected_ms: f64,
     runner_up: Option<Costed<'_>>,
     prompt: Option<PromptChoice>,
     load: ServerLoad,
@@ -472,7 +496,8 @@
         server: entry.id.clone(),
         address: entry.address,
         availability_zone: entry.availability_zone.clone(),
-        expected_ms: best.0,
+        cost_ms: best.0,
+        expected_ms,
         runner_up: runner_up.map(|(cost_ms, server)| (server.entry.id.clone(), cost_ms)),
         prompt,
         load,
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::kept_prefixes::KeptPrefixes;
 use super::long_tokens::LongTokens;
-use super::server::{Server, ServerEntry, ServerLoad};
+use super::server::{Server, ServerEntry, ServerLoad, UnreadTokens};
 use super::store_link::StoreLink;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
@@ -168,10 +168,9 @@
     }
 
     /// Takes in that a server has read the prompt of a request.
-    pub fn note_first_answer(&mut self, id: &ServerId, attempt: u64, unread_tokens: u64) {
+    pub fn note_first_answer(&mut self, id: &ServerId, attempt: u64, unread: UnreadTokens) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.own_load.unread_tokens =
-                server.own_load.unread_tokens.saturating_sub(unread_tokens);
+            server.own_load.unread_tokens.subtract(unread);
             server.health.note_ended(attempt);
         }
     }
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Everything here is deterministic: no sockets, no clock and no random source of its own.
 
+pub mod admission;
 pub mod choose;
 pub mod configuration;
 pub mod event_splitter;
@@ -18,6 +19,7 @@
 pub mod server;
 pub mod store_link;
 
+pub use admission::AdmissionRequest;
 pub use choose::{Choice, Unavailable, UnavailableReason, Wanted};
 pub use configuration::{Configuration, Repetition, Route, Service};
 pub use event_splitter::EventSplitter;
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -46,6 +46,36 @@
     pub weights: BTreeMap<ModelId, WeightsRevision>,
 }
 
+/// Priorities that are told apart; lower ones count as the last.
+const PRIORITIES: usize = 4;
+
+/// Prompt tokens that are not read yet, by the priority of their requests.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnreadTokens([u32; PRIORITIES]);
+
+impl UnreadTokens {
+    /// Returns the tokens of one request.
+    pub fn new(priority: u8, tokens: u32) -> Self {
+        let mut all = [0; PRIORITIES];
+        all[usize::from(priority).min(PRIORITIES - 1)] = tokens;
+        Self(all)
+    }
+
+    /// Returns the tokens that are read before those of a new request of `priority`.
+    pub fn ahead_of(&self, priority: u8) -> u32 {
+        self.0.iter().take(usize::from(priority) + 1).sum()
+    }
+
+    fn add(&mut self, other: Self) {
+        self.0.iter_mut().zip(other.0).for_each(|(own, other)| *own = own.saturating_add(other));
+    }
+
+    /// Takes tokens out that are read by now.
+    pub fn subtract(&mut self, other: Self) {
+        self.0.iter_mut().zip(other.0).for_each(|(own, other)| *own = own.saturating_sub(other));
+    }
+}
+
 /// Requests at a server.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerLoad {
@@ -53,8 +83,8 @@
     pub requests: u32,
     /// Long runs among them.
     pub long_runs: u32,
-    /// Prompt tokens that are not read yet.
-    pub unread_tokens: u64,
+    /// Prompt tokens that are not read yet, by priority.
+    pub unread_tokens: UnreadTokens,
     /// Tokens that the requests keep in memory.
     pub memory_tokens: u64,
 }
@@ -63,14 +93,14 @@
     pub(super) fn add(&mut self, other: Self) {
         self.requests += other.requests;
         self.long_runs += other.long_runs;
-        self.unread_tokens += other.unread_tokens;
+        self.unread_tokens.add(other.unread_tokens);
         self.memory_tokens += other.memory_tokens;
     }
 
     pub(super) fn subtract(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.long_runs = self.long_runs.saturating_sub(other.long_runs);
-        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.unread_tokens.subtract(other.unread_tokens);
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
     }
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use super::exchange::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::Choice;
-use crate::decision::relay::server::ServerLoad;
+use crate::decision::relay::server::{ServerLoad, UnreadTokens};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerFacts, SendFacts};
 use crate::types::{Delivery, PeerError, ServerId, Step};
@@ -105,7 +105,7 @@
         if !self.is_read {
             self.is_read = true;
             fleet.note_first_answer(&self.server, self.attempt, self.load.unread_tokens);
-            self.load.unread_tokens = 0;
+            self.load.unread_tokens = UnreadTokens::default();
         }
     }
 
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -430,9 +430,11 @@
     }
 }
 
-/// Whether a server takes part in rollouts.
+/// Whether a server takes part in rollouts: one that does not answer is brought up to date once it
+/// does.
 fn is_takeable(server: &Server) -> bool {
-    server.entry.state == ServerState::Ready && !server.is_vanished()
+    let is_suspended = server.health.suspended_until(Instant::now()).is_some();
+    server.entry.state == ServerState::Ready && !server.is_vanished() && !is_suspended
 }
 
 fn is_older(server: &Server, model: &ModelId, revision: WeightsRevision) -> bool {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,7 +8,7 @@
 use crate::adapters::http_server::Reply;
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
-use crate::decision::relay::{Choice, Unavailable, UnavailableReason, Wanted};
+use crate::decision::relay::{AdmissionRequest, Choice, Unavailable, UnavailableReason, Wanted};
 use crate::decision::relay::{Configuration, Prompt, Route};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::RequestFacts;
@@ -33,9 +33,6 @@
 /// Least time left for another attempt to make sense.
 const LEAST_ATTEMPT_TIME: Duration = Duration::from_millis(60);
 
-/// Part of the remaining time that the work ahead may take at most.
-const OVERLOAD_PART: f64 = 0.8;
-
 /// Servers that a request may find out of reach before it is refused.
 const MOST_UNREACHED: usize = 4;
 
@@ -89,10 +86,20 @@
 }
 
 impl RelayedRequest {
-    /// Returns the priority, 0 is the highest.
+    /// Returns the priority with which servers are to take it, 0 is the highest.
     pub fn priority(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        own.unwrap_or(self.route.priority)
+        self.admission(self.arrived_at).priority(own.unwrap_or(self.route.priority))
+    }
+
+    /// Returns what decides its admission at `now`.
+    fn admission(&self, now: Instant) -> AdmissionRequest {
+        let remaining = self.deadline.saturating_duration_since(now);
+        AdmissionRequest {
+            remaining_ms: remaining.as_secs_f64() * 1_000.0,
+            patience_ms: self.route.timeout_ms as f64,
+            objective_ms: self.route.latency_objective_ms as f64,
+        }
     }
 
     /// Returns what decides the choice of a server.
@@ -102,6 +109,7 @@
             service: &self.service,
             prompt: self.facts.prompt.as_ref(),
             wall: isolated.map(|workspace| workspace.name.as_str()),
+            priority: self.priority(),
             tried,
         }
     }
@@ -406,15 +414,12 @@
     }
 }
 
-/// Refuses a request that would not be answered in time.
+/// Refuses a request that would wait too long at the chosen server.
 fn check_overload(request: &RelayedRequest, choice: &Choice, now: Instant) -> Result<(), Refusal> {
-    let remaining = request.deadline.saturating_duration_since(now);
-    let remaining_ms = remaining.as_secs_f64() * 1_000.0;
-    if choice.expected_ms < remaining_ms * OVERLOAD_PART {
-        return Ok(());
+    match request.admission(now).refused_until(choice.expected_ms, now) {
+        None => Ok(()),
+        Some(retry_at) => Err(Refusal::until(RefusalReason::Overloaded, retry_at)),
     }
-    let excess = Duration::from_secs_f64((choice.expected_ms / 1_000.0 / 2.0).min(2.0));
-    Err(Refusal::until(RefusalReason::Overloaded, now + excess))
 }
 
 fn log_choice(request: &RelayedRequest, choice: &Choice) {
@@ -425,12 +430,13 @@
         None => ("none", 0.0),
     };
     log::info!(
-        "event=routed request={} route={} server={} zone={} cost_ms={:.0} runner_up={runner_up} \
+        "event=routed request={} route={} server={} zone={} cost_ms={:.0} expected_ms={:.0} runner_up={runner_up} \
          runner_up_ms={runner_up_ms:.0} weights={} rank={} fetches={} saves={} tokens={}/{}/{} age_ms={}",
         request.id,
         request.route.name,
         choice.server,
         choice.availability_zone,
+        choice.cost_ms,
         choice.expected_ms,
         prompt.map_or(0, |prompt| prompt.weights),
         prompt.map_or(0, |prompt| prompt.rank),
