--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -139,6 +139,24 @@
         }
     }
 
+    /// Takes in that a server does not hold `believed`. If that is outdated it probably holds the
+    /// newest; otherwise its next report tells.
+    pub fn note_other_weights(
+        &mut self,
+        id: &ServerId,
+        model: &ModelId,
+        believed: WeightsRevision,
+    ) {
+        let newest = self.targets.get(model).map_or(0, WeightsTarget::revision);
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if server.weights.get(model) != Some(&believed) {
+            return;
+        }
+        let reported = server.entry.weights.get(model).copied().unwrap_or_default();
+        let probable = if believed < newest { newest } else { reported };
+        server.weights.insert(model.clone(), probable);
+    }
+
     /// Sets the loads that a partner has at the servers.
     pub fn set_partner_loads(
         &mut self,
--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -46,7 +46,7 @@
             notice_ms: 60,
             evict_ms: 250,
             drain_ms: 1_500,
-            answer_timeout_ms: 400,
+            answer_timeout_ms: 250,
             report_period_ms: 60,
             wait_limit_ms: 4_500,
             retry_ms: 700,
@@ -135,6 +135,19 @@
     GiveUp(ServerId),
 }
 
+/// Change of a server's weights under way.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    /// Orders that the server had accepted before.
+    accepted_orders: u64,
+    /// When it should have loaded; none if its report alone tells.
+    loaded_at: Option<Instant>,
+    /// From when a report that does not show the change is believed.
+    settled_at: Instant,
+    /// Whether it was opened since it should have loaded.
+    is_open: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// Closed; its requests end, and those that can go on elsewhere are taken off it at last.
@@ -143,10 +156,10 @@
     Reporting { lost_at: Instant, failures: u32 },
     /// Ordered to change.
     Ordering { lost_at: Instant, accepted_orders: u64 },
-    /// Changes; `loaded_at` is when it should have loaded.
-    Loading { loaded_at: Instant, report_at: Instant, accepted_orders: u64, is_open: bool },
+    /// Changes; asked for its report at `report_at`.
+    Loading { report_at: Instant, change: Change },
     /// Asked whether it has changed.
-    Confirming { lost_at: Instant, loaded_at: Instant, accepted_orders: u64, is_open: bool },
+    Confirming { lost_at: Instant, change: Change },
     /// Did not answer and is left alone.
     Resting { until: Instant },
 }
@@ -232,8 +245,8 @@
         match (self.steps.get(id).copied(), report) {
             (Some(Step::Reporting { failures, .. }), None) => self.fail_report(id, failures, now),
             (Some(Step::Reporting { .. }), Some(report)) => self.begin_order(id, report, now),
-            (Some(Step::Confirming { loaded_at, accepted_orders, is_open, .. }), report) => {
-                self.confirm(id, report, loaded_at, accepted_orders, is_open, now)
+            (Some(Step::Confirming { change, .. }), report) => {
+                self.confirm(id, report, change, now)
             }
             _ => Vec::new(),
         }
@@ -253,20 +266,12 @@
             WeightsOrderOutcome::Invalid | WeightsOrderOutcome::Fenced => {
                 return vec![self.give_up(id, now)];
             }
-            WeightsOrderOutcome::Accepted => {
-                let loaded_at = now + Duration::from_millis(self.settings.load_ms);
-                let lag = Duration::from_millis(self.settings.report_lag_ms);
-                let opens_early = self.orders.get(id).is_some_and(|facts| facts.is_empty);
-                let report_at = if opens_early { loaded_at + lag } else { loaded_at };
-                let is_open = false;
-                let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open };
-                self.steps.insert(id.clone(), step);
-            }
+            WeightsOrderOutcome::Accepted => self.await_loading(id, accepted_orders, now),
             WeightsOrderOutcome::AlreadyHolds
             | WeightsOrderOutcome::Conflict
             | WeightsOrderOutcome::Unknown => {
                 let lag = Duration::from_millis(self.settings.report_lag_ms);
-                self.await_report(id, now + lag, accepted_orders);
+                self.await_report(id, now + lag, accepted_orders, now);
             }
         }
         Vec::new()
@@ -284,7 +289,7 @@
             return vec![self.finish(id, report)];
         }
         if report.is_busy {
-            self.await_report(id, now + self.report_period(), accepted_orders);
+            self.await_report(id, now + self.report_period(), accepted_orders, now);
             return Vec::new();
         }
         let lost_at = now + self.answer_timeout();
@@ -300,12 +305,32 @@
         vec![RolloutCommand::Order { server: id.clone(), accepted_orders, runs }]
     }
 
+    /// Waits for a server that accepted its order; one without runs loads at once.
+    fn await_loading(&mut self, id: &ServerId, accepted_orders: u64, now: Instant) {
+        let loaded_at = now + Duration::from_millis(self.settings.load_ms);
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        let is_empty = self.orders.get(id).is_some_and(|facts| facts.is_empty);
+        let change = Change {
+            accepted_orders,
+            loaded_at: is_empty.then_some(loaded_at),
+            settled_at: loaded_at + lag,
+            is_open: false,
+        };
+        let report_at = if is_empty { loaded_at + lag } else { loaded_at };
+        self.steps.insert(id.clone(), Step::Loading { report_at, change });
+    }
+
     /// Has the server asked at `report_at`, closed until then.
-    fn await_report(&mut self, id: &ServerId, report_at: Instant, accepted_orders: u64) {
-        // Without a known time of loading the server is opened by its report alone.
-        let loaded_at = report_at;
-        let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open: false };
-        self.steps.insert(id.clone(), step);
+    fn await_report(
+        &mut self,
+        id: &ServerId,
+        report_at: Instant,
+        accepted_orders: u64,
+        now: Instant,
+    ) {
+        let settled_at = now + Duration::from_millis(self.settings.report_lag_ms);
+        let change = Change { accepted_orders, loaded_at: None, settled_at, is_open: false };
+        self.steps.insert(id.clone(), Step::Loading { report_at, change });
     }
 
     /// Looks whether an ordered server has changed.
@@ -313,12 +338,9 @@
         &mut self,
         id: &ServerId,
         report: Option<&WeightsReport>,
-        loaded_at: Instant,
-        accepted_orders: u64,
-        is_open: bool,
+        change: Change,
         now: Instant,
     ) -> Vec<RolloutCommand> {
-        let lag = Duration::from_millis(self.settings.report_lag_ms);
         let report_at = now + self.report_period();
         let Some(report) = report else {
             self.steps.insert(id.clone(), Step::Reporting { lost_at: report_at, failures: 0 });
@@ -327,18 +349,17 @@
         if self.has_changed(report) {
             return vec![self.finish(id, report)];
         }
-        let is_stale = now < loaded_at + lag + self.report_period();
-        if is_stale {
-            let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open };
-            self.steps.insert(id.clone(), step);
-            return Vec::new();
-        }
         if report.is_busy {
-            // It loads for longer than others do.
-            self.await_report(id, report_at, accepted_orders);
-            return if is_open { vec![RolloutCommand::Close(id.clone())] } else { Vec::new() };
+            // It waits for runs, or loads for longer than others do.
+            self.await_report(id, report_at, change.accepted_orders, now);
+            let close = change.is_open.then(|| RolloutCommand::Close(id.clone()));
+            return close.into_iter().collect();
+        }
+        if now < change.settled_at {
+            self.steps.insert(id.clone(), Step::Loading { report_at, change });
+            return Vec::new();
         }
-        if report.accepted_orders > accepted_orders || is_open {
+        if report.accepted_orders > change.accepted_orders || change.is_open {
             // It carried out an order for older weights; it is closed and ordered again.
             return vec![self.finish(id, report)];
         }
@@ -368,24 +389,18 @@
                 commands.extend(self.fail_report(id, failures, now));
             }
             Some(Step::Ordering { lost_at: lost, accepted_orders }) if now >= lost => {
-                let is_open = false;
-                let step = Step::Confirming { lost_at, loaded_at: now, accepted_orders, is_open };
-                self.steps.insert(id.clone(), step);
-                commands.push(RolloutCommand::Report(id.clone()));
+                self.await_report(id, now, accepted_orders, now);
             }
-            Some(Step::Loading { loaded_at, report_at, accepted_orders, is_open })
-                if now >= report_at =>
-            {
-                let step = Step::Confirming { lost_at, loaded_at, accepted_orders, is_open };
-                self.steps.insert(id.clone(), step);
+            Some(Step::Loading { report_at, change }) if now >= report_at => {
+                self.steps.insert(id.clone(), Step::Confirming { lost_at, change });
                 commands.push(RolloutCommand::Report(id.clone()));
             }
-            Some(Step::Loading { loaded_at, report_at, accepted_orders, is_open: false })
-                if now >= loaded_at && report_at > loaded_at =>
+            Some(Step::Loading { report_at, change })
+                if !change.is_open && change.loaded_at.is_some_and(|at| now >= at) =>
             {
                 // Reports lag; the server is opened when it should have loaded, and asked later.
-                let step = Step::Loading { loaded_at, report_at, accepted_orders, is_open: true };
-                self.steps.insert(id.clone(), step);
+                let change = Change { is_open: true, ..change };
+                self.steps.insert(id.clone(), Step::Loading { report_at, change });
                 let revision = self.orders.get(id).map_or(self.revision, |facts| facts.revision);
                 commands.push(RolloutCommand::Finish { server: id.clone(), revision });
             }
@@ -408,8 +423,8 @@
         let drain = Duration::from_millis(self.settings.drain_ms);
         let is_loading = |step: &&Step| match step {
             Step::Reporting { .. } | Step::Ordering { .. } => true,
-            Step::Loading { loaded_at, .. } | Step::Confirming { loaded_at, .. } => {
-                now < *loaded_at
+            Step::Loading { change, .. } | Step::Confirming { change, .. } => {
+                change.loaded_at.is_none_or(|at| now < at)
             }
             Step::Draining { .. } | Step::Resting { .. } => false,
         };
@@ -455,8 +470,8 @@
         let half = servers.len().div_ceil(2);
         let most = (2 * self.most_loading(servers)).min(half).max(1);
         let busy = self.steps.values().filter(|step| match step {
-            Step::Loading { loaded_at, .. } | Step::Confirming { loaded_at, .. } => {
-                now < *loaded_at
+            Step::Loading { change, .. } | Step::Confirming { change, .. } => {
+                change.loaded_at.is_none_or(|at| now < at)
             }
             Step::Resting { .. } => false,
             _ => true,
@@ -507,7 +522,7 @@
     fn is_closed(&self) -> bool {
         match self {
             Self::Resting { .. } => false,
-            Self::Loading { is_open, .. } | Self::Confirming { is_open, .. } => !is_open,
+            Self::Loading { change, .. } | Self::Confirming { change, .. } => !change.is_open,
             Self::Draining { .. } | Self::Reporting { .. } | Self::Ordering { .. } => true,
         }
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -148,7 +148,16 @@
     let facts = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
     learn_weights(context, request, choice, &facts);
     if facts.is_not_run {
-        return AttemptEnd::NotRun(not_run(context, choice, &facts));
+        let reason = not_run(context, request, choice, exchange.status, &facts);
+        log::info!(
+            "event=not_run request={} server={} status={} reason={reason} weights={} believed={}",
+            request.id,
+            choice.server,
+            exchange.status.as_u16(),
+            facts.weights.unwrap_or_default(),
+            choice.prompt.as_ref().map_or(0, |prompt| prompt.weights)
+        );
+        return AttemptEnd::NotRun(reason);
     }
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let succeeded = !exchange.status.is_server_error();
@@ -290,14 +299,27 @@
     facts.server.as_ref().is_some_and(|server| *server != choice.server)
 }
 
-fn not_run(context: &RelayContext, choice: &Choice, facts: &AnswerFacts) -> NotRunReason {
+fn not_run(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) -> NotRunReason {
     let now = Instant::now();
     if is_misdirected(choice, facts) {
         suspend(context, choice);
         return NotRunReason::Misdirected;
     }
-    let expected = choice.prompt.as_ref().map(|prompt| prompt.weights);
-    if facts.weights.is_some() && expected.is_some() && facts.weights != expected {
+    if let Some(prompt) = &choice.prompt
+        && status == StatusCode::MISDIRECTED_REQUEST
+    {
+        if facts.weights.is_none() {
+            let model = request.facts.prompt.as_ref().map(|prompt| prompt.model.clone());
+            model.iter().for_each(|model| {
+                context.fleet().note_other_weights(&choice.server, model, prompt.weights);
+            });
+        }
         return NotRunReason::OtherWeights;
     }
     if let Some(server) = context.fleet().server_mut(&choice.server) {
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -33,8 +33,9 @@
 /// Wait before the register is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
-/// Time that a report or order may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time that a report or order may take: several round trips between availability zones. What is
+/// unanswered by then is found out by the next report.
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Rollouts as one node sees and coordinates them.
 pub(super) struct RolloutControl {
