test(relay): the decisions in virtual time; fix(replica): an empty topic and a stale listing

Two faults found by the replica's property test, both failing first: a node that had listed an empty topic claimed to know record 0 and never asked a partner for it; a stale listing brought a deleted server back.

--- a/src/decision/relay/replica.rs
+++ b/src/decision/relay/replica.rs
@@ -59,7 +59,8 @@
 #[derive(Clone, Debug, Default)]
 struct TopicReplica {
     records: BTreeMap<SmolStr, KeyedRecord>,
-    through: Option<LogOffset>,
+    /// Offset below which every key's newest record is known, none before the first listing.
+    known_below: Option<LogOffset>,
 }
 
 /// Part of a topic, as one node sends it to another.
@@ -67,10 +68,10 @@
 pub struct TopicPart {
     /// Topic.
     pub topic: RecordTopic,
-    /// Offset above which the part holds every key's newest record, none for all of them.
-    pub above: Option<LogOffset>,
-    /// Offset up to which the sender knows every key's newest record.
-    pub through: LogOffset,
+    /// Offset from which on the part holds every key's newest record, none for all of them.
+    pub from: Option<LogOffset>,
+    /// Offset below which the sender knows every key's newest record.
+    pub known_below: LogOffset,
     /// Records.
     pub records: Vec<KeyedRecord>,
 }
@@ -82,9 +83,13 @@
 }
 
 impl Replica {
-    /// Takes in `record`; returns whether it is newer than what was known.
+    /// Takes in `record`; returns whether it is newer than what was known. Below the offset up to
+    /// which all is known there is no news: a record there that is unknown was deleted since.
     fn apply(&mut self, record: &KeyedRecord) -> bool {
         let topic = self.topics.entry(record.topic).or_default();
+        if topic.known_below > Some(record.offset) {
+            return false;
+        }
         let known = topic.records.get(&record.key);
         if known.is_some_and(|known| known.offset >= record.offset) {
             return false;
@@ -101,7 +106,7 @@
         next_offset: LogOffset,
     ) -> Vec<KeyedRecord> {
         records.retain(|record| self.apply(record));
-        self.raise_through(topic, next_offset.saturating_sub(1));
+        self.raise_known(topic, next_offset);
         records
     }
 
@@ -120,40 +125,41 @@
             let key = record.key.clone();
             news.push(KeyedRecord { topic, key, offset: last_listed, value: None });
         }
+        let end = listing.end;
         news.extend(listing.records);
         news.retain(|record| self.apply(record));
-        self.raise_through(topic, last_listed);
+        self.raise_known(topic, end);
         news
     }
 
     /// Takes in what a partner sent; returns the records that are news.
     pub fn apply_part(&mut self, part: TopicPart) -> Vec<KeyedRecord> {
-        let is_complete = part.above.is_none_or(|above| self.through(part.topic) >= Some(above));
+        let is_complete = part.from.is_none_or(|from| self.known_below(part.topic) >= Some(from));
         let mut records = part.records;
         records.retain(|record| record.topic == part.topic && self.apply(record));
         if is_complete {
-            self.raise_through(part.topic, part.through);
+            self.raise_known(part.topic, part.known_below);
         }
         records
     }
 
-    /// Returns the offset up to which every key's newest record is known, none before the first
+    /// Returns the offset below which every key's newest record is known, none before the first
     /// listing.
-    pub fn through(&self, topic: RecordTopic) -> Option<LogOffset> {
-        self.topics.get(&topic).and_then(|topic| topic.through)
+    pub fn known_below(&self, topic: RecordTopic) -> Option<LogOffset> {
+        self.topics.get(&topic).and_then(|topic| topic.known_below)
     }
 
-    /// Returns what a partner that knows the records up to `above` lacks.
-    pub fn part(&self, topic: RecordTopic, above: Option<LogOffset>) -> Option<TopicPart> {
-        let through = self.through(topic)?;
+    /// Returns what a partner lacks that knows the records below `from`.
+    pub fn part(&self, topic: RecordTopic, from: Option<LogOffset>) -> Option<TopicPart> {
+        let known_below = self.known_below(topic)?;
         let known = self.topics.get(&topic)?;
-        let is_later = |record: &&KeyedRecord| above.is_none_or(|above| record.offset > above);
+        let is_later = |record: &&KeyedRecord| from.is_none_or(|from| record.offset >= from);
         let records = known.records.values().filter(is_later).cloned().collect();
-        Some(TopicPart { topic, above, through, records })
+        Some(TopicPart { topic, from, known_below, records })
     }
 
-    fn raise_through(&mut self, topic: RecordTopic, through: LogOffset) {
-        let known = &mut self.topics.entry(topic).or_default().through;
-        *known = (*known).max(Some(through));
+    fn raise_known(&mut self, topic: RecordTopic, known_below: LogOffset) {
+        let known = &mut self.topics.entry(topic).or_default().known_below;
+        *known = (*known).max(Some(known_below));
     }
 }
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -52,7 +52,7 @@
     Configuration(Box<ConfigurationCopy>),
     /// What the sender knows of each topic of keyed records.
     Topics(Vec<TopicDigest>),
-    /// Asks for the records of a topic above an offset.
+    /// Asks for the records of a topic from an offset on.
     RecordsRequest(TopicDigest),
     /// Keyed records.
     Records(Box<TopicPart>),
@@ -67,8 +67,8 @@
 pub struct TopicDigest {
     /// Topic.
     pub topic: RecordTopic,
-    /// Offset up to which every key's newest record is known, none before the first listing.
-    pub through: Option<LogOffset>,
+    /// Offset below which every key's newest record is known, none before the first listing.
+    pub known_below: Option<LogOffset>,
 }
 
 /// Requests of a node at backend servers.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -264,16 +264,16 @@
     }
 
     fn topic_digests(&self) -> Vec<TopicDigest> {
-        let digest = |topic| TopicDigest { topic, through: self.replica.through(topic) };
+        let digest = |topic| TopicDigest { topic, known_below: self.replica.known_below(topic) };
         RecordTopic::iter().map(digest).collect()
     }
 
     /// Asks a partner for what it knows beyond this node.
     fn request_records(&self, peer: &InstanceId, digests: &[TopicDigest]) {
         for digest in digests {
-            let known = self.replica.through(digest.topic);
-            if digest.through > known {
-                let request = TopicDigest { topic: digest.topic, through: known };
+            let known = self.replica.known_below(digest.topic);
+            if digest.known_below > known {
+                let request = TopicDigest { topic: digest.topic, known_below: known };
                 self.partners.send(peer, &PartnerMessage::RecordsRequest(request));
             }
         }
@@ -281,10 +281,9 @@
 
     /// Sends a partner what it lacks, in parts that fit into messages.
     fn send_records(&self, peer: &InstanceId, digest: TopicDigest) {
-        let Some(mut part) = self.replica.part(digest.topic, digest.through) else { return };
+        let Some(mut part) = self.replica.part(digest.topic, digest.known_below) else { return };
         part.records.sort_by_key(|record| record.offset);
         let size = |value: &Option<Bytes>| value.as_ref().map_or(0, Bytes::len);
-        let through = part.through;
         let mut rest = std::mem::take(&mut part.records).into_iter().peekable();
         loop {
             let mut part = part.clone();
@@ -298,9 +297,8 @@
             let is_last = rest.peek().is_none();
             if !is_last {
                 // Only the last part makes the receiver's knowledge complete.
-                part.above = Some(u64::MAX);
+                part.from = Some(u64::MAX);
             }
-            part.through = through;
             self.partners.send(peer, &PartnerMessage::Records(Box::new(part)));
             if is_last {
                 return;
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -47,7 +47,7 @@
 
     /// Takes in whether servers were listed.
     pub(super) fn note_listed(&self) {
-        if self.replica.through(RecordTopic::Servers).is_some() {
+        if self.replica.known_below(RecordTopic::Servers).is_some() {
             self.context.knows_servers.store(true, Ordering::Release);
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -33,8 +33,8 @@
 /// Least time left for another attempt to make sense.
 const LEAST_ATTEMPT_TIME: Duration = Duration::from_millis(60);
 
-/// Servers that a request may find out of reach before it is refused.
-const MOST_UNREACHED: usize = 4;
+/// Servers that a request may be offered to, those out of reach or full included.
+const MOST_SERVERS: usize = 4;
 
 /// Wait before a caller comes back whose request no server ran.
 const NOT_RUN_RETRY: Duration = Duration::from_millis(60);
@@ -125,7 +125,7 @@
 pub struct Attempts {
     /// Servers that had it or were out of reach.
     pub tried: Vec<ServerId>,
-    /// Servers that got it.
+    /// Servers that may have run it.
     pub sent: u32,
 }
 
@@ -135,10 +135,19 @@
         self.sent + 1 >= route.max_attempts
     }
 
+    /// Counts an attempt unless its server says that it did not run the request.
+    pub fn count(&mut self, end: &AttemptEnd) {
+        self.sent += match end {
+            AttemptEnd::Answered(_) | AttemptEnd::Unknown(_) => 1,
+            AttemptEnd::NotRun(_) | AttemptEnd::NotSent(_) => 0,
+        };
+    }
+
     /// Takes a resend if route, budget and time allow one.
     pub fn try_resend(&self, context: &RelayContext, request: &RelayedRequest, why: &str) -> bool {
         let now = Instant::now();
         let is_allowed = self.sent < request.route.max_attempts
+            && self.tried.len() < MOST_SERVERS
             && now + LEAST_ATTEMPT_TIME < request.deadline
             && context.budget().try_take(&request.service, now);
         if is_allowed {
@@ -320,17 +329,16 @@
         let is_last = attempts.is_next_last(&request.route);
         attempts.tried.push(choice.server.clone());
         let end = attempt::send(context, request, &choice, None, is_last).await;
+        attempts.count(&end);
         let retried = match end {
             AttemptEnd::NotSent(error) if error.delivery == Delivery::NotSent => {
-                attempts.tried.len() < MOST_UNREACHED
+                attempts.tried.len() < MOST_SERVERS
             }
             AttemptEnd::NotSent(_) => false,
             AttemptEnd::NotRun(reason) => {
-                attempts.sent += 1;
                 attempts.try_resend(context, request, &reason.to_string())
             }
             AttemptEnd::Unknown(error) => {
-                attempts.sent += 1;
                 let is_repeatable = request.route.repetition.is_repeatable();
                 if !is_repeatable || !attempts.try_resend(context, request, "unknown") {
                     return Err(unknown_refusal(request, &error));
@@ -338,7 +346,6 @@
                 true
             }
             AttemptEnd::Answered(received) => {
-                attempts.sent += 1;
                 match pass_on(context, request, &mut attempts, *received).await? {
                     Some(reply) => return Ok(reply),
                     None => true,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use smol::Timer;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,9 @@
 /// times the pause that callers accept, and less than the one after which they leave.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Time after which a server is looked for again that a broken stream can go on at.
+const CHOICE_RETRY: Duration = Duration::from_millis(40);
+
 /// Counts a request by its outcome.
 pub fn count(context: &RelayContext, request: &RelayedRequest, outcome: &str) {
     let (route, outcome) = (request.route.name.to_string(), outcome.to_owned());
@@ -195,10 +199,15 @@
 
     /// Sends the request to further servers until one goes on after `last_event_id`.
     async fn go_on(&mut self, last_event_id: Option<SmolStr>) -> bool {
-        while self.attempts.try_resend(&self.context, &self.request, "resume") {
+        let give_up_at = self.request.deadline.min(Instant::now() + STREAM_SILENCE);
+        while Instant::now() < give_up_at {
             let Ok(choice) = choose(&self.context, &self.request, &self.attempts).await else {
-                return false;
+                Timer::after(CHOICE_RETRY).await;
+                continue;
             };
+            if !self.attempts.try_resend(&self.context, &self.request, "resume") {
+                return false;
+            }
             if self.send_on(&choice, last_event_id.clone()).await {
                 return true;
             }
@@ -212,8 +221,8 @@
         }
         let is_last = self.attempts.is_next_last(&self.request.route);
         self.attempts.tried.push(choice.server.clone());
-        self.attempts.sent += 1;
         let end = attempt::send(&self.context, &self.request, choice, last_event_id, is_last).await;
+        self.attempts.count(&end);
         match end {
             AttemptEnd::Answered(answer) if answer.exchange.status.is_success() => {
                 self.answer = Some(*answer);
--- /dev/null
+++ b/tests/relay/admission.rs
@@ -0,0 +1,75 @@
+//! Pattern: an overload that lasts. Every server has more work than it can begin within the latency
+//! objective, so that without admission each request is answered, and each too late.
+
+use coriandertide::decision::relay::AdmissionRequest;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+const OBJECTIVE_MS: f64 = 400.0;
+const PATIENCE_MS: f64 = 5_000.0;
+const READ_MS: u64 = 100;
+
+fn request(remaining_ms: f64) -> AdmissionRequest {
+    AdmissionRequest { remaining_ms, patience_ms: PATIENCE_MS, objective_ms: OBJECTIVE_MS }
+}
+
+#[test]
+fn a_request_is_refused_once_it_cannot_be_on_time_and_told_when_there_is_room() {
+    let now = Instant::now();
+    let new = request(PATIENCE_MS);
+    assert_eq!(new.refused_until(300.0, now), None);
+    let retry_at = new.refused_until(600.0, now).unwrap();
+    let wait_ms = (retry_at - now).as_millis();
+    assert!((300..=600).contains(&wait_ms), "{wait_ms}");
+}
+
+#[test]
+fn a_caller_that_comes_back_is_served_behind_those_that_can_be_on_time() {
+    let now = Instant::now();
+    let returned = request(4_000.0);
+    assert!(returned.has_returned());
+    assert_eq!(returned.refused_until(1_500.0, now), None);
+    assert!(returned.refused_until(3_000.0, now).is_some());
+    assert_eq!((returned.priority(1), request(PATIENCE_MS).priority(1)), (2, 1));
+}
+
+#[test]
+fn a_request_with_little_time_left_is_refused_at_once() {
+    assert!(request(50.0).refused_until(100.0, Instant::now()).is_some());
+}
+
+/// One server at 130% load for 20 s: what share of all requests begins within the objective?
+fn on_time_share(admits: bool) -> f64 {
+    let start = Instant::now();
+    let mut free_at = 0_u64;
+    let mut arrivals: VecDeque<(u64, u64)> =
+        (0..260).map(|index| (index * 77, index * 77)).collect();
+    let (mut on_time, mut all) = (0, 0);
+    while let Some((at, first_at)) = arrivals.pop_front() {
+        let is_new = at == first_at;
+        all += u32::from(is_new);
+        let expected_ms = (free_at.saturating_sub(at) + READ_MS) as f64;
+        let asks = request(PATIENCE_MS - (at - first_at) as f64);
+        let now = start + Duration::from_millis(at);
+        match asks.refused_until(expected_ms, now).filter(|_| admits) {
+            Some(retry_at) if is_new => {
+                let back_at = at + (retry_at - now).as_millis() as u64;
+                let position = arrivals.partition_point(|(other, _)| *other <= back_at);
+                arrivals.insert(position, (back_at, first_at));
+            }
+            Some(_) => {}
+            None => {
+                free_at = free_at.max(at) + READ_MS;
+                on_time += u32::from((free_at - first_at) as f64 <= OBJECTIVE_MS);
+            }
+        }
+    }
+    f64::from(on_time) / f64::from(all)
+}
+
+#[test]
+fn under_lasting_overload_admission_keeps_most_answers_on_time() {
+    let (with, without) = (on_time_share(true), on_time_share(false));
+    assert!(without < 0.1, "{without}");
+    assert!(with > 0.45, "{with}");
+}
--- /dev/null
+++ b/tests/relay/choose.rs
@@ -0,0 +1,204 @@
+//! Where requests go: homes that all nodes agree on, spill under load, walls, and outdated weights.
+
+use super::fixture::*;
+use coriandertide::decision::relay::{ServerState, UnavailableReason, Wanted};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+#[test]
+fn nodes_in_all_zones_send_a_subject_to_one_home() {
+    let now = Instant::now();
+    for subject in 0..50 {
+        let homes: Vec<_> = ZONES
+            .iter()
+            .map(|_| choose(&fleet(12, 1), &long_prompt(subject, 1), now).server)
+            .collect();
+        assert!(homes.iter().all(|home| *home == homes[0]), "subject {subject}: {homes:?}");
+    }
+}
+
+#[test]
+fn subjects_are_spread_over_all_servers_but_those_of_long_runs() {
+    let now = Instant::now();
+    let fleet = fleet(12, 1);
+    let mut counts: BTreeMap<_, u32> = BTreeMap::new();
+    for subject in 0..600 {
+        *counts.entry(choose(&fleet, &long_prompt(subject, 1), now).server).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 11);
+    assert!(counts.values().all(|count| (25..110).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn long_runs_and_long_prompts_do_not_share_servers() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    // 46 runs of 290 tokens a second keep about four servers busy.
+    fleet.long_tokens.set_partner("other".into(), 46.0 * 290.0, now);
+    let runs: Vec<_> = (0..100).map(|i| choose(&fleet, &long_run(i, i), now).server).collect();
+    let prompts: Vec<_> =
+        (0..100).map(|i| choose(&fleet, &long_prompt(i, i), now).server).collect();
+    assert!(runs.iter().all(|server| !prompts.contains(server)));
+    let servers: std::collections::BTreeSet<_> = runs.iter().collect();
+    assert!((2..=6).contains(&servers.len()), "{servers:?}");
+}
+
+#[test]
+fn a_hot_subject_spills_to_the_next_home_which_fetches_from_the_first() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let prompt = long_prompt(7, 1);
+    let home = choose(&fleet, &prompt, now);
+    let keys = &home.prompt.as_ref().unwrap().keys;
+    fleet.kept.add_held(keys, &home.server, now);
+    load(&mut fleet, &home.server, 20_000, now);
+    let spill = choose(&fleet, &prompt, now);
+    assert_ne!(spill.server, home.server);
+    let spill = spill.prompt.unwrap();
+    assert_eq!(spill.fetch_from, Some(home.address));
+}
+
+#[test]
+fn a_short_queue_at_the_home_costs_less_than_reading_again_elsewhere() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let prompt = long_prompt(7, 1);
+    let home = choose(&fleet, &prompt, now);
+    fleet.kept.add_held(&home.prompt.as_ref().unwrap().keys, &home.server, now);
+    load(&mut fleet, &home.server, 2_000, now);
+    assert_eq!(choose(&fleet, &prompt, now).server, home.server);
+}
+
+#[test]
+fn before_the_store_has_a_preamble_one_server_reads_it_for_all() {
+    let now = Instant::now();
+    let fleet = with_store(fleet(12, 1), now);
+    let servers: std::collections::BTreeSet<_> =
+        (0..50).map(|subject| choose(&fleet, &long_prompt(subject, 1), now).server).collect();
+    assert_eq!(servers.len(), 1);
+}
+
+#[test]
+fn what_the_store_has_is_fetched_as_far_as_its_link_allows() {
+    let now = Instant::now();
+    let mut fleet = with_store(fleet(12, 1), now);
+    let prompt = long_prompt(7, 1);
+    let first = choose(&fleet, &prompt, now).prompt.unwrap();
+    assert!(first.save_to.is_some());
+    fleet.kept.add_stored(&first.keys, now);
+    let fetching = choose(&fleet, &prompt, now).prompt.unwrap();
+    assert!(fetching.fetch_from.is_some() && fetching.fetch_s > 0.0);
+    fleet.kv_store.as_mut().unwrap().take(10.0, 0.0, now);
+    let mut elsewhere = choose(&fleet, &prompt, now).prompt.unwrap();
+    assert_eq!(elsewhere.fetch_s, 0.0);
+    elsewhere = choose(&fleet, &prompt, now + ms(20_000)).prompt.unwrap();
+    assert!(elsewhere.fetch_s > 0.0);
+}
+
+#[test]
+fn cache_names_differ_by_weights_and_by_wall() {
+    let now = Instant::now();
+    let prompt = long_prompt(7, 1);
+    let salt = |weights, wall| {
+        let fleet = fleet(3, weights);
+        let wanted = Wanted { wall, ..wanted(&prompt) };
+        fleet.choose(wanted, now).unwrap().prompt.unwrap().cache_salt
+    };
+    let salts = [salt(1, None), salt(2, None), salt(1, Some("a")), salt(1, Some("b"))];
+    let distinct: std::collections::BTreeSet<_> = salts.iter().collect();
+    assert_eq!(distinct.len(), salts.len(), "{salts:?}");
+    assert_eq!(salt(1, None), salts[0]);
+}
+
+#[test]
+fn outdated_weights_are_used_while_fresh_then_avoided_then_refused() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1);
+    fleet.set_target(MODEL, 2, now);
+    // A later revision does not give servers that are two behind more time.
+    fleet.set_target(MODEL, 3, now + ms(4_000));
+    let prompt = long_prompt(7, 1);
+    assert!(fleet.choose(wanted(&prompt), now + ms(5_000)).is_ok());
+    let refused = fleet.choose(wanted(&prompt), now + ms(6_100)).unwrap_err();
+    assert_eq!(refused.reason, UnavailableReason::OutdatedWeights);
+    fleet.set_weights(&"s1".into(), &MODEL, 3);
+    assert_eq!(choose(&fleet, &prompt, now + ms(6_100)).server, "s1");
+    assert_eq!(choose(&fleet, &prompt, now + ms(2_000)).server, "s1");
+}
+
+#[test]
+fn closed_draining_and_tried_servers_get_nothing() {
+    let now = Instant::now();
+    let mut fleet = fleet(4, 1);
+    let mut draining = entry(0, 1);
+    draining.state = ServerState::Draining;
+    fleet.set_entry(draining);
+    fleet.server_mut(&"s1".into()).unwrap().close_until(now + ms(500), false);
+    let prompt = long_prompt(7, 1);
+    let tried = ["s2".into()];
+    let wanted = Wanted { tried: &tried, ..wanted(&prompt) };
+    assert_eq!(fleet.choose(wanted, now).unwrap().server, "s3");
+    fleet.server_mut(&"s3".into()).unwrap().close_until(now + ms(300), false);
+    let refused = fleet.choose(wanted, now).unwrap_err();
+    assert_eq!((refused.reason, refused.retry_at), (UnavailableReason::Closed, now + ms(300)));
+}
+
+#[test]
+fn a_vanished_server_serves_only_while_nobody_else_can_and_not_for_long() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1);
+    fleet.remove_entry(&"s0".into(), now);
+    let prompt = long_prompt(7, 1);
+    assert_eq!(choose(&fleet, &prompt, now).server, "s1");
+    fleet.remove_entry(&"s1".into(), now);
+    assert!(fleet.choose(wanted(&prompt), now + ms(1_500)).is_ok());
+    let refused = fleet.choose(wanted(&prompt), now + ms(1_800)).unwrap_err();
+    assert_eq!(refused.reason, UnavailableReason::NoServer);
+    fleet.set_entry(entry(1, 1));
+    assert_eq!(choose(&fleet, &prompt, now + ms(1_800)).server, "s1");
+}
+
+#[test]
+fn a_draining_server_that_vanishes_is_gone_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(1, 1);
+    let mut draining = entry(0, 1);
+    draining.state = ServerState::Draining;
+    fleet.set_entry(draining);
+    fleet.remove_entry(&"s0".into(), now);
+    assert!(fleet.server(&"s0".into()).is_none());
+}
+
+#[test]
+fn plain_calls_go_to_the_emptiest_server_and_are_refused_when_all_queues_are_full() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1);
+    for index in 0..2 {
+        let mut plain = entry(index, 1);
+        plain.slots = 6;
+        fleet.set_entry(plain);
+    }
+    let wanted = Wanted { service: &SERVICE, prompt: None, wall: None, priority: 2, tried: &[] };
+    let mut attempts = 0;
+    let mut counts: BTreeMap<_, u32> = BTreeMap::new();
+    while let Ok(choice) = fleet.choose(wanted, now) {
+        attempts += 1;
+        fleet.begin(&choice.server, attempts, choice.load, now);
+        *counts.entry(choice.server).or_default() += 1;
+    }
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [24, 24]);
+    fleet.server_mut(&"s0".into()).unwrap().health.note_heard(now);
+}
+
+#[test]
+fn a_server_that_fails_most_of_its_calls_is_avoided_and_tried_again_later() {
+    let now = Instant::now();
+    let mut fleet = fleet(3, 1);
+    let wanted = Wanted { service: &SERVICE, prompt: None, wall: None, priority: 2, tried: &[] };
+    let near = fleet.choose(wanted, now).unwrap().server;
+    for _ in 0..5 {
+        fleet.server_mut(&near).unwrap().health.note_outcome(false, 0.0, now);
+    }
+    assert_ne!(fleet.choose(wanted, now).unwrap().server, near);
+    assert_eq!(fleet.choose(wanted, now + ms(30_000)).unwrap().server, near);
+}
--- /dev/null
+++ b/tests/relay/fixture.rs
@@ -0,0 +1,95 @@
+//! Servers and prompts that the tests share.
+
+use coriandertide::decision::relay::configuration::KvCacheStore;
+use coriandertide::decision::relay::server::ServerLoad;
+use coriandertide::decision::relay::{
+    Choice, Fleet, Prompt, PromptPart, ServerEntry, ServerState, StoreLink, Wanted,
+};
+use smol_str::{SmolStr, format_smolstr};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+pub static SERVICE: SmolStr = SmolStr::new_static("models");
+pub const MODEL: SmolStr = SmolStr::new_static("m");
+pub const ZONES: [&str; 3] = ["north", "centre", "south"];
+const TOKEN_BYTES: u64 = 192_512;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn entry(index: u16, weights: u64) -> ServerEntry {
+    ServerEntry {
+        id: format_smolstr!("s{index}"),
+        service: SERVICE.clone(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index)),
+        availability_zone: ZONES[usize::from(index) % ZONES.len()].into(),
+        slots: 48,
+        state: ServerState::Ready,
+        started_unix_ms: Some(1),
+        weights: [(MODEL, weights)].into(),
+    }
+}
+
+pub fn fleet(servers: u16, weights: u64) -> Fleet {
+    let mut fleet = Fleet::new(ZONES[0].into());
+    (0..servers).for_each(|index| fleet.set_entry(entry(index, weights)));
+    fleet.set_kv_capacity(SERVICE.clone(), 115_000);
+    fleet
+}
+
+pub fn with_store(mut fleet: Fleet, now: Instant) -> Fleet {
+    let store = KvCacheStore {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        availability_zone: ZONES[1].into(),
+        link_mbit_per_s: 470_000.0,
+    };
+    fleet.kv_store = Some(StoreLink::new(store, TOKEN_BYTES, 1, now));
+    fleet
+}
+
+/// A long prompt about `subject` with a short answer.
+pub fn long_prompt(subject: u64, request: u64) -> Prompt {
+    let part = |id: SmolStr, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: MODEL,
+        prompt_tokens: 9_190,
+        output_tokens: 208,
+        output_estimate_tokens: Some(52),
+        parts: vec![
+            part("preamble".into(), 2_520),
+            part(format_smolstr!("subject-{subject}"), 3_780),
+            part(format_smolstr!("request-{request}"), 2_890),
+        ],
+    }
+}
+
+/// A short prompt with a long answer.
+pub fn long_run(subject: u64, request: u64) -> Prompt {
+    let part = |id: SmolStr, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: MODEL,
+        prompt_tokens: 826,
+        output_tokens: 828,
+        output_estimate_tokens: Some(290),
+        parts: vec![
+            part(format_smolstr!("note-{subject}"), 198),
+            part(format_smolstr!("request-{request}"), 628),
+        ],
+    }
+}
+
+pub fn wanted(prompt: &Prompt) -> Wanted<'_> {
+    Wanted { service: &SERVICE, prompt: Some(prompt), wall: None, priority: 1, tried: &[] }
+}
+
+pub fn choose(fleet: &Fleet, prompt: &Prompt, now: Instant) -> Choice {
+    fleet.choose(wanted(prompt), now).unwrap()
+}
+
+/// Puts `tokens` of unread prompts on a server, as a partner's load.
+pub fn load(fleet: &mut Fleet, server: &SmolStr, tokens: u32, now: Instant) {
+    let unread_tokens = coriandertide::decision::relay::server::UnreadTokens::new(1, tokens);
+    let load = ServerLoad { requests: 1, unread_tokens, ..ServerLoad::default() };
+    fleet.set_partner_loads(&"partner".into(), &[(server.clone(), load)], now);
+}
--- /dev/null
+++ b/tests/relay/lease.rs
@@ -0,0 +1,85 @@
+//! The register lease: two nodes never hold it at once, whatever is lost or late.
+
+use super::proptest_config;
+use coriandertide::decision::relay::RegisterLease;
+use coriandertide::decision::relay::register_lease::RegisterRecord;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const LEASE_MS: u64 = 3_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A node reads the register.
+    Read(usize),
+    /// A node tries to replace the record; the answer may be lost.
+    Replace(usize, bool),
+    /// Time passes.
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0_usize..3).prop_map(Step::Read),
+        ((0_usize..3), any::<bool>()).prop_map(|(node, lost)| Step::Replace(node, lost)),
+        (0_u64..2_500).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest_config(0x1ea5))]
+
+    #[test]
+    fn at_most_one_node_holds_the_lease(steps in prop::collection::vec(step(), 1..80)) {
+        let mut now = Instant::now();
+        let name = |node: usize| format!("n{node}").into();
+        let mut nodes: Vec<_> =
+            (0..3).map(|node| RegisterLease::new(name(node), LEASE_MS)).collect();
+        let mut register = RegisterRecord { number: 0, holder: "".into() };
+        let mut numbers = Vec::new();
+        for step in steps {
+            match step {
+                Step::Read(node) => nodes[node].observe(register.clone(), now),
+                Step::Replace(node, is_lost) => {
+                    let number = nodes[node].replaceable(now);
+                    if number == Some(register.number) {
+                        register = RegisterRecord { number: register.number + 1, holder: name(node) };
+                        numbers.push(register.number);
+                        if !is_lost {
+                            nodes[node].take(register.number, now);
+                        }
+                    }
+                }
+                Step::Wait(wait_ms) => now += Duration::from_millis(wait_ms),
+            }
+            let held: Vec<_> = nodes.iter().filter_map(|node| node.held(now)).collect();
+            prop_assert!(held.len() <= 1, "{held:?}");
+        }
+        prop_assert!(numbers.is_sorted());
+    }
+}
+
+#[test]
+fn a_successor_waits_until_the_lease_must_have_lapsed() {
+    let now = Instant::now();
+    let mut lease = RegisterLease::new("b".into(), LEASE_MS);
+    lease.observe(RegisterRecord { number: 4, holder: "a".into() }, now);
+    assert_eq!(lease.replaceable(now + Duration::from_millis(LEASE_MS)), None);
+    assert_eq!(lease.replaceable(now + Duration::from_millis(LEASE_MS + 300)), Some(4));
+}
+
+#[test]
+fn a_holder_renews_keeps_and_drops_its_lease() {
+    let now = Instant::now();
+    let mut lease = RegisterLease::new("a".into(), LEASE_MS);
+    lease.observe(RegisterRecord { number: 0, holder: "".into() }, now);
+    assert_eq!(lease.replaceable(now), Some(0));
+    lease.take(1, now);
+    assert!(!lease.is_renewal_due(now + Duration::from_millis(1_000)));
+    assert!(lease.is_renewal_due(now + Duration::from_millis(1_500)));
+    assert_eq!(lease.held(now + Duration::from_millis(2_999)), Some(1));
+    assert_eq!(lease.held(now + Duration::from_millis(3_000)), None);
+    lease.take(2, now);
+    lease.observe(RegisterRecord { number: 3, holder: "b".into() }, now);
+    assert_eq!(lease.held(now), None);
+}
--- /dev/null
+++ b/tests/relay/replica.rs
@@ -0,0 +1,105 @@
+//! Records come late, twice, out of order, from the store and from partners; all replicas end alike.
+
+use super::proptest_config;
+use bytes::Bytes;
+use coriandertide::decision::relay::replica::TopicListing;
+use coriandertide::decision::relay::{KeyedRecord, RecordTopic, Replica};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const TOPIC: RecordTopic = RecordTopic::Servers;
+
+fn record(offset: u64, key: u8, deleted: bool) -> KeyedRecord {
+    let value = (!deleted).then(|| Bytes::from(offset.to_string()));
+    KeyedRecord { topic: TOPIC, key: format!("k{key}").into(), offset, value }
+}
+
+fn newest(log: &[KeyedRecord]) -> BTreeMap<String, Option<Bytes>> {
+    log.iter().map(|record| (record.key.to_string(), record.value.clone())).collect()
+}
+
+fn listing(log: &[KeyedRecord]) -> TopicListing {
+    let mut keys: BTreeMap<_, KeyedRecord> = BTreeMap::new();
+    for record in log {
+        keys.insert(record.key.clone(), record.clone());
+    }
+    keys.retain(|_, record| record.value.is_some());
+    TopicListing { records: keys.into_values().collect(), end: log.len() as u64 }
+}
+
+fn live(replica: &Replica) -> BTreeMap<String, Option<Bytes>> {
+    let part = replica.part(TOPIC, None).unwrap();
+    let records = part.records.into_iter().filter(|record| record.value.is_some());
+    records.map(|record| (record.key.to_string(), record.value)).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    List(usize),
+    Read(usize),
+    FromPartner,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (0_usize..=100).prop_map(Step::List),
+        (0_usize..=100).prop_map(Step::Read),
+        Just(Step::FromPartner),
+    ];
+    prop::collection::vec(step, 1..12)
+}
+
+proptest! {
+    #![proptest_config(proptest_config(0x4e91))]
+
+    #[test]
+    fn replicas_agree_whichever_way_records_come(
+        log in prop::collection::vec((0_u8..6, any::<bool>()), 1..40),
+        steps in steps(),
+    ) {
+        let log: Vec<KeyedRecord> = log
+            .into_iter()
+            .enumerate()
+            .map(|(offset, (key, deleted))| record(offset as u64, key, deleted))
+            .collect();
+        let upto = |percent: usize| log.len() * percent / 100;
+        let (mut own, mut partner) = (Replica::default(), Replica::default());
+        for step in steps {
+            match step {
+                // A listing may show an older state than one read before.
+                Step::List(percent) => {
+                    own.apply_listing(TOPIC, listing(&log[..upto(percent)]));
+                }
+                Step::Read(percent) => {
+                    if let Some(known_below) = own.known_below(TOPIC) {
+                        let from = known_below as usize;
+                        let to = upto(percent).max(from);
+                        own.apply_records(TOPIC, log[from..to].to_vec(), to as u64);
+                    }
+                }
+                Step::FromPartner => {
+                    if let Some(part) = own.part(TOPIC, partner.known_below(TOPIC)) {
+                        partner.apply_part(part);
+                        prop_assert_eq!(live(&partner), live(&own));
+                    }
+                }
+            }
+        }
+        own.apply_listing(TOPIC, listing(&log));
+        let expected: BTreeMap<_, _> =
+            newest(&log).into_iter().filter(|(_, value)| value.is_some()).collect();
+        prop_assert_eq!(live(&own), expected);
+    }
+}
+
+#[test]
+fn a_part_of_a_part_does_not_pass_for_the_whole() {
+    let mut own = Replica::default();
+    own.apply_listing(TOPIC, listing(&[record(0, 1, false), record(1, 2, false)]));
+    let mut part = own.part(TOPIC, None).unwrap();
+    part.records.truncate(1);
+    part.from = Some(u64::MAX);
+    let mut partner = Replica::default();
+    assert_eq!(partner.apply_part(part).len(), 1);
+    assert_eq!(partner.known_below(TOPIC), None);
+}
--- /dev/null
+++ b/tests/relay/resend.rs
@@ -0,0 +1,48 @@
+//! All nodes together never send more requests once more than the site allows, in any window.
+
+use super::proptest_config;
+use coriandertide::decision::relay::ResendBudget;
+use coriandertide::decision::relay::resend::ResendSettings;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+proptest! {
+    #![proptest_config(proptest_config(0xb0d6))]
+
+    #[test]
+    fn no_window_holds_more_resends_than_allowed(
+        events in prop::collection::vec((0_u64..60, 0_usize..6, 0_u32..3), 1..900),
+    ) {
+        let settings = ResendSettings { ratio: 0.2, slack: 52.0, window_ms: 10_000 };
+        let start = Instant::now();
+        let mut budgets = vec![ResendBudget::new(settings, 6); 6];
+        let (mut firsts, mut resends, mut at) = (Vec::new(), Vec::new(), 0);
+        for (pause, node, wants) in events {
+            at += pause;
+            let now = start + Duration::from_millis(at);
+            budgets[node].count_first(&"s".into(), now);
+            firsts.push(at);
+            for _ in 0..wants {
+                if budgets[node].try_take(&"s".into(), now) {
+                    resends.push(at);
+                }
+            }
+        }
+        for end in &resends {
+            let is_within = |at: &&u64| **at <= *end && **at + 10_000 > *end;
+            let allowed = 0.2 * firsts.iter().filter(is_within).count() as f64 + 52.0;
+            prop_assert!(resends.iter().filter(is_within).count() as f64 <= allowed);
+        }
+    }
+}
+
+#[test]
+fn a_quiet_node_can_send_once_more() {
+    let settings = ResendSettings { ratio: 0.2, slack: 52.0, window_ms: 10_000 };
+    let mut budget = ResendBudget::new(settings, 6);
+    let now = Instant::now();
+    let taken = (0..20).filter(|_| budget.try_take(&"s".into(), now)).count();
+    assert_eq!(taken, 6);
+    assert!(budget.try_take(&"other".into(), now));
+    assert!(budget.try_take(&"s".into(), now + Duration::from_millis(10_000)));
+}
--- /dev/null
+++ b/tests/relay/rollout.rs
@@ -0,0 +1,262 @@
+//! Rollouts in a world of servers that load, wait for runs, lose orders and carry them out late.
+
+use super::fixture::ms;
+use coriandertide::decision::relay::rollout::{
+    Rollout, RolloutCommand, RolloutServer, RolloutSettings, RunPolicy, WeightsOrderOutcome,
+    WeightsReport,
+};
+use coriandertide::types::ServerId;
+use smol_str::format_smolstr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+const LOAD_MS: u64 = 420;
+const REPORT_LAG_MS: u64 = 200;
+
+/// Server of the world; a load takes longer while more than two run.
+#[derive(Clone, Debug)]
+struct WorldServer {
+    revision: u64,
+    accepted_orders: u64,
+    runs_end_at: Instant,
+    load: Option<(Instant, u64)>,
+    closed_since: Option<Instant>,
+    history: Vec<(Instant, u64, u64, bool)>,
+    late_orders: Vec<(Instant, u64, u64)>,
+    is_dark: bool,
+    rejected_ms: u64,
+}
+
+struct World {
+    start: Instant,
+    servers: BTreeMap<ServerId, WorldServer>,
+    closed: BTreeSet<ServerId>,
+    most_closed: usize,
+    believed: BTreeMap<ServerId, u64>,
+    ordered: u32,
+    lose_every: Option<u32>,
+    keeps: u32,
+}
+
+impl World {
+    fn new(count: u16, start: Instant) -> Self {
+        let server = WorldServer {
+            revision: 1,
+            accepted_orders: 0,
+            runs_end_at: start,
+            load: None,
+            closed_since: None,
+            history: vec![(start, 1, 0, false)],
+            late_orders: Vec::new(),
+            is_dark: false,
+            rejected_ms: 0,
+        };
+        let ids = (0..count).map(|index| format_smolstr!("s{index}"));
+        let servers: BTreeMap<_, _> = ids.map(|id| (id, server.clone())).collect();
+        Self {
+            start,
+            believed: servers.keys().map(|id| (id.clone(), 1)).collect(),
+            servers,
+            closed: BTreeSet::new(),
+            most_closed: 0,
+            ordered: 0,
+            lose_every: None,
+            keeps: 0,
+        }
+    }
+
+    fn accept(server: &mut WorldServer, revision: u64, expected: u64, now: Instant) -> bool {
+        if server.accepted_orders != expected || server.load.is_some() {
+            return false;
+        }
+        server.accepted_orders += 1;
+        server.load = Some((server.runs_end_at.max(now) + ms(LOAD_MS), revision));
+        true
+    }
+
+    fn advance(&mut self, now: Instant) {
+        for (id, server) in &mut self.servers {
+            let due: Vec<_> =
+                server.late_orders.iter().copied().filter(|(at, ..)| *at <= now).collect();
+            server.late_orders.retain(|(at, ..)| *at > now);
+            for (_, revision, expected) in due {
+                Self::accept(server, revision, expected, now);
+            }
+            if let Some((at, revision)) = server.load
+                && now >= at
+            {
+                server.revision = revision;
+                server.load = None;
+            }
+            // An open server has a run that lasts half a second; a closed one loses it.
+            if self.closed.contains(id) {
+                server.closed_since.get_or_insert(now);
+            } else {
+                server.closed_since = None;
+                server.runs_end_at = now + ms(500);
+                if server.load.is_some() {
+                    server.rejected_ms += 5;
+                }
+            }
+            let state = (now, server.revision, server.accepted_orders, server.load.is_some());
+            server.history.push(state);
+        }
+        self.most_closed = self.most_closed.max(self.closed.len());
+    }
+
+    fn view(&self, revision: u64, now: Instant) -> Vec<RolloutServer> {
+        let live = self.servers.iter().filter(|(_, server)| !server.is_dark);
+        live.map(|(id, server)| RolloutServer {
+            id: id.clone(),
+            revision: self.believed[id],
+            requests: u32::from(now < server.runs_end_at),
+            outdated_since: (self.believed[id] < revision).then_some(self.start),
+        })
+        .collect()
+    }
+
+    fn report(&self, id: &ServerId, now: Instant) -> Option<WeightsReport> {
+        let server = &self.servers[id];
+        if server.is_dark {
+            return None;
+        }
+        let lagging = now.checked_sub(ms(REPORT_LAG_MS)).unwrap_or(self.start);
+        let (_, revision, accepted_orders, is_busy) = *server
+            .history
+            .iter()
+            .rev()
+            .find(|(at, ..)| *at <= lagging)
+            .unwrap_or(&server.history[0]);
+        Some(WeightsReport { weights: [("m".into(), revision)].into(), is_busy, accepted_orders })
+    }
+
+    /// Plays `length` of the rollout; returns when all servers that answer hold `revision`.
+    fn play(&mut self, rollout: &mut Rollout, revision: u64, length: Duration) -> Option<Duration> {
+        let mut done_at = None;
+        let mut now = self.start;
+        while now < self.start + length {
+            self.advance(now);
+            let view = self.view(revision, now);
+            let mut queue = rollout.tick(&view, now);
+            while let Some(command) = (!queue.is_empty()).then(|| queue.remove(0)) {
+                queue.extend(self.carry_out(rollout, command, now));
+            }
+            let live = self.servers.values().filter(|server| !server.is_dark);
+            let all_changed = live.clone().all(|server| server.revision >= revision);
+            if all_changed && self.closed.is_empty() {
+                done_at.get_or_insert(now - self.start);
+            }
+            now += ms(5);
+        }
+        done_at
+    }
+
+    fn carry_out(
+        &mut self,
+        rollout: &mut Rollout,
+        command: RolloutCommand,
+        now: Instant,
+    ) -> Vec<RolloutCommand> {
+        match command {
+            RolloutCommand::Close(id) => {
+                self.closed.insert(id);
+                Vec::new()
+            }
+            RolloutCommand::Evict(id) => {
+                self.servers.get_mut(&id).unwrap().runs_end_at = now;
+                Vec::new()
+            }
+            RolloutCommand::Report(id) => {
+                let report = self.report(&id, now);
+                rollout.reported(&id, report.as_ref(), now)
+            }
+            RolloutCommand::Order { server: id, accepted_orders, runs } => {
+                self.ordered += 1;
+                self.keeps += u32::from(runs == RunPolicy::Keep);
+                let revision = rollout.revision();
+                let is_lost = self.lose_every.is_some_and(|every| self.ordered % every == 0);
+                let server = self.servers.get_mut(&id).unwrap();
+                if is_lost {
+                    server.late_orders.push((now + ms(3_000), revision, accepted_orders));
+                    return rollout.ordered(&id, WeightsOrderOutcome::Unknown, now);
+                }
+                let accepted = Self::accept(server, revision, accepted_orders, now);
+                let outcome = if accepted {
+                    WeightsOrderOutcome::Accepted
+                } else {
+                    WeightsOrderOutcome::Conflict
+                };
+                rollout.ordered(&id, outcome, now)
+            }
+            RolloutCommand::Finish { server, revision } => {
+                self.closed.remove(&server);
+                self.believed.insert(server, revision);
+                Vec::new()
+            }
+            RolloutCommand::GiveUp(id) => {
+                self.closed.remove(&id);
+                Vec::new()
+            }
+        }
+    }
+}
+
+fn rollout() -> Rollout {
+    Rollout::new(RolloutSettings::default(), "m".into(), 2)
+}
+
+#[test]
+fn twelve_servers_change_within_four_seconds_and_a_third_stays_closed_at_most() {
+    let mut world = World::new(12, Instant::now());
+    let took = world.play(&mut rollout(), 2, ms(8_000)).unwrap();
+    assert!(took < ms(4_000), "{took:?}");
+    assert!(world.most_closed <= 4, "{}", world.most_closed);
+    assert_eq!((world.ordered, world.keeps), (12, 0));
+}
+
+#[test]
+fn a_single_server_changes_too() {
+    let mut world = World::new(1, Instant::now());
+    assert!(world.play(&mut rollout(), 2, ms(4_000)).is_some());
+}
+
+#[test]
+fn no_open_server_loads_unless_an_order_comes_late() {
+    let mut world = World::new(12, Instant::now());
+    world.play(&mut rollout(), 2, ms(8_000));
+    let rejected: u64 = world.servers.values().map(|server| server.rejected_ms).sum();
+    assert_eq!(rejected, 0);
+}
+
+/// Pattern: workers leave half of the orders unanswered and carry them out seconds later.
+#[test]
+fn lost_and_late_orders_end_in_the_newest_weights_everywhere() {
+    let mut world = World::new(12, Instant::now());
+    world.lose_every = Some(2);
+    let took = world.play(&mut rollout(), 2, ms(12_000)).unwrap();
+    assert!(took < ms(8_000), "{took:?}");
+    assert!(world.servers.values().all(|server| server.revision == 2));
+}
+
+/// Pattern: a quarter of the servers is dark; they must not hold the places of the others.
+#[test]
+fn dark_servers_do_not_hold_up_the_others() {
+    let mut world = World::new(12, Instant::now());
+    for index in 0..3 {
+        world.servers.get_mut(&format_smolstr!("s{index}")).unwrap().is_dark = true;
+    }
+    let took = world.play(&mut rollout(), 2, ms(8_000)).unwrap();
+    assert!(took < ms(4_000), "{took:?}");
+}
+
+#[test]
+fn a_revision_named_meanwhile_replaces_the_one_under_way() {
+    let mut world = World::new(12, Instant::now());
+    let mut rollout = rollout();
+    assert_eq!(world.play(&mut rollout, 9, ms(1_000)), None);
+    rollout.retarget(3);
+    world.start += ms(1_000);
+    let took = world.play(&mut rollout, 3, ms(8_000)).unwrap();
+    assert!(took < ms(6_000), "{took:?}");
+    assert!(world.servers.values().all(|server| server.revision == 3));
+}
