--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -60,7 +60,7 @@
     let partners = Partners::new(&context, instance.clone(), partner_address, now);
     let identity: Rc<RefCell<Identity>> = partners.identity();
     let kv_store = Rc::new(Cell::new(None));
-    let state = ControlState {
+    let mut state = ControlState {
         rollout: RolloutControl::new(instance, context.settings.rollout_lease_ms),
         replica: Replica::default(),
         partners,
@@ -71,6 +71,8 @@
         executor,
         context: Arc::clone(&context),
     };
+    // The seeds alone may be reachable while the store is not.
+    state.apply_announced(&[], now);
     follow::start(&state, partner_address);
     state.spawn(partners::listen(Arc::clone(&context), identity, listener));
     state.spawn(kv_store::watch(context, kv_store));
