feat(relay): nodes reckon with what others send to the same server in the same moment

Cause: a server that opened after its change looked empty to six nodes for a tenth of a second, and each sent it what it could begin in time, two seconds of work together; callers leave a stream after two. The test fails without it (64,330 tokens sent to one server, 60,000 allowed).

--- a/src/decision/relay/admission.rs
+++ b/src/decision/relay/admission.rs
@@ -15,6 +15,10 @@
 /// Part of the time at first from which a request counts as one that comes back.
 const RETURNED_PART: f64 = 0.95;
 
+/// Milliseconds of work ahead beyond which no request is sent: callers leave a stream that has not
+/// begun after two seconds.
+const LONGEST_EXPECTED_MS: f64 = 1_500.0;
+
 /// Longest time after which a refused caller is asked to come back.
 const LONGEST_RETRY_MS: f64 = 1_500.0;
 
@@ -47,7 +51,7 @@
     /// must not get the request, none if it may.
     pub fn refused_until(&self, expected_ms: f64, now: Instant) -> Option<Instant> {
         let limit_ms = if self.has_returned() {
-            self.remaining_ms * REMAINING_PART
+            (self.remaining_ms * REMAINING_PART).min(LONGEST_EXPECTED_MS)
         } else {
             (self.objective_ms * NEW_OBJECTIVE_PART).min(self.remaining_ms * REMAINING_PART)
         };
--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -403,7 +403,8 @@
         now: Instant,
     ) -> f64 {
         let ahead = server.total_load(now).unread_tokens.ahead_of(priority);
-        let mut expected_ms = f64::from(ahead + plan.unread_tokens) / READ_TOKENS_PER_MS;
+        let ahead = f64::from(ahead) + server.herd_tokens(now);
+        let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
         if plan.fetched_tokens > 0 {
             let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
             expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -157,17 +157,17 @@
         server.weights.insert(model.clone(), probable);
     }
 
-    /// Sets the loads that a partner has at the servers.
+    /// Sets the loads that a partner has at the servers; at those not named it has none.
     pub fn set_partner_loads(
         &mut self,
         partner: &InstanceId,
         loads: &[(ServerId, ServerLoad)],
         now: Instant,
     ) {
-        for (id, load) in loads {
-            if let Some(server) = self.servers.get_mut(id) {
-                server.set_partner_load(partner.clone(), *load, now);
-            }
+        for server in self.servers.values_mut() {
+            let told = loads.iter().find(|(id, _)| *id == server.entry.id);
+            let load = told.map(|(_, load)| *load).unwrap_or_default();
+            server.set_partner_load(partner.clone(), load, now);
         }
     }
 
@@ -180,7 +180,7 @@
     /// Takes in that a request with `load` is sent to a server.
     pub fn begin(&mut self, id: &ServerId, attempt: u64, load: ServerLoad, now: Instant) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.own_load.add(load);
+            server.add_own(load, now);
             server.health.note_sent(attempt, now);
         }
     }
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -12,6 +12,13 @@
 /// server can take: entries that lapse in an outage of the list are back within two seconds.
 const VANISHED_GRACE: Duration = Duration::from_millis(1_700);
 
+/// Time after which a partner's count shows what this node's requests went along with: nodes tell
+/// their loads several times as often as that.
+const HERD_PERIOD: Duration = Duration::from_millis(150);
+
+/// Part of this node's newest requests that each other node is taken to have sent as well.
+const HERD_PART: f64 = 0.7;
+
 /// Time for which a partner's count of its requests holds.
 const PARTNER_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -119,6 +126,8 @@
     /// Hash of the id, for rendezvous.
     pub id_hash: u64,
     partner_loads: BTreeMap<InstanceId, (ServerLoad, Instant)>,
+    newest_tokens: f64,
+    newest_at: Option<Instant>,
     vanished_until: Option<Instant>,
     closed_until: Option<Instant>,
     evicted_until: Option<Instant>,
@@ -135,6 +144,8 @@
             health: Health::default(),
             own_load: ServerLoad::default(),
             partner_loads: BTreeMap::new(),
+            newest_tokens: 0.0,
+            newest_at: None,
             vanished_until: None,
             closed_until: None,
             evicted_until: None,
@@ -211,6 +222,27 @@
         self.partner_loads.insert(partner, (load, now + PARTNER_LOAD_LIFETIME));
     }
 
+    /// Takes in that this node sends a request.
+    pub fn add_own(&mut self, load: ServerLoad, now: Instant) {
+        self.own_load.add(load);
+        let tokens = load.unread_tokens.ahead_of(u8::MAX);
+        self.newest_tokens = self.decayed_newest(now) + f64::from(tokens);
+        self.newest_at = Some(now);
+    }
+
+    /// Returns the tokens that other nodes have probably sent to this server besides what they
+    /// told: they see the same server as the best one at the same time.
+    pub fn herd_tokens(&self, now: Instant) -> f64 {
+        let others = self.partner_loads.values().filter(|(_, until)| now < *until).count();
+        self.decayed_newest(now) * others as f64 * HERD_PART
+    }
+
+    fn decayed_newest(&self, now: Instant) -> f64 {
+        let Some(newest_at) = self.newest_at else { return 0.0 };
+        let age = now.saturating_duration_since(newest_at);
+        self.newest_tokens * (-age.as_secs_f64() / HERD_PERIOD.as_secs_f64()).exp()
+    }
+
     /// Returns the load of all nodes as far as it is known.
     pub fn total_load(&self, now: Instant) -> ServerLoad {
         let mut total = self.own_load;
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -74,7 +74,7 @@
 /// Requests of a node at backend servers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayLoad {
-    /// Load at each server that has some, or had some in the message before.
+    /// Load at each server that has some.
     pub loads: Vec<(ServerId, ServerLoad)>,
     /// Prefixes saved to the store of kept KV cache since the message before.
     pub stored: Vec<PrefixKey>,
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -30,7 +30,7 @@
 const LINK_QUEUE: usize = 64;
 
 /// Period in which a node tells its partners of its load.
-const LOAD_PERIOD: Duration = Duration::from_millis(200);
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
 
 /// Period while a rollout waits for requests to end.
 const ROLLOUT_LOAD_PERIOD: Duration = Duration::from_millis(50);
@@ -308,7 +308,7 @@
 
     /// Tells partners of this node's requests at the servers.
     pub(super) fn send_load(&mut self, now: Instant) {
-        let (mut loads, stored, long_tokens_per_s) = {
+        let (loads, stored, long_tokens_per_s) = {
             let mut fleet = self.context.fleet();
             let long_tokens_per_s = fleet.long_tokens.own_per_s(now).round() as u32;
             (fleet.own_loads(), fleet.kept.take_newly_stored(), long_tokens_per_s)
@@ -318,12 +318,7 @@
             return;
         }
         self.partners.repeat_load_at = now + LOAD_REPEAT;
-        let last_loads = std::mem::replace(&mut self.partners.last_loads, loads.clone());
-        for (server, _) in last_loads {
-            if !loads.iter().any(|(loaded, _)| *loaded == server) {
-                loads.push((server, ServerLoad::default()));
-            }
-        }
+        self.partners.last_loads.clone_from(&loads);
         let load = RelayLoad { loads, stored, long_tokens_per_s };
         self.send_partners(None, &PartnerMessage::RelayLoad(load));
     }
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -202,3 +202,50 @@
     assert_ne!(fleet.choose(wanted, now).unwrap().server, near);
     assert_eq!(fleet.choose(wanted, now + ms(30_000)).unwrap().server, near);
 }
+
+/// Pattern: one server opens empty while all others have long queues, and six nodes that tell their
+/// loads every 100 ms see it at once.
+#[test]
+fn a_server_that_opens_empty_is_not_flooded_by_all_nodes() {
+    let start = Instant::now();
+    let mut nodes = vec![fleet(6, 1); 6];
+    for node in &mut nodes {
+        for server in 1..6 {
+            let load = load_of(60_000);
+            node.set_partner_loads(&"past".into(), &[], start);
+            node.server_mut(&format!("s{server}").into()).unwrap().add_own(load, start);
+        }
+    }
+    let mut sent_tokens = 0;
+    for step in 0..100_u64 {
+        let now = start + ms(step);
+        let index = step as usize % nodes.len();
+        let choice = choose(&nodes[index], &long_prompt(step, step), now);
+        if choice.expected_ms < 340.0 {
+            nodes[index].begin(&choice.server, step, choice.load, now);
+            if choice.server == "s0" {
+                sent_tokens += choice.load.unread_tokens.ahead_of(9);
+            }
+        }
+        if step == 0 {
+            exchange_loads(&mut nodes, now);
+        }
+    }
+    // 60,000 tokens are three quarters of a second of reading.
+    assert!((10_000..60_000).contains(&sent_tokens), "{sent_tokens}");
+}
+
+fn load_of(tokens: u32) -> coriandertide::decision::relay::server::ServerLoad {
+    use coriandertide::decision::relay::server::{ServerLoad, UnreadTokens};
+    ServerLoad { requests: 1, unread_tokens: UnreadTokens::new(1, tokens), ..ServerLoad::default() }
+}
+
+fn exchange_loads(nodes: &mut [coriandertide::decision::relay::Fleet], now: Instant) {
+    let told: Vec<_> = nodes.iter().map(|node| node.own_loads()).collect();
+    for (index, node) in nodes.iter_mut().enumerate() {
+        for (other, loads) in told.iter().enumerate().filter(|(other, _)| *other != index) {
+            let s0: Vec<_> = loads.iter().filter(|(id, _)| *id == "s0").cloned().collect();
+            node.set_partner_loads(&format!("n{other}").into(), &s0, now);
+        }
+    }
+}
