--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -63,7 +63,7 @@
 const LONG_RUN_OLD_WEIGHTS_COST_MS: f64 = 60.0;
 
 /// Time after which a server with older weights is not used any more.
-const OLD_WEIGHTS_LIMIT: Duration = Duration::from_millis(6_000);
+pub(super) const OLD_WEIGHTS_LIMIT: Duration = Duration::from_millis(6_000);
 
 /// Wait before a caller comes back if no server is known.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(700);
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,16 +1,20 @@
 //! All backend servers as a node knows them.
 
+use super::choose::OLD_WEIGHTS_LIMIT;
 use super::kept_prefixes::KeptPrefixes;
 use super::long_tokens::LongTokens;
 use super::server::{Server, ServerEntry, ServerLoad, UnreadTokens};
 use super::store_link::StoreLink;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Revisions of a model's weights that are remembered; servers are never that far behind.
 const MOST_REVISIONS: usize = 16;
 
+/// Time for which servers with older weights are used if it is unknown when newer ones were named.
+const UNKNOWN_AGE_LIMIT: Duration = Duration::from_millis(3_000);
+
 /// Weights of a model that the servers are to have.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WeightsTarget {
@@ -107,11 +111,24 @@
         self.kv_capacity_tokens.insert(service, tokens);
     }
 
-    /// Takes in that `revision` of a model's weights was named; returns whether it is news.
+    /// Takes in that `revision` of a model's weights was named just now; returns whether it is news.
     pub fn set_target(&mut self, model: ModelId, revision: WeightsRevision, now: Instant) -> bool {
         self.targets.entry(model).or_default().name(revision, now)
     }
 
+    /// Takes in a `revision` that was named some unknown time ago; servers with older weights are
+    /// used for a short time only, since they may have been outdated for long.
+    pub fn set_earlier_target(
+        &mut self,
+        model: ModelId,
+        revision: WeightsRevision,
+        now: Instant,
+    ) -> bool {
+        let allowance = OLD_WEIGHTS_LIMIT.saturating_sub(UNKNOWN_AGE_LIMIT);
+        let named_at = now.checked_sub(allowance).unwrap_or(now);
+        self.targets.entry(model).or_default().name(revision, named_at)
+    }
+
     /// Returns the weights that the servers are to have.
     pub fn targets(&self) -> &BTreeMap<ModelId, WeightsTarget> {
         &self.targets
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -1,6 +1,7 @@
 //! Partner links of a relay node: records, loads, strikes and rollouts go over them.
 
 use super::RelayEvent;
+use super::records::RecordSource;
 use super::state::ControlState;
 use crate::decision::membership::{
     MemberRecord, MemberStatus, MembershipCommand, MembershipEvent, MembershipSettings,
@@ -197,8 +198,12 @@
             PartnerMessage::Topics(digests) => self.request_records(&peer, &digests),
             PartnerMessage::RecordsRequest(digest) => self.send_records(&peer, digest),
             PartnerMessage::Records(part) => {
+                let source = match part.from {
+                    None => RecordSource::Copy(peer),
+                    Some(_) => RecordSource::Partner(peer),
+                };
                 let news = self.replica.apply_part(*part);
-                self.apply_news(&news, &peer, now);
+                self.apply_news(&news, &source, now);
                 self.note_listed();
             }
             PartnerMessage::RelayLoad(RelayLoad { loads, stored, long_tokens_per_s }) => {
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -6,15 +6,40 @@
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::{Configuration, KeyedRecord, RecordTopic};
 use crate::ports::OperatorRecord;
-use crate::types::LogOffset;
+use crate::types::{InstanceId, LogOffset};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
+use strum::Display;
 
 /// Milliseconds beyond the idle limit for which a connection waits for the next head.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
+/// Way by which a record came.
+#[derive(Clone, Debug, Display)]
+pub(super) enum RecordSource {
+    /// Listing of the store: it may have been written long ago.
+    #[strum(to_string = "listing")]
+    Listing,
+    /// The store, as it was written.
+    #[strum(to_string = "store")]
+    Store,
+    /// Whole copy of a partner: it may have been written long ago.
+    #[strum(to_string = "copy-of-{0}")]
+    Copy(InstanceId),
+    /// A partner, as it learned of it.
+    #[strum(to_string = "{0}")]
+    Partner(InstanceId),
+}
+
+impl RecordSource {
+    /// Whether the age of the record is unknown.
+    fn is_of_unknown_age(&self) -> bool {
+        matches!(self, Self::Listing | Self::Copy(_))
+    }
+}
+
 impl ControlState {
     /// Takes in a listing of a topic.
     pub(super) fn apply_listing(
@@ -29,7 +54,7 @@
             listing.end
         );
         let news = self.replica.apply_listing(topic, listing);
-        self.apply_news(&news, "store", now);
+        self.apply_news(&news, &RecordSource::Listing, now);
         self.note_listed();
     }
 
@@ -42,7 +67,7 @@
         now: Instant,
     ) {
         let news = self.replica.apply_records(topic, records, next_offset);
-        self.apply_news(&news, "store", now);
+        self.apply_news(&news, &RecordSource::Store, now);
     }
 
     /// Takes in whether servers were listed.
@@ -53,7 +78,7 @@
     }
 
     /// Puts newer records in force.
-    pub(super) fn apply_news(&mut self, news: &[KeyedRecord], source: &str, now: Instant) {
+    pub(super) fn apply_news(&mut self, news: &[KeyedRecord], source: &RecordSource, now: Instant) {
         for record in news {
             match (record.topic, &record.value) {
                 (RecordTopic::Operator, Some(value)) => {
@@ -86,7 +111,7 @@
         &mut self,
         record: &KeyedRecord,
         value: &Bytes,
-        source: &str,
+        source: &RecordSource,
         now: Instant,
     ) {
         let KeyedRecord { key, offset, .. } = record;
@@ -95,7 +120,14 @@
                 self.put_in_force(*configuration, *offset, source);
             }
             Ok(OperatorRecord::Weights { model, revision }) => {
-                if self.context.fleet().set_target(model.clone(), revision, now) {
+                let mut fleet = self.context.fleet();
+                let is_news = if source.is_of_unknown_age() {
+                    fleet.set_earlier_target(model.clone(), revision, now)
+                } else {
+                    fleet.set_target(model.clone(), revision, now)
+                };
+                drop(fleet);
+                if is_news {
                     log::info!(
                         "event=weights_named model={model} revision={revision} offset={offset} \
                          source={source}"
@@ -111,7 +143,12 @@
     }
 
     /// Puts a configuration in force unless a newer one is.
-    fn put_in_force(&mut self, configuration: Configuration, offset: LogOffset, source: &str) {
+    fn put_in_force(
+        &mut self,
+        configuration: Configuration,
+        offset: LogOffset,
+        source: &RecordSource,
+    ) {
         let revision = configuration.revision;
         let current = self.context.configuration.load().as_ref().map(|current| current.revision);
         if current >= Some(revision) {
@@ -149,7 +186,7 @@
         &mut self,
         record: &KeyedRecord,
         value: &Bytes,
-        source: &str,
+        source: &RecordSource,
         now: Instant,
     ) {
         let KeyedRecord { key, offset, .. } = record;
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -126,6 +126,17 @@
     assert_eq!(choose(&fleet, &prompt, now + ms(2_000)).server, "s1");
 }
 
+/// Pattern: all nodes are killed and start again; they know of newer weights, but not since when.
+#[test]
+fn a_node_that_does_not_know_how_old_newer_weights_are_avoids_outdated_ones_sooner() {
+    let now = Instant::now() + ms(10_000);
+    let mut fleet = fleet(2, 1);
+    fleet.set_earlier_target(MODEL, 2, now);
+    let prompt = long_prompt(7, 1);
+    assert!(fleet.choose(wanted(&prompt), now + ms(2_900)).is_ok());
+    assert!(fleet.choose(wanted(&prompt), now + ms(3_100)).is_err());
+}
+
 #[test]
 fn closed_draining_and_tried_servers_get_nothing() {
     let now = Instant::now();
