--- a/src/cli/inspect.rs
+++ b/src/cli/inspect.rs
@@ -3,6 +3,7 @@
 use super::exit::{CliError, ExitStatus};
 use super::options::Connection;
 use super::output::{print_json, print_line};
+use super::trace;
 use crate::admin::messages::{
     ExplainReply, ExplainRequest, NodeReply, NodesReply, ServersReply, StatusReply,
 };
@@ -121,6 +122,14 @@
     Ok(ExitStatus::Success)
 }
 
+/// Reads logs from standard input and prints the story of `request`.
+pub fn trace_from_input(request: &str) -> Result<ExitStatus, CliError> {
+    let story = trace::story(std::io::stdin().lock(), request)
+        .map_err(|error| CliError::new(ExitStatus::Failure, error.to_string()))?;
+    print_line(story.trim_end());
+    Ok(ExitStatus::Success)
+}
+
 fn format_node(node: &NodeReply) -> String {
     format!(
         "node {} zone={} state={} in_force={}",
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 pub mod inspect;
 pub mod options;
 pub mod output;
+pub mod trace;
 
 pub use client::{AdminClient, ClientError};
 pub use exit::{CliError, ExitStatus};
@@ -36,6 +37,7 @@
             inspect::explain(&connection, workspace, &request).await
         }
         Command::HashKey => inspect::hash_key_from_input(),
+        Command::Trace { request } => inspect::trace_from_input(&request),
     }
 }
 
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -75,6 +75,13 @@
     /// Read a key from standard input and print its hash for key_hashes
     #[bpaf(command("hash-key"))]
     HashKey,
+    /// Read logs of nodes from standard input and print the story of one request
+    #[bpaf(command)]
+    Trace {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+    },
 }
 
 /// Commands on the configuration document
@@ -170,7 +177,7 @@
             Self::Status { connection }
             | Self::Servers { connection }
             | Self::Explain { connection, .. } => connection.json,
-            Self::HashKey => false,
+            Self::HashKey | Self::Trace { .. } => false,
         }
     }
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod resend;
 mod rollout;
 mod settings;
+mod trace;
 
 use proptest::test_runner::{Config, RngSeed};
 
