--- a/src/decision/relay/admission.rs
+++ b/src/decision/relay/admission.rs
@@ -34,6 +34,8 @@
     pub patience_ms: f64,
     /// Milliseconds within which the answer should begin.
     pub objective_ms: f64,
+    /// Whether a server has run it in part, so that refusing it would waste that.
+    pub has_run: bool,
 }
 
 impl AdmissionRequest {
@@ -50,6 +52,9 @@
     /// Returns when the caller should come back if the server that would begin in `expected_ms`
     /// must not get the request, none if it may.
     pub fn refused_until(&self, expected_ms: f64, now: Instant) -> Option<Instant> {
+        if self.has_run {
+            return None;
+        }
         let limit_ms = if self.has_returned() {
             (self.remaining_ms * REMAINING_PART).min(LONGEST_EXPECTED_MS)
         } else {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -89,16 +89,17 @@
     /// Returns the priority with which servers are to take it, 0 is the highest.
     pub fn priority(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        self.admission(self.arrived_at).priority(own.unwrap_or(self.route.priority))
+        self.admission(false, self.arrived_at).priority(own.unwrap_or(self.route.priority))
     }
 
-    /// Returns what decides its admission at `now`.
-    fn admission(&self, now: Instant) -> AdmissionRequest {
+    /// Returns what decides its admission at `now`; `has_run` tells whether a server ran it in part.
+    fn admission(&self, has_run: bool, now: Instant) -> AdmissionRequest {
         let remaining = self.deadline.saturating_duration_since(now);
         AdmissionRequest {
             remaining_ms: remaining.as_secs_f64() * 1_000.0,
             patience_ms: self.route.timeout_ms as f64,
             objective_ms: self.route.latency_objective_ms as f64,
+            has_run,
         }
     }
 
@@ -405,7 +406,7 @@
         let chosen = context.fleet().choose(request.wanted(&attempts.tried), now);
         match chosen {
             Ok(choice) => {
-                check_overload(request, &choice, now)?;
+                check_overload(request, &choice, attempts.sent > 0, now)?;
                 log_choice(request, &choice);
                 return Ok(choice);
             }
@@ -422,8 +423,13 @@
 }
 
 /// Refuses a request that would wait too long at the chosen server.
-fn check_overload(request: &RelayedRequest, choice: &Choice, now: Instant) -> Result<(), Refusal> {
-    match request.admission(now).refused_until(choice.expected_ms, now) {
+fn check_overload(
+    request: &RelayedRequest,
+    choice: &Choice,
+    has_run: bool,
+    now: Instant,
+) -> Result<(), Refusal> {
+    match request.admission(has_run, now).refused_until(choice.expected_ms, now) {
         None => Ok(()),
         Some(retry_at) => Err(Refusal::until(RefusalReason::Overloaded, retry_at)),
     }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -2,7 +2,31 @@
 
 use super::RelayNode;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
+use smol::Timer;
+use std::time::Duration;
+use strum::Display;
+
+/// Period in which the settings file is looked at, since it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
+
+/// What wakes the main thread.
+enum Wake {
+    /// A signal, none if no more can come.
+    Signal(Option<std::io::Result<Signal>>),
+    /// The settings file is to be looked at.
+    LookAtSettings,
+}
+
+/// Why the settings are read again.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReloadCause {
+    /// A signal asked for it.
+    Signal,
+    /// The file is looked at from time to time.
+    Look,
+}
 
 /// Runs `node` until a signal tells it to stop; `reload` is called when the settings may have
 /// changed.
@@ -10,18 +34,26 @@
 /// # Errors
 ///
 /// Signals that cannot be received.
-pub fn run(node: RelayNode, mut reload: impl FnMut(&str)) -> anyhow::Result<()> {
+pub fn run(node: RelayNode, mut reload: impl FnMut(ReloadCause)) -> anyhow::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     loop {
-        match smol::block_on(signals.next()) {
-            Some(Ok(Signal::Hup)) => reload("signal"),
-            Some(Ok(signal)) => {
+        let signal = async { Wake::Signal(signals.next().await) };
+        let look = async {
+            Timer::after(SETTINGS_PERIOD).await;
+            Wake::LookAtSettings
+        };
+        match smol::block_on(signal.or(look)) {
+            Wake::LookAtSettings => reload(ReloadCause::Look),
+            Wake::Signal(Some(Ok(Signal::Hup))) => reload(ReloadCause::Signal),
+            Wake::Signal(Some(Ok(signal))) => {
                 log::info!("event=signal signal={signal:?}");
                 node.drain();
                 return Ok(());
             }
-            Some(Err(error)) => log::warn!("event=signal_failed error=\"{error}\""),
-            None => return Ok(()),
+            Wake::Signal(Some(Err(error))) => {
+                log::warn!("event=signal_failed error=\"{error}\"");
+            }
+            Wake::Signal(None) => return Ok(()),
         }
     }
 }
--- a/tests/relay/admission.rs
+++ b/tests/relay/admission.rs
@@ -10,7 +10,12 @@
 const READ_MS: u64 = 100;
 
 fn request(remaining_ms: f64) -> AdmissionRequest {
-    AdmissionRequest { remaining_ms, patience_ms: PATIENCE_MS, objective_ms: OBJECTIVE_MS }
+    AdmissionRequest {
+        remaining_ms,
+        patience_ms: PATIENCE_MS,
+        objective_ms: OBJECTIVE_MS,
+        has_run: false,
+    }
 }
 
 #[test]
@@ -39,6 +44,13 @@
     assert!(request(50.0).refused_until(100.0, Instant::now()).is_some());
 }
 
+/// Pattern: servers crash under load, and the streams that they ran go on elsewhere.
+#[test]
+fn a_stream_that_has_begun_is_not_refused() {
+    let begun = AdmissionRequest { has_run: true, ..request(PATIENCE_MS) };
+    assert_eq!(begun.refused_until(3_000.0, Instant::now()), None);
+}
+
 /// One server at 130% load for 20 s: what share of all requests begins within the objective?
 fn on_time_share(admits: bool) -> f64 {
     let start = Instant::now();
