--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -5,7 +5,7 @@
 
 /// Time without a sign of a server that owes answers after which it gets no new requests; several
 /// times the usual time to an answer.
-const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+const SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
 /// First time for which a server that cannot be reached gets no new requests.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
@@ -75,6 +75,17 @@
         self.suspended_until.unwrap_or(now)
     }
 
+    /// Keeps new requests away until `until` at least, after a probe failed.
+    pub fn suspend_until(&mut self, until: Instant) {
+        self.suspended_until = self.suspended_until.max(Some(until));
+    }
+
+    /// Takes in that a probe reached the server.
+    pub fn note_reachable(&mut self) {
+        self.suspended_until = None;
+        self.suspensions = 0;
+    }
+
     /// Returns until when the server gets no new requests, none if it may get them.
     pub fn suspended_until(&self, now: Instant) -> Option<Instant> {
         let suspended = self.suspended_until.filter(|until| now < *until);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -24,7 +24,7 @@
 const FULL_PERIOD: Duration = Duration::from_millis(120);
 
 /// Period in which a repeatable request looks whether its server has fallen silent.
-const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(250);
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Latency objectives after which an idempotent request is given to another server.
 const IDEMPOTENT_PATIENCE: u32 = 2;
@@ -260,6 +260,8 @@
     else {
         return;
     };
+    let (server, address) = (choice.server.clone(), choice.address);
+    context.tell_control(RelayEvent::Unreachable { server, address });
     let for_ms = until.saturating_duration_since(now).as_millis();
     log::info!("event=server_suspended server={} for_ms={for_ms}", choice.server);
 }
@@ -308,7 +310,10 @@
 ) -> NotRunReason {
     let now = Instant::now();
     if is_misdirected(choice, facts) {
-        suspend(context, choice);
+        context.pool.close_server(&choice.server);
+        if let Some(server) = context.fleet().server_mut(&choice.server) {
+            server.health.note_unreachable(now);
+        }
         return NotRunReason::Misdirected;
     }
     if let Some(prompt) = &choice.prompt
