--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -75,17 +75,6 @@
         self.suspended_until.unwrap_or(now)
     }
 
-    /// Keeps new requests away until `until` at least, after a probe failed.
-    pub fn suspend_until(&mut self, until: Instant) {
-        self.suspended_until = self.suspended_until.max(Some(until));
-    }
-
-    /// Takes in that a probe reached the server.
-    pub fn note_reachable(&mut self) {
-        self.suspended_until = None;
-        self.suspensions = 0;
-    }
-
     /// Returns until when the server gets no new requests, none if it may get them.
     pub fn suspended_until(&self, now: Instant) -> Option<Instant> {
         let suspended = self.suspended_until.filter(|until| now < *until);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -260,8 +260,6 @@
     else {
         return;
     };
-    let (server, address) = (choice.server.clone(), choice.address);
-    context.tell_control(RelayEvent::Unreachable { server, address });
     let for_ms = until.saturating_duration_since(now).as_millis();
     log::info!("event=server_suspended server={} for_ms={for_ms}", choice.server);
 }
@@ -310,10 +308,7 @@
 ) -> NotRunReason {
     let now = Instant::now();
     if is_misdirected(choice, facts) {
-        context.pool.close_server(&choice.server);
-        if let Some(server) = context.fleet().server_mut(&choice.server) {
-            server.health.note_unreachable(now);
-        }
+        suspend(context, choice);
         return NotRunReason::Misdirected;
     }
     if let Some(prompt) = &choice.prompt
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -5,7 +5,6 @@
 mod follow;
 mod kv_store;
 mod partners;
-mod probes;
 mod records;
 mod rollout;
 mod state;
@@ -83,20 +82,6 @@
         /// Request that it had.
         fingerprint: Fingerprint,
     },
-    /// A server could not be reached.
-    Unreachable {
-        /// Server.
-        server: ServerId,
-        /// Its address.
-        address: SocketAddr,
-    },
-    /// A server was probed for the last time.
-    Probed {
-        /// Server.
-        server: ServerId,
-        /// Whether it can be reached; otherwise it is gone.
-        is_reachable: bool,
-    },
     /// A server crashed while it had a request.
     Crashed(Strike),
     /// A server reported its weights.
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -7,13 +7,13 @@
 use crate::links::Identity;
 use crate::relay::RelayContext;
 use crate::relay::suspend_clock::SuspendClock;
-use crate::types::{InstanceId, ModelId, ServerId, WeightsRevision};
+use crate::types::{InstanceId, ModelId, WeightsRevision};
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -47,8 +47,6 @@
     pub(super) partners: Partners,
     pub(super) rollout: RolloutControl,
     pub(super) targets: BTreeMap<ModelId, WeightsRevision>,
-    /// Servers that are probed.
-    pub(super) probed: BTreeSet<ServerId>,
     /// Whether the store answers, for the tasks that follow it.
     pub(super) kv_store: Rc<Cell<Option<SocketAddr>>>,
     suspend_clock: SuspendClock,
@@ -67,7 +65,6 @@
         replica: Replica::default(),
         partners,
         targets: BTreeMap::new(),
-        probed: BTreeSet::new(),
         kv_store: Rc::clone(&kv_store),
         suspend_clock: SuspendClock::new(),
         is_stopping: false,
@@ -133,8 +130,6 @@
             RelayEvent::Cut { server, address, run, fingerprint } => {
                 self.check_crash(server, address, run, fingerprint);
             }
-            RelayEvent::Unreachable { server, address } => self.probe(server, address),
-            RelayEvent::Probed { server, is_reachable } => self.end_probe(&server, is_reachable),
             RelayEvent::Crashed(strike) => self.add_strikes(None, vec![strike], now),
             RelayEvent::Reported { model, server, report } => {
                 self.apply_report(&model, &server, report, now);
@@ -163,7 +158,6 @@
             self.context.pool.close_server(&server);
         }
         self.context.pool.close_expired(now);
-        self.probe_silent(now);
         self.tick_partners(now);
         if !self.is_stopping {
             self.tick_rollouts(now);
--- a/tests/relay/health.rs
+++ b/tests/relay/health.rs
@@ -56,16 +56,3 @@
     (0..10).for_each(|_| usual.note_outcome(true, 40.0, now));
     assert_eq!(usual.cost_ms(now), 0.0);
 }
-
-/// Pattern: a quarter of the servers is dark for long; requests must not be what finds out.
-#[test]
-fn a_failed_probe_extends_a_suspension_and_a_reached_one_ends_it() {
-    let now = Instant::now();
-    let mut health = Health::default();
-    health.note_unreachable(now);
-    health.suspend_until(now + ms(1_000));
-    health.suspend_until(now + ms(700));
-    assert_eq!(health.suspended_until(now + ms(900)), Some(now + ms(1_000)));
-    health.note_reachable();
-    assert_eq!(health.suspended_until(now + ms(900)), None);
-}
