--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -408,9 +408,7 @@
         let load = server.total_load(now);
         let ahead = f64::from(load.unread_tokens.ahead_of(priority)) + server.herd_tokens(now);
         let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
-        let slots = server.entry.slots.max(1);
-        let without_slot = (load.requests + 1).saturating_sub(slots);
-        expected_ms += f64::from(without_slot) * SLOT_HELD_MS / f64::from(slots);
+
         if plan.fetched_tokens > 0 {
             let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
             expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
@@ -446,12 +444,14 @@
     }
 
     fn room_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
-        let mut cost_ms = 0.0;
+        let slots = server.entry.slots.max(1);
+        let without_slot = (load.requests + 1).saturating_sub(slots);
+        let mut cost_ms = f64::from(without_slot) * SLOT_HELD_MS / f64::from(slots);
         let capacity = self.kv_capacity_tokens.get(&server.entry.service).copied();
         if let Some(capacity) = capacity.filter(|capacity| *capacity > 0) {
             let needed = load.memory_tokens + u64::from(prompt.prompt_tokens);
             if needed as f64 > capacity as f64 * MEMORY_PART {
-                cost_ms = NO_ROOM_COST_MS * needed as f64 / capacity as f64;
+                cost_ms += NO_ROOM_COST_MS * needed as f64 / capacity as f64;
             }
         }
         cost_ms
