--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -50,12 +50,9 @@
 /// Part of an engine's memory that requests may fill before its cache suffers.
 const MEMORY_PART: f64 = 0.7;
 
-/// Cost of a server whose memory is taken: the time until a request ends.
+/// Cost of a server whose memory or slots are taken: the time until a request ends.
 const NO_ROOM_COST_MS: f64 = 250.0;
 
-/// Milliseconds that a long run holds its slot on a server that also reads prompts.
-const SLOT_HELD_MS: f64 = 3_000.0;
-
 /// Time after newer weights are named in which older ones are as good.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
 
@@ -405,10 +402,9 @@
         priority: u8,
         now: Instant,
     ) -> f64 {
-        let load = server.total_load(now);
-        let ahead = f64::from(load.unread_tokens.ahead_of(priority)) + server.herd_tokens(now);
+        let ahead = server.total_load(now).unread_tokens.ahead_of(priority);
+        let ahead = f64::from(ahead) + server.herd_tokens(now);
         let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
-
         if plan.fetched_tokens > 0 {
             let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
             expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
@@ -445,8 +441,7 @@
 
     fn room_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
         let slots = server.entry.slots.max(1);
-        let without_slot = (load.requests + 1).saturating_sub(slots);
-        let mut cost_ms = f64::from(without_slot) * SLOT_HELD_MS / f64::from(slots);
+        let mut cost_ms = f64::from(load.requests / slots) * NO_ROOM_COST_MS;
         let capacity = self.kv_capacity_tokens.get(&server.entry.service).copied();
         if let Some(capacity) = capacity.filter(|capacity| *capacity > 0) {
             let needed = load.memory_tokens + u64::from(prompt.prompt_tokens);
