--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -179,7 +179,10 @@
             return refusal.reply(&context, id.as_ref());
         }
     };
-    match serve(&context, &request).await {
+    let unanswered = Unanswered { context: &context, request: &request };
+    let served = serve(&context, &request).await;
+    std::mem::forget(unanswered);
+    match served {
         Ok(reply) => reply,
         Err(refusal) => {
             log_refusal(Some(&request.id), Some(&request.route.name), refusal, arrived_at);
@@ -189,6 +192,24 @@
     }
 }
 
+/// Request without an answer yet; dropped with the request's task when its caller leaves.
+struct Unanswered<'a> {
+    context: &'a RelayContext,
+    request: &'a RelayedRequest,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        stream::count(self.context, self.request, "left");
+        log::info!(
+            "event=left request={} route={} age_ms={}",
+            self.request.id,
+            self.request.route.name,
+            self.request.age_ms()
+        );
+    }
+}
+
 fn log_refusal(id: Option<&RequestId>, route: Option<&SmolStr>, refusal: Refusal, since: Instant) {
     let retry_ms =
         refusal.retry_at.map_or(0, |at| at.saturating_duration_since(Instant::now()).as_millis());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -104,7 +104,9 @@
                 Ok(None) => return self.complete().map(Ok),
                 Err(error) => {
                     if !self.resume(&error).await {
-                        return Some(Err(self.break_off("server_broke_off")));
+                        let is_late = Instant::now() >= self.request.deadline;
+                        let reason = if is_late { "time_over" } else { "server_broke_off" };
+                        return Some(Err(self.break_off(reason)));
                     }
                 }
             }
