fix(rollout): a server that does not answer its coordinator counts as unreachable everywhere

Cause: a stream was moved off a changing server to a dark one, which the coordinator had just opened again because its reports failed; all nodes then found out one by one.

--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -207,6 +207,13 @@
         self.full_until = None;
     }
 
+    /// Opens a server that did not answer the coordinator of a rollout; it counts as unreachable, since
+    /// requests would get no answer either.
+    pub fn reopen_unanswered(&mut self, now: Instant) {
+        self.reopen();
+        self.health.note_unreachable(now);
+    }
+
     /// Keeps new requests away until `until`, after the server rejected one as full.
     pub fn set_full_until(&mut self, until: Instant) {
         self.full_until = Some(until);
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -93,7 +93,7 @@
     pub evicted: Vec<ServerId>,
     /// Servers that changed, with their weights.
     pub changed: Vec<(ServerId, WeightsRevision)>,
-    /// Servers that are open again without having changed.
+    /// Servers that are open again without having changed, since they did not answer.
     pub reopened: Vec<ServerId>,
     /// Record of the lease under which the rollout runs.
     pub lease: RegisterRecord,
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -417,12 +417,16 @@
         for (id, revision) in &notice.changed {
             fleet.set_weights(id, &notice.model, *revision);
         }
-        let open = notice.changed.iter().map(|(id, _)| id).chain(&notice.reopened);
-        for id in open {
+        for (id, _) in &notice.changed {
             if let Some(server) = fleet.server_mut(id) {
                 server.reopen();
             }
         }
+        for id in &notice.reopened {
+            if let Some(server) = fleet.server_mut(id) {
+                server.reopen_unanswered(now);
+            }
+        }
         for id in &notice.closed {
             if let Some(server) = fleet.server_mut(id) {
                 server.close_until(now + CLOSED_PERIOD, notice.evicted.contains(id));
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -214,6 +214,19 @@
     assert_eq!(fleet.choose(wanted, now + ms(30_000)).unwrap().server, near);
 }
 
+/// Pattern: a dark server is due for new weights; its coordinator finds out first.
+#[test]
+fn a_server_that_did_not_answer_its_coordinator_gets_no_requests_for_a_while() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1);
+    let prompt = long_prompt(7, 1);
+    let home = choose(&fleet, &prompt, now).server;
+    fleet.server_mut(&home).unwrap().close_until(now + ms(1_200), false);
+    fleet.server_mut(&home).unwrap().reopen_unanswered(now);
+    assert_ne!(choose(&fleet, &prompt, now + ms(200)).server, home);
+    assert_eq!(choose(&fleet, &prompt, now + ms(400)).server, home);
+}
+
 /// Pattern: one server opens empty while all others have long queues, and six nodes that tell their
 /// loads every 100 ms see it at once.
 #[test]
