--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod choose;
 pub mod configuration;
+mod engine_choice;
 pub mod event_splitter;
 pub mod fleet;
 pub mod health;
@@ -16,6 +17,7 @@
 pub mod replica;
 pub mod resend;
 pub mod rollout;
+pub mod rollout_messages;
 pub mod server;
 pub mod store_link;
 
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -2,7 +2,7 @@
 
 use super::RelayContext;
 use super::attempt::Answer;
-use super::exchange::{RelayedRequest, end_to_end_headers};
+use super::request::{RelayedRequest, end_to_end_headers};
 use super::stream;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::adapters::http_server::Reply;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::RelayContext;
 use super::control::RelayEvent;
-use super::exchange::RelayedRequest;
+use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::Choice;
 use crate::decision::relay::server::{ServerLoad, UnreadTokens};
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod node;
 pub mod refusal;
+pub mod request;
 pub mod run;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/src/relay/request.rs
@@ -0,0 +1,216 @@
+//! A caller's request: checked, authenticated, and read whole.
+
+use super::RelayContext;
+use super::refusal::{Refusal, RefusalReason};
+use crate::adapters::deadline::within;
+use crate::decision::poison::{Fingerprint, Suspicion};
+use crate::decision::relay::configuration::{Caller, Workspace};
+use crate::decision::relay::{AdmissionRequest, Configuration, Route, Wanted};
+use crate::ports::RequestFacts;
+use crate::types::{RequestId, ServerId, ServiceId};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Body limit while a configuration names none.
+const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Headers that concern one connection alone.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Request that was read whole and may be sent.
+pub struct RelayedRequest {
+    /// Id that the caller chose.
+    pub id: RequestId,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service that serves it.
+    pub service: ServiceId,
+    /// Workspace of the caller.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Whether the caller's key must not reach the server.
+    pub hides_key: bool,
+    /// What the head says.
+    pub facts: RequestFacts,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers but for those of the connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When the head had arrived.
+    pub arrived_at: Instant,
+    /// When it must have its answer.
+    pub deadline: Instant,
+    /// Fingerprint, which is the same if it is sent again.
+    pub fingerprint: Fingerprint,
+}
+
+impl RelayedRequest {
+    /// Returns the priority with which servers are to take it, 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        self.admission(false, self.arrived_at).priority(own.unwrap_or(self.route.priority))
+    }
+
+    /// Returns what decides its admission at `now`; `has_run` tells whether a server ran it in part.
+    pub fn admission(&self, has_run: bool, now: Instant) -> AdmissionRequest {
+        let remaining = self.deadline.saturating_duration_since(now);
+        AdmissionRequest {
+            remaining_ms: remaining.as_secs_f64() * 1_000.0,
+            patience_ms: self.route.timeout_ms as f64,
+            objective_ms: self.route.latency_objective_ms as f64,
+            has_run,
+        }
+    }
+
+    /// Returns what decides the choice of a server.
+    pub fn wanted<'a>(&'a self, tried: &'a [ServerId]) -> Wanted<'a> {
+        let isolated = self.workspace.as_ref().filter(|workspace| workspace.is_isolated);
+        Wanted {
+            service: &self.service,
+            prompt: self.facts.prompt.as_ref(),
+            wall: isolated.map(|workspace| workspace.name.as_str()),
+            priority: self.priority(),
+            tried,
+        }
+    }
+
+    /// Returns the milliseconds since the head arrived.
+    pub fn age_ms(&self) -> u128 {
+        self.arrived_at.elapsed().as_millis()
+    }
+}
+
+/// Checks a request and reads its body.
+pub async fn admit(
+    context: &RelayContext,
+    request: Request<Incoming>,
+    facts: RequestFacts,
+    arrived_at: Instant,
+) -> Result<RelayedRequest, Refusal> {
+    let configuration = context.configuration.load_full();
+    let Some(configuration) =
+        configuration.filter(|_| context.knows_servers.load(Ordering::Acquire))
+    else {
+        return Err(Refusal::unconfigured(arrived_at));
+    };
+    let (route, workspace) = find_route(&configuration, &request, &facts)?;
+    let id = facts.id.clone().ok_or(Refusal::new(RefusalReason::NoRequestId))?;
+    let service = route
+        .service(xxh3_64(id.as_bytes()))
+        .cloned()
+        .ok_or(Refusal::new(RefusalReason::NoRoute))?;
+    let patience_ms = facts.patience_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let deadline = arrived_at + Duration::from_millis(patience_ms);
+    let limit_bytes = configuration.limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, limit_bytes, deadline).await?;
+    let uri = parts.uri.path_and_query().map_or(parts.uri.clone(), |path| path.clone().into());
+    let fingerprint = fingerprint(workspace.as_deref(), &uri, &body);
+    check_poison(context, fingerprint)?;
+    Ok(RelayedRequest {
+        id,
+        route,
+        service,
+        hides_key: configuration.has_workspaces(),
+        workspace,
+        facts,
+        method: parts.method,
+        uri,
+        headers: end_to_end_headers(parts.headers),
+        body,
+        arrived_at,
+        deadline,
+        fingerprint,
+    })
+}
+
+type RouteAndWorkspace = (Arc<Route>, Option<Arc<Workspace>>);
+
+fn find_route(
+    configuration: &Configuration,
+    request: &Request<Incoming>,
+    facts: &RequestFacts,
+) -> Result<RouteAndWorkspace, Refusal> {
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(request.uri().host()).unwrap_or_default();
+    let route = configuration
+        .route(host, request.uri().path())
+        .ok_or(Refusal::new(RefusalReason::NoRoute))?;
+    match configuration.caller(route, facts.key.as_deref()) {
+        Caller::Anonymous => Ok((Arc::clone(route), None)),
+        Caller::Workspace(workspace) => Ok((Arc::clone(route), Some(workspace))),
+        Caller::Unknown => Err(Refusal::new(RefusalReason::UnknownKey)),
+    }
+}
+
+async fn read_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = match within(deadline, body.frame()).await {
+            Err(_) => return Err(Refusal::new(RefusalReason::TimedOut)),
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(error))) => {
+                log::debug!("event=request_body_broken error=\"{error}\"");
+                return Err(Refusal::new(RefusalReason::BodyIncomplete));
+            }
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > limit_bytes {
+            return Err(Refusal::new(RefusalReason::BodyTooLarge));
+        }
+        whole.extend_from_slice(&data);
+    }
+}
+
+fn fingerprint(workspace: Option<&Workspace>, uri: &Uri, body: &[u8]) -> Fingerprint {
+    let seed = workspace.map_or(0, |workspace| xxh3_64(workspace.name.as_bytes()));
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), seed))
+}
+
+fn check_poison(context: &RelayContext, fingerprint: Fingerprint) -> Result<(), Refusal> {
+    let suspicion = context.poison().view().suspicion(fingerprint, Instant::now());
+    match suspicion {
+        Suspicion::Refused { .. } => Err(Refusal::new(RefusalReason::Poison)),
+        Suspicion::None | Suspicion::Suspect => Ok(()),
+    }
+}
+
+/// Drops the headers that concern one connection alone.
+pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers
+}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -4,8 +4,9 @@
 use super::RelayContext;
 use super::answer::keep;
 use super::attempt::{self, Answer, AttemptEnd};
-use super::exchange::{Attempts, RelayedRequest, choose, end_to_end_headers};
+use super::exchange::{Attempts, choose};
 use super::metrics::AnswerLabels;
+use super::request::{RelayedRequest, end_to_end_headers};
 use crate::adapters::http_server::{BrokenBody, Reply};
 use crate::decision::relay::{Choice, EventSplitter, Repetition};
 use crate::types::PeerError;
