perf(relay): a few nodes follow the record store and tell the others

Now three nodes follow a topic, in the order of a hash; everyone knows how long ago the store was last known to hold nothing newer, and a node for which that is over 1.9 s reads by itself. One request for records is under way at a time, instead of one to each partner.

Ruled out: longer waits of the reads (each record ends them), reading from partners alone (a follower that the store turns away silently would not be noticed in time).

--- a/src/decision/membership/members.rs
+++ b/src/decision/membership/members.rs
@@ -21,12 +21,13 @@
     members: BTreeMap<InstanceId, Member>,
     suspicion_timeout: Duration,
     forget_after: Duration,
+    changes: u64,
 }
 
 impl Members {
     /// Returns an empty set.
     pub fn new(suspicion_timeout: Duration, forget_after: Duration) -> Self {
-        Self { members: BTreeMap::new(), suspicion_timeout, forget_after }
+        Self { members: BTreeMap::new(), suspicion_timeout, forget_after, changes: 0 }
     }
 
     /// Record of a member.
@@ -39,6 +40,11 @@
         self.members.values().map(|member| &member.record)
     }
 
+    /// Number of changes so far.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Members that are alive or only suspected.
     pub fn live(&self) -> impl Iterator<Item = &MemberRecord> {
         self.records().filter(|record| record.status <= MemberStatus::Suspect)
@@ -57,6 +63,7 @@
         let deadline = self.deadline(record.status, now);
         let member = Member { record: record.clone(), deadline };
         self.members.insert(record.instance.clone(), member);
+        self.changes += 1;
         self.replace_earlier_runs(record, now);
         true
     }
@@ -89,6 +96,7 @@
                 }
                 MemberStatus::Alive | MemberStatus::Dead | MemberStatus::Left => {
                     self.members.remove(&record.instance);
+                    self.changes += 1;
                 }
             }
         }
--- a/src/decision/membership/mod.rs
+++ b/src/decision/membership/mod.rs
@@ -130,6 +130,11 @@
         self.members.live()
     }
 
+    /// Number of changes of the members so far.
+    pub fn changes(&self) -> u64 {
+        self.members.changes()
+    }
+
     /// Peers with an open link.
     pub fn linked_peers(&self) -> impl Iterator<Item = &InstanceId> {
         self.links.keys()
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -69,6 +69,9 @@
     pub topic: RecordTopic,
     /// Offset below which every key's newest record is known, none before the first listing.
     pub known_below: Option<LogOffset>,
+    /// Milliseconds since the store was known to hold nothing newer, none if it never was.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
 }
 
 /// Requests of a node at backend servers.
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -2,21 +2,22 @@
 
 use super::RelayEvent;
 use super::state::ControlState;
-use crate::decision::relay::RecordTopic;
+use crate::decision::relay::{NextRead, RecordTopic, RecordWatch};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnnouncedNode, RecordPage};
 use crate::relay::RelayContext;
 use crate::types::{LogOffset, PeerError, PeerResult};
 use smol::Timer;
 use smol_str::SmolStr;
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator;
 
-/// Time for which a read waits for records. A read that hangs is noticed by the kernel's probes, and
-/// partners tell of records meanwhile.
-const WAIT_PERIOD: Duration = Duration::from_secs(8);
+/// Longest time without a look whether the topic is to be read: partners come and go meanwhile.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
 
 /// First wait after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
@@ -30,7 +31,7 @@
 /// Starts the tasks.
 pub(super) fn start(state: &ControlState, partner_address: SocketAddr) {
     for topic in RecordTopic::iter() {
-        state.spawn(follow(Arc::clone(&state.context), topic));
+        state.spawn(follow(Arc::clone(&state.context), Rc::clone(&state.record_watch), topic));
     }
     let name = state.context.settings.instance_name.clone();
     state.spawn(announce(Arc::clone(&state.context), name, partner_address));
@@ -69,32 +70,45 @@
     }
 }
 
-async fn follow(context: Arc<RelayContext>, topic: RecordTopic) {
+async fn follow(context: Arc<RelayContext>, watch: Rc<RefCell<RecordWatch>>, topic: RecordTopic) {
     let mut retry = Retry::new(match topic {
         RecordTopic::Operator => "follow_operator",
         RecordTopic::Servers => "follow_servers",
     });
     let mut from = None;
     loop {
+        let next = watch.borrow().next_read(topic, Instant::now());
+        let wait_until = match next {
+            NextRead::Read { wait_until } => wait_until,
+            NextRead::Wait(until) => {
+                Timer::at(until.min(Instant::now() + LOOK_PERIOD)).await;
+                continue;
+            }
+        };
         let step = match from {
             None => list(&context, topic).await.map(Some),
-            Some(offset) => read(&context, topic, offset).await,
+            Some(offset) => read(&context, topic, offset, wait_until).await,
         };
         match step {
             Ok(next) => {
                 from = next;
+                watch.borrow_mut().note_answered(topic, Instant::now());
                 retry.succeeded();
             }
-            Err(error) => retry.failed(&context, &error).await,
+            Err(error) => {
+                watch.borrow_mut().note_failed(topic, Instant::now());
+                retry.failed(&context, &error).await;
+            }
         }
     }
 }
 
 async fn list(context: &RelayContext, topic: RecordTopic) -> PeerResult<LogOffset> {
     count_call(context, "list");
+    let asked_at = Instant::now();
     let listing = context.ports.store.list(topic).await?;
     let end = listing.end;
-    send(context, RelayEvent::Listed(topic, listing)).await;
+    send(context, RelayEvent::Listed { topic, listing, asked_at }).await;
     Ok(end)
 }
 
@@ -103,18 +117,20 @@
     context: &RelayContext,
     topic: RecordTopic,
     offset: LogOffset,
+    wait_until: Instant,
 ) -> PeerResult<Option<LogOffset>> {
     count_call(context, "read");
-    let wait_until = Instant::now() + WAIT_PERIOD;
+    let asked_at = Instant::now();
     match context.ports.store.follow(topic, offset, wait_until).await? {
         RecordPage::Expired => {
             log::info!("event=records_expired topic={topic} offset={offset}");
             Ok(None)
         }
         RecordPage::Records { records, next_offset } => {
-            if next_offset != offset {
-                send(context, RelayEvent::Records { topic, records, next_offset }).await;
-            }
+            // Without a record the store has waited to the end.
+            let confirmed_at = if records.is_empty() { wait_until } else { asked_at };
+            let event = RelayEvent::Records { topic, records, next_offset, confirmed_at };
+            send(context, event).await;
             Ok(Some(next_offset))
         }
     }
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -30,7 +30,14 @@
 #[derive(Debug)]
 pub enum RelayEvent {
     /// A topic was listed.
-    Listed(RecordTopic, TopicListing),
+    Listed {
+        /// Topic.
+        topic: RecordTopic,
+        /// Listing.
+        listing: TopicListing,
+        /// When the listing was asked for.
+        asked_at: Instant,
+    },
     /// Records followed a known offset.
     Records {
         /// Topic.
@@ -39,6 +46,8 @@
         records: Vec<KeyedRecord>,
         /// Offset after them.
         next_offset: LogOffset,
+        /// When the store held nothing beyond them.
+        confirmed_at: Instant,
     },
     /// Nodes that announced themselves.
     Announced(Vec<AnnouncedNode>),
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -14,7 +14,7 @@
 use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
-use crate::types::{InstanceId, ServerId};
+use crate::types::{InstanceId, LogOffset, ServerId};
 use async_channel::Sender;
 use bytes::Bytes;
 use smol::Timer;
@@ -39,6 +39,12 @@
 /// Time after which an unchanged load is told again; less than it holds at the partners.
 const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
 
+/// Period in which a node tells its partners how recent its records are.
+const DIGEST_PERIOD: Duration = Duration::from_millis(300);
+
+/// Time for which the answer to a request for records is waited for.
+const RECORDS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time to wait after a connection could not be accepted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -56,13 +62,19 @@
     membership: MembershipState,
     identity: Rc<RefCell<Identity>>,
     links: BTreeMap<InstanceId, OpenLink>,
+    /// Live nodes, this one included.
+    live: Vec<InstanceId>,
+    /// Changes of the membership that are taken into account.
+    noted_changes: Option<u64>,
     /// Highest number of live nodes seen; the shares of a site's allowances go by it.
     most_nodes: u32,
     next_load_at: Instant,
     repeat_load_at: Instant,
     last_loads: Vec<(ServerId, ServerLoad)>,
-    announced_topics: Vec<TopicDigest>,
+    next_digest_at: Instant,
     are_topics_changed: bool,
+    /// Offsets up to which records were requested, and until when they are waited for.
+    requested: BTreeMap<RecordTopic, (LogOffset, Instant)>,
 }
 
 impl Partners {
@@ -88,12 +100,15 @@
             membership: MembershipState::new(me, settings),
             identity: Rc::new(RefCell::new(identity)),
             links: BTreeMap::new(),
+            live: Vec::new(),
+            noted_changes: None,
             most_nodes: 1,
             next_load_at: now,
             repeat_load_at: now,
             last_loads: Vec::new(),
-            announced_topics: Vec::new(),
+            next_digest_at: now,
             are_topics_changed: false,
+            requested: BTreeMap::new(),
         }
     }
 
@@ -108,7 +123,11 @@
     }
 
     /// Returns the live members with this node, in the order of their ids.
-    pub(super) fn live_instances(&self) -> Vec<InstanceId> {
+    pub(super) fn live_instances(&self) -> &[InstanceId] {
+        &self.live
+    }
+
+    fn list_live(&self) -> Vec<InstanceId> {
         let others = self.membership.live_members().map(|member| member.instance.clone());
         let mut all: Vec<InstanceId> = others.collect();
         all.push(self.membership.me().instance.clone());
@@ -175,7 +194,7 @@
         let instance = peer.instance.clone();
         self.partners.links.insert(instance.clone(), OpenLink { number, dialed, outgoing });
         self.advance_membership(MembershipEvent::LinkOpened { peer, dialed }, now);
-        self.partners.send(&instance, &PartnerMessage::Topics(self.topic_digests()));
+        self.partners.send(&instance, &PartnerMessage::Topics(self.topic_digests(now)));
         let strikes = self.context.poison().strikes();
         if !strikes.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Strikes(strikes));
@@ -195,7 +214,7 @@
                 self.advance_membership(MembershipEvent::Records { peer, records }, now);
             }
             PartnerMessage::Strikes(strikes) => self.add_strikes(Some(&peer), strikes, now),
-            PartnerMessage::Topics(digests) => self.request_records(&peer, &digests),
+            PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(digest) => self.send_records(&peer, digest),
             PartnerMessage::Records(part) => {
                 let source = match part.from {
@@ -250,8 +269,10 @@
             self.partners.next_load_at = now + period;
             self.send_load(now);
         }
-        if std::mem::take(&mut self.partners.are_topics_changed) {
-            self.send_topics();
+        let is_changed = std::mem::take(&mut self.partners.are_topics_changed);
+        if is_changed || now >= self.partners.next_digest_at {
+            self.partners.next_digest_at = now + DIGEST_PERIOD;
+            self.send_partners(None, &PartnerMessage::Topics(self.topic_digests(now)));
         }
     }
 
@@ -260,27 +281,38 @@
         self.partners.are_topics_changed = true;
     }
 
-    fn send_topics(&mut self) {
-        let digests = self.topic_digests();
-        if digests != self.partners.announced_topics {
-            self.send_partners(None, &PartnerMessage::Topics(digests.clone()));
-            self.partners.announced_topics = digests;
-        }
-    }
-
-    fn topic_digests(&self) -> Vec<TopicDigest> {
-        let digest = |topic| TopicDigest { topic, known_below: self.replica.known_below(topic) };
+    fn topic_digests(&self, now: Instant) -> Vec<TopicDigest> {
+        let watch = self.record_watch.borrow();
+        let digest = |topic| TopicDigest {
+            topic,
+            known_below: self.replica.known_below(topic),
+            age_ms: watch
+                .age(topic, now)
+                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        };
         RecordTopic::iter().map(digest).collect()
     }
 
-    /// Asks a partner for what it knows beyond this node.
-    fn request_records(&self, peer: &InstanceId, digests: &[TopicDigest]) {
-        for digest in digests {
-            let known = self.replica.known_below(digest.topic);
-            if digest.known_below > known {
-                let request = TopicDigest { topic: digest.topic, known_below: known };
-                self.partners.send(peer, &PartnerMessage::RecordsRequest(request));
+    /// Takes in what a partner knows, and asks it for what this node does not know yet.
+    fn apply_digests(&mut self, peer: &InstanceId, digests: &[TopicDigest], now: Instant) {
+        for &TopicDigest { topic, known_below, age_ms } in digests {
+            let known = self.replica.known_below(topic);
+            if known_below <= known {
+                let confirmed_at =
+                    age_ms.and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)));
+                if let Some(confirmed_at) = confirmed_at.filter(|_| known_below == known) {
+                    self.record_watch.borrow_mut().confirm(topic, confirmed_at);
+                }
+                continue;
             }
+            let Some(offset) = known_below else { continue };
+            let requested = self.partners.requested.get(&topic);
+            if requested.is_some_and(|(below, until)| *below >= offset && now < *until) {
+                continue;
+            }
+            self.partners.requested.insert(topic, (offset, now + RECORDS_TIMEOUT));
+            let request = TopicDigest { topic, known_below: known, age_ms: None };
+            self.partners.send(peer, &PartnerMessage::RecordsRequest(request));
         }
     }
 
@@ -355,6 +387,15 @@
     fn note_nodes(&mut self) {
         let links = i64::try_from(self.partners.links.len()).unwrap_or(i64::MAX);
         self.context.metrics.links.set(links);
+        let changes = Some(self.partners.membership.changes());
+        if changes != self.partners.noted_changes {
+            self.partners.noted_changes = changes;
+            let live = self.partners.list_live();
+            let topics: Vec<RecordTopic> = RecordTopic::iter().collect();
+            let me = &self.partners.membership.me().instance;
+            self.record_watch.borrow_mut().set_nodes(me, &live, &topics);
+            self.partners.live = live;
+        }
         let nodes = self.partners.membership.live_nodes();
         if nodes > self.partners.most_nodes {
             self.partners.most_nodes = nodes;
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -3,7 +3,7 @@
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayEvent, follow, kv_store, partners};
-use crate::decision::relay::{Replica, StoreLink};
+use crate::decision::relay::{RecordWatch, Replica, StoreLink};
 use crate::links::Identity;
 use crate::relay::RelayContext;
 use crate::relay::suspend_clock::SuspendClock;
@@ -44,6 +44,8 @@
     pub(super) context: Arc<RelayContext>,
     pub(super) executor: Weak<LocalExecutor<'static>>,
     pub(super) replica: Replica,
+    /// Reads of the topics, for the tasks that follow them.
+    pub(super) record_watch: Rc<RefCell<RecordWatch>>,
     pub(super) partners: Partners,
     pub(super) rollout: RolloutControl,
     pub(super) targets: BTreeMap<ModelId, WeightsRevision>,
@@ -63,6 +65,7 @@
     let mut state = ControlState {
         rollout: RolloutControl::new(instance, context.settings.rollout_lease_ms),
         replica: Replica::default(),
+        record_watch: Rc::default(),
         partners,
         targets: BTreeMap::new(),
         kv_store: Rc::clone(&kv_store),
@@ -115,9 +118,13 @@
 
     fn handle(&mut self, event: RelayEvent, now: Instant) {
         match event {
-            RelayEvent::Listed(topic, listing) => self.apply_listing(topic, listing, now),
-            RelayEvent::Records { topic, records, next_offset } => {
+            RelayEvent::Listed { topic, listing, asked_at } => {
+                self.apply_listing(topic, listing, now);
+                self.record_watch.borrow_mut().confirm(topic, asked_at);
+            }
+            RelayEvent::Records { topic, records, next_offset, confirmed_at } => {
                 self.apply_records(topic, records, next_offset, now);
+                self.record_watch.borrow_mut().confirm(topic, confirmed_at.min(now));
             }
             RelayEvent::Announced(nodes) => self.apply_announced(&nodes, now),
             RelayEvent::LinkOpened { link, peer, dialed, outgoing } => {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod kept_prefixes;
 mod lease;
 mod logging;
+mod record_watch;
 mod replica;
 mod resend;
 mod rollout;
