fix(settings): name unknown fields and wrong values together

An unknown field stopped the reading of the settings file, so that it was reported alone and hid a second one and every wrong value. Both kinds of node now read settings by one function, which collects unknown fields as faults. The test of an unknown field checks the path instead of serde's message; a second one checks that all faults are named.

--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -6,7 +6,8 @@
 
 /// Periods of the control thread's exchanges.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct ControlSettings {
     /// Milliseconds between reads of each log stream.
     pub log_period_ms: u64,
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -6,7 +6,8 @@
 
 /// Limits on callers' requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct LimitSettings {
     /// Bytes of a request's head.
     pub head_bytes: usize,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
-use crate::types::AvailabilityZone;
+use crate::types::{AvailabilityZone, Faults};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -71,8 +71,22 @@
         use anyhow::Context;
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("step=read_settings file={}", path.display()))?;
-        let raw: RawSettings = serde_json::from_str(&text)
-            .with_context(|| format!("step=parse_settings file={}", path.display()))?;
-        Ok(Self::try_from(raw)?)
+        Self::parse(&text).with_context(|| format!("step=check_settings file={}", path.display()))
+    }
+
+    /// Reads and checks settings in JSON.
+    ///
+    /// # Errors
+    ///
+    /// All faults found, unknown fields and wrong values together.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let mut faults = Faults::default();
+        let raw: RawSettings = faults.read_json(text)?;
+        let checked = Self::try_from(raw).map_err(|found| faults.extend("", found));
+        match (checked, faults.into_result(())) {
+            (Ok(settings), Ok(())) => Ok(settings),
+            (_, Err(faults)) => Err(faults.into()),
+            (Err(()), Ok(())) => anyhow::bail!("the settings are faulty"),
+        }
     }
 }
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -9,7 +9,8 @@
 
 /// Settings of a node.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct RawSettings {
     /// Name of the instance.
     pub instance_name: SmolStr,
@@ -55,7 +56,8 @@
 
 /// Addresses that a node listens on, as `ip:port`; port 0 takes a free one.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct RawListenSettings {
     /// Callers' listener.
     pub callers: SmolStr,
@@ -77,7 +79,8 @@
 
 /// Addresses of the platform's services, as `ip:port`.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct RawPlatformSettings {
     /// Log service.
     pub log: SmolStr,
@@ -89,7 +92,8 @@
 
 /// Claims of idempotency keys; the same on all nodes.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct RawClaimsSettings {
     /// Milliseconds after its first use, or after the time that it carries, for which a key holds.
     pub key_age_ms: u64,
--- a/src/types/faults.rs
+++ b/src/types/faults.rs
@@ -1,5 +1,6 @@
 //! Faults found while raw input is checked, each with its path in the input.
 
+use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use std::fmt;
 
@@ -29,6 +30,27 @@
         }
     }
 
+    /// Reads JSON and adds a fault for each field that is not known, so that one does not hide the
+    /// next or a wrong value.
+    ///
+    /// # Errors
+    ///
+    /// The text is no JSON, or a value has the wrong type.
+    pub fn read_json<T: DeserializeOwned>(&mut self, text: &str) -> serde_json::Result<T> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let value = serde_ignored::deserialize(&mut json, |path| {
+            self.add(path.to_string(), "is not a setting");
+        })?;
+        json.end()?;
+        Ok(value)
+    }
+
+    /// Adds the faults of the part at `path`.
+    pub fn extend(&mut self, path: &str, part: Self) {
+        let faults = part.0.into_iter();
+        faults.for_each(|fault| self.add(format!("{path}{}", fault.path), fault.message));
+    }
+
     /// Returns `value` if no fault was found.
     pub fn into_result<T>(self, value: T) -> Result<T, Self> {
         if self.0.is_empty() { Ok(value) } else { Err(self) }
--- a/tests/whole_path/settings.rs
+++ b/tests/whole_path/settings.rs
@@ -22,8 +22,27 @@
 
 #[test]
 fn an_unknown_field_is_a_fault() {
-    let error = serde_json::from_str::<RawSettings>(r#"{ "zone": "couva" }"#).unwrap_err();
-    assert!(error.to_string().starts_with("unknown field `zone`"), "{error}");
+    let error = Settings::parse(r#"{ "zone": "couva" }"#).unwrap_err();
+    assert!(error.to_string().starts_with("zone: is not a setting"), "{error}");
+}
+
+#[test]
+fn unknown_fields_and_wrong_values_are_named_together() {
+    let text = r#"{
+        "instance_name": "entry-1",
+        "zone": "couva",
+        "availability_zone": "",
+        "platform": { "log": "127.0.0.1:9000", "instance_list": "127.0.0.1:9001" },
+        "partner_key": "long enough to pass",
+        "limits": { "head_byte": 1 },
+        "traffic_threads": 0
+    }"#;
+    insta::assert_snapshot!(Settings::parse(text).unwrap_err(), @r"
+    zone: is not a setting
+    limits.head_byte: is not a setting
+    availability_zone: must not be empty
+    traffic_threads: must be from 1 to 64
+    ");
 }
 
 #[test]
