fix(relay): a broken stream waits for a server that is full for a moment

A server that rejected the resumed stream as full was not tried again, so that with two servers the stream ended although the second one had room 120 ms later. It stays a candidate now; time, the budget of resends and the choice's pause for full servers bound the attempts. The test failed before.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -3,7 +3,7 @@
 
 use super::RelayContext;
 use super::answer::keep;
-use super::attempt::{self, Answer, AttemptEnd};
+use super::attempt::{self, Answer, AttemptEnd, NotRunReason};
 use super::exchange::{Attempts, choose};
 use super::metrics::AnswerLabels;
 use super::request::{RelayedRequest, end_to_end_headers};
@@ -232,6 +232,11 @@
                 self.context.metrics.resumed_streams.inc();
                 true
             }
+            AttemptEnd::NotRun(NotRunReason::Full) => {
+                // It has room again once a request ends; the choice avoids it until then.
+                self.attempts.tried.pop();
+                false
+            }
             _ => false,
         }
     }
