perf(relay): loads summed along a tree, rollout notices passed on to all nodes

Cause: beyond eight nodes a node has links to a few partners only and heard the loads and the stored prefixes of these alone: servers looked empty to most nodes (busiest server 3.7 to 4.0 times the mean), requests were shed, and a prefix that the store had was read again. Rollout notices reached the coordinator's partners only, so that other nodes went on sending to closed servers. Now all nodes work out one tree from their member set (a hub a zone, about the square root of the zone's nodes below it); each node tells a neighbour the sum of its own load and of what the other neighbours told. Sums that speak for more nodes than there are go in a circle and are dropped. Notices are numbered and passed on once. Loads go without the names of their fields.

Ruled out: each node's loads to all (68 x 60 entries ten times a second do not fit into a link of 10 Mbit/s), polling the servers' reports (they say nothing of prompts that wait).

--- a/src/decision/membership/mod.rs
+++ b/src/decision/membership/mod.rs
@@ -7,11 +7,13 @@
 pub mod messages;
 pub mod partners;
 pub mod settings;
+pub mod tree;
 
 pub use members::Members;
 pub use messages::{MemberRecord, MemberStatus, MembershipCommand, MembershipEvent};
 pub use partners::choose_partners;
 pub use settings::MembershipSettings;
+pub use tree::{TreePlace, tree_place};
 
 use crate::types::InstanceId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -130,6 +132,23 @@
         self.members.live()
     }
 
+    /// Whether the nodes are too many for links between all of them.
+    pub fn is_beyond_mesh(&self) -> bool {
+        self.members.live().count() >= self.settings.full_mesh_nodes
+    }
+
+    /// Place of this node in the tree over all live nodes; all others are its children while every
+    /// node has a link to every other.
+    pub fn tree_place(&self) -> TreePlace {
+        if !self.is_beyond_mesh() {
+            let children = self.members.live().map(|member| member.instance.clone()).collect();
+            return TreePlace { parent: None, children };
+        }
+        let alive = |member: &&MemberRecord| member.status == MemberStatus::Alive;
+        let others: Vec<&MemberRecord> = self.members.records().filter(alive).collect();
+        tree_place(&self.me, &others)
+    }
+
     /// Number of changes of the members so far.
     pub fn changes(&self) -> u64 {
         self.members.changes()
@@ -321,10 +340,13 @@
         let live: Vec<&MemberRecord> = self.members.live().collect();
         let MembershipSettings { full_mesh_nodes, partners, .. } = self.settings;
         let partners = choose_partners(&self.me, &live, full_mesh_nodes, partners);
+        let parent = self.tree_place().parent;
+        let is_parent = |member: &&&MemberRecord| parent.as_ref() == Some(&member.instance);
         let wanted: BTreeSet<InstanceId> =
-            partners.iter().map(|partner| partner.instance.clone()).collect();
+            partners.iter().map(|partner| partner.instance.clone()).chain(parent.clone()).collect();
         let missing: Vec<SocketAddr> = partners
             .iter()
+            .chain(live.iter().filter(is_parent))
             .filter(|partner| !self.links.contains_key(&partner.instance))
             .map(|partner| partner.address)
             .filter(|address| self.may_dial(*address, now))
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -181,13 +181,30 @@
         loads: &[(ServerId, ServerLoad)],
         now: Instant,
     ) {
+        let told: BTreeMap<&ServerId, ServerLoad> =
+            loads.iter().map(|(id, load)| (id, *load)).collect();
         for server in self.servers.values_mut() {
-            let told = loads.iter().find(|(id, _)| *id == server.entry.id);
-            let load = told.map(|(_, load)| *load).unwrap_or_default();
+            let load = told.get(&server.entry.id).copied().unwrap_or_default();
             server.set_partner_load(partner.clone(), load, now);
         }
     }
 
+    /// Drops what a partner told, which other partners tell from now on.
+    pub fn forget_partner(&mut self, partner: &InstanceId) {
+        self.servers.values_mut().for_each(|server| server.forget_partner(partner));
+        self.long_tokens.forget_partner(partner);
+    }
+
+    /// Returns the load at each server that has some, of this node and of what all partners but
+    /// `except` told.
+    pub fn summed_loads(&self, except: &InstanceId, now: Instant) -> Vec<(ServerId, ServerLoad)> {
+        let loads = self
+            .servers
+            .values()
+            .map(|server| (server.entry.id.clone(), server.load_without(Some(except), now)));
+        loads.filter(|(_, load)| load.requests > 0).collect()
+    }
+
     /// Returns this node's load at each server that has some.
     pub fn own_loads(&self) -> Vec<(ServerId, ServerLoad)> {
         let loaded = self.servers.values().filter(|server| server.own_load.requests > 0);
--- /dev/null
+++ b/src/decision/relay/load_exchange.rs
@@ -0,0 +1,197 @@
+//! Exchange of loads: what all nodes have at the servers, summed along the tree of nodes.
+//!
+//! While every node has a link to every other, each tells its own load. Beyond that number a node
+//! tells each neighbour in the tree the sum of its own load and of what the other neighbours told,
+//! so that each load reaches every node once and messages don't grow with the nodes.
+
+use super::fleet::Fleet;
+use super::prompt::PrefixKey;
+use super::server::ServerLoad;
+use crate::decision::membership::TreePlace;
+use crate::types::{InstanceId, ServerId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+use strum::Display;
+
+/// Period in which a node tells its load.
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
+
+/// Period while a rollout waits for requests to end, and of nodes that pass on the loads of others.
+const SHORT_LOAD_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time after which an unchanged load is told again; less than it holds at the partners.
+const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
+
+/// Stored prefixes that may wait for a neighbour to be told; it learns of others by using them.
+const MOST_STORED: usize = 2_048;
+
+/// Requests at backend servers, of the sender and of the nodes for which it speaks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayLoad {
+    /// Nodes whose requests are counted.
+    pub nodes: u32,
+    /// Load at each server that has some.
+    pub loads: Vec<(ServerId, ServerLoad)>,
+    /// Prefixes saved to the store of kept KV cache that the receiver was not told of before.
+    pub stored: Vec<PrefixKey>,
+    /// Output tokens a second of the long runs that these nodes started.
+    pub long_tokens_per_s: u32,
+}
+
+/// Why a load is not taken in.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum IgnoredLoad {
+    /// Its sender is no neighbour.
+    NoNeighbour,
+    /// It speaks for more nodes than there are: nodes with different member sets may pass loads on
+    /// in a circle for a while.
+    TooManyNodes,
+}
+
+/// What a neighbour told and was told.
+#[derive(Clone, Debug, Default)]
+struct Neighbour {
+    /// Nodes for which it speaks, 0 before its first message.
+    nodes: u32,
+    last_sent: Option<RelayLoad>,
+    repeat_at: Option<Instant>,
+    /// Stored prefixes that it has not been told of.
+    stored: Vec<PrefixKey>,
+}
+
+/// Loads that go to and come from the neighbours.
+#[derive(Clone, Debug)]
+pub struct LoadExchange {
+    /// Whether a neighbour is told what others told.
+    passes_on: bool,
+    neighbours: BTreeMap<InstanceId, Neighbour>,
+    next_at: Instant,
+}
+
+impl LoadExchange {
+    /// Returns the exchange of a node without neighbours.
+    pub fn new(now: Instant) -> Self {
+        Self { passes_on: false, neighbours: BTreeMap::new(), next_at: now }
+    }
+
+    /// Whether loads come over several nodes, and thus later.
+    pub fn is_tree(&self) -> bool {
+        self.passes_on
+    }
+
+    /// Whether this node passes the loads of others on.
+    pub fn is_inner(&self) -> bool {
+        self.passes_on && self.neighbours.len() > 1
+    }
+
+    /// Returns the neighbours.
+    pub fn neighbours(&self) -> impl Iterator<Item = &InstanceId> {
+        self.neighbours.keys()
+    }
+
+    /// Takes in this node's place; `passes_on` says whether the nodes form a tree.
+    pub fn set_place(&mut self, place: &TreePlace, passes_on: bool, fleet: &mut Fleet) {
+        self.passes_on = passes_on;
+        let wanted: BTreeSet<&InstanceId> = place.neighbours().collect();
+        for peer in self.neighbours.keys().filter(|peer| !wanted.contains(peer)) {
+            fleet.forget_partner(peer);
+        }
+        self.neighbours.retain(|peer, _| wanted.contains(peer));
+        for peer in wanted {
+            self.neighbours.entry(peer.clone()).or_default();
+        }
+    }
+
+    /// Whether loads are to be told now.
+    pub fn take_due(&mut self, is_rollout: bool, now: Instant) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        let is_short = is_rollout || self.is_inner();
+        self.next_at = now + if is_short { SHORT_LOAD_PERIOD } else { LOAD_PERIOD };
+        true
+    }
+
+    /// Takes in the prefixes that this node had saved.
+    pub fn add_newly_stored(&mut self, fleet: &mut Fleet) {
+        self.add_stored(None, &fleet.kept.take_newly_stored());
+    }
+
+    /// Returns what a neighbour is to be told, none if it knows that.
+    pub fn outgoing(
+        &mut self,
+        peer: &InstanceId,
+        fleet: &Fleet,
+        now: Instant,
+    ) -> Option<RelayLoad> {
+        let mut load = self.sum_without(peer, fleet, now);
+        let neighbour = self.neighbours.get_mut(peer)?;
+        let is_repeat_due = neighbour.repeat_at.is_none_or(|at| at <= now);
+        let is_unchanged = neighbour
+            .last_sent
+            .as_ref()
+            .is_some_and(|sent| (sent.nodes, &sent.loads) == (load.nodes, &load.loads));
+        if is_unchanged && neighbour.stored.is_empty() && !is_repeat_due {
+            return None;
+        }
+        neighbour.repeat_at = Some(now + LOAD_REPEAT);
+        neighbour.last_sent = Some(load.clone());
+        load.stored = std::mem::take(&mut neighbour.stored);
+        Some(load)
+    }
+
+    /// Takes in what a neighbour told; `live_nodes` are all nodes, this one included.
+    ///
+    /// # Errors
+    ///
+    /// Why the load is ignored.
+    pub fn receive(
+        &mut self,
+        peer: &InstanceId,
+        load: &RelayLoad,
+        live_nodes: u32,
+        fleet: &mut Fleet,
+        now: Instant,
+    ) -> Result<(), IgnoredLoad> {
+        let neighbour = self.neighbours.get_mut(peer).ok_or(IgnoredLoad::NoNeighbour)?;
+        if load.nodes >= live_nodes.max(2) {
+            return Err(IgnoredLoad::TooManyNodes);
+        }
+        neighbour.nodes = load.nodes;
+        if self.passes_on {
+            self.add_stored(Some(peer), &load.stored);
+        }
+        fleet.long_tokens.set_partner(peer.clone(), f64::from(load.long_tokens_per_s), now);
+        fleet.set_partner_loads(peer, &load.loads, now);
+        fleet.kept.add_stored_elsewhere(&load.stored, now);
+        Ok(())
+    }
+
+    fn sum_without(&self, peer: &InstanceId, fleet: &Fleet, now: Instant) -> RelayLoad {
+        if !self.passes_on {
+            let long_tokens_per_s = fleet.long_tokens.own_per_s(now).round() as u32;
+            return RelayLoad {
+                nodes: 1,
+                loads: fleet.own_loads(),
+                stored: Vec::new(),
+                long_tokens_per_s,
+            };
+        }
+        let others = self.neighbours.iter().filter(|(other, _)| *other != peer);
+        let nodes = 1 + others.map(|(_, other)| other.nodes).sum::<u32>();
+        let long_tokens_per_s = fleet.long_tokens.per_s_without(Some(peer), now).round() as u32;
+        let loads = fleet.summed_loads(peer, now);
+        RelayLoad { nodes, loads, stored: Vec::new(), long_tokens_per_s }
+    }
+
+    fn add_stored(&mut self, source: Option<&InstanceId>, keys: &[PrefixKey]) {
+        for (peer, neighbour) in &mut self.neighbours {
+            let room = MOST_STORED.saturating_sub(neighbour.stored.len());
+            if Some(peer) != source {
+                neighbour.stored.extend(keys.iter().take(room));
+            }
+        }
+    }
+}
--- a/src/decision/relay/long_tokens.rs
+++ b/src/decision/relay/long_tokens.rs
@@ -36,10 +36,23 @@
         self.decayed(now) / WINDOW.as_secs_f64()
     }
 
+    /// Drops a partner's rate.
+    pub fn forget_partner(&mut self, partner: &InstanceId) {
+        self.partners.remove(partner);
+    }
+
     /// Returns the tokens a second of all nodes.
     pub fn per_s(&self, now: Instant) -> f64 {
-        let live = self.partners.values().filter(|(_, until)| now < *until);
-        self.own_per_s(now) + live.map(|(per_s, _)| per_s).sum::<f64>()
+        self.per_s_without(None, now)
+    }
+
+    /// Returns the tokens a second of this node and of what all partners but `except` told.
+    pub fn per_s_without(&self, except: Option<&InstanceId>, now: Instant) -> f64 {
+        let told = self
+            .partners
+            .iter()
+            .filter(|(partner, (_, until))| now < *until && Some(*partner) != except);
+        self.own_per_s(now) + told.map(|(_, (per_s, _))| per_s).sum::<f64>()
     }
 
     fn decayed(&self, now: Instant) -> f64 {
--- a/src/decision/relay/rollout_messages.rs
+++ b/src/decision/relay/rollout_messages.rs
@@ -32,6 +32,13 @@
     pub retry_ms: u64,
 }
 
+impl RolloutSettings {
+    /// Returns the settings for so many nodes that notices and loads go over several of them.
+    pub fn many_nodes() -> Self {
+        Self { notice_ms: 350, evict_ms: 500, ..Self::default() }
+    }
+}
+
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -83,8 +83,13 @@
     }
 }
 
+/// Load of a server as it goes between nodes, without the names of its fields: requests, long runs,
+/// unread tokens, memory tokens.
+type PackedLoad = (u32, u32, UnreadTokens, u64);
+
 /// Requests at a server.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "PackedLoad", into = "PackedLoad")]
 pub struct ServerLoad {
     /// Requests sent and not ended.
     pub requests: u32,
@@ -96,6 +101,18 @@
     pub memory_tokens: u64,
 }
 
+impl From<PackedLoad> for ServerLoad {
+    fn from((requests, long_runs, unread_tokens, memory_tokens): PackedLoad) -> Self {
+        Self { requests, long_runs, unread_tokens, memory_tokens }
+    }
+}
+
+impl From<ServerLoad> for PackedLoad {
+    fn from(load: ServerLoad) -> Self {
+        (load.requests, load.long_runs, load.unread_tokens, load.memory_tokens)
+    }
+}
+
 impl ServerLoad {
     pub(super) fn add(&mut self, other: Self) {
         self.requests += other.requests;
@@ -250,11 +267,21 @@
         self.newest_tokens * (-age.as_secs_f64() / HERD_PERIOD.as_secs_f64()).exp()
     }
 
+    /// Drops what a partner told of its requests.
+    pub fn forget_partner(&mut self, partner: &InstanceId) {
+        self.partner_loads.remove(partner);
+    }
+
     /// Returns the load of all nodes as far as it is known.
     pub fn total_load(&self, now: Instant) -> ServerLoad {
+        self.load_without(None, now)
+    }
+
+    /// Returns the load of this node and of what all partners but `except` told.
+    pub fn load_without(&self, except: Option<&InstanceId>, now: Instant) -> ServerLoad {
         let mut total = self.own_load;
-        for (load, until) in self.partner_loads.values() {
-            if now < *until {
+        for (partner, (load, until)) in &self.partner_loads {
+            if now < *until && Some(partner) != except {
                 total.add(*load);
             }
         }
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -6,10 +6,9 @@
 use crate::decision::poison::Strike;
 use crate::decision::power::PowerMessage;
 use crate::decision::relay::RecordTopic;
-use crate::decision::relay::prompt::PrefixKey;
+use crate::decision::relay::load_exchange::RelayLoad;
 use crate::decision::relay::register_lease::RegisterRecord;
 use crate::decision::relay::replica::TopicPart;
-use crate::decision::relay::server::ServerLoad;
 use crate::types::{LogOffset, ModelId, ServerId, WeightsRevision};
 use bytes::Bytes;
 use ciborium::Value;
@@ -74,20 +73,11 @@
     pub age_ms: Option<u64>,
 }
 
-/// Requests of a node at backend servers.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RelayLoad {
-    /// Load at each server that has some.
-    pub loads: Vec<(ServerId, ServerLoad)>,
-    /// Prefixes saved to the store of kept KV cache since the message before.
-    pub stored: Vec<PrefixKey>,
-    /// Output tokens a second of the long runs that the sender started.
-    pub long_tokens_per_s: u32,
-}
-
 /// State of a rollout of weights, as its coordinator tells it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutNotice {
+    /// Number of the notice under its lease, from 0.
+    pub number: u64,
     /// Model.
     pub model: ModelId,
     /// Servers that get no new requests for now.
--- /dev/null
+++ b/src/relay/control/loads.rs
@@ -0,0 +1,42 @@
+//! Sends and receives loads, as the exchange of loads decides.
+
+use super::state::ControlState;
+use crate::decision::relay::load_exchange::RelayLoad;
+use crate::links::PartnerMessage;
+use crate::types::InstanceId;
+use std::time::Instant;
+
+impl ControlState {
+    /// Tells the neighbours of the requests at the servers if that is due.
+    pub(super) fn tick_loads(&mut self, now: Instant) {
+        if self.loads.take_due(self.rollout.is_active(), now) {
+            self.send_load(now);
+        }
+    }
+
+    /// Tells the neighbours of the requests at the servers.
+    pub(super) fn send_load(&mut self, now: Instant) {
+        let mut fleet = self.context.fleet();
+        self.loads.add_newly_stored(&mut fleet);
+        let peers: Vec<InstanceId> = self.loads.neighbours().cloned().collect();
+        let mut messages = Vec::with_capacity(peers.len());
+        for peer in peers.into_iter().filter(|peer| self.partners.is_linked(peer)) {
+            if let Some(load) = self.loads.outgoing(&peer, &fleet, now) {
+                messages.push((peer, load));
+            }
+        }
+        drop(fleet);
+        for (peer, load) in messages {
+            self.partners.send(&peer, &PartnerMessage::RelayLoad(load));
+        }
+    }
+
+    /// Takes in the load that a partner told.
+    pub(super) fn apply_load(&mut self, peer: &InstanceId, load: &RelayLoad, now: Instant) {
+        let live_nodes = u32::try_from(self.partners.live_instances().len()).unwrap_or(u32::MAX);
+        let mut fleet = self.context.fleet();
+        if let Err(reason) = self.loads.receive(peer, load, live_nodes, &mut fleet, now) {
+            log::debug!("event=load_ignored peer={peer} reason={reason} nodes={}", load.nodes);
+        }
+    }
+}
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -8,13 +8,12 @@
     MembershipState,
 };
 use crate::decision::relay::RecordTopic;
-use crate::decision::relay::server::ServerLoad;
 use crate::links::connection::ReceivedMessage;
-use crate::links::message::{RelayLoad, TopicDigest};
+use crate::links::message::TopicDigest;
 use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
-use crate::types::{InstanceId, LogOffset, ServerId};
+use crate::types::{InstanceId, LogOffset};
 use async_channel::Sender;
 use bytes::Bytes;
 use smol::Timer;
@@ -30,15 +29,6 @@
 /// Messages that may wait for a link's connection.
 const LINK_QUEUE: usize = 64;
 
-/// Period in which a node tells its partners of its load.
-const LOAD_PERIOD: Duration = Duration::from_millis(100);
-
-/// Period while a rollout waits for requests to end.
-const ROLLOUT_LOAD_PERIOD: Duration = Duration::from_millis(50);
-
-/// Time after which an unchanged load is told again; less than it holds at the partners.
-const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
-
 /// Period in which a node tells its partners how recent its records are.
 const DIGEST_PERIOD: Duration = Duration::from_millis(300);
 
@@ -68,9 +58,6 @@
     noted_changes: Option<u64>,
     /// Highest number of live nodes seen; the shares of a site's allowances go by it.
     most_nodes: u32,
-    next_load_at: Instant,
-    repeat_load_at: Instant,
-    last_loads: Vec<(ServerId, ServerLoad)>,
     next_digest_at: Instant,
     are_topics_changed: bool,
     /// Offsets up to which records were requested, and until when they are waited for.
@@ -103,9 +90,6 @@
             live: Vec::new(),
             noted_changes: None,
             most_nodes: 1,
-            next_load_at: now,
-            repeat_load_at: now,
-            last_loads: Vec::new(),
             next_digest_at: now,
             are_topics_changed: false,
             requested: BTreeMap::new(),
@@ -135,7 +119,13 @@
         all
     }
 
-    fn send(&self, to: &InstanceId, message: &PartnerMessage) {
+    /// Whether there is a link to a node.
+    pub(super) fn is_linked(&self, peer: &InstanceId) -> bool {
+        self.links.contains_key(peer)
+    }
+
+    /// Sends a message to a partner.
+    pub(super) fn send(&self, to: &InstanceId, message: &PartnerMessage) {
         let Some(link) = self.links.get(to) else { return };
         let bytes = message.encode();
         if bytes.len() > MESSAGE_LIMIT_BYTES {
@@ -225,13 +215,8 @@
                 self.apply_news(&news, &source, now);
                 self.note_listed();
             }
-            PartnerMessage::RelayLoad(RelayLoad { loads, stored, long_tokens_per_s }) => {
-                let mut fleet = self.context.fleet();
-                fleet.long_tokens.set_partner(peer.clone(), f64::from(long_tokens_per_s), now);
-                fleet.set_partner_loads(&peer, &loads, now);
-                fleet.kept.add_stored_elsewhere(&stored, now);
-            }
-            PartnerMessage::Rollout(notice) => self.apply_rollout_notice(&notice, now),
+            PartnerMessage::RelayLoad(load) => self.apply_load(&peer, &load, now),
+            PartnerMessage::Rollout(notice) => self.receive_rollout_notice(&peer, notice, now),
             other => log::debug!("event=message_ignored peer={peer} kind={}", other.kind()),
         }
     }
@@ -263,12 +248,6 @@
     /// Does the periodic work.
     pub(super) fn tick_partners(&mut self, now: Instant) {
         self.advance_membership(MembershipEvent::Tick, now);
-        if now >= self.partners.next_load_at {
-            let is_rollout = self.rollout.is_active();
-            let period = if is_rollout { ROLLOUT_LOAD_PERIOD } else { LOAD_PERIOD };
-            self.partners.next_load_at = now + period;
-            self.send_load(now);
-        }
         let is_changed = std::mem::take(&mut self.partners.are_topics_changed);
         if is_changed || now >= self.partners.next_digest_at {
             self.partners.next_digest_at = now + DIGEST_PERIOD;
@@ -343,23 +322,6 @@
         }
     }
 
-    /// Tells partners of this node's requests at the servers.
-    pub(super) fn send_load(&mut self, now: Instant) {
-        let (loads, stored, long_tokens_per_s) = {
-            let mut fleet = self.context.fleet();
-            let long_tokens_per_s = fleet.long_tokens.own_per_s(now).round() as u32;
-            (fleet.own_loads(), fleet.kept.take_newly_stored(), long_tokens_per_s)
-        };
-        let is_unchanged = loads == self.partners.last_loads && stored.is_empty();
-        if is_unchanged && now < self.partners.repeat_load_at {
-            return;
-        }
-        self.partners.repeat_load_at = now + LOAD_REPEAT;
-        self.partners.last_loads.clone_from(&loads);
-        let load = RelayLoad { loads, stored, long_tokens_per_s };
-        self.send_partners(None, &PartnerMessage::RelayLoad(load));
-    }
-
     fn advance_membership(&mut self, event: MembershipEvent, now: Instant) {
         for command in self.partners.membership.apply(event, now) {
             match command {
@@ -395,6 +357,9 @@
             let me = &self.partners.membership.me().instance;
             self.record_watch.borrow_mut().set_nodes(me, &live, &topics);
             self.partners.live = live;
+            let place = self.partners.membership.tree_place();
+            let is_tree = self.partners.membership.is_beyond_mesh();
+            self.loads.set_place(&place, is_tree, &mut self.context.fleet());
         }
         let nodes = self.partners.membership.live_nodes();
         if nodes > self.partners.most_nodes {
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -3,6 +3,7 @@
 use super::RelayEvent;
 use super::state::ControlState;
 use crate::decision::relay::RegisterLease;
+use crate::decision::relay::heard_notices::{HeardNotice, HeardNotices};
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::rollout::{
     Rollout, RolloutCommand, RolloutServer, RolloutSettings, WeightsOrderOutcome, WeightsReport,
@@ -47,6 +48,9 @@
     last_notice_at: Option<Instant>,
     last_coordinator: Option<InstanceId>,
     next_notice_at: Instant,
+    /// Number of the next notice.
+    notice_number: u64,
+    heard_notices: HeardNotices,
     register_busy_until: Option<Instant>,
     next_register_at: Instant,
 }
@@ -63,6 +67,8 @@
             last_notice_at: None,
             last_coordinator: None,
             next_notice_at: now,
+            notice_number: 0,
+            heard_notices: HeardNotices::default(),
             register_busy_until: None,
             next_register_at: now,
         }
@@ -79,9 +85,11 @@
         self.rollouts.clear();
     }
 
-    fn notice(&self, model: &ModelId) -> Option<RolloutNotice> {
+    fn notice(&mut self, model: &ModelId) -> Option<RolloutNotice> {
         let rollout = self.rollouts.get(model)?;
+        self.notice_number += 1;
         Some(RolloutNotice {
+            number: self.notice_number,
             model: model.clone(),
             closed: rollout.closed().cloned().collect(),
             evicted: rollout.evicted().cloned().collect(),
@@ -158,7 +166,12 @@
             Some(rollout) => rollout.retarget(revision),
             None => {
                 log::info!("event=rollout_started model={model} revision={revision}");
-                let rollout = Rollout::new(RolloutSettings::default(), model.clone(), revision);
+                let settings = if self.loads.is_tree() {
+                    RolloutSettings::many_nodes()
+                } else {
+                    RolloutSettings::default()
+                };
+                let rollout = Rollout::new(settings, model.clone(), revision);
                 self.rollout.rollouts.insert(model.clone(), rollout);
             }
         }
@@ -397,8 +410,33 @@
         }
     }
 
-    /// Takes in a coordinator's notice.
-    pub(super) fn apply_rollout_notice(&mut self, notice: &RolloutNotice, now: Instant) {
+    /// Takes in a coordinator's notice from a partner and passes it on, since a coordinator has links
+    /// to some nodes only.
+    pub(super) fn receive_rollout_notice(
+        &mut self,
+        source: &InstanceId,
+        mut notice: RolloutNotice,
+        now: Instant,
+    ) {
+        if notice.lease.holder == self.rollout.instance {
+            return;
+        }
+        match self.rollout.heard_notices.hear(notice.lease.number, notice.number) {
+            HeardNotice::Again => return,
+            HeardNotice::Newest => {}
+            HeardNotice::Late => {
+                // What changed still holds; which servers are closed has been told since.
+                notice.closed.clear();
+                notice.evicted.clear();
+            }
+        }
+        self.apply_rollout_notice(&notice, now);
+        if self.loads.is_tree() {
+            self.send_partners(Some(source), &PartnerMessage::Rollout(notice));
+        }
+    }
+
+    fn apply_rollout_notice(&mut self, notice: &RolloutNotice, now: Instant) {
         let known = self.rollout.lease.known().map_or(0, |record| record.number);
         if notice.lease.number < known {
             log::info!("event=rollout_notice_ignored number={} known={known}", notice.lease.number);
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -3,7 +3,7 @@
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayEvent, follow, kv_store, partners};
-use crate::decision::relay::{RecordWatch, Replica, StoreLink};
+use crate::decision::relay::{LoadExchange, RecordWatch, Replica, StoreLink};
 use crate::links::Identity;
 use crate::relay::RelayContext;
 use crate::relay::suspend_clock::SuspendClock;
@@ -22,6 +22,9 @@
 /// Period of the loop's own work.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Period of a node that passes the loads of others on.
+const SHORT_TICK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Period while a rollout is under way.
 const ROLLOUT_TICK_PERIOD: Duration = Duration::from_millis(25);
 
@@ -47,6 +50,7 @@
     /// Reads of the topics, for the tasks that follow them.
     pub(super) record_watch: Rc<RefCell<RecordWatch>>,
     pub(super) partners: Partners,
+    pub(super) loads: LoadExchange,
     pub(super) rollout: RolloutControl,
     pub(super) targets: BTreeMap<ModelId, WeightsRevision>,
     /// Whether the store answers, for the tasks that follow it.
@@ -67,6 +71,7 @@
         replica: Replica::default(),
         record_watch: Rc::default(),
         partners,
+        loads: LoadExchange::new(now),
         targets: BTreeMap::new(),
         kv_store: Rc::clone(&kv_store),
         suspend_clock: SuspendClock::new(),
@@ -113,7 +118,13 @@
     }
 
     fn tick_period(&self) -> Duration {
-        if self.rollout.is_active() { ROLLOUT_TICK_PERIOD } else { TICK_PERIOD }
+        if self.rollout.is_active() {
+            ROLLOUT_TICK_PERIOD
+        } else if self.loads.is_inner() {
+            SHORT_TICK_PERIOD
+        } else {
+            TICK_PERIOD
+        }
     }
 
     fn handle(&mut self, event: RelayEvent, now: Instant) {
@@ -166,6 +177,7 @@
         }
         self.context.pool.close_expired(now);
         self.tick_partners(now);
+        self.tick_loads(now);
         if !self.is_stopping {
             self.tick_rollouts(now);
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -90,9 +90,9 @@
             return refusal.reply(&context, id.as_ref());
         }
     };
-    let unanswered = Unanswered { context: &context, request: &request };
+    let mut unanswered = Unanswered { context: &context, request: &request, is_over: false };
     let served = serve(&context, &request).await;
-    std::mem::forget(unanswered);
+    unanswered.is_over = true;
     match served {
         Ok(reply) => reply,
         Err(refusal) => {
@@ -107,10 +107,14 @@
 struct Unanswered<'a> {
     context: &'a RelayContext,
     request: &'a RelayedRequest,
+    is_over: bool,
 }
 
 impl Drop for Unanswered<'_> {
     fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
         stream::count(self.context, self.request, "left");
         log::info!(
             "event=left request={} route={} age_ms={}",
