perf(relay): few homes considered, slots that are waited for cost time, fewer servers closed at once

Now a prompt considers six homes of its prefix and further ones only if these are loaded; each request that waits for a slot costs its share of the time for which one is held; in large fleets a quarter of the servers is closed at once; there is no pool where servers have few slots; leaving a home costs more.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -1,7 +1,7 @@
 //! The choice of a model engine for a prompt: what each would have to read, fetch and save, and what
 //! speaks against it.
 
-use super::choose::{Choice, PromptChoice, Wanted, choice, two_cheapest};
+use super::choose::{Choice, Costed, PromptChoice, Wanted, choice, two_cheapest};
 use super::fleet::Fleet;
 use super::prompt::{PrefixKey, Prompt};
 use super::server::{Server, ServerLoad, UnreadTokens};
@@ -30,14 +30,17 @@
 const LEAST_KEPT_TOKENS: u32 = 1_000;
 
 /// Cost of a server that is not the home of the prefix, by its rank; the last holds for the others.
-const RANK_COST_MS: [f64; 4] = [0.0, 20.0, 30.0, 40.0];
+const RANK_COST_MS: [f64; 4] = [0.0, 60.0, 80.0, 100.0];
 
 /// Part of an engine's memory that requests may fill before its cache suffers.
 const MEMORY_PART: f64 = 0.7;
 
-/// Cost of a server whose memory or slots are taken: the time until a request ends.
+/// Cost of a server whose memory is taken: the time until a request ends.
 const NO_ROOM_COST_MS: f64 = 250.0;
 
+/// Time for which a request holds a slot, as cost of those that wait for one.
+const SLOT_HELD_MS: f64 = 1_500.0;
+
 /// Time after newer weights are named in which older ones are as good.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
 
@@ -50,8 +53,14 @@
 /// Milliseconds in which a server of the pool of long runs generates a token of each.
 const LONG_RUN_TOKEN_MS: f64 = 8.0;
 
-/// Long runs that a server of their pool takes before the pool grows.
+/// Long runs that a server of their pool takes before the pool grows, and the part of its slots that
+/// they take at most.
 const LONG_RUNS_PER_SERVER: f64 = 28.0;
+const LONG_RUNS_PART: f64 = 0.85;
+
+/// Long runs that a server must have slots for so that a pool pays: with fewer, the pool would take
+/// so many servers that the others cannot read all prompts.
+const LEAST_POOL_RUNS: f64 = 20.0;
 
 /// Cost of a long run outside its pool: each prompt read there delays all of its tokens.
 const OUTSIDE_POOL_COST_MS: f64 = 60.0;
@@ -59,6 +68,13 @@
 /// Cost of a long prompt at a server of the pool of long runs.
 const INSIDE_POOL_COST_MS: f64 = 80.0;
 
+/// Homes of a prefix that are considered together. Loads are told with a delay, so that nodes which
+/// all look at every server send what comes meanwhile to the one that seems best.
+const HOMES_CONSIDERED: usize = 6;
+
+/// Cost from which further homes are considered: that of waiting for the latency objective.
+const FURTHER_HOMES_COST_MS: f64 = 400.0;
+
 impl Fleet {
     pub(super) fn choose_engine(
         &self,
@@ -75,9 +91,13 @@
             let rank = rendezvous_rank(server.id_hash, home_key);
             (pool.contains(&server.entry.id) != prompt.is_long_run(), std::cmp::Reverse(rank))
         });
-        let mut costs = Vec::with_capacity(ranked.len());
-        let mut plans = Vec::with_capacity(ranked.len());
+        let mut costs: Vec<Costed<'_>> = Vec::with_capacity(HOMES_CONSIDERED);
+        let mut plans = Vec::with_capacity(HOMES_CONSIDERED);
         for (rank, server) in ranked.iter().enumerate() {
+            let is_enough = rank > 0 && rank % HOMES_CONSIDERED == 0;
+            if is_enough && costs.iter().any(|(cost_ms, _)| *cost_ms < FURTHER_HOMES_COST_MS) {
+                break;
+            }
             let plan = self.plan(server, ranked[0], prompt, wall, rank, now);
             let expected_ms = self.engine_expected_ms(server, &plan, wanted.priority, now);
             let mut cost_ms = expected_ms + self.engine_cost_ms(server, prompt, &plan, now);
@@ -86,10 +106,10 @@
             plans.push((plan, expected_ms));
         }
         let (best, runner_up) = two_cheapest(&costs).expect("there is a candidate");
-        let position = ranked
+        let position = costs
             .iter()
-            .position(|server| server.entry.id == best.1.entry.id)
-            .expect("the best is one of the ranked");
+            .position(|(_, server)| server.entry.id == best.1.entry.id)
+            .expect("the best is one of those considered");
         let (plan, expected_ms) = plans.swap_remove(position);
         let load = ServerLoad {
             requests: 1,
@@ -109,7 +129,13 @@
         now: Instant,
     ) -> Vec<ServerId> {
         let long_runs = self.long_tokens.per_s(now) * LONG_RUN_TOKEN_MS / 1_000.0;
-        let wanted = (long_runs / LONG_RUNS_PER_SERVER).ceil() as usize;
+        let slots: u32 = candidates.iter().map(|server| server.entry.slots.max(1)).sum();
+        let slots_per_server = f64::from(slots) / candidates.len().max(1) as f64;
+        let runs_per_server = LONG_RUNS_PER_SERVER.min(slots_per_server * LONG_RUNS_PART);
+        if runs_per_server < LEAST_POOL_RUNS {
+            return Vec::new();
+        }
+        let wanted = (long_runs / runs_per_server).ceil() as usize;
         let size = wanted.clamp(1, (candidates.len() / 2).max(1));
         let held = |server: &Server| server.weights.get(&prompt.model).copied().unwrap_or_default();
         let mut ranked: Vec<&&Server> = candidates.iter().collect();
@@ -268,7 +294,8 @@
 
     fn room_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
         let slots = server.entry.slots.max(1);
-        let mut cost_ms = f64::from(load.requests / slots) * NO_ROOM_COST_MS;
+        let waiting = (load.requests + 1).saturating_sub(slots);
+        let mut cost_ms = f64::from(waiting) / f64::from(slots) * SLOT_HELD_MS;
         let capacity = self.kv_capacity_tokens.get(&server.entry.service).copied();
         if let Some(capacity) = capacity.filter(|capacity| *capacity > 0) {
             let needed = load.memory_tokens + u64::from(prompt.prompt_tokens);
--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -344,7 +344,8 @@
         commands: &mut Vec<RolloutCommand>,
     ) {
         let half = servers.len().div_ceil(2);
-        let most = (2 * self.most_loading(servers)).min(half).max(1);
+        let part = (servers.len() as f64 * self.settings.closed_part) as usize;
+        let most = part.max(2 * self.settings.least_loading).min(half).max(1);
         let busy = self.steps.values().filter(|step| match step {
             Step::Loading { change, .. } | Step::Confirming { change, .. } => {
                 change.loaded_at.is_none_or(|at| now < at)
--- a/src/decision/relay/rollout_messages.rs
+++ b/src/decision/relay/rollout_messages.rs
@@ -10,6 +10,8 @@
 pub struct RolloutSettings {
     /// Part of the servers that may load at once without slowing each other.
     pub loading_part: f64,
+    /// Part of the servers that may be closed at once, those that load among them.
+    pub closed_part: f64,
     /// Servers that may load at once whatever their number.
     pub least_loading: usize,
     /// Milliseconds that a server takes to load weights while few others do.
@@ -35,7 +37,7 @@
 impl RolloutSettings {
     /// Returns the settings for so many nodes that notices and loads go over several of them.
     pub fn many_nodes() -> Self {
-        Self { notice_ms: 350, evict_ms: 500, ..Self::default() }
+        Self { notice_ms: 300, evict_ms: 300, closed_part: 0.25, ..Self::default() }
     }
 }
 
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             loading_part: 0.2,
+            closed_part: 0.4,
             least_loading: 2,
             load_ms: 430,
             report_lag_ms: 200,
