perf(relay): the wait for a slot counts for admission too

A request behind a full set of slots was expected to begin as soon as the prompts before it were read, so that overload was noticed by deadlines alone. The wait for a slot is part of what a server is expected to take now; where six homes, slots and reopened servers decide, tests name the load.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -258,6 +258,7 @@
         let ahead = server.total_load(now).unread_tokens.ahead_of(priority);
         let ahead = f64::from(ahead) + server.herd_tokens(now);
         let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
+        expected_ms += slot_wait_ms(server, server.total_load(now));
         if plan.fetched_tokens > 0 {
             let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
             expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
@@ -278,7 +279,7 @@
         cost_ms += RANK_COST_MS[plan.choice.rank.min(RANK_COST_MS.len() - 1)];
         cost_ms += f64::from(plan.read_again_tokens) / 1_000.0 * READ_AGAIN_COST_MS;
         cost_ms += self.old_weights_cost_ms(prompt, plan.choice.weights, now);
-        cost_ms += self.room_cost_ms(server, load, prompt);
+        cost_ms += self.memory_cost_ms(server, load, prompt);
         cost_ms + self.zone_cost_ms(server) + server.health.cost_ms(now)
     }
 
@@ -292,10 +293,8 @@
         }
     }
 
-    fn room_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
-        let slots = server.entry.slots.max(1);
-        let waiting = (load.requests + 1).saturating_sub(slots);
-        let mut cost_ms = f64::from(waiting) / f64::from(slots) * SLOT_HELD_MS;
+    fn memory_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
+        let mut cost_ms = 0.0;
         let capacity = self.kv_capacity_tokens.get(&server.entry.service).copied();
         if let Some(capacity) = capacity.filter(|capacity| *capacity > 0) {
             let needed = load.memory_tokens + u64::from(prompt.prompt_tokens);
@@ -307,6 +306,13 @@
     }
 }
 
+/// Returns the milliseconds for which a further request waits for a slot.
+fn slot_wait_ms(server: &Server, load: ServerLoad) -> f64 {
+    let slots = server.entry.slots.max(1);
+    let waiting = (load.requests + 1).saturating_sub(slots);
+    f64::from(waiting) / f64::from(slots) * SLOT_HELD_MS
+}
+
 #[derive(Default)]
 struct EnginePlan {
     unread_tokens: u32,
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -1,7 +1,7 @@
 //! Where requests go: homes that all nodes agree on, spill under load, walls, and outdated weights.
 
 use super::fixture::*;
-use coriandertide::decision::relay::{ServerState, UnavailableReason, Wanted};
+use coriandertide::decision::relay::{Fleet, ServerEntry, ServerState, UnavailableReason, Wanted};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -273,3 +273,56 @@
         }
     }
 }
+
+/// Pattern: many nodes whose loads come late; a server reopens and is the only one without work.
+#[test]
+fn a_server_that_reopens_does_not_get_what_all_nodes_send_meanwhile() {
+    let now = Instant::now();
+    let mut fleet = fleet(60, 1);
+    for index in 1..60 {
+        add_requests(&mut fleet, &format!("s{index}"), 50, now);
+    }
+    let sent = (0..200).map(|i| choose(&fleet, &long_prompt(i, i), now).server);
+    let to_idle = sent.filter(|server| server == "s0").count();
+    assert!(to_idle <= 200 * 6 / 60 * 2, "{to_idle}");
+}
+
+/// Pattern: servers with few slots; a request behind a full set waits until another ends.
+#[test]
+fn a_server_whose_slots_are_taken_gets_less_than_one_with_free_slots() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let prompt = long_prompt(3, 3);
+    let home = choose(&fleet, &prompt, now).server;
+    add_requests(&mut fleet, &home, 54, now);
+    assert_ne!(choose(&fleet, &prompt, now).server, home);
+}
+
+/// Pattern: servers with a dozen slots; a pool of long runs would take half of them.
+#[test]
+fn where_servers_have_few_slots_long_runs_share_them_with_prompts() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(ZONES[0].into());
+    for index in 0..40 {
+        let slots = 12;
+        fleet.set_entry(ServerEntry { slots, ..entry(index, 1) });
+    }
+    fleet.long_tokens.set_partner("other".into(), 46.0 * 290.0, now);
+    let servers: std::collections::BTreeSet<_> =
+        (0..400).map(|i| choose(&fleet, &long_run(i, i), now).server).collect();
+    assert!(servers.len() >= 36, "{}", servers.len());
+}
+
+/// Pattern: six homes are loaded beyond the latency objective.
+#[test]
+fn a_prompt_whose_homes_are_loaded_goes_further() {
+    let now = Instant::now();
+    let mut fleet = fleet(60, 1);
+    let prompt = long_prompt(5, 5);
+    for _ in 0..6 {
+        let home = choose(&fleet, &prompt, now).server;
+        add_requests(&mut fleet, &home, 70, now);
+    }
+    let choice = choose(&fleet, &prompt, now);
+    assert!(choice.cost_ms < 400.0, "{choice:?}");
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -93,3 +93,10 @@
     let load = ServerLoad { requests: 1, unread_tokens, ..ServerLoad::default() };
     fleet.set_partner_loads(&"partner".into(), &[(server.clone(), load)], now);
 }
+
+/// Puts requests whose prompts are read on a server, as a partner's load.
+pub fn add_requests(fleet: &mut Fleet, server: &str, requests: u32, now: Instant) {
+    let load = ServerLoad { requests, ..ServerLoad::default() };
+    let server = fleet.server_mut(&server.into()).unwrap();
+    server.set_partner_load("partner".into(), load, now);
+}
