perf(relay): nodes share when they last heard a server and what they await

Loads now carry, for each server, the age of the last sign and of the oldest unanswered request, as minimum and maximum over all nodes. A server that nobody hears is silent for all and costs as a failing one until it is heard; one that others hear is silent for a node only after 1.5 s. The test of the suspension by silence moved to the choice of servers, where the signs of all nodes are known.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -139,10 +139,10 @@
             return Err(unavailable(UnavailableReason::Closed, until));
         }
         candidates.retain(|server| server.closed_until(now).is_none());
-        if let Some(until) = earliest(&candidates, |server| server.health.suspended_until(now)) {
+        if let Some(until) = earliest(&candidates, |server| server.suspended_until(now)) {
             return Err(unavailable(UnavailableReason::Unreachable, until));
         }
-        candidates.retain(|server| server.health.suspended_until(now).is_none());
+        candidates.retain(|server| server.suspended_until(now).is_none());
         match wanted.prompt {
             Some(prompt) => Ok(self.choose_engine(&candidates, prompt, wanted, now)),
             None => self.choose_plain(&candidates, now),
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -3,7 +3,7 @@
 use super::choose::OLD_WEIGHTS_LIMIT;
 use super::kept_prefixes::KeptPrefixes;
 use super::long_tokens::LongTokens;
-use super::server::{Server, ServerEntry, ServerLoad, UnreadTokens};
+use super::server::{Server, ServerEntry, ServerLoad, ServerNews, UnreadTokens};
 use super::store_link::StoreLink;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
@@ -174,18 +174,14 @@
         server.weights.insert(model.clone(), probable);
     }
 
-    /// Sets the loads that a partner has at the servers; at those not named it has none.
-    pub fn set_partner_loads(
-        &mut self,
-        partner: &InstanceId,
-        loads: &[(ServerId, ServerLoad)],
-        now: Instant,
-    ) {
-        let told: BTreeMap<&ServerId, ServerLoad> =
-            loads.iter().map(|(id, load)| (id, *load)).collect();
+    /// Takes in what a partner tells of the servers; at those not named it has nothing.
+    pub fn set_told(&mut self, partner: &InstanceId, news: &[ServerNews], now: Instant) {
+        let told: BTreeMap<&ServerId, &ServerNews> =
+            news.iter().map(|news| (&news.server, news)).collect();
+        let none = ServerNews::default();
         for server in self.servers.values_mut() {
-            let load = told.get(&server.entry.id).copied().unwrap_or_default();
-            server.set_partner_load(partner.clone(), load, now);
+            let news = told.get(&server.entry.id).copied().unwrap_or(&none);
+            server.set_told(partner.clone(), news, now);
         }
     }
 
@@ -195,20 +191,16 @@
         self.long_tokens.forget_partner(partner);
     }
 
-    /// Returns the load at each server that has some, of this node and of what all partners but
-    /// `except` told.
-    pub fn summed_loads(&self, except: &InstanceId, now: Instant) -> Vec<(ServerId, ServerLoad)> {
-        let loads = self
-            .servers
-            .values()
-            .map(|server| (server.entry.id.clone(), server.load_without(Some(except), now)));
-        loads.filter(|(_, load)| load.requests > 0).collect()
+    /// Returns what this node and all partners but `except` know of the servers in use.
+    pub fn news_without(&self, except: &InstanceId, now: Instant) -> Vec<ServerNews> {
+        let news = self.servers.values().map(|server| server.news_without(Some(except), now));
+        news.filter(|news| news.load.requests > 0).collect()
     }
 
-    /// Returns this node's load at each server that has some.
-    pub fn own_loads(&self) -> Vec<(ServerId, ServerLoad)> {
-        let loaded = self.servers.values().filter(|server| server.own_load.requests > 0);
-        loaded.map(|server| (server.entry.id.clone(), server.own_load)).collect()
+    /// Returns what this node alone knows of the servers that it uses.
+    pub fn own_news(&self, now: Instant) -> Vec<ServerNews> {
+        let used = self.servers.values().filter(|server| server.own_load.requests > 0);
+        used.map(|server| server.own_news(now)).collect()
     }
 
     /// Takes in that a request with `load` is sent to a server.
--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -1,4 +1,5 @@
-//! What a node believes of a server's health, from its own exchanges with it alone.
+//! What a node believes of a server's health: from its own exchanges, and from when other nodes last
+//! heard the server and what they still await of it.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -7,6 +8,9 @@
 /// times the usual time to an answer.
 const SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
+/// The same if other nodes heard the server meanwhile: its answers may not reach this node.
+const OWN_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// First time for which a server that cannot be reached gets no new requests.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
 
@@ -25,6 +29,33 @@
 /// Slowness in milliseconds that is within the usual spread of answers.
 const USUAL_SPREAD_MS: f64 = 60.0;
 
+/// Signs of a server, at one node or at several.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServerSigns {
+    /// When it was heard last.
+    pub heard_at: Option<Instant>,
+    /// Since when the oldest request is unanswered, none if all are answered.
+    pub awaited_since: Option<Instant>,
+}
+
+impl ServerSigns {
+    /// Adds the signs at other nodes.
+    pub fn add(&mut self, other: Self) {
+        self.heard_at = self.heard_at.max(other.heard_at);
+        self.awaited_since = match (self.awaited_since, other.awaited_since) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (own, other) => own.or(other),
+        };
+    }
+
+    /// Returns for how long the server has owed an answer and given no sign.
+    fn silence(&self, now: Instant) -> Duration {
+        let Some(awaited_since) = self.awaited_since else { return Duration::ZERO };
+        let since = self.heard_at.map_or(awaited_since, |heard_at| heard_at.max(awaited_since));
+        now.saturating_duration_since(since)
+    }
+}
+
 /// Health of a server.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -35,6 +66,8 @@
     updated_at: Option<Instant>,
     heard_at: Option<Instant>,
     awaited: BTreeMap<u64, Instant>,
+    /// When the server was found silent, none once it is heard again.
+    silent_at: Option<Instant>,
 }
 
 impl Health {
@@ -77,15 +110,35 @@
 
     /// Returns until when the server gets no new requests, none if it may get them.
     pub fn suspended_until(&self, now: Instant) -> Option<Instant> {
-        let suspended = self.suspended_until.filter(|until| now < *until);
-        suspended.or_else(|| self.is_silent(now).then_some(now + SILENCE_LIMIT))
+        self.suspended_until.filter(|until| now < *until)
+    }
+
+    /// Returns the signs of the server at this node.
+    pub fn signs(&self) -> ServerSigns {
+        let awaited_since = self.awaited.values().min().copied();
+        ServerSigns { heard_at: self.heard_at, awaited_since }
     }
 
-    /// Whether the server owes answers and has given no sign for longer than usual.
-    pub fn is_silent(&self, now: Instant) -> bool {
-        let Some(oldest) = self.awaited.values().min() else { return false };
-        let since = self.heard_at.map_or(*oldest, |heard| heard.max(*oldest));
-        now.saturating_duration_since(since) > SILENCE_LIMIT
+    /// Whether the server owes answers and has given no sign for longer than usual; `others` are its
+    /// signs at other nodes.
+    pub fn is_silent(&self, others: ServerSigns, now: Instant) -> bool {
+        let own = self.signs();
+        let mut all = own;
+        all.add(others);
+        all.silence(now) > SILENCE_LIMIT || own.silence(now) > OWN_SILENCE_LIMIT
+    }
+
+    /// Takes in whether the server is silent; a silent one counts as failing until it is heard.
+    pub fn note_silence(&mut self, others: ServerSigns, now: Instant) {
+        let heard_at = self.heard_at.max(others.heard_at);
+        if self.is_silent(others, now) {
+            self.decay(now);
+            self.failure = 1.0;
+            self.silent_at = Some(now);
+        } else if self.silent_at.is_some_and(|silent_at| heard_at > Some(silent_at)) {
+            self.silent_at = None;
+            self.failure = 0.0;
+        }
     }
 
     /// Returns the milliseconds that a request is expected to lose at this server.
--- a/src/decision/relay/load_exchange.rs
+++ b/src/decision/relay/load_exchange.rs
@@ -6,7 +6,7 @@
 
 use super::fleet::Fleet;
 use super::prompt::PrefixKey;
-use super::server::ServerLoad;
+use super::server::{ServerLoad, ServerNews};
 use crate::decision::membership::TreePlace;
 use crate::types::{InstanceId, ServerId};
 use serde::{Deserialize, Serialize};
@@ -31,8 +31,8 @@
 pub struct RelayLoad {
     /// Nodes whose requests are counted.
     pub nodes: u32,
-    /// Load at each server that has some.
-    pub loads: Vec<(ServerId, ServerLoad)>,
+    /// Load and signs of each server in use.
+    pub servers: Vec<ServerNews>,
     /// Prefixes saved to the store of kept KV cache that the receiver was not told of before.
     pub stored: Vec<PrefixKey>,
     /// Output tokens a second of the long runs that these nodes started.
@@ -55,7 +55,8 @@
 struct Neighbour {
     /// Nodes for which it speaks, 0 before its first message.
     nodes: u32,
-    last_sent: Option<RelayLoad>,
+    /// Nodes and loads that it was told last.
+    last_sent: Option<(u32, Vec<(ServerId, ServerLoad)>)>,
     repeat_at: Option<Instant>,
     /// Stored prefixes that it has not been told of.
     stored: Vec<PrefixKey>,
@@ -129,15 +130,14 @@
         let mut load = self.sum_without(peer, fleet, now);
         let neighbour = self.neighbours.get_mut(peer)?;
         let is_repeat_due = neighbour.repeat_at.is_none_or(|at| at <= now);
-        let is_unchanged = neighbour
-            .last_sent
-            .as_ref()
-            .is_some_and(|sent| (sent.nodes, &sent.loads) == (load.nodes, &load.loads));
+        let loads: Vec<(ServerId, ServerLoad)> =
+            load.servers.iter().map(|news| (news.server.clone(), news.load)).collect();
+        let is_unchanged = neighbour.last_sent.as_ref() == Some(&(load.nodes, loads.clone()));
         if is_unchanged && neighbour.stored.is_empty() && !is_repeat_due {
             return None;
         }
         neighbour.repeat_at = Some(now + LOAD_REPEAT);
-        neighbour.last_sent = Some(load.clone());
+        neighbour.last_sent = Some((load.nodes, loads));
         load.stored = std::mem::take(&mut neighbour.stored);
         Some(load)
     }
@@ -164,7 +164,7 @@
             self.add_stored(Some(peer), &load.stored);
         }
         fleet.long_tokens.set_partner(peer.clone(), f64::from(load.long_tokens_per_s), now);
-        fleet.set_partner_loads(peer, &load.loads, now);
+        fleet.set_told(peer, &load.servers, now);
         fleet.kept.add_stored_elsewhere(&load.stored, now);
         Ok(())
     }
@@ -174,7 +174,7 @@
             let long_tokens_per_s = fleet.long_tokens.own_per_s(now).round() as u32;
             return RelayLoad {
                 nodes: 1,
-                loads: fleet.own_loads(),
+                servers: fleet.own_news(now),
                 stored: Vec::new(),
                 long_tokens_per_s,
             };
@@ -182,8 +182,8 @@
         let others = self.neighbours.iter().filter(|(other, _)| *other != peer);
         let nodes = 1 + others.map(|(_, other)| other.nodes).sum::<u32>();
         let long_tokens_per_s = fleet.long_tokens.per_s_without(Some(peer), now).round() as u32;
-        let loads = fleet.summed_loads(peer, now);
-        RelayLoad { nodes, loads, stored: Vec::new(), long_tokens_per_s }
+        let servers = fleet.news_without(peer, now);
+        RelayLoad { nodes, servers, stored: Vec::new(), long_tokens_per_s }
     }
 
     fn add_stored(&mut self, source: Option<&InstanceId>, keys: &[PrefixKey]) {
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -1,6 +1,6 @@
 //! Backend server as a node sees it.
 
-use super::health::Health;
+use super::health::{Health, ServerSigns};
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -22,6 +22,9 @@
 /// Time for which a partner's count of its requests holds.
 const PARTNER_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Time after which a silent server is looked at again.
+const SILENCE_LOOK_PERIOD: Duration = Duration::from_millis(500);
+
 /// State that a server reports of itself.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -129,6 +132,53 @@
     }
 }
 
+/// What a node tells of a server, for itself and the nodes for which it speaks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "PackedNews", into = "PackedNews")]
+pub struct ServerNews {
+    /// Server.
+    pub server: ServerId,
+    /// Requests at the server.
+    pub load: ServerLoad,
+    /// Milliseconds since the server was heard, none if it never was.
+    pub heard_ms: Option<u32>,
+    /// Milliseconds for which the oldest unanswered request has waited, none if there is none.
+    pub awaited_ms: Option<u32>,
+}
+
+/// News as they go between nodes, without the names of their fields.
+type PackedNews = (ServerId, ServerLoad, Option<u32>, Option<u32>);
+
+impl From<PackedNews> for ServerNews {
+    fn from((server, load, heard_ms, awaited_ms): PackedNews) -> Self {
+        Self { server, load, heard_ms, awaited_ms }
+    }
+}
+
+impl From<ServerNews> for PackedNews {
+    fn from(news: ServerNews) -> Self {
+        (news.server, news.load, news.heard_ms, news.awaited_ms)
+    }
+}
+
+impl ServerNews {
+    fn signs(&self, now: Instant) -> ServerSigns {
+        let since = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+        ServerSigns {
+            heard_at: self.heard_ms.and_then(since),
+            awaited_since: self.awaited_ms.and_then(since),
+        }
+    }
+}
+
+/// What a partner told of a server.
+#[derive(Clone, Copy, Debug)]
+struct ToldNews {
+    load: ServerLoad,
+    signs: ServerSigns,
+    holds_until: Instant,
+}
+
 /// Backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -142,7 +192,7 @@
     pub own_load: ServerLoad,
     /// Hash of the id, for rendezvous.
     pub id_hash: u64,
-    partner_loads: BTreeMap<InstanceId, (ServerLoad, Instant)>,
+    told: BTreeMap<InstanceId, ToldNews>,
     newest_tokens: f64,
     newest_at: Option<Instant>,
     vanished_until: Option<Instant>,
@@ -160,7 +210,7 @@
             entry,
             health: Health::default(),
             own_load: ServerLoad::default(),
-            partner_loads: BTreeMap::new(),
+            told: BTreeMap::new(),
             newest_tokens: 0.0,
             newest_at: None,
             vanished_until: None,
@@ -241,9 +291,57 @@
         self.closed_until.max(self.full_until).filter(|until| now < *until)
     }
 
-    /// Sets the load that a partner has at this server.
-    pub fn set_partner_load(&mut self, partner: InstanceId, load: ServerLoad, now: Instant) {
-        self.partner_loads.insert(partner, (load, now + PARTNER_LOAD_LIFETIME));
+    /// Takes in what a partner tells.
+    pub fn set_told(&mut self, partner: InstanceId, news: &ServerNews, now: Instant) {
+        let holds_until = now + PARTNER_LOAD_LIFETIME;
+        self.told.insert(partner, ToldNews { load: news.load, signs: news.signs(now), holds_until });
+        let others = self.signs_of_others(None, now);
+        self.health.note_silence(others, now);
+    }
+
+    /// Returns what this node and all partners but `except` know.
+    pub fn news_without(&self, except: Option<&InstanceId>, now: Instant) -> ServerNews {
+        let mut signs = self.health.signs();
+        signs.add(self.signs_of_others(except, now));
+        self.news(self.load_without(except, now), signs, now)
+    }
+
+    /// Returns what this node alone knows.
+    pub fn own_news(&self, now: Instant) -> ServerNews {
+        self.news(self.own_load, self.health.signs(), now)
+    }
+
+    fn news(&self, load: ServerLoad, signs: ServerSigns, now: Instant) -> ServerNews {
+        let age_ms = |at: Instant| {
+            u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+        };
+        ServerNews {
+            server: self.entry.id.clone(),
+            load,
+            heard_ms: signs.heard_at.map(age_ms),
+            awaited_ms: signs.awaited_since.map(age_ms),
+        }
+    }
+
+    /// Whether the server owes answers, to this node or others, and has fallen silent.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.health.is_silent(self.signs_of_others(None, now), now)
+    }
+
+    /// Returns until when the server's health keeps new requests away.
+    pub fn suspended_until(&self, now: Instant) -> Option<Instant> {
+        let suspended = self.health.suspended_until(now);
+        suspended.or_else(|| self.is_silent(now).then_some(now + SILENCE_LOOK_PERIOD))
+    }
+
+    fn signs_of_others(&self, except: Option<&InstanceId>, now: Instant) -> ServerSigns {
+        let mut signs = ServerSigns::default();
+        for (partner, told) in &self.told {
+            if now < told.holds_until && Some(partner) != except {
+                signs.add(told.signs);
+            }
+        }
+        signs
     }
 
     /// Takes in that this node sends a request.
@@ -257,7 +355,7 @@
     /// Returns the tokens that other nodes have probably sent to this server besides what they
     /// told: they see the same server as the best one at the same time.
     pub fn herd_tokens(&self, now: Instant) -> f64 {
-        let others = self.partner_loads.values().filter(|(_, until)| now < *until).count();
+        let others = self.told.values().filter(|told| now < told.holds_until).count();
         self.decayed_newest(now) * others as f64 * HERD_PART
     }
 
@@ -269,7 +367,7 @@
 
     /// Drops what a partner told of its requests.
     pub fn forget_partner(&mut self, partner: &InstanceId) {
-        self.partner_loads.remove(partner);
+        self.told.remove(partner);
     }
 
     /// Returns the load of all nodes as far as it is known.
@@ -280,9 +378,9 @@
     /// Returns the load of this node and of what all partners but `except` told.
     pub fn load_without(&self, except: Option<&InstanceId>, now: Instant) -> ServerLoad {
         let mut total = self.own_load;
-        for (partner, (load, until)) in &self.partner_loads {
-            if now < *until && Some(partner) != except {
-                total.add(*load);
+        for (partner, told) in &self.told {
+            if now < told.holds_until && Some(partner) != except {
+                total.add(told.load);
             }
         }
         total
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -217,7 +217,7 @@
     loop {
         Timer::after(SILENCE_CHECK_PERIOD).await;
         let now = Instant::now();
-        let is_silent = context.fleet().server(server).is_none_or(|s| s.health.is_silent(now));
+        let is_silent = context.fleet().server(server).is_none_or(|s| s.is_silent(now));
         let is_slow = !is_stream && now >= sent_at + objective * IDEMPOTENT_PATIENCE;
         if is_silent || is_slow {
             let reason = if is_silent { "the server is silent" } else { "the server is slow" };
--- a/src/relay/control/rollout.rs
+++ b/src/relay/control/rollout.rs
@@ -476,7 +476,7 @@
 /// Whether a server takes part in rollouts: one that does not answer is brought up to date once it
 /// does.
 fn is_takeable(server: &Server) -> bool {
-    let is_suspended = server.health.suspended_until(Instant::now()).is_some();
+    let is_suspended = server.suspended_until(Instant::now()).is_some();
     server.entry.state == ServerState::Ready && !server.is_vanished() && !is_suspended
 }
 
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -1,6 +1,7 @@
 //! Where requests go: homes that all nodes agree on, spill under load, walls, and outdated weights.
 
 use super::fixture::*;
+use coriandertide::decision::relay::server::{ServerLoad, ServerNews};
 use coriandertide::decision::relay::{Fleet, ServerEntry, ServerState, UnavailableReason, Wanted};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -236,7 +237,7 @@
     for node in &mut nodes {
         for server in 1..6 {
             let load = load_of(60_000);
-            node.set_partner_loads(&"past".into(), &[], start);
+            node.set_told(&"past".into(), &[], start);
             node.server_mut(&format!("s{server}").into()).unwrap().add_own(load, start);
         }
     }
@@ -265,11 +266,11 @@
 }
 
 fn exchange_loads(nodes: &mut [coriandertide::decision::relay::Fleet], now: Instant) {
-    let told: Vec<_> = nodes.iter().map(|node| node.own_loads()).collect();
+    let told: Vec<_> = nodes.iter().map(|node| node.own_news(now)).collect();
     for (index, node) in nodes.iter_mut().enumerate() {
         for (other, loads) in told.iter().enumerate().filter(|(other, _)| *other != index) {
-            let s0: Vec<_> = loads.iter().filter(|(id, _)| *id == "s0").cloned().collect();
-            node.set_partner_loads(&format!("n{other}").into(), &s0, now);
+            let s0: Vec<_> = loads.iter().filter(|news| news.server == "s0").cloned().collect();
+            node.set_told(&format!("n{other}").into(), &s0, now);
         }
     }
 }
@@ -326,3 +327,18 @@
     let choice = choose(&fleet, &prompt, now);
     assert!(choice.cost_ms < 400.0, "{choice:?}");
 }
+
+/// Pattern: a dark server before many nodes; the requests of one of them show it to all.
+#[test]
+fn a_server_that_is_silent_for_other_nodes_gets_nothing() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let prompt = long_prompt(7, 7);
+    let home = choose(&fleet, &prompt, now).server;
+    let load = ServerLoad { requests: 1, ..ServerLoad::default() };
+    let (heard_ms, awaited_ms) = (Some(900), Some(700));
+    let news = ServerNews { server: home.clone(), load, heard_ms, awaited_ms };
+    fleet.set_told(&"partner".into(), &[news], now);
+    assert!(fleet.server(&home).unwrap().suspended_until(now).is_some());
+    assert_ne!(choose(&fleet, &prompt, now).server, home);
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -1,7 +1,7 @@
 //! Servers and prompts that the tests share.
 
 use coriandertide::decision::relay::configuration::KvCacheStore;
-use coriandertide::decision::relay::server::ServerLoad;
+use coriandertide::decision::relay::server::{ServerLoad, ServerNews};
 use coriandertide::decision::relay::{
     Choice, Fleet, Prompt, PromptPart, ServerEntry, ServerState, StoreLink, Wanted,
 };
@@ -91,12 +91,14 @@
 pub fn load(fleet: &mut Fleet, server: &SmolStr, tokens: u32, now: Instant) {
     let unread_tokens = coriandertide::decision::relay::server::UnreadTokens::new(1, tokens);
     let load = ServerLoad { requests: 1, unread_tokens, ..ServerLoad::default() };
-    fleet.set_partner_loads(&"partner".into(), &[(server.clone(), load)], now);
+    let news = ServerNews { server: server.clone(), load, ..ServerNews::default() };
+    fleet.set_told(&"partner".into(), &[news], now);
 }
 
 /// Puts requests whose prompts are read on a server, as a partner's load.
 pub fn add_requests(fleet: &mut Fleet, server: &str, requests: u32, now: Instant) {
     let load = ServerLoad { requests, ..ServerLoad::default() };
     let server = fleet.server_mut(&server.into()).unwrap();
-    server.set_partner_load("partner".into(), load, now);
+    let news = ServerNews { load, ..ServerNews::default() };
+    server.set_told("partner".into(), &news, now);
 }
--- a/tests/relay/health.rs
+++ b/tests/relay/health.rs
@@ -1,7 +1,7 @@
 //! Servers that are out of reach, silent, slow, or fail.
 
 use super::fixture::ms;
-use coriandertide::decision::relay::health::Health;
+use coriandertide::decision::relay::health::{Health, ServerSigns};
 use std::time::Instant;
 
 #[test]
@@ -23,11 +23,10 @@
     let mut health = Health::default();
     health.note_sent(1, now);
     health.note_heard(now + ms(200));
-    assert!(!health.is_silent(now + ms(600)));
-    assert!(health.is_silent(now + ms(1_000)));
-    assert!(health.suspended_until(now + ms(1_000)).is_some());
+    assert!(!health.is_silent(ServerSigns::default(), now + ms(600)));
+    assert!(health.is_silent(ServerSigns::default(), now + ms(1_000)));
     health.note_ended(1);
-    assert!(!health.is_silent(now + ms(5_000)));
+    assert!(!health.is_silent(ServerSigns::default(), now + ms(5_000)));
 }
 
 #[test]
@@ -38,7 +37,7 @@
     for step in 1..30 {
         health.note_heard(now + ms(step * 100));
     }
-    assert!(!health.is_silent(now + ms(3_000)));
+    assert!(!health.is_silent(ServerSigns::default(), now + ms(3_000)));
 }
 
 #[test]
@@ -56,3 +55,35 @@
     (0..10).for_each(|_| usual.note_outcome(true, 40.0, now));
     assert_eq!(usual.cost_ms(now), 0.0);
 }
+
+/// Pattern: many nodes, each with a request or two at a server; a tenth of its answers is slow.
+#[test]
+fn a_server_that_other_nodes_hear_is_not_silent_for_a_node_with_one_slow_request() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.note_sent(1, now);
+    let heard_at = Some(now + ms(900));
+    let others = ServerSigns { heard_at, awaited_since: Some(now) };
+    assert!(!health.is_silent(others, now + ms(1_000)));
+    // What reaches others does not reach this node.
+    let heard_at = Some(now + ms(1_900));
+    let others = ServerSigns { heard_at, awaited_since: Some(now) };
+    assert!(health.is_silent(others, now + ms(2_000)));
+}
+
+/// Pattern: a dark server, which each of many nodes would have to find out by a request of its own.
+#[test]
+fn a_server_that_is_silent_for_others_costs_until_it_is_heard() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    let heard_at = Some(now);
+    let silent = ServerSigns { heard_at, awaited_since: Some(now + ms(100)) };
+    assert!(health.is_silent(silent, now + ms(700)));
+    health.note_silence(silent, now + ms(700));
+    let answered = ServerSigns { heard_at, awaited_since: None };
+    health.note_silence(answered, now + ms(1_000));
+    assert!(health.cost_ms(now + ms(1_000)) > 400.0);
+    let heard = ServerSigns { heard_at: Some(now + ms(1_100)), awaited_since: None };
+    health.note_silence(heard, now + ms(1_200));
+    assert_eq!(health.cost_ms(now + ms(1_200)), 0.0);
+}
