perf(relay): nodes share which server read a prefix last

Cause: with 84 nodes each sees a subject once in a while, so that no node knew where its prefix was: servers guessed the home, which a third of the requests had left, and read it again. The deepest key of each long prompt goes with the loads; a prompt's server fetches from the one that read it last, a prefix used in the last two seconds counts as held, and a home that has nothing itself asks the next.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -3,7 +3,7 @@
 
 use super::choose::{Choice, Costed, PromptChoice, Wanted, choice, two_cheapest};
 use super::fleet::Fleet;
-use super::prompt::{PrefixKey, Prompt};
+use super::prompt::{LEAST_KEPT_TOKENS, PrefixKey, Prompt};
 use super::server::{Server, ServerLoad, UnreadTokens};
 use crate::decision::routing::homes::rendezvous_rank;
 use crate::types::{ServerId, WeightsRevision};
@@ -26,9 +26,6 @@
 /// Cost of reading 1,000 tokens again that another server has read, beside the time: wasted work.
 const READ_AGAIN_COST_MS: f64 = 100.0;
 
-/// Shared tokens from which a prefix is worth keeping in the store; shorter ones are read faster.
-const LEAST_KEPT_TOKENS: u32 = 1_000;
-
 /// Cost of a server that is not the home of the prefix, by its rank; the last holds for the others.
 const RANK_COST_MS: [f64; 4] = [0.0, 60.0, 80.0, 100.0];
 
@@ -98,7 +95,7 @@
             if is_enough && costs.iter().any(|(cost_ms, _)| *cost_ms < FURTHER_HOMES_COST_MS) {
                 break;
             }
-            let plan = self.plan(server, ranked[0], prompt, wall, rank, now);
+            let plan = self.plan(server, &ranked, prompt, wall, rank, now);
             let expected_ms = self.engine_expected_ms(server, &plan, wanted.priority, now);
             let mut cost_ms = expected_ms + self.engine_cost_ms(server, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
@@ -166,11 +163,11 @@
         key.unwrap_or_else(|| prompt.own_key())
     }
 
-    /// Works out what a server would read, fetch and save of a prompt whose home is `home`.
+    /// Works out what a server would read, fetch and save of a prompt whose homes are `homes`.
     fn plan(
         &self,
         server: &Server,
-        home: &Server,
+        homes: &[&Server],
         prompt: &Prompt,
         wall: Option<&str>,
         rank: usize,
@@ -180,21 +177,20 @@
         let cache_salt = cache_salt(prompt, weights, wall);
         let keys = prompt.shared_keys(&cache_salt);
         let id = &server.entry.id;
-        let is_held = |key: &PrefixKey| self.kept.holder(*key, now) == Some(id);
-        let held = keys.iter().take_while(|key| is_held(key)).count();
+        let is_held = |key: &PrefixKey| self.kept.is_held_by(*key, id, now);
+        // What is held of a prompt is a prefix of it.
+        let held = keys.iter().rposition(is_held).map_or(0, |last| last + 1);
         let tokens: Vec<u32> = prompt.shared_part_tokens().collect();
         let missing: u32 = tokens[held..].iter().sum();
         let mut plan = EnginePlan::default();
-        let is_other_home = rank > 0 && home.weights.get(&prompt.model) == Some(&weights);
-        let home_has = is_other_home
-            && keys.last().is_some_and(|key| {
-                self.kept.holder(*key, now).is_some_and(|holder| *holder == home.entry.id)
-            });
+        let holder = keys.last().and_then(|key| self.kept.holder(*key, now));
+        let holder = holder.filter(|holder| *holder != id).and_then(|id| self.servers.get(id));
+        let holder = holder.filter(|holder| holder.suspended_until(now).is_none());
         let stored = keys.iter().rposition(|key| self.kept.is_stored(*key, now));
         let stored = stored.map_or(0, |last| last + 1);
         let stored_missing: u32 = tokens[held..stored.max(held)].iter().sum();
-        if missing > 0 && home_has {
-            plan.choice.fetch_from = Some(home.entry.address);
+        if let Some(holder) = holder.filter(|_| missing > 0) {
+            plan.choice.fetch_from = Some(holder.entry.address);
             plan.fetched_tokens = missing;
         } else if let Some(store) = self.kv_store.as_ref().filter(|_| stored_missing > 0) {
             let fetch_s = store.transfer_s(stored_missing);
@@ -204,9 +200,11 @@
                 plan.fetched_tokens = stored_missing;
             }
         }
-        if plan.choice.fetch_from.is_none() && missing > 0 && is_other_home {
-            // The home may have it from another node's request; a miss costs a millisecond.
-            plan.choice.fetch_from = Some(home.entry.address);
+        if plan.choice.fetch_from.is_none() && missing > 0 {
+            // Another home may have it from another node's request; a miss costs a millisecond.
+            let other = homes.iter().find(|home| home.entry.id != *id);
+            let other = other.filter(|home| home.weights.get(&prompt.model) == Some(&weights));
+            plan.choice.fetch_from = other.map(|home| home.entry.address);
         }
         self.plan_save(&mut plan.choice, prompt, &keys, &tokens, now);
         let read = keys.iter().zip(&tokens).skip(held);
--- a/src/decision/relay/kept_prefixes.rs
+++ b/src/decision/relay/kept_prefixes.rs
@@ -17,6 +17,9 @@
 /// seconds.
 const HELD_LIFETIME: Duration = Duration::from_secs(8);
 
+/// Time after its last use in which a server surely holds a prefix.
+const SURELY_HELD: Duration = Duration::from_secs(2);
+
 /// Prefixes remembered at most.
 const MOST_PREFIXES: usize = 16_384;
 
@@ -24,14 +27,25 @@
 struct KeptPrefix {
     stored_until: Option<Instant>,
     saving_until: Option<Instant>,
-    held: Option<(ServerId, Instant)>,
+    held: Option<Held>,
+}
+
+/// Last use of a prefix.
+#[derive(Clone, Debug)]
+struct Held {
+    server: ServerId,
+    used_at: Instant,
 }
 
+/// Prefix with the server that reads it.
+pub type HeldPrefix = (PrefixKey, ServerId);
+
 /// Prefixes that were read lately.
 #[derive(Clone, Debug, Default)]
 pub struct KeptPrefixes {
     prefixes: HashMap<PrefixKey, KeptPrefix>,
     newly_stored: Vec<PrefixKey>,
+    newly_held: Vec<HeldPrefix>,
 }
 
 impl KeptPrefixes {
@@ -74,17 +88,35 @@
         until.is_some_and(|until| now < until)
     }
 
-    /// Takes in that `server` reads the prefixes `keys`.
-    pub fn add_held(&mut self, keys: &[PrefixKey], server: &ServerId, now: Instant) {
-        for key in keys {
-            self.entry(*key, now).held = Some((server.clone(), now + HELD_LIFETIME));
+    /// Takes in that `server` reads the prefixes `keys`; `is_told` says whether other nodes are to
+    /// know of the deepest.
+    pub fn add_held(&mut self, keys: &[PrefixKey], server: &ServerId, is_told: bool, now: Instant) {
+        keys.iter().for_each(|key| self.set_held(*key, server, now));
+        if let Some(deepest) = keys.last().filter(|_| is_told) {
+            self.newly_held.push((*deepest, server.clone()));
         }
     }
 
+    /// Takes in prefixes that servers read for other nodes.
+    pub fn add_held_elsewhere(&mut self, held: &[HeldPrefix], now: Instant) {
+        held.iter().for_each(|(key, server)| self.set_held(*key, server, now));
+    }
+
+    /// Returns the prefixes that servers read for this node since the last call.
+    pub fn take_newly_held(&mut self) -> Vec<HeldPrefix> {
+        std::mem::take(&mut self.newly_held)
+    }
+
     /// Returns the server that read a prefix last, if it may still hold it.
     pub fn holder(&self, key: PrefixKey, now: Instant) -> Option<&ServerId> {
-        let (server, until) = self.prefixes.get(&key)?.held.as_ref()?;
-        (now < *until).then_some(server)
+        let held = self.prefixes.get(&key)?.held.as_ref()?;
+        (now < held.used_at + HELD_LIFETIME).then_some(&held.server)
+    }
+
+    /// Whether `server` read a prefix last, and so lately that it holds it.
+    pub fn is_held_by(&self, key: PrefixKey, server: &ServerId, now: Instant) -> bool {
+        let held = self.prefixes.get(&key).and_then(|prefix| prefix.held.as_ref());
+        held.is_some_and(|held| held.server == *server && now < held.used_at + SURELY_HELD)
     }
 
     /// Forgets what the store kept, after it was lost.
@@ -97,11 +129,15 @@
         self.entry(key, now).stored_until = Some(now + STORED_LIFETIME);
     }
 
+    fn set_held(&mut self, key: PrefixKey, server: &ServerId, now: Instant) {
+        self.entry(key, now).held = Some(Held { server: server.clone(), used_at: now });
+    }
+
     fn entry(&mut self, key: PrefixKey, now: Instant) -> &mut KeptPrefix {
         if self.prefixes.len() >= MOST_PREFIXES {
             self.prefixes.retain(|_, prefix| {
                 prefix.stored_until.is_some_and(|until| now < until)
-                    || prefix.held.as_ref().is_some_and(|(_, until)| now < *until)
+                    || prefix.held.as_ref().is_some_and(|held| now < held.used_at + HELD_LIFETIME)
             });
         }
         if self.prefixes.len() >= MOST_PREFIXES {
--- a/src/decision/relay/load_exchange.rs
+++ b/src/decision/relay/load_exchange.rs
@@ -5,6 +5,7 @@
 //! so that each load reaches every node once and messages don't grow with the nodes.
 
 use super::fleet::Fleet;
+use super::kept_prefixes::HeldPrefix;
 use super::prompt::PrefixKey;
 use super::server::{ServerLoad, ServerNews};
 use crate::decision::membership::TreePlace;
@@ -23,8 +24,8 @@
 /// Time after which an unchanged load is told again; less than it holds at the partners.
 const LOAD_REPEAT: Duration = Duration::from_millis(1_000);
 
-/// Stored prefixes that may wait for a neighbour to be told; it learns of others by using them.
-const MOST_STORED: usize = 2_048;
+/// Prefixes that may wait for a neighbour to be told; it learns of others by using them.
+const MOST_WAITING: usize = 2_048;
 
 /// Requests at backend servers, of the sender and of the nodes for which it speaks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -35,6 +36,8 @@
     pub servers: Vec<ServerNews>,
     /// Prefixes saved to the store of kept KV cache that the receiver was not told of before.
     pub stored: Vec<PrefixKey>,
+    /// Prefixes with the servers that read them, which the receiver was not told of before.
+    pub held: Vec<HeldPrefix>,
     /// Output tokens a second of the long runs that these nodes started.
     pub long_tokens_per_s: u32,
 }
@@ -60,6 +63,8 @@
     repeat_at: Option<Instant>,
     /// Stored prefixes that it has not been told of.
     stored: Vec<PrefixKey>,
+    /// Prefixes that servers read of which it has not been told.
+    held: Vec<HeldPrefix>,
 }
 
 /// Loads that go to and come from the neighbours.
@@ -115,9 +120,10 @@
         true
     }
 
-    /// Takes in the prefixes that this node had saved.
-    pub fn add_newly_stored(&mut self, fleet: &mut Fleet) {
-        self.add_stored(None, &fleet.kept.take_newly_stored());
+    /// Takes in the prefixes that this node had saved or read.
+    pub fn add_new_prefixes(&mut self, fleet: &mut Fleet) {
+        let (stored, held) = (fleet.kept.take_newly_stored(), fleet.kept.take_newly_held());
+        self.add_prefixes(None, &stored, &held);
     }
 
     /// Returns what a neighbour is to be told, none if it knows that.
@@ -133,12 +139,14 @@
         let loads: Vec<(ServerId, ServerLoad)> =
             load.servers.iter().map(|news| (news.server.clone(), news.load)).collect();
         let is_unchanged = neighbour.last_sent.as_ref() == Some(&(load.nodes, loads.clone()));
-        if is_unchanged && neighbour.stored.is_empty() && !is_repeat_due {
+        let knows_prefixes = neighbour.stored.is_empty() && neighbour.held.is_empty();
+        if is_unchanged && knows_prefixes && !is_repeat_due {
             return None;
         }
         neighbour.repeat_at = Some(now + LOAD_REPEAT);
         neighbour.last_sent = Some((load.nodes, loads));
         load.stored = std::mem::take(&mut neighbour.stored);
+        load.held = std::mem::take(&mut neighbour.held);
         Some(load)
     }
 
@@ -161,11 +169,12 @@
         }
         neighbour.nodes = load.nodes;
         if self.passes_on {
-            self.add_stored(Some(peer), &load.stored);
+            self.add_prefixes(Some(peer), &load.stored, &load.held);
         }
         fleet.long_tokens.set_partner(peer.clone(), f64::from(load.long_tokens_per_s), now);
         fleet.set_told(peer, &load.servers, now);
         fleet.kept.add_stored_elsewhere(&load.stored, now);
+        fleet.kept.add_held_elsewhere(&load.held, now);
         Ok(())
     }
 
@@ -175,23 +184,31 @@
             return RelayLoad {
                 nodes: 1,
                 servers: fleet.own_news(now),
-                stored: Vec::new(),
                 long_tokens_per_s,
+                ..RelayLoad::default()
             };
         }
         let others = self.neighbours.iter().filter(|(other, _)| *other != peer);
         let nodes = 1 + others.map(|(_, other)| other.nodes).sum::<u32>();
         let long_tokens_per_s = fleet.long_tokens.per_s_without(Some(peer), now).round() as u32;
         let servers = fleet.news_without(peer, now);
-        RelayLoad { nodes, servers, stored: Vec::new(), long_tokens_per_s }
+        RelayLoad { nodes, servers, long_tokens_per_s, ..RelayLoad::default() }
     }
 
-    fn add_stored(&mut self, source: Option<&InstanceId>, keys: &[PrefixKey]) {
+    fn add_prefixes(
+        &mut self,
+        source: Option<&InstanceId>,
+        stored: &[PrefixKey],
+        held: &[HeldPrefix],
+    ) {
         for (peer, neighbour) in &mut self.neighbours {
-            let room = MOST_STORED.saturating_sub(neighbour.stored.len());
-            if Some(peer) != source {
-                neighbour.stored.extend(keys.iter().take(room));
+            if Some(peer) == source {
+                continue;
             }
+            let room = MOST_WAITING.saturating_sub(neighbour.stored.len());
+            neighbour.stored.extend(stored.iter().take(room));
+            let room = MOST_WAITING.saturating_sub(neighbour.held.len());
+            neighbour.held.extend(held.iter().take(room).cloned());
         }
     }
 }
--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -38,6 +38,9 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// Shared tokens from which a prefix is worth keeping in the store; shorter ones are read faster.
+pub(super) const LEAST_KEPT_TOKENS: u32 = 1_000;
+
 /// Hash of the parts of a prompt up to one of them.
 pub type PrefixKey = u64;
 
@@ -59,6 +62,11 @@
         self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
+    /// Whether the shared parts are so long that transfers beat reading them again.
+    pub fn is_worth_keeping(&self) -> bool {
+        self.shared_tokens() >= LEAST_KEPT_TOKENS
+    }
+
     /// Returns the tokens that no other request has.
     pub fn own_tokens(&self) -> u32 {
         self.prompt_tokens.saturating_sub(self.shared_tokens())
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -294,7 +294,8 @@
     /// Takes in what a partner tells.
     pub fn set_told(&mut self, partner: InstanceId, news: &ServerNews, now: Instant) {
         let holds_until = now + PARTNER_LOAD_LIFETIME;
-        self.told.insert(partner, ToldNews { load: news.load, signs: news.signs(now), holds_until });
+        self.told
+            .insert(partner, ToldNews { load: news.load, signs: news.signs(now), holds_until });
         let others = self.signs_of_others(None, now);
         self.health.note_silence(others, now);
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -4,8 +4,8 @@
 use super::control::RelayEvent;
 use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::relay::Choice;
 use crate::decision::relay::server::{ServerLoad, UnreadTokens};
+use crate::decision::relay::{Choice, Prompt};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerFacts, SendFacts};
 use crate::types::{Delivery, PeerError, ServerId, Step};
@@ -84,7 +84,8 @@
             fleet.long_tokens.count(prompt.expected_output_tokens(), now);
         }
         if let Some(prompt) = &choice.prompt {
-            fleet.kept.add_held(&prompt.keys, &server, now);
+            let is_told = request.facts.prompt.as_ref().is_some_and(Prompt::is_worth_keeping);
+            fleet.kept.add_held(&prompt.keys, &server, is_told, now);
             if prompt.save_to.is_some() {
                 fleet.kept.add_saving(&prompt.keys, now);
             }
--- a/src/relay/control/loads.rs
+++ b/src/relay/control/loads.rs
@@ -17,7 +17,7 @@
     /// Tells the neighbours of the requests at the servers.
     pub(super) fn send_load(&mut self, now: Instant) {
         let mut fleet = self.context.fleet();
-        self.loads.add_newly_stored(&mut fleet);
+        self.loads.add_new_prefixes(&mut fleet);
         let peers: Vec<InstanceId> = self.loads.neighbours().cloned().collect();
         let mut messages = Vec::with_capacity(peers.len());
         for peer in peers.into_iter().filter(|peer| self.partners.is_linked(peer)) {
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -51,7 +51,7 @@
     let prompt = long_prompt(7, 1);
     let home = choose(&fleet, &prompt, now);
     let keys = &home.prompt.as_ref().unwrap().keys;
-    fleet.kept.add_held(keys, &home.server, now);
+    fleet.kept.add_held(keys, &home.server, true, now);
     load(&mut fleet, &home.server, 20_000, now);
     let spill = choose(&fleet, &prompt, now);
     assert_ne!(spill.server, home.server);
@@ -65,7 +65,7 @@
     let mut fleet = fleet(12, 1);
     let prompt = long_prompt(7, 1);
     let home = choose(&fleet, &prompt, now);
-    fleet.kept.add_held(&home.prompt.as_ref().unwrap().keys, &home.server, now);
+    fleet.kept.add_held(&home.prompt.as_ref().unwrap().keys, &home.server, true, now);
     load(&mut fleet, &home.server, 2_000, now);
     assert_eq!(choose(&fleet, &prompt, now).server, home.server);
 }
--- a/tests/relay/kept_prefixes.rs
+++ b/tests/relay/kept_prefixes.rs
@@ -19,9 +19,11 @@
     assert!(kept.take_newly_stored().is_empty());
     kept.forget_stored();
     assert!(!kept.is_stored(1, now) && !kept.is_stored(3, now));
-    kept.add_held(&[1], &"a".into(), now);
+    kept.add_held(&[1], &"a".into(), true, now);
     assert_eq!(kept.holder(1, now + ms(7_000)), Some(&"a".into()));
     assert_eq!(kept.holder(1, now + ms(9_000)), None);
+    assert!(kept.is_held_by(1, &"a".into(), now + ms(1_900)));
+    assert!(!kept.is_held_by(1, &"a".into(), now + ms(2_100)));
 }
 
 #[test]
--- a/tests/relay/loads.rs
+++ b/tests/relay/loads.rs
@@ -108,7 +108,7 @@
         self.now += ms(100);
         let mut sent = Vec::new();
         for (id, (exchange, fleet)) in &mut self.nodes {
-            exchange.add_newly_stored(fleet);
+            exchange.add_new_prefixes(fleet);
             let peers: Vec<_> = exchange.neighbours().cloned().collect();
             for peer in peers {
                 let load = exchange.outgoing(&peer, fleet, self.now);
@@ -165,6 +165,20 @@
     assert!(site.nodes.values().all(|(_, fleet)| fleet.kept.is_stored(77, site.now)));
 }
 
+/// Pattern: a subject's requests come through many nodes, each of which sees it once.
+#[test]
+fn every_node_learns_which_server_read_a_prefix() {
+    let mut site = Site::new(68);
+    let now = site.now;
+    let server = "s4".into();
+    site.nodes.get_mut("node-9").unwrap().1.kept.add_held(&[1, 77], &server, true, now);
+    (0..7).for_each(|_| {
+        site.round();
+    });
+    let holders = site.nodes.values().map(|(_, fleet)| fleet.kept.holder(77, site.now));
+    assert!(holders.into_iter().all(|holder| holder == Some(&server)));
+}
+
 #[test]
 fn loads_that_do_not_change_are_told_rarely() {
     let mut site = Site::new(68);
