perf(relay): the store before a server that may have evicted a prefix; costs as before for many slots

Prefixes were fetched from the server that read them last, up to 8 s ago, although engines evict within two or three: each miss was read again while the store had it. Now a server that read a prefix in the last 2 s comes first, then the store within its share, then an older holder or home. Besides, with many slots the wait for one costs as it did (memory and speed bind before), further homes cost 20 to 40 ms as before, and twelve homes are considered, all of a small site.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -8,6 +8,7 @@
 use crate::decision::routing::homes::rendezvous_rank;
 use crate::types::{ServerId, WeightsRevision};
 use smol_str::{SmolStr, format_smolstr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Prompt tokens that an engine reads in a millisecond between the steps of its runs: 4,096 in a
@@ -27,12 +28,12 @@
 const READ_AGAIN_COST_MS: f64 = 100.0;
 
 /// Cost of a server that is not the home of the prefix, by its rank; the last holds for the others.
-const RANK_COST_MS: [f64; 4] = [0.0, 60.0, 80.0, 100.0];
+const RANK_COST_MS: [f64; 4] = [0.0, 20.0, 30.0, 40.0];
 
 /// Part of an engine's memory that requests may fill before its cache suffers.
 const MEMORY_PART: f64 = 0.7;
 
-/// Cost of a server whose memory is taken: the time until a request ends.
+/// Cost of a server whose memory is taken, or all of its many slots: the time until a request ends.
 const NO_ROOM_COST_MS: f64 = 250.0;
 
 /// Time for which a request holds a slot, as cost of those that wait for one.
@@ -55,9 +56,10 @@
 const LONG_RUNS_PER_SERVER: f64 = 28.0;
 const LONG_RUNS_PART: f64 = 0.85;
 
-/// Long runs that a server must have slots for so that a pool pays: with fewer, the pool would take
-/// so many servers that the others cannot read all prompts.
-const LEAST_POOL_RUNS: f64 = 20.0;
+/// Slots from which a server has many: its memory and its speed bind before they do. With fewer,
+/// requests wait for slots, and a pool of long runs would take so many servers that the others cannot
+/// read all prompts.
+const MANY_SLOTS: u32 = 24;
 
 /// Cost of a long run outside its pool: each prompt read there delays all of its tokens.
 const OUTSIDE_POOL_COST_MS: f64 = 60.0;
@@ -67,7 +69,7 @@
 
 /// Homes of a prefix that are considered together. Loads are told with a delay, so that nodes which
 /// all look at every server send what comes meanwhile to the one that seems best.
-const HOMES_CONSIDERED: usize = 6;
+const HOMES_CONSIDERED: usize = 12;
 
 /// Cost from which further homes are considered: that of waiting for the latency objective.
 const FURTHER_HOMES_COST_MS: f64 = 400.0;
@@ -129,7 +131,7 @@
         let slots: u32 = candidates.iter().map(|server| server.entry.slots.max(1)).sum();
         let slots_per_server = f64::from(slots) / candidates.len().max(1) as f64;
         let runs_per_server = LONG_RUNS_PER_SERVER.min(slots_per_server * LONG_RUNS_PART);
-        if runs_per_server < LEAST_POOL_RUNS {
+        if slots_per_server < f64::from(MANY_SLOTS) {
             return Vec::new();
         }
         let wanted = (long_runs / runs_per_server).ceil() as usize;
@@ -183,14 +185,12 @@
         let tokens: Vec<u32> = prompt.shared_part_tokens().collect();
         let missing: u32 = tokens[held..].iter().sum();
         let mut plan = EnginePlan::default();
-        let holder = keys.last().and_then(|key| self.kept.holder(*key, now));
-        let holder = holder.filter(|holder| *holder != id).and_then(|id| self.servers.get(id));
-        let holder = holder.filter(|holder| holder.suspended_until(now).is_none());
         let stored = keys.iter().rposition(|key| self.kept.is_stored(*key, now));
         let stored = stored.map_or(0, |last| last + 1);
         let stored_missing: u32 = tokens[held..stored.max(held)].iter().sum();
-        if let Some(holder) = holder.filter(|_| missing > 0) {
-            plan.choice.fetch_from = Some(holder.entry.address);
+        let source = self.prefix_source(server, &keys, now);
+        if let Some(address) = source.surely.filter(|_| missing > 0) {
+            plan.choice.fetch_from = Some(address);
             plan.fetched_tokens = missing;
         } else if let Some(store) = self.kv_store.as_ref().filter(|_| stored_missing > 0) {
             let fetch_s = store.transfer_s(stored_missing);
@@ -204,7 +204,7 @@
             // Another home may have it from another node's request; a miss costs a millisecond.
             let other = homes.iter().find(|home| home.entry.id != *id);
             let other = other.filter(|home| home.weights.get(&prompt.model) == Some(&weights));
-            plan.choice.fetch_from = other.map(|home| home.entry.address);
+            plan.choice.fetch_from = source.perhaps.or(other.map(|home| home.entry.address));
         }
         self.plan_save(&mut plan.choice, prompt, &keys, &tokens, now);
         let read = keys.iter().zip(&tokens).skip(held);
@@ -219,6 +219,22 @@
         plan
     }
 
+    /// Returns the other server that read a prompt's deepest prefix last.
+    fn prefix_source(&self, server: &Server, keys: &[PrefixKey], now: Instant) -> PrefixSource {
+        let Some(key) = keys.last() else { return PrefixSource::default() };
+        let holder = self.kept.holder(*key, now).and_then(|holder| self.servers.get(holder));
+        let holder = holder.filter(|holder| {
+            holder.entry.id != server.entry.id && holder.suspended_until(now).is_none()
+        });
+        let Some(holder) = holder else { return PrefixSource::default() };
+        let address = Some(holder.entry.address);
+        if self.kept.is_held_by(*key, &holder.entry.id, now) {
+            PrefixSource { surely: address, perhaps: address }
+        } else {
+            PrefixSource { surely: None, perhaps: address }
+        }
+    }
+
     /// Has a long prefix saved that the store lacks: the first one of a prompt in any case, since
     /// all servers need it, the others as far as the store's link allows.
     fn plan_save(
@@ -277,7 +293,7 @@
         cost_ms += RANK_COST_MS[plan.choice.rank.min(RANK_COST_MS.len() - 1)];
         cost_ms += f64::from(plan.read_again_tokens) / 1_000.0 * READ_AGAIN_COST_MS;
         cost_ms += self.old_weights_cost_ms(prompt, plan.choice.weights, now);
-        cost_ms += self.memory_cost_ms(server, load, prompt);
+        cost_ms += self.room_cost_ms(server, load, prompt);
         cost_ms + self.zone_cost_ms(server) + server.health.cost_ms(now)
     }
 
@@ -291,8 +307,13 @@
         }
     }
 
-    fn memory_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
-        let mut cost_ms = 0.0;
+    fn room_cost_ms(&self, server: &Server, load: ServerLoad, prompt: &Prompt) -> f64 {
+        let slots = server.entry.slots.max(1);
+        let mut cost_ms = if slots >= MANY_SLOTS {
+            f64::from(load.requests / slots) * NO_ROOM_COST_MS
+        } else {
+            0.0
+        };
         let capacity = self.kv_capacity_tokens.get(&server.entry.service).copied();
         if let Some(capacity) = capacity.filter(|capacity| *capacity > 0) {
             let needed = load.memory_tokens + u64::from(prompt.prompt_tokens);
@@ -307,10 +328,22 @@
 /// Returns the milliseconds for which a further request waits for a slot.
 fn slot_wait_ms(server: &Server, load: ServerLoad) -> f64 {
     let slots = server.entry.slots.max(1);
+    if slots >= MANY_SLOTS {
+        return 0.0;
+    }
     let waiting = (load.requests + 1).saturating_sub(slots);
     f64::from(waiting) / f64::from(slots) * SLOT_HELD_MS
 }
 
+/// Other server from which a prefix can be fetched.
+#[derive(Default)]
+struct PrefixSource {
+    /// Server that holds it.
+    surely: Option<SocketAddr>,
+    /// Server that may have evicted it.
+    perhaps: Option<SocketAddr>,
+}
+
 #[derive(Default)]
 struct EnginePlan {
     unread_tokens: u32,
