--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -4,6 +4,7 @@
 use coriandertide::decision::relay::server::{ServerLoad, ServerNews};
 use coriandertide::decision::relay::{Fleet, ServerEntry, ServerState, UnavailableReason, Wanted};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 #[test]
@@ -342,3 +343,21 @@
     assert!(fleet.server(&home).unwrap().suspended_until(now).is_some());
     assert_ne!(choose(&fleet, &prompt, now).server, home);
 }
+
+/// Pattern: engines evict a prefix within two or three seconds; the store keeps it for longer.
+#[test]
+fn a_prefix_comes_from_the_server_that_just_read_it_and_later_from_the_store() {
+    let now = Instant::now();
+    let mut fleet = with_store(fleet(12, 1), now);
+    let prompt = long_prompt(7, 1);
+    let first = choose(&fleet, &prompt, now);
+    let keys = first.prompt.unwrap().keys;
+    let holder = fleet.servers().find(|server| server.entry.id != first.server).unwrap();
+    let (holder, holder_address) = (holder.entry.id.clone(), holder.entry.address);
+    fleet.kept.add_stored(&keys, now);
+    fleet.kept.add_held_elsewhere(&[(*keys.last().unwrap(), holder.clone())], now);
+    load(&mut fleet, &holder, 40_000, now);
+    let fetched = |at| choose(&fleet, &prompt, at).prompt.unwrap().fetch_from;
+    assert_eq!(fetched(now + ms(1_000)), Some(holder_address));
+    assert_eq!(fetched(now + ms(3_000)), Some(SocketAddr::from(([127, 0, 0, 1], 9))));
+}
