--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,6 +1,7 @@
 //! All backend servers as a node knows them.
 
 use super::choose::OLD_WEIGHTS_LIMIT;
+use super::health::SilenceChange;
 use super::kept_prefixes::KeptPrefixes;
 use super::long_tokens::LongTokens;
 use super::server::{Server, ServerEntry, ServerLoad, ServerNews, UnreadTokens};
@@ -174,15 +175,24 @@
         server.weights.insert(model.clone(), probable);
     }
 
-    /// Takes in what a partner tells of the servers; at those not named it has nothing.
-    pub fn set_told(&mut self, partner: &InstanceId, news: &[ServerNews], now: Instant) {
+    /// Takes in what a partner tells of the servers; at those not named it has nothing. Returns the
+    /// servers that fell silent or were heard again by that.
+    pub fn set_told(
+        &mut self,
+        partner: &InstanceId,
+        news: &[ServerNews],
+        now: Instant,
+    ) -> Vec<(ServerId, SilenceChange)> {
         let told: BTreeMap<&ServerId, &ServerNews> =
             news.iter().map(|news| (&news.server, news)).collect();
         let none = ServerNews::default();
+        let mut changes = Vec::new();
         for server in self.servers.values_mut() {
             let news = told.get(&server.entry.id).copied().unwrap_or(&none);
-            server.set_told(partner.clone(), news, now);
+            let change = server.set_told(partner.clone(), news, now);
+            changes.extend(change.map(|change| (server.entry.id.clone(), change)));
         }
+        changes
     }
 
     /// Drops what a partner told, which other partners tell from now on.
--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
+use strum::Display;
 
 /// Time without a sign of a server that owes answers after which it gets no new requests; several
 /// times the usual time to an answer.
@@ -56,6 +57,16 @@
     }
 }
 
+/// Change of the belief whether a server is silent.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum SilenceChange {
+    /// It owes answers and has fallen silent.
+    Silent,
+    /// It was heard again.
+    Heard,
+}
+
 /// Health of a server.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -129,16 +140,21 @@
     }
 
     /// Takes in whether the server is silent; a silent one counts as failing until it is heard.
-    pub fn note_silence(&mut self, others: ServerSigns, now: Instant) {
+    /// Returns what changed.
+    pub fn note_silence(&mut self, others: ServerSigns, now: Instant) -> Option<SilenceChange> {
         let heard_at = self.heard_at.max(others.heard_at);
         if self.is_silent(others, now) {
             self.decay(now);
             self.failure = 1.0;
-            self.silent_at = Some(now);
-        } else if self.silent_at.is_some_and(|silent_at| heard_at > Some(silent_at)) {
+            let was_silent = self.silent_at.replace(now).is_some();
+            return (!was_silent).then_some(SilenceChange::Silent);
+        }
+        if self.silent_at.is_some_and(|silent_at| heard_at > Some(silent_at)) {
             self.silent_at = None;
             self.failure = 0.0;
+            return Some(SilenceChange::Heard);
         }
+        None
     }
 
     /// Returns the milliseconds that a request is expected to lose at this server.
--- a/src/decision/relay/load_exchange.rs
+++ b/src/decision/relay/load_exchange.rs
@@ -5,6 +5,7 @@
 //! so that each load reaches every node once and messages don't grow with the nodes.
 
 use super::fleet::Fleet;
+use super::health::SilenceChange;
 use super::kept_prefixes::HeldPrefix;
 use super::prompt::PrefixKey;
 use super::server::{ServerLoad, ServerNews};
@@ -97,10 +98,12 @@
         self.neighbours.keys()
     }
 
-    /// Takes in this node's place; `passes_on` says whether the nodes form a tree.
-    pub fn set_place(&mut self, place: &TreePlace, passes_on: bool, fleet: &mut Fleet) {
+    /// Takes in this node's place; `passes_on` says whether the nodes form a tree. Returns whether
+    /// the neighbours are others than before.
+    pub fn set_place(&mut self, place: &TreePlace, passes_on: bool, fleet: &mut Fleet) -> bool {
         self.passes_on = passes_on;
         let wanted: BTreeSet<&InstanceId> = place.neighbours().collect();
+        let is_changed = !self.neighbours.keys().eq(wanted.iter().copied());
         for peer in self.neighbours.keys().filter(|peer| !wanted.contains(peer)) {
             fleet.forget_partner(peer);
         }
@@ -108,6 +111,7 @@
         for peer in wanted {
             self.neighbours.entry(peer.clone()).or_default();
         }
+        is_changed
     }
 
     /// Whether loads are to be told now.
@@ -150,7 +154,8 @@
         Some(load)
     }
 
-    /// Takes in what a neighbour told; `live_nodes` are all nodes, this one included.
+    /// Takes in what a neighbour told; `live_nodes` are all nodes, this one included. Returns the
+    /// servers that fell silent or were heard again by that.
     ///
     /// # Errors
     ///
@@ -162,7 +167,7 @@
         live_nodes: u32,
         fleet: &mut Fleet,
         now: Instant,
-    ) -> Result<(), IgnoredLoad> {
+    ) -> Result<Vec<(ServerId, SilenceChange)>, IgnoredLoad> {
         let neighbour = self.neighbours.get_mut(peer).ok_or(IgnoredLoad::NoNeighbour)?;
         if load.nodes >= live_nodes.max(2) {
             return Err(IgnoredLoad::TooManyNodes);
@@ -172,10 +177,10 @@
             self.add_prefixes(Some(peer), &load.stored, &load.held);
         }
         fleet.long_tokens.set_partner(peer.clone(), f64::from(load.long_tokens_per_s), now);
-        fleet.set_told(peer, &load.servers, now);
+        let changes = fleet.set_told(peer, &load.servers, now);
         fleet.kept.add_stored_elsewhere(&load.stored, now);
         fleet.kept.add_held_elsewhere(&load.held, now);
-        Ok(())
+        Ok(changes)
     }
 
     fn sum_without(&self, peer: &InstanceId, fleet: &Fleet, now: Instant) -> RelayLoad {
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -1,6 +1,6 @@
 //! Backend server as a node sees it.
 
-use super::health::{Health, ServerSigns};
+use super::health::{Health, ServerSigns, SilenceChange};
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -291,13 +291,18 @@
         self.closed_until.max(self.full_until).filter(|until| now < *until)
     }
 
-    /// Takes in what a partner tells.
-    pub fn set_told(&mut self, partner: InstanceId, news: &ServerNews, now: Instant) {
+    /// Takes in what a partner tells; returns what that changes about the server's silence.
+    pub fn set_told(
+        &mut self,
+        partner: InstanceId,
+        news: &ServerNews,
+        now: Instant,
+    ) -> Option<SilenceChange> {
         let holds_until = now + PARTNER_LOAD_LIFETIME;
         self.told
             .insert(partner, ToldNews { load: news.load, signs: news.signs(now), holds_until });
         let others = self.signs_of_others(None, now);
-        self.health.note_silence(others, now);
+        self.health.note_silence(others, now)
     }
 
     /// Returns what this node and all partners but `except` know.
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -76,7 +76,7 @@
 /// State of a rollout of weights, as its coordinator tells it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutNotice {
-    /// Number of the notice under its lease, from 0.
+    /// Number of the notice; later ones of a coordinator have higher numbers.
     pub number: u64,
     /// Model.
     pub model: ModelId,
--- a/src/relay/control/loads.rs
+++ b/src/relay/control/loads.rs
@@ -35,8 +35,17 @@
     pub(super) fn apply_load(&mut self, peer: &InstanceId, load: &RelayLoad, now: Instant) {
         let live_nodes = u32::try_from(self.partners.live_instances().len()).unwrap_or(u32::MAX);
         let mut fleet = self.context.fleet();
-        if let Err(reason) = self.loads.receive(peer, load, live_nodes, &mut fleet, now) {
-            log::debug!("event=load_ignored peer={peer} reason={reason} nodes={}", load.nodes);
+        let received = self.loads.receive(peer, load, live_nodes, &mut fleet, now);
+        drop(fleet);
+        match received {
+            Ok(changes) => {
+                for (server, change) in changes {
+                    log::info!("event=server_{change} server={server} told_by={peer}");
+                }
+            }
+            Err(reason) => {
+                log::debug!("event=load_ignored peer={peer} reason={reason} nodes={}", load.nodes);
+            }
         }
     }
 }
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -359,7 +359,14 @@
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.is_beyond_mesh();
-            self.loads.set_place(&place, is_tree, &mut self.context.fleet());
+            if self.loads.set_place(&place, is_tree, &mut self.context.fleet()) {
+                log::info!(
+                    "event=neighbours_changed nodes={} parent={} children={} tree={is_tree}",
+                    self.partners.live.len(),
+                    place.parent.as_deref().unwrap_or("none"),
+                    place.children.len()
+                );
+            }
         }
         let nodes = self.partners.membership.live_nodes();
         if nodes > self.partners.most_nodes {
--- a/tests/relay/health.rs
+++ b/tests/relay/health.rs
@@ -1,7 +1,7 @@
 //! Servers that are out of reach, silent, slow, or fail.
 
 use super::fixture::ms;
-use coriandertide::decision::relay::health::{Health, ServerSigns};
+use coriandertide::decision::relay::health::{Health, ServerSigns, SilenceChange};
 use std::time::Instant;
 
 #[test]
@@ -79,11 +79,12 @@
     let heard_at = Some(now);
     let silent = ServerSigns { heard_at, awaited_since: Some(now + ms(100)) };
     assert!(health.is_silent(silent, now + ms(700)));
-    health.note_silence(silent, now + ms(700));
+    assert_eq!(health.note_silence(silent, now + ms(700)), Some(SilenceChange::Silent));
+    assert_eq!(health.note_silence(silent, now + ms(710)), None);
     let answered = ServerSigns { heard_at, awaited_since: None };
     health.note_silence(answered, now + ms(1_000));
     assert!(health.cost_ms(now + ms(1_000)) > 400.0);
     let heard = ServerSigns { heard_at: Some(now + ms(1_100)), awaited_since: None };
-    health.note_silence(heard, now + ms(1_200));
+    assert_eq!(health.note_silence(heard, now + ms(1_200)), Some(SilenceChange::Heard));
     assert_eq!(health.cost_ms(now + ms(1_200)), 0.0);
 }
