refactor(links): one table of open links for both kinds of node

The rule which of two links to one peer stays, the record of a new run and the sending of a message stood twice, in src/control/links.rs and src/relay/control/partners.rs.

--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -4,12 +4,11 @@
 use super::{ControlContext, ControlEvent, ControlState};
 use crate::decision::admission::token_bucket::TokenBucket;
 use crate::decision::membership::{
-    MemberRecord, MemberStatus, MembershipCommand, MembershipEvent, MembershipSettings,
-    MembershipState,
+    MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::power::PowerEvent;
-use crate::links::connection::{FRAME_OVERHEAD_BYTES, ReceivedMessage};
-use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, Outbox, PartnerMessage};
+use crate::links::connection::ReceivedMessage;
+use crate::links::{Identity, Link, LinkEnd, LinkTable, OpenLink, Outbox, PartnerMessage, Sent};
 use crate::metrics::Metrics;
 use crate::types::{InstanceId, PeerError};
 use async_channel::Sender;
@@ -18,7 +17,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Messages that may wait for a link's connection.
 const LINK_QUEUE: usize = 64;
@@ -74,41 +73,30 @@
     /// Identity that links prove; its record follows the membership's.
     identity: Rc<RefCell<Identity>>,
     numbers: Rc<RefCell<u64>>,
-    links: BTreeMap<InstanceId, OpenLink>,
-    /// Peer of each link's number.
-    peers: BTreeMap<u64, InstanceId>,
+    links: LinkTable,
+    /// What waits for each partner within the byte budget.
+    outboxes: BTreeMap<InstanceId, Outbox>,
     budget: TokenBucket,
 }
 
-struct OpenLink {
-    number: u64,
-    dialed: bool,
-    outgoing: Sender<Bytes>,
-    outbox: Outbox,
-}
-
 impl LinksControl {
     /// Returns the links of a node that has just started and listens for partners on `address`.
     pub fn new(context: &ControlContext, address: SocketAddr, now: Instant) -> Self {
         let settings = &context.settings;
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let me = MemberRecord {
-            instance: context.instance.clone(),
+        let identity = Identity::of_new_run(
+            settings.partner_key.clone(),
+            context.instance.clone(),
             address,
-            availability_zone: settings.availability_zone.clone(),
-            started_unix_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
-            version: 0,
-            status: MemberStatus::Alive,
-        };
+            settings.availability_zone.clone(),
+        );
         let rate_per_s = f64::from(settings.control.link_bytes_per_s);
-        let identity = Identity { key: settings.partner_key.clone(), me: me.clone() };
         Self {
-            membership: MembershipState::new(me, MembershipSettings::default()),
+            membership: MembershipState::new(identity.me.clone(), MembershipSettings::default()),
             metrics: context.metrics.clone(),
             identity: Rc::new(RefCell::new(identity)),
             numbers: Rc::default(),
-            links: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            links: LinkTable::default(),
+            outboxes: BTreeMap::new(),
             budget: TokenBucket::new(rate_per_s, rate_per_s * BURST_S, now),
         }
     }
@@ -120,50 +108,47 @@
 
     /// Peers with an open link.
     pub fn peers(&self) -> impl Iterator<Item = &InstanceId> {
-        self.links.keys()
+        self.links.peers()
     }
 
     /// Adds to what waits for each partner within the byte budget, but for `source`.
     pub(super) fn queue(&mut self, source: Option<&InstanceId>, add: impl Fn(&mut Outbox)) {
-        let links = self.links.iter_mut().filter(|(peer, _)| Some(*peer) != source);
-        links.for_each(|(_, link)| add(&mut link.outbox));
+        let outboxes = self.outboxes.iter_mut().filter(|(peer, _)| Some(*peer) != source);
+        outboxes.for_each(|(_, outbox)| add(outbox));
     }
 
     /// Adds to what waits for one partner within the byte budget.
     pub(super) fn queue_for(&mut self, peer: &InstanceId, add: impl FnOnce(&mut Outbox)) {
-        if let Some(link) = self.links.get_mut(peer) {
-            add(&mut link.outbox);
+        if let Some(outbox) = self.outboxes.get_mut(peer) {
+            add(outbox);
         }
     }
 
     /// Sends a message at once, outside the byte budget; returns whether it was sent.
     pub(super) fn send(&mut self, to: &InstanceId, message: &PartnerMessage) -> bool {
-        let Some(link) = self.links.get(to) else { return false };
-        let bytes = message.encode();
-        let size_bytes = bytes.len() + FRAME_OVERHEAD_BYTES;
-        if bytes.len() > MESSAGE_LIMIT_BYTES {
-            log::error!("event=link_message_too_large peer={to} kind={}", message.kind());
-            return false;
-        }
-        let sent = link.outgoing.try_send(bytes).is_ok();
-        if sent {
-            self.metrics.link_sent_bytes.inc_by(size_bytes as u64);
-        } else {
-            self.metrics.link_dropped_messages.inc();
+        match self.links.send(to, message) {
+            Sent::Sent(size_bytes) => {
+                self.metrics.link_sent_bytes.inc_by(size_bytes as u64);
+                return true;
+            }
+            Sent::Impossible => {}
+            Sent::Dropped => {
+                self.metrics.link_dropped_messages.inc();
+            }
         }
-        sent
+        false
     }
 
     /// Sends what waits as far as the byte budget allows.
     fn send_waiting(&mut self, now: Instant) {
-        let peers: Vec<InstanceId> = self.links.keys().cloned().collect();
+        let peers: Vec<InstanceId> = self.links.peers().cloned().collect();
         for peer in peers {
             while self.budget.available_at(1.0, now) <= now {
-                let Some(link) = self.links.get_mut(&peer) else { break };
-                if link.outgoing.is_full() {
+                if self.links.get(&peer).is_none_or(|link| link.outgoing.is_full()) {
                     break;
                 }
-                let Some(message) = link.outbox.take_next() else { break };
+                let outbox = self.outboxes.get_mut(&peer);
+                let Some(message) = outbox.and_then(Outbox::take_next) else { break };
                 let before_bytes = self.metrics.link_sent_bytes.get();
                 self.send(&peer, &message);
                 let spent_bytes = self.metrics.link_sent_bytes.get() - before_bytes;
@@ -172,35 +157,23 @@
         }
     }
 
-    /// Adds a link; of two links to one peer, that of the dialer with the lower id stays.
     fn add(&mut self, opened: &OpenedLink) -> bool {
         let peer = &opened.peer.instance;
-        if *peer == self.membership.me().instance {
-            return false;
-        }
-        if let Some(current) = self.links.get(peer) {
-            let own_dial_stays = self.membership.me().instance < *peer;
-            let stays = current.dialed != opened.dialed && current.dialed == own_dial_stays;
-            if stays {
-                return false;
-            }
-            self.peers.remove(&current.number);
-        }
-        self.peers.insert(opened.number, peer.clone());
         let link = OpenLink {
             number: opened.number,
             dialed: opened.dialed,
             outgoing: opened.outgoing.clone(),
-            outbox: Outbox::default(),
         };
-        self.links.insert(peer.clone(), link);
-        true
+        let is_added = self.links.add(&self.membership.me().instance, peer, link);
+        if is_added {
+            self.outboxes.insert(peer.clone(), Outbox::default());
+        }
+        is_added
     }
 
     fn remove(&mut self, peer: &InstanceId) {
-        if let Some(link) = self.links.remove(peer) {
-            self.peers.remove(&link.number);
-        }
+        self.links.remove(peer);
+        self.outboxes.remove(peer);
     }
 }
 
@@ -248,7 +221,7 @@
 
     fn receive(&mut self, link: u64, received: ReceivedMessage, now: Instant) {
         self.links.metrics.link_received_bytes.inc_by(received.bytes as u64);
-        let Some(peer) = self.links.peers.get(&link).cloned() else { return };
+        let Some(peer) = self.links.links.peer(link).cloned() else { return };
         self.advance_membership(MembershipEvent::Heard(peer.clone()), now);
         self.advance_power(PowerEvent::Heard(peer.clone()), now);
         if let Some(message) = received.message {
@@ -257,7 +230,7 @@
     }
 
     fn end_link(&mut self, link: u64, end: &LinkEnd, now: Instant) {
-        let Some(peer) = self.links.peers.get(&link).cloned() else { return };
+        let Some(peer) = self.links.links.peer(link).cloned() else { return };
         let in_order = match end {
             LinkEnd::InOrder => true,
             LinkEnd::Broken(error) => {
--- a/src/links/handshake.rs
+++ b/src/links/handshake.rs
@@ -1,11 +1,14 @@
 //! Mutual authentication by the shared key: each side proves that it knows the key over fresh
 //! nonces of both sides, so that a recorded handshake cannot be replayed.
 
-use crate::decision::membership::MemberRecord;
+use crate::decision::membership::{MemberRecord, MemberStatus};
+use crate::types::{AvailabilityZone, InstanceId};
 use anyhow::{Context, ensure};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Version of the link protocol.
 pub const LINK_PROTOCOL: u32 = 1;
@@ -25,6 +28,27 @@
     pub me: MemberRecord,
 }
 
+impl Identity {
+    /// Returns the identity of a run that starts now and listens for partners on `address`.
+    pub fn of_new_run(
+        key: SmolStr,
+        instance: InstanceId,
+        address: SocketAddr,
+        availability_zone: AvailabilityZone,
+    ) -> Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = MemberRecord {
+            instance,
+            address,
+            availability_zone,
+            started_unix_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            version: 0,
+            status: MemberStatus::Alive,
+        };
+        Self { key, me }
+    }
+}
+
 /// First message, of the listener.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Challenge {
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -4,13 +4,14 @@
 use super::records::RecordSource;
 use super::state::ControlState;
 use crate::decision::membership::{
-    MemberRecord, MemberStatus, MembershipCommand, MembershipEvent, MembershipSettings,
-    MembershipState,
+    MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::relay::RecordTopic;
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::TopicDigest;
-use crate::links::{Identity, Link, LinkEnd, MESSAGE_LIMIT_BYTES, PartnerMessage};
+use crate::links::{
+    Identity, Link, LinkEnd, LinkTable, MESSAGE_LIMIT_BYTES, OpenLink, PartnerMessage, Sent,
+};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
 use crate::types::{InstanceId, LogOffset};
@@ -23,7 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use strum::IntoEnumIterator;
 
 /// Messages that may wait for a link's connection.
@@ -41,17 +42,11 @@
 /// Bytes of keyed records in one message at most.
 const PART_BYTES: usize = MESSAGE_LIMIT_BYTES / 2;
 
-struct OpenLink {
-    number: u64,
-    dialed: bool,
-    outgoing: Sender<Bytes>,
-}
-
 /// Links and membership.
 pub(super) struct Partners {
     membership: MembershipState,
     identity: Rc<RefCell<Identity>>,
-    links: BTreeMap<InstanceId, OpenLink>,
+    links: LinkTable,
     /// Live nodes, this one included.
     live: Vec<InstanceId>,
     /// Changes of the membership that are taken into account.
@@ -72,21 +67,17 @@
         address: SocketAddr,
         now: Instant,
     ) -> Self {
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let me = MemberRecord {
+        let identity = Identity::of_new_run(
+            context.settings.partner_key.clone(),
             instance,
             address,
-            availability_zone: context.settings.availability_zone.clone(),
-            started_unix_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
-            version: 0,
-            status: MemberStatus::Alive,
-        };
-        let identity = Identity { key: context.settings.partner_key.clone(), me: me.clone() };
+            context.settings.availability_zone.clone(),
+        );
         let settings = MembershipSettings { redial_after_ms: 300, ..MembershipSettings::default() };
         Self {
-            membership: MembershipState::new(me, settings),
+            membership: MembershipState::new(identity.me.clone(), settings),
             identity: Rc::new(RefCell::new(identity)),
-            links: BTreeMap::new(),
+            links: LinkTable::default(),
             live: Vec::new(),
             noted_changes: None,
             most_nodes: 1,
@@ -121,29 +112,21 @@
 
     /// Whether there is a link to a node.
     pub(super) fn is_linked(&self, peer: &InstanceId) -> bool {
-        self.links.contains_key(peer)
+        self.links.get(peer).is_some()
     }
 
     /// Sends a message to a partner.
     pub(super) fn send(&self, to: &InstanceId, message: &PartnerMessage) {
-        let Some(link) = self.links.get(to) else { return };
-        let bytes = message.encode();
-        if bytes.len() > MESSAGE_LIMIT_BYTES {
-            log::error!("event=link_message_too_large peer={to} kind={}", message.kind());
-        } else if link.outgoing.try_send(bytes).is_err() {
+        if self.links.send(to, message) == Sent::Dropped {
             log::warn!("event=link_message_dropped peer={to} kind={}", message.kind());
         }
     }
-
-    fn peer(&self, number: u64) -> Option<&InstanceId> {
-        self.links.iter().find(|(_, link)| link.number == number).map(|(peer, _)| peer)
-    }
 }
 
 impl ControlState {
     /// Sends a message to all partners but `source`.
     pub(super) fn send_partners(&self, source: Option<&InstanceId>, message: &PartnerMessage) {
-        for peer in self.partners.links.keys().filter(|peer| Some(*peer) != source) {
+        for peer in self.partners.links.peers().filter(|peer| Some(*peer) != source) {
             self.partners.send(peer, message);
         }
     }
@@ -161,7 +144,7 @@
         self.advance_membership(MembershipEvent::Listed(addresses), now);
     }
 
-    /// Adds a link; of two links to one peer, that of the dialer with the lower id stays.
+    /// Adds a link unless another one to the same peer stays.
     pub(super) fn open_link(
         &mut self,
         number: u64,
@@ -171,18 +154,12 @@
         now: Instant,
     ) {
         let own = &self.partners.membership.me().instance;
-        if peer.instance == *own {
+        let link = OpenLink { number, dialed, outgoing };
+        if !self.partners.links.add(own, &peer.instance, link) {
             return;
         }
-        if let Some(current) = self.partners.links.get(&peer.instance) {
-            let own_dial_stays = *own < peer.instance;
-            if current.dialed != dialed && current.dialed == own_dial_stays {
-                return;
-            }
-        }
         log::info!("event=link_opened peer={} address={}", peer.instance, peer.address);
         let instance = peer.instance.clone();
-        self.partners.links.insert(instance.clone(), OpenLink { number, dialed, outgoing });
         self.advance_membership(MembershipEvent::LinkOpened { peer, dialed }, now);
         self.partners.send(&instance, &PartnerMessage::Topics(self.topic_digests(now)));
         let strikes = self.context.poison().strikes();
@@ -193,7 +170,7 @@
 
     /// Takes in a message of a partner.
     pub(super) fn receive(&mut self, number: u64, received: ReceivedMessage, now: Instant) {
-        let Some(peer) = self.partners.peer(number).cloned() else { return };
+        let Some(peer) = self.partners.links.peer(number).cloned() else { return };
         self.advance_membership(MembershipEvent::Heard(peer.clone()), now);
         let Some(message) = received.message else { return };
         match message {
@@ -223,7 +200,7 @@
 
     /// Takes in the end of a link.
     pub(super) fn end_link(&mut self, number: u64, end: &LinkEnd, now: Instant) {
-        let Some(peer) = self.partners.peer(number).cloned() else { return };
+        let Some(peer) = self.partners.links.peer(number).cloned() else { return };
         let in_order = match end {
             LinkEnd::InOrder => true,
             LinkEnd::Broken(error) => {
@@ -347,7 +324,7 @@
     }
 
     fn note_nodes(&mut self) {
-        let links = i64::try_from(self.partners.links.len()).unwrap_or(i64::MAX);
+        let links = i64::try_from(self.partners.links.peers().len()).unwrap_or(i64::MAX);
         self.context.metrics.links.set(links);
         let changes = Some(self.partners.membership.changes());
         if changes != self.partners.noted_changes {
