--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,4 +5,4 @@
 pub mod threads;
 
 pub use node::Node;
-pub use run::run;
+pub use run::{checked, run};
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -8,6 +8,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Exit code of faulty settings, as operators' scripts know it.
+const FAULTY_SETTINGS: u8 = 2;
+
 /// Options of the daemon.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
@@ -22,17 +25,10 @@
 /// Runs the daemon until it is told to stop.
 pub fn run() -> ExitCode {
     let options = options().run();
-    let settings = match Settings::load(&options.settings) {
+    let settings = match checked(Settings::load(&options.settings), options.check) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error:#}");
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
-    if options.check {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
     crate::logging::init();
     match serve(settings) {
         Ok(()) => ExitCode::SUCCESS,
@@ -43,6 +39,22 @@
     }
 }
 
+/// Returns the settings that a program goes on with, or the code with which it ends: that of faulty
+/// settings, or of a mere check.
+pub fn checked<T>(loaded: anyhow::Result<T>, is_check: bool) -> Result<T, ExitCode> {
+    match loaded {
+        Err(error) => {
+            eprintln!("{error:#}");
+            Err(ExitCode::from(FAULTY_SETTINGS))
+        }
+        Ok(_) if is_check => {
+            println!("settings are valid");
+            Err(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+    }
+}
+
 fn serve(settings: Settings) -> anyhow::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let node = Node::start(settings)?;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,14 +1,12 @@
 //! Settings of a relay node: the raw form and the checked form.
 
 use crate::decision::relay::resend::ResendSettings;
+use crate::settings::check::{check_address, check_identity};
 use crate::types::{AvailabilityZone, Faults};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::net::{Ipv4Addr, SocketAddr};
-
-/// Least length of the partner key in bytes.
-const LEAST_PARTNER_KEY_BYTES: usize = 16;
+use std::net::SocketAddr;
 
 /// Settings of a relay node as read from a file.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
@@ -128,13 +126,7 @@
 
     fn try_from(raw: RawRelaySettings) -> Result<Self, Faults> {
         let mut faults = Faults::default();
-        faults.require(!raw.instance_name.is_empty(), "instance_name", "must not be empty");
-        faults.require(!raw.availability_zone.is_empty(), "availability_zone", "must not be empty");
-        faults.require(
-            raw.partner_key.len() >= LEAST_PARTNER_KEY_BYTES,
-            "partner_key",
-            format!("must have at least {LEAST_PARTNER_KEY_BYTES} bytes"),
-        );
+        check_identity(&raw.instance_name, &raw.availability_zone, &raw.partner_key, &mut faults);
         faults.require(raw.rollout_lease_ms > 0, "rollout_lease_ms", "must be above 0");
         let RawResendSettings { ratio, slack, window_s } = raw.resend;
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
@@ -186,11 +178,3 @@
         metrics_path: raw.metrics_path,
     }
 }
-
-/// Returns the address, or reports a fault at `path`.
-pub fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
-    raw.parse().unwrap_or_else(|_| {
-        faults.add(path, format!("`{raw}` is not an ip:port address"));
-        SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0))
-    })
-}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -19,13 +19,7 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, Faults> {
         let mut faults = Faults::default();
-        faults.require(!raw.instance_name.is_empty(), "instance_name", "must not be empty");
-        faults.require(!raw.availability_zone.is_empty(), "availability_zone", "must not be empty");
-        faults.require(
-            raw.partner_key.len() >= LEAST_PARTNER_KEY_BYTES,
-            "partner_key",
-            format!("must have at least {LEAST_PARTNER_KEY_BYTES} bytes"),
-        );
+        check_identity(&raw.instance_name, &raw.availability_zone, &raw.partner_key, &mut faults);
         faults.require(
             (1..=MOST_TRAFFIC_THREADS).contains(&raw.traffic_threads),
             "traffic_threads",
@@ -93,7 +87,24 @@
     claims
 }
 
-fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
+/// Checks how a node names itself and its partners know it.
+pub fn check_identity(
+    instance_name: &str,
+    availability_zone: &str,
+    partner_key: &str,
+    faults: &mut Faults,
+) {
+    faults.require(!instance_name.is_empty(), "instance_name", "must not be empty");
+    faults.require(!availability_zone.is_empty(), "availability_zone", "must not be empty");
+    faults.require(
+        partner_key.len() >= LEAST_PARTNER_KEY_BYTES,
+        "partner_key",
+        format!("must have at least {LEAST_PARTNER_KEY_BYTES} bytes"),
+    );
+}
+
+/// Returns the address, or reports a fault at `path`.
+pub fn check_address(path: &str, raw: &str, faults: &mut Faults) -> SocketAddr {
     raw.parse().unwrap_or_else(|_| {
         faults.add(path, format!("`{raw}` is not an ip:port address"));
         SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0))
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,6 +12,7 @@
 use crate::decision::claims::ClaimsSettings;
 use crate::decision::routing::RoutingPolicy;
 use crate::types::{AvailabilityZone, Faults};
+use anyhow::Context;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -68,10 +69,7 @@
 impl Settings {
     /// Reads and checks the settings file at `path`; the error names every fault.
     pub fn load(path: &Path) -> anyhow::Result<Self> {
-        use anyhow::Context;
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("step=read_settings file={}", path.display()))?;
-        Self::parse(&text).with_context(|| format!("step=check_settings file={}", path.display()))
+        load_file(path, Self::parse)
     }
 
     /// Reads and checks settings in JSON.
@@ -82,11 +80,21 @@
     pub fn parse(text: &str) -> anyhow::Result<Self> {
         let mut faults = Faults::default();
         let raw: RawSettings = faults.read_json(text)?;
-        let checked = Self::try_from(raw).map_err(|found| faults.extend("", found));
-        match (checked, faults.into_result(())) {
-            (Ok(settings), Ok(())) => Ok(settings),
-            (_, Err(faults)) => Err(faults.into()),
-            (Err(()), Ok(())) => anyhow::bail!("the settings are faulty"),
-        }
+        let settings = faults.check_part("", Self::try_from(raw));
+        Ok(faults.into_checked(settings)?)
     }
 }
+
+/// Reads the settings file at `path` and checks it with `parse`.
+///
+/// # Errors
+///
+/// A file that cannot be read, or what `parse` found.
+pub fn load_file<T>(
+    path: &Path,
+    parse: impl FnOnce(&str) -> anyhow::Result<T>,
+) -> anyhow::Result<T> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("step=read_settings file={}", path.display()))?;
+    parse(&text).with_context(|| format!("step=check_settings file={}", path.display()))
+}
--- a/src/types/faults.rs
+++ b/src/types/faults.rs
@@ -45,15 +45,29 @@
         Ok(value)
     }
 
-    /// Adds the faults of the part at `path`.
-    pub fn extend(&mut self, path: &str, part: Self) {
-        let faults = part.0.into_iter();
-        faults.for_each(|fault| self.add(format!("{path}{}", fault.path), fault.message));
+    /// Returns a checked part, or adds its faults with `path` before theirs.
+    pub fn check_part<T>(&mut self, path: &str, part: Result<T, Self>) -> Option<T> {
+        match part {
+            Ok(part) => Some(part),
+            Err(Self(found)) => {
+                let found = found.into_iter();
+                found.for_each(|fault| self.add(format!("{path}{}", fault.path), fault.message));
+                None
+            }
+        }
     }
 
     /// Returns `value` if no fault was found.
     pub fn into_result<T>(self, value: T) -> Result<T, Self> {
-        if self.0.is_empty() { Ok(value) } else { Err(self) }
+        self.into_checked(Some(value))
+    }
+
+    /// Returns `value` if it is there and no fault was found.
+    pub fn into_checked<T>(self, value: Option<T>) -> Result<T, Self> {
+        match value {
+            Some(value) if self.0.is_empty() => Ok(value),
+            _ => Err(self),
+        }
     }
 }
 
