--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 listener: accepts connections, bounds heads, and closes gracefully.
 
+use anyhow::Context;
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use bytes::Bytes;
@@ -56,11 +57,18 @@
 /// Least read buffer that hyper accepts.
 const LEAST_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Binds `address` at once, so that its port is known before the listener serves.
-pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    Ok(smol::Async::new(listener)?.into())
+/// Binds the listener `name` at once, so that its port is known before it serves.
+///
+/// # Errors
+///
+/// The address cannot be bound; the error names the listener.
+pub fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    let bound = std::net::TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        smol::Async::new(listener)
+    });
+    let listener = bound.with_context(|| format!("step=bind listener={name} address={address}"))?;
+    Ok(listener.into())
 }
 
 /// Accepts connections until `drain` closes; open connections then finish their requests.
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,6 +1,6 @@
 //! A node: listeners, the control thread and the traffic threads.
 
-use super::threads::{spawn_control, spawn_traffic};
+use super::threads::{self, spawn_control, spawn_traffic};
 use crate::adapters::http_server::{self, Handler, ServerLimits};
 use crate::adapters::{
     HttpInstanceList, HttpKvStore, HttpLogService, HttpModelEngine, HttpPlainService,
@@ -13,7 +13,6 @@
 use crate::traffic::context::{SharedParts, TrafficParts};
 use crate::traffic::{TrafficContext, dispatch};
 use crate::types::{InstanceId, Revision};
-use anyhow::Context;
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use smol::Executor;
@@ -66,9 +65,9 @@
     pub fn start(settings: Settings) -> anyhow::Result<Self> {
         let instance = format_smolstr!("{}-{:08x}", settings.instance_name, fastrand::u32(..));
         let listeners = Listeners {
-            callers: bind(settings.listen.callers, "callers")?,
-            admin: bind(settings.listen.admin, "admin")?,
-            partners: bind(settings.listen.partners, "partners")?,
+            callers: http_server::bind(settings.listen.callers, "callers")?,
+            admin: http_server::bind(settings.listen.admin, "admin")?,
+            partners: http_server::bind(settings.listen.partners, "partners")?,
         };
         let caller_address = listeners.callers.local_addr()?;
         let admin_address = listeners.admin.local_addr()?;
@@ -178,11 +177,7 @@
     pub fn kill(self) {
         self.stop.close();
         let Self { threads, executor, .. } = self;
-        for thread in threads {
-            if thread.join().is_err() {
-                log::error!("event=thread_panicked");
-            }
-        }
+        threads::join(threads);
         drop(executor);
     }
 
@@ -198,11 +193,6 @@
     }
 }
 
-fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
-    http_server::bind(address)
-        .with_context(|| format!("step=bind listener={name} address={address}"))
-}
-
 fn engines(settings: &Settings) -> Arc<dyn ModelEngine> {
     Arc::new(HttpModelEngine::new(
         settings.availability_zone.clone(),
--- a/src/daemon/threads.rs
+++ b/src/daemon/threads.rs
@@ -40,6 +40,15 @@
     })
 }
 
+/// Waits until all `threads` have ended.
+pub fn join(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        if thread.join().is_err() {
+            log::error!("event=thread_panicked");
+        }
+    }
+}
+
 async fn closed(stop: StopSignal) {
     let _closed = stop.recv().await;
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -6,13 +6,12 @@
 use super::{RelayContext, RelayPorts, RelaySettings};
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::{self, Handler, Reply, ServerLimits};
-use crate::daemon::threads::{spawn_control, spawn_traffic};
+use crate::daemon::threads::{self, spawn_control, spawn_traffic};
 use crate::decision::poison::PoisonState;
 use crate::decision::relay::{Fleet, ResendBudget};
 use crate::metrics::encode;
 use crate::traffic::reply::text_reply;
 use crate::types::InstanceId;
-use anyhow::Context;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
 use http::{Request, StatusCode};
@@ -68,10 +67,10 @@
         let executor: Arc<Executor<'static>> = Arc::default();
         let pool = Arc::new(ConnectionPool::new(Arc::downgrade(&executor)));
         let ports = ports(Arc::clone(&pool));
-        let callers = bind(settings.listen.callers, "callers")?;
-        let readiness = bind(settings.listen.readiness, "readiness")?;
-        let metrics_listener = bind(settings.listen.metrics, "metrics")?;
-        let partners = bind(settings.listen.partners, "partners")?;
+        let callers = http_server::bind(settings.listen.callers, "callers")?;
+        let readiness = http_server::bind(settings.listen.readiness, "readiness")?;
+        let metrics_listener = http_server::bind(settings.listen.metrics, "metrics")?;
+        let partners = http_server::bind(settings.listen.partners, "partners")?;
         let partner_address = partners.local_addr()?;
         let caller_address = callers.local_addr()?;
         let readiness_address = readiness.local_addr()?;
@@ -149,11 +148,7 @@
     pub fn kill(self) {
         self.stop.close();
         let Self { threads, executor, .. } = self;
-        for thread in threads {
-            if thread.join().is_err() {
-                log::error!("event=thread_panicked");
-            }
-        }
+        threads::join(threads);
         drop(executor);
     }
 }
@@ -187,11 +182,6 @@
     }
 }
 
-fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
-    http_server::bind(address)
-        .with_context(|| format!("step=bind listener={name} address={address}"))
-}
-
 fn serve_callers(
     executor: &Arc<Executor<'static>>,
     context: &Arc<RelayContext>,
