--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -10,11 +10,12 @@
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use std::fmt;
+use std::hash::Hash;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -25,29 +26,30 @@
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
 
-#[derive(Clone, Copy, Debug)]
-struct LatencyHistogram;
+/// Latency histogram for each label set.
+#[derive(Clone, Debug)]
+pub struct LatencyFamily<L>(Family<L, Histogram, fn() -> Histogram>);
 
-impl MetricConstructor<Histogram> for LatencyHistogram {
-    fn new_metric(&self) -> Histogram {
-        Histogram::new(LATENCY_BUCKETS_S)
+impl<L: Clone + Eq + Hash> LatencyFamily<L> {
+    /// Returns a family whose histograms `histogram` makes.
+    pub fn new(histogram: fn() -> Histogram) -> Self {
+        Self(Family::new_with_constructor(histogram))
     }
-}
 
-/// Latency histogram for each workspace.
-#[derive(Clone, Debug)]
-pub struct LatencyFamily(Family<RequestLabels, Histogram, LatencyHistogram>);
+    /// Counts a latency.
+    pub fn observe(&self, labels: &L, latency: Duration) {
+        self.0.get_or_create(labels).observe(latency.as_secs_f64());
+    }
 
-impl Default for LatencyFamily {
-    fn default() -> Self {
-        Self(Family::new_with_constructor(LatencyHistogram))
+    /// Returns the family as the registry takes it.
+    pub fn family(&self) -> Family<L, Histogram, fn() -> Histogram> {
+        self.0.clone()
     }
 }
 
-impl LatencyFamily {
-    /// Counts a latency.
-    pub fn observe(&self, labels: &RequestLabels, latency: Duration) {
-        self.0.get_or_create(labels).observe(latency.as_secs_f64());
+impl Default for LatencyFamily<RequestLabels> {
+    fn default() -> Self {
+        Self::new(|| Histogram::new(LATENCY_BUCKETS_S))
     }
 }
 
@@ -59,7 +61,7 @@
     /// Calls that ended in a failure, by its code and whether they were run.
     pub failures: Family<FailureLabels, Counter>,
     /// Time from accepting a request to its first token.
-    pub first_token_seconds: LatencyFamily,
+    pub first_token_seconds: LatencyFamily<RequestLabels>,
     /// Prompt tokens sent to engines.
     pub prompt_tokens: Family<RequestLabels, Counter>,
     /// Prompt tokens that engines took from their cache.
@@ -133,7 +135,7 @@
             "first_token",
             "Time to the first token",
             Unit::Seconds,
-            self.first_token_seconds.0.clone(),
+            self.first_token_seconds.family(),
         );
         registry.register("prompt_tokens", "Prompt tokens", self.prompt_tokens.clone());
         registry.register(
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -49,10 +49,7 @@
         received.ticket.server,
         request.age_ms()
     );
-    context
-        .metrics
-        .first_answer
-        .observe(&request.route.name, request.arrived_at.elapsed().as_secs_f64());
+    context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
     stream::count(context, request, outcome);
     let Answer { exchange, facts, ticket } = received;
     keep(context, exchange, &facts);
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -2,20 +2,19 @@
 //!
 //! Every family is described in `docs/operators/relay_metrics.md`.
 
+use crate::metrics::LatencyFamily;
 use crate::metrics::labels::ReasonLabels;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use std::time::Instant;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.7, 1.5, 5.0, 15.0];
 
-/// Routes with metrics of their own at most; the others share one label.
-pub const MOST_ROUTE_LABELS: usize = 64;
-
 /// Labels of an answered request.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct AnswerLabels {
@@ -32,29 +31,9 @@
     pub route: String,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct LatencyHistogram;
-
-impl MetricConstructor<Histogram> for LatencyHistogram {
-    fn new_metric(&self) -> Histogram {
-        Histogram::new(LATENCY_BUCKETS_S)
-    }
-}
-
-/// Latency histogram for each route.
-#[derive(Clone, Debug)]
-pub struct RouteLatency(Family<RouteLabels, Histogram, LatencyHistogram>);
-
-impl RouteLatency {
-    /// Counts a latency in seconds.
-    pub fn observe(&self, route: &str, latency_s: f64) {
-        self.0.get_or_create(&RouteLabels { route: route.to_owned() }).observe(latency_s);
-    }
-}
-
-impl Default for RouteLatency {
+impl Default for LatencyFamily<RouteLabels> {
     fn default() -> Self {
-        Self(Family::new_with_constructor(LatencyHistogram))
+        Self::new(|| Histogram::new(LATENCY_BUCKETS_S))
     }
 }
 
@@ -64,7 +43,7 @@
     /// Requests by route and outcome.
     pub requests: Family<AnswerLabels, Counter>,
     /// Time to the first byte of an answer.
-    pub first_answer: RouteLatency,
+    pub first_answer: LatencyFamily<RouteLabels>,
     /// Refusals by reason.
     pub refusals: Family<ReasonLabels, Counter>,
     /// Requests sent once more, by reason.
@@ -90,6 +69,11 @@
 }
 
 impl RelayMetrics {
+    /// Counts the time until the answer to a request of `route` began, which came at `arrived_at`.
+    pub fn observe_first_answer(&self, route: &str, arrived_at: Instant) {
+        self.first_answer.observe(&RouteLabels { route: route.to_owned() }, arrived_at.elapsed());
+    }
+
     /// Registers all metrics.
     pub fn register(&self, registry: &mut Registry) {
         registry.register("relay_requests", "Requests by route and outcome", self.requests.clone());
@@ -97,7 +81,7 @@
             "relay_first_answer",
             "Time to the first byte of an answer",
             Unit::Seconds,
-            self.first_answer.0.clone(),
+            self.first_answer.family(),
         );
         registry.register("relay_refusals", "Refusals by reason", self.refusals.clone());
         registry.register("relay_resends", "Requests sent once more", self.resends.clone());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -55,8 +55,7 @@
     attempts: Attempts,
     received: Answer,
 ) -> Reply {
-    let first_answer = request.arrived_at.elapsed().as_secs_f64();
-    context.metrics.first_answer.observe(&request.route.name, first_answer);
+    context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
     let status = received.exchange.status;
     let headers = end_to_end_headers(received.exchange.headers.clone());
     let is_resumable = request.route.repetition == Repetition::ResumableStream;
