--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -135,14 +135,10 @@
                 return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
             }
         }
-        if let Some(until) = earliest(&candidates, |server| server.closed_until(now)) {
-            return Err(unavailable(UnavailableReason::Closed, until));
-        }
-        candidates.retain(|server| server.closed_until(now).is_none());
-        if let Some(until) = earliest(&candidates, |server| server.suspended_until(now)) {
-            return Err(unavailable(UnavailableReason::Unreachable, until));
-        }
-        candidates.retain(|server| server.suspended_until(now).is_none());
+        drop_barred(&mut candidates, |server| server.closed_until(now))
+            .map_err(|until| unavailable(UnavailableReason::Closed, until))?;
+        drop_barred(&mut candidates, |server| server.suspended_until(now))
+            .map_err(|until| unavailable(UnavailableReason::Unreachable, until))?;
         match wanted.prompt {
             Some(prompt) => Ok(self.choose_engine(&candidates, prompt, wanted, now)),
             None => self.choose_plain(&candidates, now),
@@ -224,14 +220,23 @@
     }
 }
 
-/// Returns the earliest time until which a server is barred, if all are.
-fn earliest(
-    candidates: &[&Server],
+/// Drops the servers that are barred; the error says when the first of them is free if all are.
+fn drop_barred(
+    candidates: &mut Vec<&Server>,
     barred_until: impl Fn(&Server) -> Option<Instant>,
-) -> Option<Instant> {
-    let times: Option<Vec<Instant>> =
-        candidates.iter().map(|server| barred_until(server)).collect();
-    times?.into_iter().min()
+) -> Result<(), Instant> {
+    let mut free_at: Option<Instant> = None;
+    candidates.retain(|server| match barred_until(server) {
+        None => true,
+        Some(until) => {
+            free_at = Some(free_at.map_or(until, |earlier| earlier.min(until)));
+            false
+        }
+    });
+    match free_at {
+        Some(free_at) if candidates.is_empty() => Err(free_at),
+        _ => Ok(()),
+    }
 }
 
 /// Returns the cheapest and the next server.
--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -98,8 +98,9 @@
                 break;
             }
             let plan = self.plan(server, &ranked, prompt, wall, rank, now);
-            let expected_ms = self.engine_expected_ms(server, &plan, wanted.priority, now);
-            let mut cost_ms = expected_ms + self.engine_cost_ms(server, prompt, &plan, now);
+            let load = server.total_load(now);
+            let expected_ms = engine_expected_ms(server, load, &plan, wanted.priority, now);
+            let mut cost_ms = expected_ms + self.engine_cost_ms(server, load, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
             costs.push((cost_ms, *server));
             plans.push((plan, expected_ms));
@@ -261,34 +262,15 @@
         }
     }
 
-    /// Returns the milliseconds until a server has read the prompt, behind what is as urgent.
-    fn engine_expected_ms(
-        &self,
-        server: &Server,
-        plan: &EnginePlan,
-        priority: u8,
-        now: Instant,
-    ) -> f64 {
-        let ahead = server.total_load(now).unread_tokens.ahead_of(priority);
-        let ahead = f64::from(ahead) + server.herd_tokens(now);
-        let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
-        expected_ms += slot_wait_ms(server, server.total_load(now));
-        if plan.fetched_tokens > 0 {
-            let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
-            expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
-        }
-        expected_ms
-    }
-
     /// Returns what speaks against a server beside the time until it answers.
     fn engine_cost_ms(
         &self,
         server: &Server,
+        load: ServerLoad,
         prompt: &Prompt,
         plan: &EnginePlan,
         now: Instant,
     ) -> f64 {
-        let load = server.total_load(now);
         let mut cost_ms = f64::from(load.requests) * REQUEST_COST_MS;
         cost_ms += RANK_COST_MS[plan.choice.rank.min(RANK_COST_MS.len() - 1)];
         cost_ms += f64::from(plan.read_again_tokens) / 1_000.0 * READ_AGAIN_COST_MS;
@@ -325,6 +307,24 @@
     }
 }
 
+/// Returns the milliseconds until a server has read the prompt, behind what is as urgent.
+fn engine_expected_ms(
+    server: &Server,
+    load: ServerLoad,
+    plan: &EnginePlan,
+    priority: u8,
+    now: Instant,
+) -> f64 {
+    let ahead = f64::from(load.unread_tokens.ahead_of(priority)) + server.herd_tokens(now);
+    let mut expected_ms = (ahead + f64::from(plan.unread_tokens)) / READ_TOKENS_PER_MS;
+    expected_ms += slot_wait_ms(server, load);
+    if plan.fetched_tokens > 0 {
+        let fetched = f64::from(plan.fetched_tokens) / 1_000.0;
+        expected_ms += FETCH_COST_MS + fetched * FETCH_1K_TOKENS_MS;
+    }
+    expected_ms
+}
+
 /// Returns the milliseconds for which a further request waits for a slot.
 fn slot_wait_ms(server: &Server, load: ServerLoad) -> f64 {
     let slots = server.entry.slots.max(1);
