--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,8 @@
 mod loads;
 mod logging;
 mod notices;
+#[path = "../shared/proptest_config.rs"]
+mod proptest_config;
 mod record_watch;
 mod replica;
 mod resend;
@@ -20,15 +22,4 @@
 mod settings;
 mod trace;
 
-use proptest::test_runner::{Config, RngSeed};
-
-/// Configuration of property tests: fixed seed, more cases by `COT_PROPTEST_CASES`.
-fn proptest_config(seed: u64) -> Config {
-    let cases = std::env::var("COT_PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok());
-    Config {
-        cases: cases.unwrap_or(256),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+use proptest_config::proptest_config;
--- a/tests/together/main.rs
+++ b/tests/together/main.rs
@@ -9,16 +9,7 @@
 mod links;
 mod membership;
 mod network;
+#[path = "../shared/proptest_config.rs"]
+mod proptest_config;
 
-use proptest::test_runner::{Config, RngSeed};
-
-/// Configuration of property tests: fixed seed, more cases by `COT_PROPTEST_CASES`.
-fn proptest_config(seed: u64) -> Config {
-    let cases = std::env::var("COT_PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok());
-    Config {
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        cases: cases.unwrap_or(256),
-        ..Config::default()
-    }
-}
+use proptest_config::proptest_config;
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -7,17 +7,8 @@
 mod frames;
 mod naive_queue;
 mod poison;
+#[path = "../shared/proptest_config.rs"]
+mod proptest_config;
 mod retry;
 
-use proptest::test_runner::{Config, RngSeed};
-
-/// Configuration of property tests: fixed seed, more cases by `COT_PROPTEST_CASES`.
-fn proptest_config(seed: u64) -> Config {
-    let cases = std::env::var("COT_PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok());
-    Config {
-        cases: cases.unwrap_or(256),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+use proptest_config::proptest_config;
