--- a/src/decision/relay/heard_notices.rs
+++ b/src/decision/relay/heard_notices.rs
@@ -3,7 +3,8 @@
 use super::register_lease::FencingNumber;
 use std::collections::VecDeque;
 
-/// Notices that are remembered; a coordinator sends few in the time that one takes to all nodes.
+/// Notices that are remembered; a coordinator sends some twenty in the second that one takes to all
+/// nodes at most.
 const MOST_NOTICES: usize = 64;
 
 /// Notice of a rollout: its lease and its number under the lease.
@@ -16,7 +17,7 @@
     Newest,
     /// A newer one came before.
     Late,
-    /// It was heard before.
+    /// It was heard before, or so many others were since that it may have been.
     Again,
 }
 
@@ -24,18 +25,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeardNotices {
     heard: VecDeque<NoticeId>,
+    /// Newest notice that is no longer remembered.
+    forgotten: Option<NoticeId>,
 }
 
 impl HeardNotices {
     /// Takes in the notice `number` under the lease with `fencing_number`.
     pub fn hear(&mut self, fencing_number: FencingNumber, number: u64) -> HeardNotice {
         let id = (fencing_number, number);
-        if self.heard.contains(&id) {
+        // A notice that counted as new again would go round among the nodes for ever.
+        if Some(id) <= self.forgotten || self.heard.contains(&id) {
             return HeardNotice::Again;
         }
         let is_late = self.heard.iter().any(|heard| *heard > id);
         if self.heard.len() >= MOST_NOTICES {
-            self.heard.pop_front();
+            self.forgotten = self.forgotten.max(self.heard.pop_front());
         }
         self.heard.push_back(id);
         if is_late { HeardNotice::Late } else { HeardNotice::Newest }
