fix(relay): a stopping node takes no partner links

It was no live member any more, so that every other node that still had its address from the store dialed it as a seed; within half a second it had links to some fifty nodes and sent each its members and records over its 10 Mbit/s. Its streams stalled for seconds and ended with the stop limit. The flag that stood twice, in the context and the control state, is one now.

--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator;
 
@@ -367,6 +368,10 @@
     let accept = async {
         loop {
             match listener.accept().await {
+                // Nodes that still find the address in the store dial a node that has left them.
+                Ok(_) if context.is_stopping.load(Ordering::Acquire) => {
+                    log::debug!("event=link_refused reason=stopping");
+                }
                 Ok((stream, _)) => {
                     let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
                     let task = async move {
@@ -403,7 +408,7 @@
 
 /// Runs an open link until it ends.
 async fn run_link(context: &RelayContext, link: Link, dialed: bool) {
-    let number = context.next_attempt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let number = context.next_attempt.fetch_add(1, Ordering::Relaxed);
     let peer = link.peer().clone();
     let (outgoing, outgoing_queue) = async_channel::bounded(LINK_QUEUE);
     let (incoming, incoming_queue) = async_channel::bounded(1);
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Period of the loop's own work.
@@ -56,7 +57,6 @@
     /// Whether the store answers, for the tasks that follow it.
     pub(super) kv_store: Rc<Cell<Option<SocketAddr>>>,
     suspend_clock: SuspendClock,
-    is_stopping: bool,
 }
 
 /// Runs the control thread's main task.
@@ -75,7 +75,6 @@
         targets: BTreeMap::new(),
         kv_store: Rc::clone(&kv_store),
         suspend_clock: SuspendClock::new(),
-        is_stopping: false,
         executor,
         context: Arc::clone(&context),
     };
@@ -162,10 +161,7 @@
             RelayEvent::KvStore { address, is_emptied } => {
                 self.apply_kv_store(address, is_emptied, now);
             }
-            RelayEvent::Stop => {
-                self.is_stopping = true;
-                self.leave_partners(now);
-            }
+            RelayEvent::Stop => self.leave_partners(now),
         }
     }
 
@@ -178,7 +174,7 @@
         self.context.pool.close_expired(now);
         self.tick_partners(now);
         self.tick_loads(now);
-        if !self.is_stopping {
+        if !self.context.is_stopping.load(Ordering::Acquire) {
             self.tick_rollouts(now);
         }
     }
