fix(relay): loads by changes and rollout notices along the tree of nodes

Cause: on sites of many nodes the control messages took the nodes' processor and links. Queues of links overflowed and answers waited.

Change: on the tree a load message lists the servers that changed most and news about the contact with suspected ones, up to a fixed number; entries last until the next change or refresh. Notices go along the tree, at most every 150 ms, with the changes since the last one; only the coordinator sends over all its links. Messages to several partners are encoded once. New metrics and the log line link_traffic count bytes by kind of message.

--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -4,7 +4,7 @@
 use super::decode_rate::DecodeRate;
 use super::health::SilenceChange;
 use super::prefix_index::PrefixIndex;
-use super::server::{PendingPrefill, Server, ServerEntry, ServerLoad, ServerUpdate};
+use super::server::{PendingPrefill, Server, ServerEntry, ServerLoad, ServerUpdate, UpdateScope};
 use super::store_link::StoreLink;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
@@ -65,6 +65,8 @@
     pub decode_rate: DecodeRate,
     /// Link to the external store of KV cache, `None` without a store or while it does not answer.
     pub kv_store: Option<StoreLink>,
+    /// Time that the reports of other nodes about servers take to arrive.
+    report_delay: Duration,
 }
 
 impl Fleet {
@@ -78,6 +80,15 @@
             prefixes: PrefixIndex::default(),
             decode_rate: DecodeRate::default(),
             kv_store: None,
+            report_delay: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time that the reports of other nodes about servers take to arrive.
+    pub fn set_report_delay(&mut self, report_delay: Duration) {
+        self.report_delay = report_delay;
+        for server in self.servers.values_mut() {
+            server.health.set_report_delay(report_delay);
         }
     }
 
@@ -86,7 +97,9 @@
         match self.servers.get_mut(&entry.id) {
             Some(server) => server.update(entry),
             None => {
-                self.servers.insert(entry.id.clone(), Server::new(entry));
+                let mut server = Server::new(entry);
+                server.health.set_report_delay(self.report_delay);
+                self.servers.insert(server.entry.id.clone(), server);
             }
         }
     }
@@ -186,22 +199,37 @@
         server.weights.insert(model.clone(), probable);
     }
 
-    /// Applies a partner's updates; servers not listed have no requests from that partner. Returns
-    /// the servers that became silent or recovered.
+    /// Applies a partner's updates. With [`UpdateScope::AllServers`], servers not listed have no
+    /// requests from that partner. Returns the servers that became silent or recovered.
     pub fn apply_updates(
         &mut self,
         partner: &InstanceId,
         updates: &[ServerUpdate],
+        scope: UpdateScope,
         now: Instant,
     ) -> Vec<(ServerId, SilenceChange)> {
-        let by_server: BTreeMap<&ServerId, &ServerUpdate> =
-            updates.iter().map(|update| (&update.server, update)).collect();
-        let empty = ServerUpdate::default();
         let mut changes = Vec::new();
-        for server in self.servers.values_mut() {
-            let update = by_server.get(&server.entry.id).copied().unwrap_or(&empty);
-            let change = server.apply_update(partner.clone(), update, now);
+        let mut apply = |server: &mut Server, update: &ServerUpdate| {
+            let change = server.apply_update(partner.clone(), update, scope, now);
             changes.extend(change.map(|change| (server.entry.id.clone(), change)));
+        };
+        match scope {
+            UpdateScope::AllServers => {
+                let by_server: BTreeMap<&ServerId, &ServerUpdate> =
+                    updates.iter().map(|update| (&update.server, update)).collect();
+                let unused = ServerUpdate::default();
+                for server in self.servers.values_mut() {
+                    let update = by_server.get(&server.entry.id).copied().unwrap_or(&unused);
+                    apply(server, update);
+                }
+            }
+            UpdateScope::Changes => {
+                for update in updates {
+                    if let Some(server) = self.servers.get_mut(&update.server) {
+                        apply(server, update);
+                    }
+                }
+            }
         }
         changes
     }
@@ -212,13 +240,6 @@
         self.decode_rate.remove_partner(partner);
     }
 
-    /// Returns the updates of this node and all partners except `except`, for servers with
-    /// requests.
-    pub fn updates_without(&self, except: &InstanceId, now: Instant) -> Vec<ServerUpdate> {
-        let updates = self.servers.values().map(|server| server.update_without(Some(except), now));
-        updates.filter(|update| update.load.requests > 0).collect()
-    }
-
     /// Returns the updates of this node alone, for servers with requests.
     pub fn local_updates(&self, now: Instant) -> Vec<ServerUpdate> {
         let used = self.servers.values().filter(|server| server.local_load.requests > 0);
--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -51,7 +51,7 @@
     }
 
     /// Returns for how long the server has left requests unanswered without any contact.
-    fn silence(&self, now: Instant) -> Duration {
+    pub fn silence(&self, now: Instant) -> Duration {
         let Some(unanswered_since) = self.unanswered_since else { return Duration::ZERO };
         let since = self
             .last_contact_at
@@ -90,9 +90,27 @@
     unanswered: BTreeMap<u64, Instant>,
     /// When the server was last found silent, `None` after a later contact.
     silent_at: Option<Instant>,
+    /// Time that the reports of other nodes take to arrive.
+    report_delay: Duration,
 }
 
 impl Health {
+    /// Returns the health of a server without a history, of which other nodes report with
+    /// `report_delay`.
+    pub fn new(report_delay: Duration) -> Self {
+        Self { report_delay, ..Self::default() }
+    }
+
+    /// Returns the time that the reports of other nodes take to arrive.
+    pub fn report_delay(&self) -> Duration {
+        self.report_delay
+    }
+
+    /// Sets the time that the reports of other nodes take to arrive.
+    pub fn set_report_delay(&mut self, report_delay: Duration) {
+        self.report_delay = report_delay;
+    }
+
     /// Records that attempt `attempt` was sent.
     pub fn record_sent(&mut self, attempt: u64, now: Instant) {
         self.unanswered.insert(attempt, now);
@@ -147,7 +165,8 @@
         let local = self.contact();
         let mut combined = local;
         combined.merge(others);
-        combined.silence(now) > MAX_SILENCE || local.silence(now) > MAX_LOCAL_SILENCE
+        combined.silence(now) > MAX_SILENCE + self.report_delay
+            || local.silence(now) > MAX_LOCAL_SILENCE
     }
 
     /// Updates whether the server is silent and returns the change. Each update of a silent server
--- a/src/decision/relay/load_exchange.rs
+++ b/src/decision/relay/load_exchange.rs
@@ -2,14 +2,16 @@
 //!
 //! While every node has a link to every other one, each node sends its own load. Beyond that number
 //! of nodes they form a tree, and a node sends each neighbour the sum of its own load and of the
-//! loads received from the other neighbours. Each load thus reaches every node once, and messages
-//! do not grow with the number of nodes.
+//! loads received from the other neighbours. Each load thus reaches every node once. A message on
+//! the tree lists the servers that changed most, and the newest prefixes, up to a fixed number, so
+//! that messages grow neither with the number of nodes nor with that of servers.
 
 use super::fleet::Fleet;
 use super::health::SilenceChange;
+use super::load_changes::{SentUpdates, Suspicion};
 use super::prefix_index::CachedPrefix;
 use super::prompt::PrefixKey;
-use super::server::{ServerLoad, ServerUpdate};
+use super::server::{ServerLoad, ServerUpdate, UpdateScope};
 use crate::decision::membership::TreePlace;
 use crate::types::{InstanceId, ServerId};
 use serde::{Deserialize, Serialize};
@@ -20,16 +22,31 @@
 /// Period in which a node sends its load.
 const LOAD_PERIOD: Duration = Duration::from_millis(100);
 
-/// Period during a rollout, which waits for requests to end, and of nodes that forward loads.
+/// Period during a rollout, which waits for requests to end, between nodes that are all linked to
+/// each other.
 const SHORT_LOAD_PERIOD: Duration = Duration::from_millis(50);
 
 /// Time after which an unchanged load is sent again; less than its lifetime at the partners.
 const LOAD_REPEAT_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Time that the reports of other nodes about servers take along the tree: a report of a suspected
+/// server and the answer of a node with contact.
+const TREE_REPORT_DELAY: Duration = Duration::from_millis(500);
+
+/// Minimum time between two rounds on the tree if news about the contact with a server arrives.
+const MIN_ROUND_GAP: Duration = Duration::from_millis(40);
+
 /// Maximum stored and maximum cached prefixes that wait to be sent to a neighbour. Prefixes beyond
 /// that are dropped: the neighbour learns of them by using them.
 const MAX_PENDING_PREFIXES: usize = 2_048;
 
+/// Maximum stored prefixes in a message on the tree; the others wait for the next one.
+const MAX_STORED_PER_MESSAGE: usize = 64;
+
+/// Maximum cached prefixes in a message on the tree. Older ones are dropped, since engines evict
+/// prefixes within seconds.
+const MAX_CACHED_PER_MESSAGE: usize = 24;
+
 /// Load at the backend servers of the sender and of the nodes whose loads it forwards.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayLoad {
@@ -45,6 +62,15 @@
     /// Output tokens per second of the decode-heavy requests that these nodes sent.
     #[serde(rename = "long_tokens_per_s")]
     pub decode_tokens_per_s: u32,
+    /// Whether `servers` lists changes only, rather than all servers with requests.
+    #[serde(default)]
+    pub is_partial: bool,
+}
+
+impl RelayLoad {
+    fn scope(&self) -> UpdateScope {
+        if self.is_partial { UpdateScope::Changes } else { UpdateScope::AllServers }
+    }
 }
 
 /// Why a received load is ignored.
@@ -63,8 +89,10 @@
 struct Neighbour {
     /// Nodes that its load covers, 0 before its first message.
     nodes: u32,
-    /// Nodes and loads of the last message to the neighbour.
+    /// Nodes and loads of the last message that listed all servers.
     last_sent: Option<(u32, Vec<(ServerId, ServerLoad)>)>,
+    /// What the neighbour knows from messages that listed changes.
+    sent_updates: SentUpdates,
     /// When to send even an unchanged load.
     repeat_at: Option<Instant>,
     /// Stored prefixes to send to the neighbour.
@@ -73,6 +101,14 @@
     cached: Vec<CachedPrefix>,
 }
 
+impl Neighbour {
+    /// Whether the neighbour must get a message even if no load has changed.
+    fn needs_message(&self, now: Instant) -> bool {
+        let is_repeat_due = self.repeat_at.is_none_or(|at| at <= now);
+        is_repeat_due || !self.stored.is_empty() || !self.cached.is_empty()
+    }
+}
+
 /// Exchange of loads with all neighbours.
 #[derive(Clone, Debug)]
 pub struct LoadExchange {
@@ -81,12 +117,14 @@
     neighbours: BTreeMap<InstanceId, Neighbour>,
     /// When the next round of load messages is due.
     next_round_at: Instant,
+    /// When the last round was sent.
+    last_round_at: Instant,
 }
 
 impl LoadExchange {
     /// Returns the exchange of a node without neighbours.
     pub fn new(now: Instant) -> Self {
-        Self { is_tree: false, neighbours: BTreeMap::new(), next_round_at: now }
+        Self { is_tree: false, neighbours: BTreeMap::new(), next_round_at: now, last_round_at: now }
     }
 
     /// Whether loads are forwarded along a tree, so that they arrive later.
@@ -94,11 +132,6 @@
         self.is_tree
     }
 
-    /// Whether this node forwards the loads of other nodes.
-    pub fn forwards_loads(&self) -> bool {
-        self.is_tree && self.neighbours.len() > 1
-    }
-
     /// Returns the neighbours.
     pub fn neighbours(&self) -> impl Iterator<Item = &InstanceId> {
         self.neighbours.keys()
@@ -108,6 +141,7 @@
     /// Returns whether the neighbours have changed.
     pub fn set_place(&mut self, place: &TreePlace, is_tree: bool, fleet: &mut Fleet) -> bool {
         self.is_tree = is_tree;
+        fleet.set_report_delay(if is_tree { TREE_REPORT_DELAY } else { Duration::ZERO });
         let current: BTreeSet<&InstanceId> = place.neighbours().collect();
         let is_changed = !self.neighbours.keys().eq(current.iter().copied());
         for peer in self.neighbours.keys().filter(|peer| !current.contains(peer)) {
@@ -120,12 +154,22 @@
         is_changed
     }
 
+    /// Starts the exchange with a neighbour anew, after the link to it was opened: neither side
+    /// knows what the other still has of the messages before.
+    pub fn restart(&mut self, peer: &InstanceId, fleet: &mut Fleet) {
+        if let Some(neighbour) = self.neighbours.get_mut(peer) {
+            fleet.remove_partner(peer);
+            *neighbour = Neighbour { nodes: neighbour.nodes, ..Neighbour::default() };
+        }
+    }
+
     /// Whether a round of load messages is due; if so, schedules the next one.
     pub fn start_round_if_due(&mut self, is_rollout: bool, now: Instant) -> bool {
         if now < self.next_round_at {
             return false;
         }
-        let is_short = is_rollout || self.forwards_loads();
+        self.last_round_at = now;
+        let is_short = is_rollout && !self.is_tree;
         self.next_round_at = now + if is_short { SHORT_LOAD_PERIOD } else { LOAD_PERIOD };
         true
     }
@@ -137,21 +181,27 @@
         self.queue_prefixes(None, &stored, &cached);
     }
 
-    /// Returns the next message for a neighbour, `None` if it already has this load.
+    /// Returns the next message for a neighbour, `None` if it needs none.
     pub fn next_message(
         &mut self,
         peer: &InstanceId,
         fleet: &Fleet,
         now: Instant,
     ) -> Option<RelayLoad> {
-        let mut load = self.load_without(peer, fleet, now);
+        if self.is_tree {
+            return self.next_tree_message(peer, fleet, now);
+        }
         let neighbour = self.neighbours.get_mut(peer)?;
-        let is_repeat_due = neighbour.repeat_at.is_none_or(|at| at <= now);
+        let mut load = RelayLoad {
+            nodes: 1,
+            servers: fleet.local_updates(now),
+            decode_tokens_per_s: fleet.decode_rate.local_tokens_per_s(now).round() as u32,
+            ..RelayLoad::default()
+        };
         let loads: Vec<(ServerId, ServerLoad)> =
             load.servers.iter().map(|update| (update.server.clone(), update.load)).collect();
         let is_unchanged = neighbour.last_sent.as_ref() == Some(&(load.nodes, loads.clone()));
-        let has_all_prefixes = neighbour.stored.is_empty() && neighbour.cached.is_empty();
-        if is_unchanged && has_all_prefixes && !is_repeat_due {
+        if is_unchanged && !neighbour.needs_message(now) {
             return None;
         }
         neighbour.repeat_at = Some(now + LOAD_REPEAT_PERIOD);
@@ -161,6 +211,36 @@
         Some(load)
     }
 
+    /// Returns the next message along the tree: what changed at this node and beyond its other
+    /// neighbours.
+    fn next_tree_message(
+        &mut self,
+        peer: &InstanceId,
+        fleet: &Fleet,
+        now: Instant,
+    ) -> Option<RelayLoad> {
+        let others = self.neighbours.iter().filter(|(other, _)| *other != peer);
+        let nodes = 1 + others.map(|(_, other)| other.nodes).sum::<u32>();
+        let neighbour = self.neighbours.get_mut(peer)?;
+        let servers = neighbour.sent_updates.take_changes(peer, fleet, now);
+        if servers.is_empty() && !neighbour.needs_message(now) {
+            return None;
+        }
+        neighbour.repeat_at = Some(now + LOAD_REPEAT_PERIOD);
+        let stored_len = neighbour.stored.len().min(MAX_STORED_PER_MESSAGE);
+        let cached = std::mem::take(&mut neighbour.cached);
+        let newest = cached.len().saturating_sub(MAX_CACHED_PER_MESSAGE);
+        Some(RelayLoad {
+            nodes,
+            servers,
+            stored: neighbour.stored.drain(..stored_len).collect(),
+            cached: cached[newest..].to_vec(),
+            decode_tokens_per_s: fleet.decode_rate.tokens_per_s_without(Some(peer), now).round()
+                as u32,
+            is_partial: true,
+        })
+    }
+
     /// Applies a neighbour's load; `live_nodes` is the number of all nodes, including this one.
     /// Returns the servers that became silent or recovered.
     ///
@@ -184,30 +264,25 @@
             self.queue_prefixes(Some(peer), &load.stored, &load.cached);
         }
         fleet.decode_rate.set_partner_rate(peer.clone(), f64::from(load.decode_tokens_per_s), now);
-        let changes = fleet.apply_updates(peer, &load.servers, now);
+        let known = self.suspicions(&load.servers, fleet, now);
+        let changes = fleet.apply_updates(peer, &load.servers, load.scope(), now);
         fleet.prefixes.add_stored_by_partner(&load.stored, now);
+        let newer = self.suspicions(&load.servers, fleet, now);
+        if known.into_iter().zip(newer).any(|(known, newer)| known.has_changed(newer)) {
+            self.next_round_at = self.next_round_at.min(self.last_round_at + MIN_ROUND_GAP);
+        }
         fleet.prefixes.add_cached_by_partner(&load.cached, now);
         Ok(changes)
     }
 
-    /// Returns the load to send to `peer`: in a tree that of this node and the other neighbours,
-    /// otherwise that of this node alone.
-    fn load_without(&self, peer: &InstanceId, fleet: &Fleet, now: Instant) -> RelayLoad {
+    /// Returns the suspicion of each server in `updates`. Between nodes that are all linked to each
+    /// other nothing is forwarded, so that none is of interest.
+    fn suspicions(&self, updates: &[ServerUpdate], fleet: &Fleet, now: Instant) -> Vec<Suspicion> {
         if !self.is_tree {
-            let decode_tokens_per_s = fleet.decode_rate.local_tokens_per_s(now).round() as u32;
-            return RelayLoad {
-                nodes: 1,
-                servers: fleet.local_updates(now),
-                decode_tokens_per_s,
-                ..RelayLoad::default()
-            };
+            return Vec::new();
         }
-        let others = self.neighbours.iter().filter(|(other, _)| *other != peer);
-        let nodes = 1 + others.map(|(_, other)| other.nodes).sum::<u32>();
-        let decode_tokens_per_s =
-            fleet.decode_rate.tokens_per_s_without(Some(peer), now).round() as u32;
-        let servers = fleet.updates_without(peer, now);
-        RelayLoad { nodes, servers, decode_tokens_per_s, ..RelayLoad::default() }
+        let servers = updates.iter().filter_map(|update| fleet.server(&update.server));
+        servers.map(|server| Suspicion::of(server, now)).collect()
     }
 
     /// Queues prefixes for all neighbours except `source`, which sent them.
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod event_splitter;
 pub mod fleet;
 pub mod health;
+mod load_changes;
 pub mod load_exchange;
 pub mod prefix_index;
 pub mod prompt;
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -20,8 +20,15 @@
 /// Fraction of this node's recent prompt tokens that each other node is assumed to have sent too.
 const UNREPORTED_FRACTION: f64 = 0.7;
 
-/// Time after which a partner's update expires.
-const PARTNER_UPDATE_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time after which a partner's update expires if its messages list all servers with requests.
+const FULL_UPDATE_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Time after which a partner's update expires if its messages list only changes.
+const CHANGED_UPDATE_LIFETIME: Duration = Duration::from_secs(6);
+
+/// Time for which a partner's report of unanswered requests is believed; it is repeated several
+/// times in that time while they stay unanswered.
+const UNANSWERED_REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
 
 /// Time after which a silent server is checked again.
 const SILENCE_RECHECK_PERIOD: Duration = Duration::from_millis(500);
@@ -65,6 +72,11 @@
 pub struct PendingPrefill([u32; PRIORITY_LEVELS]);
 
 impl PendingPrefill {
+    /// Returns the tokens of all priorities.
+    pub fn total(&self) -> u32 {
+        self.0.iter().fold(0, |total, tokens| total.saturating_add(*tokens))
+    }
+
     /// Returns the tokens of one request.
     pub fn new(priority: u8, tokens: u32) -> Self {
         let mut all = [0; PRIORITY_LEVELS];
@@ -186,9 +198,30 @@
 struct PartnerUpdate {
     load: ServerLoad,
     contact: ServerContact,
+    /// Until when the report of unanswered requests is believed.
+    unanswered_until: Instant,
     expires_at: Instant,
 }
 
+impl PartnerUpdate {
+    /// Returns the contact with the server, without reports of unanswered requests that are too
+    /// old.
+    fn current_contact(&self, now: Instant) -> ServerContact {
+        let unanswered_since =
+            self.contact.unanswered_since.filter(|_| now < self.unanswered_until);
+        ServerContact { unanswered_since, ..self.contact }
+    }
+}
+
+/// What the updates in a partner's message cover.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpdateScope {
+    /// All servers at which the partner has requests.
+    AllServers,
+    /// Servers whose state has changed, or whose last update is old.
+    Changes,
+}
+
 /// State of a backend server at this node.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -249,7 +282,7 @@
             }
         } else {
             self.weights = entry.weights.clone();
-            self.health = Health::default();
+            self.health = Health::new(self.health.report_delay());
             self.closed_until = None;
             self.full_until = None;
         }
@@ -313,13 +346,20 @@
         &mut self,
         partner: InstanceId,
         update: &ServerUpdate,
+        scope: UpdateScope,
         now: Instant,
     ) -> Option<SilenceChange> {
-        let expires_at = now + PARTNER_UPDATE_LIFETIME;
-        self.partner_updates.insert(
-            partner,
-            PartnerUpdate { load: update.load, contact: update.contact(now), expires_at },
-        );
+        let lifetime = match scope {
+            UpdateScope::AllServers => FULL_UPDATE_LIFETIME,
+            UpdateScope::Changes => CHANGED_UPDATE_LIFETIME,
+        };
+        let update = PartnerUpdate {
+            load: update.load,
+            contact: update.contact(now),
+            unanswered_until: now + UNANSWERED_REPORT_LIFETIME,
+            expires_at: now + lifetime,
+        };
+        self.partner_updates.insert(partner, update);
         let others = self.partner_contact(None, now);
         self.health.update_silence(others, now)
     }
@@ -363,12 +403,19 @@
         let mut contact = ServerContact::default();
         for (partner, update) in &self.partner_updates {
             if now < update.expires_at && Some(partner) != except {
-                contact.merge(update.contact);
+                contact.merge(update.current_contact(now));
             }
         }
         contact
     }
 
+    /// Returns the contact of all nodes with the server.
+    pub fn combined_contact(&self, now: Instant) -> ServerContact {
+        let mut contact = self.health.contact();
+        contact.merge(self.partner_contact(None, now));
+        contact
+    }
+
     /// Adds the load of a request that this node sends.
     pub fn add_local_load(&mut self, load: ServerLoad, now: Instant) {
         self.local_load.add(load);
--- a/src/links/table.rs
+++ b/src/links/table.rs
@@ -1,6 +1,7 @@
 //! Open links of a node, by peer and by number.
 
 use super::connection::MAX_FRAME_OVERHEAD_BYTES;
+use super::message::MessageKind;
 use super::{MAX_MESSAGE_BYTES, PartnerMessage};
 use crate::types::InstanceId;
 use async_channel::Sender;
@@ -80,11 +81,18 @@
 
     /// Queues a message on the link to `peer`.
     pub fn send(&self, peer: &InstanceId, message: &PartnerMessage) -> SendOutcome {
+        if !self.links.contains_key(peer) {
+            return SendOutcome::Undeliverable;
+        }
+        self.send_encoded(peer, message.kind(), message.encode())
+    }
+
+    /// Queues an encoded message of `kind` on the link to `peer`.
+    pub fn send_encoded(&self, peer: &InstanceId, kind: MessageKind, bytes: Bytes) -> SendOutcome {
         let Some(link) = self.links.get(peer) else { return SendOutcome::Undeliverable };
-        let bytes = message.encode();
         let size_bytes = bytes.len() + MAX_FRAME_OVERHEAD_BYTES;
         if bytes.len() > MAX_MESSAGE_BYTES {
-            log::error!("event=link_message_too_large peer={peer} kind={}", message.kind());
+            log::error!("event=link_message_too_large peer={peer} kind={kind}");
             return SendOutcome::Undeliverable;
         }
         match link.outgoing.try_send(bytes) {
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -42,6 +42,13 @@
     }
 }
 
+/// Label of a kind of message between nodes.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct LinkLabels {
+    /// Kind of message.
+    pub kind: String,
+}
+
 /// Label of a lease.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct LeaseLabels {
--- a/src/relay/control/loads.rs
+++ b/src/relay/control/loads.rs
@@ -42,6 +42,9 @@
                 for (server, change) in changes {
                     log::info!("event=server_{change} server={server} told_by={peer}");
                 }
+                if self.loads.is_tree() {
+                    self.tick_loads(now);
+                }
             }
             Err(reason) => {
                 log::debug!("event=load_ignored peer={peer} reason={reason} nodes={}", load.nodes);
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod follow;
 mod kv_store;
+mod link_traffic;
 mod loads;
 mod partners;
 mod records;
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -1,6 +1,7 @@
 //! Partner links of a relay node, which carry records, loads, strikes and rollout notices.
 
 use super::RelayControlEvent;
+use super::link_traffic::LinkTraffic;
 use super::records::RecordSource;
 use super::state::ControlState;
 use crate::decision::membership::{
@@ -8,7 +9,7 @@
 };
 use crate::decision::relay::RecordTopic;
 use crate::links::connection::ReceivedMessage;
-use crate::links::message::TopicDigest;
+use crate::links::message::{MessageKind, TopicDigest};
 use crate::links::{
     Identity, Link, LinkEnd, LinkHandle, LinkTable, MAX_MESSAGE_BYTES, PartnerMessage, SendOutcome,
 };
@@ -48,6 +49,7 @@
     membership: MembershipState,
     identity: Rc<RefCell<Identity>>,
     links: LinkTable,
+    traffic: RefCell<LinkTraffic>,
     /// Live nodes, this one included.
     live: Vec<InstanceId>,
     /// Change count of the membership when its changes were last applied, `None` before the first
@@ -82,6 +84,11 @@
             membership: MembershipState::new(identity.record.clone(), settings),
             identity: Rc::new(RefCell::new(identity)),
             links: LinkTable::default(),
+            traffic: RefCell::new(LinkTraffic::new(
+                context.metrics.link_sent_bytes.clone(),
+                context.metrics.link_received_bytes.clone(),
+                now,
+            )),
             live: Vec::new(),
             applied_changes: None,
             max_live_nodes: 1,
@@ -121,8 +128,31 @@
 
     /// Sends a message to a partner; drops it if the queue of the link is full.
     pub(super) fn send(&self, to: &InstanceId, message: &PartnerMessage) {
-        if self.links.send(to, message) == SendOutcome::Dropped {
-            log::warn!("event=link_message_dropped peer={to} kind={}", message.kind());
+        if self.has_link(to) {
+            self.send_encoded(to, message.kind(), message.encode());
+        }
+    }
+
+    /// Sends an encoded message of `kind` to a partner; drops it if the queue of the link is full.
+    fn send_encoded(&self, to: &InstanceId, kind: MessageKind, bytes: Bytes) {
+        match self.links.send_encoded(to, kind, bytes) {
+            SendOutcome::Sent(bytes) => self.traffic.borrow_mut().record_sent(kind, bytes),
+            SendOutcome::Dropped => {
+                log::warn!("event=link_message_dropped peer={to} kind={kind}");
+            }
+            SendOutcome::Undeliverable => {}
+        }
+    }
+
+    /// Sends a message to several partners, encoded once.
+    pub(super) fn send_to_all<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a InstanceId>,
+        message: &PartnerMessage,
+    ) {
+        let bytes = message.encode();
+        for peer in peers {
+            self.send_encoded(peer, message.kind(), bytes.clone());
         }
     }
 }
@@ -130,9 +160,14 @@
 impl ControlState {
     /// Sends a message to all partners except `source`.
     pub(super) fn broadcast(&self, source: Option<&InstanceId>, message: &PartnerMessage) {
-        for peer in self.partners.links.peers().filter(|peer| Some(*peer) != source) {
-            self.partners.send(peer, message);
-        }
+        let peers = self.partners.links.peers().filter(|peer| Some(*peer) != source);
+        self.partners.send_to_all(peers, message);
+    }
+
+    /// Sends a message to the neighbours on the tree of nodes, except `source`.
+    pub(super) fn send_along_tree(&self, source: &InstanceId, message: &PartnerMessage) {
+        let neighbours = self.loads.neighbours().filter(|peer| *peer != source);
+        self.partners.send_to_all(neighbours, message);
     }
 
     /// Sets the addresses to dial: the announced nodes and the configured seed partners.
@@ -164,6 +199,7 @@
         }
         log::info!("event=link_opened peer={} address={}", peer.instance, peer.address);
         let instance = peer.instance.clone();
+        self.loads.restart(&instance, &mut self.context.fleet());
         self.advance_membership(MembershipEvent::LinkOpened { peer, dialed }, now);
         self.partners.send(&instance, &PartnerMessage::Topics(self.topic_digests(now)));
         let strikes = self.context.poison().strikes();
@@ -177,6 +213,7 @@
         let Some(peer) = self.partners.links.peer(number).cloned() else { return };
         self.advance_membership(MembershipEvent::MessageReceived(peer.clone()), now);
         let Some(message) = received.message else { return };
+        self.partners.traffic.borrow_mut().record_received(message.kind(), received.bytes);
         match message {
             PartnerMessage::Ping { digest, .. } => {
                 self.advance_membership(MembershipEvent::Ping { peer, digest }, now);
@@ -229,6 +266,7 @@
     /// Runs the periodic work of membership and sends digests.
     pub(super) fn tick_partners(&mut self, now: Instant) {
         self.advance_membership(MembershipEvent::Tick, now);
+        self.partners.traffic.borrow_mut().log_if_due(now);
         let is_digest_due = std::mem::take(&mut self.partners.has_new_records);
         if is_digest_due || now >= self.partners.next_digest_at {
             self.partners.next_digest_at = now + DIGEST_PERIOD;
--- a/src/relay/control/rollout/mod.rs
+++ b/src/relay/control/rollout/mod.rs
@@ -9,10 +9,19 @@
 use crate::decision::relay::received_notices::ReceivedNotices;
 use crate::decision::relay::rollout::{Rollout, RolloutServer, RolloutSettings};
 use crate::decision::relay::server::{Server, ServerState};
-use crate::types::{InstanceId, ModelId, WeightsRevision};
+use crate::types::{InstanceId, ModelId, ServerId, WeightsRevision};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+/// Servers that a coordinator has reopened.
+#[derive(Clone, Debug, Default)]
+struct ServerChanges {
+    /// Servers that have switched weights, with the new revision.
+    changed: Vec<(ServerId, WeightsRevision)>,
+    /// Servers that did not answer.
+    reopened: Vec<ServerId>,
+}
+
 /// State of rollouts at one node.
 pub(super) struct RolloutControl {
     instance: InstanceId,
@@ -25,6 +34,10 @@
     last_coordinator: Option<InstanceId>,
     /// When the notices are next repeated.
     next_notice_at: Instant,
+    /// When the last notice of this node was sent, `None` before the first.
+    notice_sent_at: Option<Instant>,
+    /// Changes that the next notice of each rollout announces.
+    unsent_changes: BTreeMap<ModelId, ServerChanges>,
     /// Number of the last notice of this node.
     notice_number: u64,
     received_notices: ReceivedNotices,
@@ -46,6 +59,8 @@
             last_notice_at: None,
             last_coordinator: None,
             next_notice_at: now,
+            notice_sent_at: None,
+            unsent_changes: BTreeMap::new(),
             notice_number: 0,
             received_notices: ReceivedNotices::default(),
             register_call_until: None,
@@ -58,10 +73,20 @@
         self.needed_since.is_some() || !self.rollouts.is_empty()
     }
 
+    /// Whether this node coordinates rollouts.
+    pub(super) fn is_coordinator(&self) -> bool {
+        !self.rollouts.is_empty()
+    }
+
     /// Drops the lease and all rollouts.
     pub(super) fn drop_lease(&mut self) {
         self.lease.drop_lease();
+        self.end_rollouts();
+    }
+
+    fn end_rollouts(&mut self) {
         self.rollouts.clear();
+        self.unsent_changes.clear();
     }
 }
 
@@ -72,13 +97,16 @@
         let outdated: Vec<ModelId> =
             models.into_iter().filter(|model| self.has_outdated_servers(model)).collect();
         if outdated.is_empty() && self.rollout.rollouts.values().all(|r| r.closed().count() == 0) {
+            if !self.rollout.unsent_changes.is_empty() {
+                self.send_notices(now);
+            }
             self.rollout.needed_since = None;
-            self.rollout.rollouts.clear();
+            self.rollout.end_rollouts();
             return;
         }
         self.rollout.needed_since.get_or_insert(now);
         if self.rollout.lease.fencing_number(now).is_none() {
-            self.rollout.rollouts.clear();
+            self.rollout.end_rollouts();
             self.try_acquire_lease(now);
             return;
         }
--- a/src/relay/control/rollout/notices.rs
+++ b/src/relay/control/rollout/notices.rs
@@ -1,7 +1,7 @@
 //! Notices that the coordinator sends to all nodes: which servers are closed, and which have new
 //! weights.
 
-use super::RolloutControl;
+use super::{RolloutControl, ServerChanges};
 use crate::decision::relay::received_notices::NoticeOrder;
 use crate::links::PartnerMessage;
 use crate::links::message::RolloutNotice;
@@ -15,28 +15,62 @@
 /// Period at which the coordinator repeats its notices.
 const NOTICE_PERIOD: Duration = Duration::from_millis(250);
 
+/// Minimum time between two notices that are forwarded along a tree of nodes, where each reaches
+/// all nodes with the list of all closed servers.
+const TREE_NOTICE_GAP: Duration = Duration::from_millis(150);
+
 impl RolloutControl {
-    /// Returns a new notice about the rollout of `model`, `None` without a rollout or a
-    /// known lease record.
+    /// Returns a new notice about the rollout of `model` with all unsent changes, `None` without a
+    /// rollout or a known lease record.
     pub(super) fn next_notice(&mut self, model: &ModelId) -> Option<RolloutNotice> {
-        let rollout = self.rollouts.get(model)?;
         self.notice_number += 1;
+        let changes = self.unsent_changes.remove(model).unwrap_or_default();
+        self.build_notice(model, changes)
+    }
+
+    fn build_notice(&self, model: &ModelId, changes: ServerChanges) -> Option<RolloutNotice> {
+        let rollout = self.rollouts.get(model)?;
         Some(RolloutNotice {
             number: self.notice_number,
             model: model.clone(),
             closed: rollout.closed().cloned().collect(),
             evicted: rollout.evicted().cloned().collect(),
-            changed: Vec::new(),
-            reopened: Vec::new(),
+            changed: changes.changed,
+            reopened: changes.reopened,
             lease: self.lease.known()?.clone(),
         })
     }
 }
 
 impl ControlState {
+    /// Applies the reopened servers in `changes` and the currently closed ones, and announces them.
+    /// On a tree of nodes the notice may wait for the changes of the next moments.
+    pub(super) fn announce_changes(
+        &mut self,
+        model: &ModelId,
+        changes: ServerChanges,
+        now: Instant,
+    ) {
+        if let Some(notice) = self.rollout.build_notice(model, changes.clone()) {
+            self.apply_notice_locally(&notice, now);
+        }
+        let unsent = self.rollout.unsent_changes.entry(model.clone()).or_default();
+        unsent.changed.extend(changes.changed);
+        unsent.reopened.extend(changes.reopened);
+        let due_at = match self.rollout.notice_sent_at {
+            Some(sent_at) if self.loads.is_tree() => sent_at + TREE_NOTICE_GAP,
+            _ => now,
+        };
+        self.rollout.next_notice_at = self.rollout.next_notice_at.min(due_at);
+        if due_at <= now {
+            self.send_notices(now);
+        }
+    }
+
     /// Applies and sends a notice for each rollout.
     pub(super) fn send_notices(&mut self, now: Instant) {
         self.rollout.next_notice_at = now + NOTICE_PERIOD;
+        self.rollout.notice_sent_at = Some(now);
         let models: Vec<ModelId> = self.rollout.rollouts.keys().cloned().collect();
         for model in models {
             let Some(notice) = self.rollout.next_notice(&model) else { continue };
@@ -46,7 +80,8 @@
     }
 
     /// Applies a notice received from a partner. On a tree of nodes it is also forwarded, since the
-    /// coordinator has links to some nodes only.
+    /// coordinator has links to some nodes only: it sends each notice over all its links, so that
+    /// the parts of a broken tree get it too.
     pub(in crate::relay::control) fn receive_rollout_notice(
         &mut self,
         source: &InstanceId,
@@ -67,7 +102,7 @@
         }
         self.apply_rollout_notice(&notice, now);
         if self.loads.is_tree() {
-            self.broadcast(Some(source), &PartnerMessage::Rollout(notice));
+            self.send_along_tree(source, &PartnerMessage::Rollout(notice));
         }
     }
 
@@ -81,8 +116,10 @@
         self.rollout.last_notice_at = Some(now);
         self.rollout.last_coordinator = Some(notice.lease.holder.clone());
         self.apply_notice_locally(notice, now);
-        // The coordinator waits for the end of the requests at closed servers.
-        self.send_load(now);
+        if !self.loads.is_tree() {
+            // The coordinator waits for the end of the requests at closed servers.
+            self.send_load(now);
+        }
     }
 
     /// Applies a notice to this node's servers.
--- a/src/relay/control/rollout/orders.rs
+++ b/src/relay/control/rollout/orders.rs
@@ -1,8 +1,8 @@
 //! Executes the commands of a rollout: report requests and orders to servers, and notices.
 
+use super::ServerChanges;
 use crate::decision::relay::register_lease::FencingNumber;
 use crate::decision::relay::rollout::{RolloutCommand, WeightsOrderOutcome, WeightsReport};
-use crate::links::PartnerMessage;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::WeightsOrder;
 use crate::relay::control::RelayControlEvent;
@@ -64,10 +64,7 @@
 
     /// Executes the commands of the rollout of `model`.
     pub(super) fn execute(&mut self, model: &ModelId, commands: Vec<RolloutCommand>, now: Instant) {
-        let Some(mut notice) = self.rollout.next_notice(model).filter(|_| !commands.is_empty())
-        else {
-            return;
-        };
+        let mut changes = ServerChanges::default();
         let mut is_notice_due = false;
         for command in commands {
             match command {
@@ -97,19 +94,18 @@
                     log::info!(
                         "event=server_changed server={server} model={model} revision={revision}"
                     );
-                    notice.changed.push((server, revision));
+                    changes.changed.push((server, revision));
                     is_notice_due = true;
                 }
                 RolloutCommand::Abandon(server) => {
                     log::info!("event=server_reopened server={server} reason=no_answer");
-                    notice.reopened.push(server);
+                    changes.reopened.push(server);
                     is_notice_due = true;
                 }
             }
         }
         if is_notice_due {
-            self.apply_notice_locally(&notice, now);
-            self.broadcast(None, &PartnerMessage::Rollout(notice));
+            self.announce_changes(model, changes, now);
         }
     }
 
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -23,10 +23,8 @@
 /// Period of ticks, which do the periodic work.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Period of ticks on a node that forwards the loads of other nodes.
-const FORWARDING_TICK_PERIOD: Duration = Duration::from_millis(50);
-
-/// Period of ticks while a rollout is needed or under way.
+/// Period of ticks while a rollout is needed or under way; on a tree of nodes, only of the
+/// coordinator.
 const ROLLOUT_TICK_PERIOD: Duration = Duration::from_millis(25);
 
 /// Arguments of [`run_control`].
@@ -122,10 +120,9 @@
     }
 
     fn tick_period(&self) -> Duration {
-        if self.rollout.is_active() {
+        let is_tree = self.loads.is_tree();
+        if self.rollout.is_coordinator() || self.rollout.is_active() && !is_tree {
             ROLLOUT_TICK_PERIOD
-        } else if self.loads.forwards_loads() {
-            FORWARDING_TICK_PERIOD
         } else {
             TICK_PERIOD
         }
@@ -150,6 +147,7 @@
             }
             RelayControlEvent::LinkEnded { link, end } => self.end_link(link, &end, now),
             RelayControlEvent::DialFailed(address) => self.handle_failed_dial(address, now),
+            RelayControlEvent::PrefixesStored if self.loads.is_tree() => {}
             RelayControlEvent::PrefixesStored => self.send_load(now),
             RelayControlEvent::ExchangeCut { server, address, incarnation, fingerprint } => {
                 self.check_crash(server, address, incarnation, fingerprint);
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -3,7 +3,7 @@
 //! Every family is described in `docs/operators/relay_metrics.md`.
 
 use crate::metrics::LatencyFamily;
-use crate::metrics::labels::ReasonLabels;
+use crate::metrics::labels::{LinkLabels, ReasonLabels};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -60,6 +60,10 @@
     pub orders: Family<ReasonLabels, Counter>,
     /// Open partner links.
     pub links: Gauge,
+    /// Bytes sent to partners, by kind of message.
+    pub link_sent_bytes: Family<LinkLabels, Counter>,
+    /// Bytes received from partners, by kind of message.
+    pub link_received_bytes: Family<LinkLabels, Counter>,
     /// Revision of the configuration in force.
     pub configuration_revision: Gauge,
     /// Known servers.
@@ -103,6 +107,18 @@
         );
         registry.register("relay_orders", "Orders to servers by outcome", self.orders.clone());
         registry.register("relay_links", "Open partner links", self.links.clone());
+        registry.register_with_unit(
+            "relay_link_sent",
+            "Bytes sent to partners by kind of message",
+            Unit::Bytes,
+            self.link_sent_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "relay_link_received",
+            "Bytes received from partners by kind of message",
+            Unit::Bytes,
+            self.link_received_bytes.clone(),
+        );
         registry.register(
             "relay_configuration_revision",
             "Revision of the configuration in force",
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -2,7 +2,7 @@
 //! outdated weights.
 
 use super::fixture::*;
-use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate};
+use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate, UpdateScope};
 use coriandertide::decision::relay::{
     Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
 };
@@ -250,7 +250,7 @@
     for node in &mut nodes {
         for server in 1..6 {
             let load = load_of(60_000);
-            node.apply_updates(&"past".into(), &[], start);
+            node.apply_updates(&"past".into(), &[], UpdateScope::AllServers, start);
             node.server_mut(&format!("s{server}").into()).unwrap().add_local_load(load, start);
         }
     }
@@ -287,7 +287,7 @@
     for (index, node) in nodes.iter_mut().enumerate() {
         for (other, loads) in updates.iter().enumerate().filter(|(other, _)| *other != index) {
             let s0: Vec<_> = loads.iter().filter(|update| update.server == "s0").cloned().collect();
-            node.apply_updates(&format!("n{other}").into(), &s0, now);
+            node.apply_updates(&format!("n{other}").into(), &s0, UpdateScope::AllServers, now);
         }
     }
 }
@@ -355,7 +355,7 @@
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let (since_contact_ms, unanswered_ms) = (Some(900), Some(700));
     let update = ServerUpdate { server: preferred.clone(), load, since_contact_ms, unanswered_ms };
-    fleet.apply_updates(&"partner".into(), &[update], now);
+    fleet.apply_updates(&"partner".into(), &[update], UpdateScope::AllServers, now);
     assert!(fleet.server(&preferred).unwrap().suspended_until(now).is_some());
     assert_ne!(choose(&fleet, &prompt, now).server, preferred);
 }
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -1,7 +1,7 @@
 //! Servers and prompts shared by the tests.
 
 use coriandertide::decision::relay::configuration::KvCacheStore;
-use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate};
+use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate, UpdateScope};
 use coriandertide::decision::relay::{
     Choice, Fleet, Prompt, PromptPart, ServerEntry, ServerQuery, ServerState, StoreLink,
 };
@@ -111,7 +111,7 @@
     let pending_prefill = coriandertide::decision::relay::server::PendingPrefill::new(1, tokens);
     let load = ServerLoad { requests: 1, pending_prefill, ..ServerLoad::default() };
     let update = ServerUpdate { server: server.clone(), load, ..ServerUpdate::default() };
-    fleet.apply_updates(&"partner".into(), &[update], now);
+    fleet.apply_updates(&"partner".into(), &[update], UpdateScope::AllServers, now);
 }
 
 /// Sets the load that a partner reports for a server: `requests` requests with prefilled prompts.
@@ -119,5 +119,5 @@
     let load = ServerLoad { requests, ..ServerLoad::default() };
     let server = fleet.server_mut(&server.into()).unwrap();
     let update = ServerUpdate { load, ..ServerUpdate::default() };
-    server.apply_update("partner".into(), &update, now);
+    server.apply_update("partner".into(), &update, UpdateScope::AllServers, now);
 }
