feat(relay): servers that announce their leaving or ask for a pause

Cause: the platform's servers now say in each answer that they leave, and may name with a rejection the time for which they want nothing from a node. Neither was read: a node learned of a leaving by the list alone, which may say something older after a restore, and sent on to servers that had asked it not to.

Change: departures are kept by incarnation apart from the list and passed on once over all links; pauses are kept at the server, end spread over nodes, and lead to a refusal with the first end if all servers of a service pause. A leaving server is no source of prefixes, and neither takes part in rollouts.

Proof: ten tests of the decisions without a network and two of the whole path against stand-ins that announce a leaving or ask for a pause.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -9,7 +9,7 @@
 
 use super::fleet::Fleet;
 use super::prompt::{PrefixKey, Prompt};
-use super::server::{Server, ServerLoad, ServerState};
+use super::server::{Server, ServerLoad};
 use crate::types::{AvailabilityZone, ModelId, ServerId, ServiceId, WeightsRevision};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -83,6 +83,8 @@
     Unreachable,
     /// All servers are full or loading new weights.
     Closed,
+    /// All servers have asked this node for a pause.
+    Paused,
     /// All servers have outdated weights.
     OutdatedWeights,
 }
@@ -122,7 +124,7 @@
             .servers
             .values()
             .filter(|server| server.entry.service == *query.service)
-            .filter(|server| server.entry.state == ServerState::Ready && !server.has_expired(now))
+            .filter(|server| self.is_in_service(server) && !server.has_expired(now))
             .filter(|server| !query.tried.contains(&server.entry.id))
             .collect();
         if candidates.is_empty() {
@@ -136,6 +138,8 @@
                 return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
             }
         }
+        retain_available(&mut candidates, |server| server.paused_until(now))
+            .map_err(|until| unavailable(UnavailableReason::Paused, until))?;
         retain_available(&mut candidates, |server| server.closed_until(now))
             .map_err(|until| unavailable(UnavailableReason::Closed, until))?;
         retain_available(&mut candidates, |server| server.suspended_until(now))
--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -233,7 +233,9 @@
         let Some(key) = keys.last() else { return PrefixSource::default() };
         let other = self.prefixes.likely_cached_on(*key, now).and_then(|id| self.servers.get(id));
         let other = other.filter(|other| {
-            other.entry.id != server.entry.id && other.suspended_until(now).is_none()
+            other.entry.id != server.entry.id
+                && other.suspended_until(now).is_none()
+                && self.is_in_service(other)
         });
         let Some(other) = other else { return PrefixSource::default() };
         let address = Some(other.entry.address);
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -2,10 +2,14 @@
 
 use super::choose::MAX_OUTDATED_WEIGHTS_PERIOD;
 use super::decode_rate::DecodeRate;
+use super::departures::Departures;
 use super::health::SilenceChange;
 use super::prefix_index::PrefixIndex;
-use super::server::{PendingPrefill, Server, ServerEntry, ServerLoad, ServerUpdate, UpdateScope};
+use super::server::{
+    PendingPrefill, Server, ServerEntry, ServerLoad, ServerState, ServerUpdate, UpdateScope,
+};
 use super::store_link::StoreLink;
+use crate::decision::leaving::LeavingNotice;
 use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -65,6 +69,8 @@
     pub decode_rate: DecodeRate,
     /// Link to the external store of KV cache, `None` without a store or while it does not answer.
     pub kv_store: Option<StoreLink>,
+    /// Servers that are known to be leaving.
+    pub departures: Departures,
     /// Time that the reports of other nodes about servers take to arrive.
     report_delay: Duration,
 }
@@ -80,6 +86,7 @@
             prefixes: PrefixIndex::default(),
             decode_rate: DecodeRate::default(),
             kv_store: None,
+            departures: Departures::default(),
             report_delay: Duration::ZERO,
         }
     }
@@ -94,6 +101,10 @@
 
     /// Adds a server or updates it with its newest entry.
     pub fn set_entry(&mut self, entry: ServerEntry) {
+        if entry.state == ServerState::Draining {
+            let incarnation = entry.started_unix_ms.unwrap_or_default();
+            self.departures.add(&LeavingNotice { server: entry.id.clone(), incarnation });
+        }
         match self.servers.get_mut(&entry.id) {
             Some(server) => server.update(entry),
             None => {
@@ -104,6 +115,12 @@
         }
     }
 
+    /// Whether a server accepts requests, by its entry and all that is known of its leaving.
+    pub fn is_in_service(&self, server: &Server) -> bool {
+        server.entry.state == ServerState::Ready
+            && !self.departures.contains(&server.entry.id, server.incarnation())
+    }
+
     /// Marks the entry of a server as missing; a draining server is removed at once.
     pub fn remove_entry(&mut self, id: &ServerId, now: Instant) {
         let Some(server) = self.servers.get_mut(id) else { return };
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -1,7 +1,9 @@
 //! State of one backend server at a node.
 
 use super::health::{Health, ServerContact, SilenceChange};
-use crate::types::{AvailabilityZone, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision};
+use crate::types::{
+    AvailabilityZone, Incarnation, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -248,6 +250,8 @@
     evicted_until: Option<Instant>,
     /// End of the closure after the server rejected a request as full.
     full_until: Option<Instant>,
+    /// End of the pause that the server has asked this node for.
+    paused_until: Option<Instant>,
 }
 
 impl Server {
@@ -266,9 +270,15 @@
             closed_until: None,
             evicted_until: None,
             full_until: None,
+            paused_until: None,
         }
     }
 
+    /// Returns the incarnation of the server, 0 if its entry does not tell.
+    pub fn incarnation(&self) -> Incarnation {
+        self.entry.started_unix_ms.unwrap_or_default()
+    }
+
     /// Applies a newer entry; a new incarnation of the server starts open to requests, with the
     /// weights of its entry and without a health history.
     pub fn update(&mut self, entry: ServerEntry) {
@@ -285,6 +295,7 @@
             self.health = Health::new(self.health.report_delay());
             self.closed_until = None;
             self.full_until = None;
+            self.paused_until = None;
         }
         self.entry = entry;
     }
@@ -336,6 +347,16 @@
         self.full_until = Some(until);
     }
 
+    /// Sends the server nothing from this node until `until`, since it asked for a pause.
+    pub fn pause_until(&mut self, until: Instant) {
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
+    /// Returns until when the server wants nothing from this node, `None` if it asked for no pause.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
     /// Returns until when a rollout or a rejection closes the server, `None` if it is open.
     pub fn closed_until(&self, now: Instant) -> Option<Instant> {
         self.closed_until.max(self.full_until).filter(|until| now < *until)
--- a/src/ports/dialect.rs
+++ b/src/ports/dialect.rs
@@ -65,6 +65,10 @@
     pub keep_alive_s: Option<u64>,
     /// Whether the server closes the connection after the answer.
     pub closes_connection: bool,
+    /// Whether the server is leaving and must get no new requests.
+    pub is_leaving: bool,
+    /// Milliseconds for which the server wants nothing from this node, `None` if not stated.
+    pub pause_ms: Option<u64>,
 }
 
 /// Decoded record that an operator wrote.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -4,11 +4,13 @@
 use super::control::RelayControlEvent;
 use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::relay::server::{PendingPrefill, ServerLoad};
+use crate::decision::leaving::LeavingNotice;
+use crate::decision::relay::pause::Pause;
+use crate::decision::relay::server::{PendingPrefill, Server, ServerLoad};
 use crate::decision::relay::{Choice, Prompt};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, PeerError, ServerId, Step};
+use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
 use anyhow::anyhow;
 use futures_lite::FutureExt;
 use http::{Request, StatusCode};
@@ -141,6 +143,7 @@
     is_last_attempt: bool,
 ) -> AttemptOutcome {
     let sent_at = Instant::now();
+    let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
     let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
     let exchange = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
@@ -156,6 +159,9 @@
     in_flight.record_contact();
     let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
     update_weights(context, request, choice, &head);
+    if !is_misdirected(choice, &head) {
+        heed_server(context, request, choice, incarnation, &head);
+    }
     if head.is_not_run {
         let reason = record_not_run(context, request, choice, exchange.status, &head);
         log::info!(
@@ -307,6 +313,38 @@
     }
 }
 
+/// Records that the server is leaving or wants a pause, if its answer says so.
+fn heed_server(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    incarnation: Incarnation,
+    head: &AnswerHead,
+) {
+    let server = &choice.server;
+    if head.is_leaving {
+        let notice = LeavingNotice { server: server.clone(), incarnation };
+        if context.fleet().departures.add(&notice) {
+            log::info!("event=server_leaving server={server} source=answer request={}", request.id);
+            context.notify_control(RelayControlEvent::ServersLeaving(vec![notice]));
+        }
+    }
+    if let Some(pause) = head.pause_ms.map(|pause_ms| Pause::new(pause_ms, fastrand::f64())) {
+        let now = Instant::now();
+        if let Some(server) = context.fleet().server_mut(server)
+            && server.incarnation() == incarnation
+        {
+            server.pause_until(pause.end(now));
+        }
+        log::info!(
+            "event=server_paused server={server} for_ms={} asked_ms={} request={}",
+            pause.end(now).saturating_duration_since(now).as_millis(),
+            head.pause_ms.unwrap_or_default(),
+            request.id
+        );
+    }
+}
+
 /// Whether another server listens at the address.
 fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
     head.server.as_ref().is_some_and(|server| *server != choice.server)
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -13,6 +13,7 @@
 
 pub use state::{ControlDependencies, run_control};
 
+use crate::decision::leaving::LeavingNotice;
 use crate::decision::membership::MemberRecord;
 use crate::decision::poison::{Fingerprint, Strike};
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
@@ -93,6 +94,8 @@
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
     },
+    /// Servers announced in answers to this node that they are leaving.
+    ServersLeaving(Vec<LeavingNotice>),
     /// A server crashed while running a request.
     ServerCrashed(Strike),
     /// A request for a report of weights has ended.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -4,6 +4,7 @@
 use super::link_traffic::LinkTraffic;
 use super::records::RecordSource;
 use super::state::ControlState;
+use crate::decision::leaving::LeavingNotice;
 use crate::decision::membership::{
     MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
@@ -206,6 +207,21 @@
         if !strikes.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Strikes(strikes));
         }
+        let departures = self.context.fleet().departures.notices();
+        if !departures.is_empty() {
+            self.partners.send(&instance, &PartnerMessage::Leaving(departures));
+        }
+    }
+
+    /// Records servers of which a partner knows that they are leaving, and forwards the news.
+    fn receive_leaving(&self, peer: &InstanceId, mut notices: Vec<LeavingNotice>) {
+        notices.retain(|notice| self.context.fleet().departures.add(notice));
+        for notice in &notices {
+            log::info!("event=server_leaving server={} source={peer}", notice.server);
+        }
+        if !notices.is_empty() {
+            self.broadcast(Some(peer), &PartnerMessage::Leaving(notices));
+        }
     }
 
     /// Handles a message from a partner.
@@ -222,6 +238,7 @@
                 self.advance_membership(MembershipEvent::Records { peer, records }, now);
             }
             PartnerMessage::Strikes(strikes) => self.add_strikes(Some(&peer), strikes, now),
+            PartnerMessage::Leaving(notices) => self.receive_leaving(&peer, notices),
             PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(digest) => self.send_records(&peer, digest),
             PartnerMessage::Records(delta) => {
--- a/src/relay/control/rollout/mod.rs
+++ b/src/relay/control/rollout/mod.rs
@@ -5,10 +5,10 @@
 mod orders;
 
 use super::state::ControlState;
-use crate::decision::relay::RegisterLease;
 use crate::decision::relay::received_notices::ReceivedNotices;
 use crate::decision::relay::rollout::{Rollout, RolloutServer, RolloutSettings};
-use crate::decision::relay::server::{Server, ServerState};
+use crate::decision::relay::server::Server;
+use crate::decision::relay::{Fleet, RegisterLease};
 use crate::types::{InstanceId, ModelId, ServerId, WeightsRevision};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -134,14 +134,14 @@
         let fleet = self.context.fleet();
         fleet
             .servers()
-            .any(|server| is_eligible(server) && has_older_weights(server, model, *target))
+            .any(|server| is_eligible(&fleet, server) && has_older_weights(server, model, *target))
     }
 
     fn rollout_servers(&self, model: &ModelId) -> Vec<RolloutServer> {
         let now = Instant::now();
         let fleet = self.context.fleet();
         let target = fleet.targets().get(model);
-        let servers = fleet.servers().filter(|server| is_eligible(server));
+        let servers = fleet.servers().filter(|server| is_eligible(&fleet, server));
         servers
             .filter_map(|server| {
                 let revision = *server.weights.get(model)?;
@@ -175,10 +175,12 @@
     }
 }
 
-/// Whether a server takes part in rollouts. One that does not answer is updated once it does.
-fn is_eligible(server: &Server) -> bool {
-    let is_suspended = server.suspended_until(Instant::now()).is_some();
-    server.entry.state == ServerState::Ready && !server.is_entry_missing() && !is_suspended
+/// Whether a server takes part in rollouts. One that does not answer, or has asked for a pause, is
+/// updated once it accepts requests.
+fn is_eligible(fleet: &Fleet, server: &Server) -> bool {
+    let now = Instant::now();
+    let is_available = server.suspended_until(now).is_none() && server.paused_until(now).is_none();
+    is_available && fleet.is_in_service(server) && !server.is_entry_missing()
 }
 
 fn has_older_weights(server: &Server, model: &ModelId, revision: WeightsRevision) -> bool {
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -4,7 +4,7 @@
 use super::rollout::RolloutControl;
 use super::{RelayControlEvent, follow, kv_store, partners};
 use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
-use crate::links::Identity;
+use crate::links::{Identity, PartnerMessage};
 use crate::relay::RelayContext;
 use crate::relay::suspension_detector::SuspensionDetector;
 use crate::types::{InstanceId, ModelId, WeightsRevision};
@@ -152,6 +152,9 @@
             RelayControlEvent::ExchangeCut { server, address, incarnation, fingerprint } => {
                 self.check_crash(server, address, incarnation, fingerprint);
             }
+            RelayControlEvent::ServersLeaving(notices) => {
+                self.broadcast(None, &PartnerMessage::Leaving(notices));
+            }
             RelayControlEvent::ServerCrashed(strike) => self.add_strikes(None, vec![strike], now),
             RelayControlEvent::ReportEnded { model, server, report } => {
                 self.apply_report(&model, &server, report, now);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod health;
 mod lease;
+mod leaving;
 mod loads;
 mod logging;
 mod notices;
