fix(relay): leave the homes of a prompt only for a long wait

Cause: a node compares twelve homes of a prompt, and further servers if all of these cost more than 400 ms. The cost held penalties that are much the same everywhere: old weights (300 ms) and a prefix that must be read again (up to 630 ms). During rollouts, and for prefixes used some seconds ago, each node thus searched the whole fleet and found the same few servers.

Change: further rounds only if the wait exceeds the objective at all homes, and three at most.

The test fails before: all 200 prompts went beyond.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -74,9 +74,14 @@
 /// compared all servers would all send their next requests to the same least loaded one.
 const SERVERS_PER_ROUND: usize = 12;
 
-/// Cost of the cheapest server from which the next round is compared too: a wait as long as the
-/// latency objective.
-const NEXT_ROUND_COST_MS: f64 = 400.0;
+/// Expected wait at all servers compared so far from which the next round is compared too: as long
+/// as the latency objective. Penalties do not count: they are much the same at all servers, so that
+/// all nodes would search the whole fleet for its least loaded server, away from the homes.
+const NEXT_ROUND_EXPECTED_MS: f64 = 400.0;
+
+/// Maximum number of rounds. If all servers of a prefix are overloaded, only a part of the prefixes
+/// compares any other server, which cannot become the choice of all nodes between two load updates.
+const MAX_ROUNDS: usize = 3;
 
 impl Fleet {
     /// Returns the cheapest of the `candidates`, of which there is at least one.
@@ -97,14 +102,17 @@
         });
         let mut costs: Vec<CostedServer<'_>> = Vec::with_capacity(SERVERS_PER_ROUND);
         let mut plans = Vec::with_capacity(SERVERS_PER_ROUND);
+        let mut min_expected_ms = f64::INFINITY;
         for (rank, server) in ranked.iter().enumerate() {
             let ends_round = rank > 0 && rank % SERVERS_PER_ROUND == 0;
-            if ends_round && costs.iter().any(|(cost_ms, _)| *cost_ms < NEXT_ROUND_COST_MS) {
+            let is_last_round = rank == MAX_ROUNDS * SERVERS_PER_ROUND;
+            if is_last_round || ends_round && min_expected_ms < NEXT_ROUND_EXPECTED_MS {
                 break;
             }
             let plan = self.plan_prompt(server, &ranked, prompt, isolated_workspace, rank, now);
             let load = server.total_load(now);
             let expected_ms = first_token_ms(server, load, &plan, query.priority, now);
+            min_expected_ms = min_expected_ms.min(expected_ms);
             let mut cost_ms = expected_ms + self.penalty_ms(server, load, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
             costs.push((cost_ms, *server));
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -377,3 +377,19 @@
     assert_eq!(fetched(now + ms(1_000)), Some(holder_address));
     assert_eq!(fetched(now + ms(3_000)), Some(SocketAddr::from(([127, 0, 0, 1], 9))));
 }
+
+/// Most servers still have the weights before an announcement, and few have loaded the new ones. All
+/// nodes would send all prompts to these few, which answer late long before the next load update.
+#[test]
+fn prompts_stay_at_their_homes_while_weights_are_replaced() {
+    let now = Instant::now();
+    let mut fleet = fleet(60, 1);
+    fleet.set_target(MODEL, 2, now);
+    for updated in ["s0", "s1", "s2"] {
+        fleet.set_weights(&updated.into(), &MODEL, 2);
+    }
+    let ranks: Vec<usize> = (0..200)
+        .map(|i| choose(&fleet, &long_prompt(i, i), now + ms(2_000)).prompt.unwrap().rank)
+        .collect();
+    assert!(ranks.iter().all(|rank| *rank < 12), "{ranks:?}");
+}
