feat(relay): weigh the chance that a prefix is still cached

Cause: a prefix counted as cached for two seconds after its last use and as lost afterwards, although engines evict gradually. A prompt whose home had it three seconds ago then left for any server with a slightly shorter backlog, which put a copy there for which another prefix was evicted.

Change: from two to eight seconds the chance falls to none; a server that used the prefix last, or would fetch it from there, is expected to prefill only the rest.

The test fails before.

--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -227,8 +227,23 @@
         let is_known = |key: &PrefixKey| self.prefixes.likely_cached_on(*key, now).is_some();
         let known_tokens: u32 =
             uncached.filter(|(key, _)| is_known(key)).map(|(_, tokens)| tokens).sum();
-        plan.recomputed_tokens = known_tokens.saturating_sub(plan.fetched_tokens);
-        plan.prefill_tokens = missing_tokens - plan.fetched_tokens + prompt.unshared_tokens();
+        let last_user = keys.last().and_then(|key| self.prefixes.likely_cached_on(*key, now));
+        let is_last_user = last_user == Some(id);
+        let fetches_from_last_user = source.possibly_cached_at.is_some()
+            && plan.choice.fetch_from == source.possibly_cached_at;
+        let chance = match keys.last() {
+            Some(key) if is_last_user || fetches_from_last_user => {
+                self.prefixes.cached_chance(*key, now)
+            }
+            _ => 0.0,
+        };
+        let expected = |tokens: u32| (f64::from(tokens) * (1.0 - chance)).round() as u32;
+        let unfetched_tokens = missing_tokens - plan.fetched_tokens;
+        plan.recomputed_tokens = expected(known_tokens.saturating_sub(plan.fetched_tokens));
+        plan.prefill_tokens = expected(unfetched_tokens) + prompt.unshared_tokens();
+        if fetches_from_last_user {
+            plan.fetched_tokens += unfetched_tokens - expected(unfetched_tokens);
+        }
         plan.choice.weights = weights;
         plan.choice.cache_salt = cache_salt;
         plan.choice.keys = keys;
--- a/src/decision/relay/prefix_index.rs
+++ b/src/decision/relay/prefix_index.rs
@@ -123,6 +123,15 @@
         (now < last_use.used_at + LIKELY_CACHED_FOR).then_some(&last_use.server)
     }
 
+    /// Returns the chance from 0 to 1 that the server that last used a prefix still has it cached.
+    pub fn cached_chance(&self, key: PrefixKey, now: Instant) -> f64 {
+        let last_use = self.prefixes.get(&key).and_then(|prefix| prefix.last_use.as_ref());
+        let Some(last_use) = last_use else { return 0.0 };
+        let unsure_for = now.saturating_duration_since(last_use.used_at + SURELY_CACHED_FOR);
+        let unsure_period = LIKELY_CACHED_FOR - SURELY_CACHED_FOR;
+        (1.0 - unsure_for.as_secs_f64() / unsure_period.as_secs_f64()).max(0.0)
+    }
+
     /// Whether a prefix is certainly still cached on `server`.
     pub fn is_cached_on(&self, key: PrefixKey, server: &ServerId, now: Instant) -> bool {
         let last_use = self.prefixes.get(&key).and_then(|prefix| prefix.last_use.as_ref());
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -393,3 +393,20 @@
         .collect();
     assert!(ranks.iter().all(|rank| *rank < 12), "{ranks:?}");
 }
+
+/// A prefix was used some seconds ago and may have been evicted since. A prompt that leaves for a
+/// slightly less loaded server puts a copy there, for which another prefix is evicted.
+#[test]
+fn a_prompt_stays_where_its_prefix_is_likely_cached() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let prompt = long_prompt(9, 1);
+    let first = choose(&fleet, &prompt, now);
+    fleet.prefixes.add_cached(&first.prompt.unwrap().keys, &first.server, true, now);
+    let later = now + ms(3_500);
+    set_partner_pending_prefill(&mut fleet, &first.server, 1_700, later);
+    assert_eq!(choose(&fleet, &long_prompt(9, 2), later).server, first.server);
+    let evicted = now + ms(9_000);
+    set_partner_pending_prefill(&mut fleet, &first.server, 1_700, evicted);
+    assert_ne!(choose(&fleet, &long_prompt(9, 3), evicted).server, first.server);
+}
