feat(relay): large nodes forward loads and coordinate rollouts

Cause: hubs of the tree and coordinators were drawn by hash. A hub has a dozen neighbours and a coordinator calls all servers three times a rollout, which took half of a processor of 0.12 of a core, beside its callers.

Change: members state their processor, by a new setting; the tree orders nodes by it before the hash, and so do the candidates for the lease. Nodes of one size keep their order. The proof of a link leaves the field out, as earlier builds do.

--- a/examples/capacity_slopes/membership.rs
+++ b/examples/capacity_slopes/membership.rs
@@ -55,6 +55,7 @@
         started_unix_ms: 1_800_000_000_000 + number,
         version: 1,
         status: MemberStatus::Alive,
+        processor_percent: 0,
     }
 }
 
--- a/src/decision/membership/messages.rs
+++ b/src/decision/membership/messages.rs
@@ -54,6 +54,15 @@
     /// Status.
     #[serde(rename = "s")]
     pub status: MemberStatus,
+    /// Percent of a core that the node may use, 0 if not stated. The nodes with the most forward for
+    /// the others.
+    #[serde(rename = "c", default, skip_serializing_if = "is_unstated")]
+    pub processor_percent: u32,
+}
+
+/// Whether a member does not state its processor. Earlier builds do not know the field.
+fn is_unstated(processor_percent: &u32) -> bool {
+    *processor_percent == 0
 }
 
 /// Event for [`MembershipState`](super::MembershipState).
--- a/src/decision/membership/tree.rs
+++ b/src/decision/membership/tree.rs
@@ -2,9 +2,10 @@
 //!
 //! Each node computes the tree from its own member set. One node per availability zone is the hub.
 //! About as many nodes as the square root of the zone's size are the hub's children (the middle
-//! level), and every other node of the zone is a leaf below one of these. The hub of the first zone
-//! is the root, and the parent of the other hubs. Nodes are ordered by hashes of their instance
-//! ids, so that the loss of a node changes the place of few others.
+//! level), and every other node of the zone is a leaf below one of these. The hub with the largest
+//! processor, of the first such zone, is the root, and the parent of the other hubs. Nodes are ordered by their processors, since a hub
+//! forwards for many others, and then by hashes of their instance ids, so that the loss of a node
+//! changes the place of few others.
 
 use super::messages::MemberRecord;
 use crate::types::{AvailabilityZone, InstanceId};
@@ -35,9 +36,12 @@
         zones.entry(&member.availability_zone).or_default().push(member);
     }
     for members in zones.values_mut() {
-        members.sort_by_key(|member| Reverse((hash_rank(member), &member.instance)));
+        members.sort_by_key(|member| {
+            Reverse((member.processor_percent, hash_rank(member), &member.instance))
+        });
     }
-    let hubs: Vec<&MemberRecord> = zones.values().map(|members| members[0]).collect();
+    let mut hubs: Vec<&MemberRecord> = zones.values().map(|members| members[0]).collect();
+    hubs.sort_by_key(|hub| Reverse(hub.processor_percent));
     let zone = &zones[&local.availability_zone];
     let middle_len = zone.len().isqrt();
     let (middle, leaves) = zone[1..].split_at(middle_len.min(zone.len() - 1));
--- a/src/links/handshake.rs
+++ b/src/links/handshake.rs
@@ -44,6 +44,7 @@
             started_unix_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
             version: 0,
             status: MemberStatus::Alive,
+            processor_percent: 0,
         };
         Self { key, record }
     }
@@ -123,7 +124,9 @@
     message.extend(challenge.protocol.to_le_bytes());
     message.extend(challenge.nonce.to_le_bytes());
     message.extend(nonce.to_le_bytes());
-    ciborium::into_writer(member, &mut message).expect("writing to a Vec cannot fail");
+    // Earlier builds leave the field out of the proof.
+    let member = MemberRecord { processor_percent: 0, ..member.clone() };
+    ciborium::into_writer(&member, &mut message).expect("writing to a Vec cannot fail");
     hmac_sha256(key.as_bytes(), &message)
 }
 
--- a/src/relay/control/loads.rs
+++ b/src/relay/control/loads.rs
@@ -33,7 +33,7 @@
 
     /// Applies a load received from a partner.
     pub(super) fn apply_load(&mut self, peer: &InstanceId, load: &RelayLoad, now: Instant) {
-        let live_nodes = u32::try_from(self.partners.live_instances().len()).unwrap_or(u32::MAX);
+        let live_nodes = u32::try_from(self.partners.live_nodes().len()).unwrap_or(u32::MAX);
         let mut fleet = self.context.fleet();
         let received = self.loads.receive(peer, load, live_nodes, &mut fleet, now);
         drop(fleet);
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -45,14 +45,23 @@
 /// Maximum bytes of record values in one message.
 const MAX_DELTA_BYTES: usize = MAX_MESSAGE_BYTES / 2;
 
+/// Live node.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct LiveNode {
+    /// Id of the run.
+    pub(super) instance: InstanceId,
+    /// Percent of a core that it may use, 0 if unknown.
+    pub(super) processor_percent: u32,
+}
+
 /// Partner links and membership of a node.
 pub(super) struct Partners {
     membership: MembershipState,
     identity: Rc<RefCell<Identity>>,
     links: LinkTable,
     traffic: RefCell<LinkTraffic>,
-    /// Live nodes, this one included.
-    live: Vec<InstanceId>,
+    /// Live nodes, this one included, ordered by id.
+    live: Vec<LiveNode>,
     /// Change count of the membership when its changes were last applied, `None` before the first
     /// time.
     applied_changes: Option<u64>,
@@ -74,12 +83,13 @@
         address: SocketAddr,
         now: Instant,
     ) -> Self {
-        let identity = Identity::new(
+        let mut identity = Identity::new(
             context.settings.partner_key.clone(),
             instance,
             address,
             context.settings.availability_zone.clone(),
         );
+        identity.record.processor_percent = context.settings.processor_percent;
         let settings = MembershipSettings { redial_delay_ms: 300, ..MembershipSettings::default() };
         Self {
             membership: MembershipState::new(identity.record.clone(), settings),
@@ -110,14 +120,18 @@
     }
 
     /// Returns the live nodes including this one, ordered by id.
-    pub(super) fn live_instances(&self) -> &[InstanceId] {
+    pub(super) fn live_nodes(&self) -> &[LiveNode] {
         &self.live
     }
 
-    fn list_live(&self) -> Vec<InstanceId> {
-        let others = self.membership.live_members().map(|member| member.instance.clone());
-        let mut all: Vec<InstanceId> = others.collect();
-        all.push(self.membership.local_record().instance.clone());
+    fn list_live(&self) -> Vec<LiveNode> {
+        let members = self.membership.live_members().chain([self.membership.local_record()]);
+        let mut all: Vec<LiveNode> = members
+            .map(|member| LiveNode {
+                instance: member.instance.clone(),
+                processor_percent: member.processor_percent,
+            })
+            .collect();
         all.sort();
         all
     }
@@ -398,7 +412,9 @@
             let live = self.partners.list_live();
             let topics: Vec<RecordTopic> = RecordTopic::iter().collect();
             let me = &self.partners.membership.local_record().instance;
-            self.read_schedule.borrow_mut().set_nodes(me, &live, &topics);
+            let instances: Vec<InstanceId> =
+                live.iter().map(|node| node.instance.clone()).collect();
+            self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/rollout/lease.rs
+++ b/src/relay/control/rollout/lease.rs
@@ -3,8 +3,10 @@
 use crate::decision::relay::register_lease::RegisterRecord;
 use crate::ports::ReplaceOutcome;
 use crate::relay::control::RelayControlEvent;
+use crate::relay::control::partners::LiveNode;
 use crate::relay::control::state::ControlState;
 use crate::types::{InstanceId, PeerResult};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -41,18 +43,23 @@
         }
     }
 
-    /// Returns how many nodes try before this one: the last coordinator is first, the others follow
-    /// in an order that depends on the target weights, so that it differs between rollouts.
+    /// Returns how many nodes try before this one: the last coordinator is first, then those with the
+    /// largest processors, since a coordinator calls all servers. Equal ones follow in an order that
+    /// depends on the target weights, so that it differs between rollouts.
     fn candidate_rank(&self) -> u32 {
         if self.rollout.last_coordinator.as_ref() == Some(&self.rollout.instance) {
             return 0;
         }
         let seed = self.targets.values().sum();
         let hash = |instance: &InstanceId| xxh3_64_with_seed(instance.as_bytes(), seed);
-        let own_hash = hash(&self.rollout.instance);
-        let live = self.partners.live_instances();
-        let earlier = live.iter().filter(|instance| hash(instance) < own_hash).count();
-        let last_is_live = self.rollout.last_coordinator.as_ref().is_some_and(|c| live.contains(c));
+        let own_processor_percent = self.context.settings.processor_percent;
+        let own_order = (Reverse(own_processor_percent), hash(&self.rollout.instance));
+        let order = |node: &LiveNode| (Reverse(node.processor_percent), hash(&node.instance));
+        let live = self.partners.live_nodes();
+        let earlier = live.iter().filter(|node| order(node) < own_order).count();
+        let is_last =
+            |node: &LiveNode| Some(&node.instance) == self.rollout.last_coordinator.as_ref();
+        let last_is_live = live.iter().any(is_last);
         u32::try_from(earlier + usize::from(last_is_live)).unwrap_or(u32::MAX)
     }
 
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -8,6 +8,9 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 
+/// Largest number of cores that the settings accept.
+const MAX_PROCESSOR_CORES: f64 = 1_024.0;
+
 /// Settings of a relay node as read from a file.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(default)]
@@ -28,6 +31,8 @@
     pub rollout_lease_ms: u64,
     /// Periods of a graceful stop.
     pub stop: StopSettings,
+    /// Cores that the process may use, in part or whole; 0 if unknown.
+    pub processor_cores: f64,
 }
 
 /// Addresses of the listeners as read from a file, as `ip:port`, and paths.
@@ -102,6 +107,8 @@
     pub rollout_lease_ms: u64,
     /// Periods of a graceful stop.
     pub stop: StopSettings,
+    /// Percent of a core that the process may use, 0 if unknown.
+    pub processor_percent: u32,
 }
 
 /// Addresses of the listeners, where port 0 means any free port, and paths.
@@ -127,6 +134,11 @@
     fn try_from(raw: RawRelaySettings) -> Result<Self, Faults> {
         let mut faults = Faults::default();
         check_identity(&raw.instance_name, &raw.availability_zone, &raw.partner_key, &mut faults);
+        faults.require(
+            (0.0..=MAX_PROCESSOR_CORES).contains(&raw.processor_cores),
+            "processor_cores",
+            "must be from 0 to 1024",
+        );
         faults.require(raw.rollout_lease_ms > 0, "rollout_lease_ms", "must be above 0");
         let RawResendSettings { ratio, slack, window_s } = raw.resend;
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
@@ -153,6 +165,7 @@
             resend: ResendSettings { ratio, slack, window_ms: (window_s * 1_000.0) as u64 },
             rollout_lease_ms: raw.rollout_lease_ms,
             stop: raw.stop,
+            processor_percent: (raw.processor_cores * 100.0).round() as u32,
         };
         faults.into_result(settings)
     }
--- a/tests/relay/loads.rs
+++ b/tests/relay/loads.rs
@@ -26,6 +26,7 @@
         started_unix_ms: 1,
         version: 0,
         status: MemberStatus::Alive,
+        processor_percent: 0,
     };
     (0..nodes).map(member).collect()
 }
@@ -78,6 +79,22 @@
     assert_eq!(crossing.count(), ZONES.len() - 1);
 }
 
+/// A few instances have several times the processor of the others.
+#[test]
+fn large_nodes_forward_for_the_others() {
+    let mut members = members(295);
+    for member in members.iter_mut().filter(|member| member.address.port() % 20 < 3) {
+        member.processor_percent = 50;
+    }
+    let is_large = |node: &InstanceId| {
+        members.iter().any(|member| member.instance == *node && member.processor_percent == 50)
+    };
+    let places = places(&members);
+    let hubs = places.iter().filter(|(_, place)| place.children.len() >= MAX_NEIGHBOURS / 2);
+    assert!(hubs.clone().count() > 0);
+    assert!(hubs.into_iter().all(|(node, _)| is_large(node)));
+}
+
 #[test]
 fn losing_a_node_moves_few_others() {
     let all = members(84);
--- a/tests/together/links.rs
+++ b/tests/together/links.rs
@@ -21,6 +21,7 @@
         started_unix_ms: 1,
         version: 0,
         status: MemberStatus::Alive,
+        processor_percent: 0,
     };
     Identity { key: key.into(), record }
 }
--- a/tests/together/network.rs
+++ b/tests/together/network.rs
@@ -79,6 +79,7 @@
             started_unix_ms: 1_000_000 + self.now_ms,
             version: 0,
             status: MemberStatus::Alive,
+            processor_percent: 0,
         };
         self.nodes[index] = Some(MembershipState::new(record, MembershipSettings::default()));
         let seeds = (0..self.nodes.len()).map(address).collect();
