--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -24,6 +24,7 @@
 pub mod rollout;
 pub mod rollout_messages;
 pub mod server;
+pub mod server_load;
 pub mod store_link;
 
 pub use admission::AdmissionRequest;
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -6,6 +6,7 @@
 mod kv_store;
 mod link_traffic;
 mod loads;
+mod partner_links;
 mod partners;
 mod records;
 mod rollout;
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -2,7 +2,7 @@
 
 use super::partners::Partners;
 use super::rollout::RolloutControl;
-use super::{RelayControlEvent, follow, kv_store, partners};
+use super::{RelayControlEvent, follow, kv_store, partner_links};
 use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
@@ -94,7 +94,7 @@
     // The seed partners may be reachable while the store is not.
     state.apply_announced(&[], now);
     follow::start(&state);
-    state.spawn(partners::accept_links(Arc::clone(&context), identity, listener));
+    state.spawn(partner_links::accept_links(Arc::clone(&context), identity, listener));
     state.spawn(kv_store::poll_store(context, kv_store_address));
     run_event_loop(state, events).await;
 }
