fix(relay): leave outdated weights earlier for patient callers

Cause: a server with outdated weights got requests up to 6 s after the newer ones were announced, since callers leave a stream that has not begun after 2 s and none may begin 8 s after. Callers with an objective of 800 ms wait four objectives, 3.2 s: a prompt sent after 5.8 s began after 8.09 s.

Change: the time to leave follows from the patience of the request's caller; callers with objectives up to 500 ms are treated as before.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -25,8 +25,14 @@
 /// Requests per slot from which a plain server gets no more: beyond that it rejects some.
 const MAX_PLAIN_REQUESTS_PER_SLOT: u32 = 4;
 
-/// Time after newer weights were announced from which a server with older ones gets no requests.
-pub(super) const MAX_OUTDATED_WEIGHTS_PERIOD: Duration = Duration::from_millis(6_000);
+/// Time after newer weights were announced by which the last request must have begun on older ones.
+pub(super) const OUTDATED_WEIGHTS_DEADLINE: Duration = Duration::from_millis(8_000);
+
+/// Minimum time for which callers wait for the first event of a stream.
+pub(super) const MIN_CALLER_PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// Latency objectives for which callers wait for the first event of a stream, if that is longer.
+const CALLER_PATIENCE_OBJECTIVES: u32 = 4;
 
 /// Retry delay of a caller if the service has no ready server, or none with usable weights.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -109,6 +115,8 @@
     pub isolated_workspace: Option<&'a str>,
     /// Priority, 0 is the highest.
     pub priority: u8,
+    /// Time within which the answer should begin.
+    pub latency_objective: Duration,
     /// Servers to which the request has been sent already.
     pub tried: &'a [ServerId],
 }
@@ -132,7 +140,10 @@
         }
         retain_preferred_if_any(&mut candidates, |server| !server.is_entry_missing());
         if let Some(prompt) = query.prompt {
-            candidates.retain(|server| self.has_usable_weights(server, &prompt.model, now));
+            let patience =
+                MIN_CALLER_PATIENCE.max(query.latency_objective * CALLER_PATIENCE_OBJECTIVES);
+            candidates
+                .retain(|server| self.has_usable_weights(server, &prompt.model, now + patience));
             if candidates.is_empty() {
                 let retry_at = now + NO_SERVER_RETRY_DELAY;
                 return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
@@ -150,11 +161,12 @@
         }
     }
 
-    /// Whether the server has weights of `model` that are current or were current recently.
-    fn has_usable_weights(&self, server: &Server, model: &ModelId, now: Instant) -> bool {
+    /// Whether a request that begins by `begins_by` may use the server's weights of `model`: they are
+    /// current, or were until recently.
+    fn has_usable_weights(&self, server: &Server, model: &ModelId, begins_by: Instant) -> bool {
         let Some(revision) = server.weights.get(model) else { return false };
         let since = self.targets.get(model).and_then(|target| target.outdated_since(*revision));
-        since.is_none_or(|since| now < since + MAX_OUTDATED_WEIGHTS_PERIOD)
+        since.is_none_or(|since| begins_by < since + OUTDATED_WEIGHTS_DEADLINE)
     }
 
     fn choose_plain(&self, candidates: &[&Server], now: Instant) -> Result<Choice, Unavailable> {
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers known to a node.
 
-use super::choose::MAX_OUTDATED_WEIGHTS_PERIOD;
+use super::choose::{MIN_CALLER_PATIENCE, OUTDATED_WEIGHTS_DEADLINE};
 use super::decode_rate::DecodeRate;
 use super::departures::Departures;
 use super::health::SilenceChange;
@@ -183,7 +183,7 @@
         now: Instant,
     ) -> bool {
         let allowance =
-            MAX_OUTDATED_WEIGHTS_PERIOD.saturating_sub(MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE);
+            OUTDATED_WEIGHTS_DEADLINE - MIN_CALLER_PATIENCE - MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE;
         let announced_at = now.checked_sub(allowance).unwrap_or(now);
         self.targets.entry(model).or_default().add(revision, announced_at)
     }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -91,6 +91,7 @@
             prompt: self.head.prompt.as_ref(),
             isolated_workspace: isolated.map(|workspace| workspace.name.as_str()),
             priority: self.priority(),
+            latency_objective: Duration::from_millis(self.route.latency_objective_ms),
             tried,
         }
     }
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -410,3 +410,21 @@
     set_partner_pending_prefill(&mut fleet, &first.server, 1_700, evicted);
     assert_ne!(choose(&fleet, &long_prompt(9, 3), evicted).server, first.server);
 }
+
+/// A prompt waits at a server with outdated weights for as long as its caller has patience, and must
+/// not begin there after the deadline.
+#[test]
+fn patient_callers_leave_outdated_weights_earlier() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    fleet.set_target(MODEL, 2, now);
+    let prompt = long_prompt(4, 4);
+    let is_served = |objective_ms, after_ms| {
+        let query = ServerQuery { latency_objective: ms(objective_ms), ..query(&prompt) };
+        fleet.choose(query, now + ms(after_ms)).is_ok()
+    };
+    assert!(is_served(400, 5_999));
+    assert!(!is_served(400, 6_000));
+    assert!(is_served(800, 4_799));
+    assert!(!is_served(800, 4_800));
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -86,6 +86,7 @@
         prompt: Some(prompt),
         isolated_workspace: None,
         priority: 1,
+        latency_objective: ms(400),
         tried: &[],
     }
 }
@@ -97,6 +98,7 @@
         prompt: None,
         isolated_workspace: None,
         priority: 2,
+        latency_objective: ms(300),
         tried: &[],
     }
 }
