--- a/src/decision/relay/load_changes.rs
+++ b/src/decision/relay/load_changes.rs
@@ -2,8 +2,9 @@
 //! servers to list all of them each time.
 //!
 //! Servers that leave requests unanswered come first, since every node must stop using them unless
-//! some node still hears them. The others follow by how far their load has moved from what the neighbour was told, so that a server
-//! with a growing backlog is known everywhere before one that gained a single request.
+//! some node still hears them. The others follow by how far their load has moved from what the
+//! neighbour was told, so that a server with a growing backlog is known everywhere before one that
+//! gained a single request.
 
 use super::fleet::Fleet;
 use super::server::{Server, ServerLoad, ServerUpdate};
