fix(relay): callers' patience follows from the route's pauses too

Callers also wait eight of the pauses that a route allows between events, if that is longer: 2.4 s where it is 300 ms. A prompt sent 5.7 s after newer weights were announced began 8.07 s after.

The case is in the test.

Change: the route's pause is decoded and weighed; routes with pauses up to 250 ms are treated as before.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -34,6 +34,9 @@
 /// Latency objectives for which callers wait for the first event of a stream, if that is longer.
 const CALLER_PATIENCE_OBJECTIVES: u32 = 4;
 
+/// Longest pauses between events for which callers wait, if that is longer.
+const CALLER_PATIENCE_EVENT_GAPS: u32 = 8;
+
 /// Retry delay of a caller if the service has no ready server, or none with usable weights.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -117,10 +120,21 @@
     pub priority: u8,
     /// Time within which the answer should begin.
     pub latency_objective: Duration,
+    /// Longest pause between the events of a stream that is still on time.
+    pub max_event_gap: Duration,
     /// Servers to which the request has been sent already.
     pub tried: &'a [ServerId],
 }
 
+impl ServerQuery<'_> {
+    /// Returns for how long the caller waits for the first event.
+    fn caller_patience(&self) -> Duration {
+        MIN_CALLER_PATIENCE
+            .max(self.latency_objective * CALLER_PATIENCE_OBJECTIVES)
+            .max(self.max_event_gap * CALLER_PATIENCE_EVENT_GAPS)
+    }
+}
+
 impl Fleet {
     /// Returns the server that a request should go to.
     ///
@@ -140,10 +154,8 @@
         }
         retain_preferred_if_any(&mut candidates, |server| !server.is_entry_missing());
         if let Some(prompt) = query.prompt {
-            let patience =
-                MIN_CALLER_PATIENCE.max(query.latency_objective * CALLER_PATIENCE_OBJECTIVES);
-            candidates
-                .retain(|server| self.has_usable_weights(server, &prompt.model, now + patience));
+            let begins_by = now + query.caller_patience();
+            candidates.retain(|server| self.has_usable_weights(server, &prompt.model, begins_by));
             if candidates.is_empty() {
                 let retry_at = now + NO_SERVER_RETRY_DELAY;
                 return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -57,6 +57,8 @@
     pub timeout_ms: u64,
     /// Milliseconds within which a request should be answered.
     pub latency_objective_ms: u64,
+    /// Longest pause between the events of a stream in milliseconds, 0 if not stated.
+    pub max_event_gap_ms: u64,
     /// Priority, 0 is the highest.
     pub priority: u8,
     /// Maximum number of servers that one request is sent to.
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -92,6 +92,7 @@
             isolated_workspace: isolated.map(|workspace| workspace.name.as_str()),
             priority: self.priority(),
             latency_objective: Duration::from_millis(self.route.latency_objective_ms),
+            max_event_gap: Duration::from_millis(self.route.max_event_gap_ms),
             tried,
         }
     }
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -419,12 +419,16 @@
     let mut fleet = fleet(12, 1);
     fleet.set_target(MODEL, 2, now);
     let prompt = long_prompt(4, 4);
-    let is_served = |objective_ms, after_ms| {
-        let query = ServerQuery { latency_objective: ms(objective_ms), ..query(&prompt) };
+    let is_served_with_gap = |objective_ms, gap_ms, after_ms| {
+        let (latency_objective, max_event_gap) = (ms(objective_ms), ms(gap_ms));
+        let query = ServerQuery { latency_objective, max_event_gap, ..query(&prompt) };
         fleet.choose(query, now + ms(after_ms)).is_ok()
     };
+    let is_served = |objective_ms, after_ms| is_served_with_gap(objective_ms, 250, after_ms);
     assert!(is_served(400, 5_999));
     assert!(!is_served(400, 6_000));
     assert!(is_served(800, 4_799));
     assert!(!is_served(800, 4_800));
+    assert!(is_served_with_gap(400, 300, 5_599));
+    assert!(!is_served_with_gap(400, 300, 5_600));
 }
--- a/tests/relay/configuration.rs
+++ b/tests/relay/configuration.rs
@@ -16,6 +16,7 @@
         retry_safety: RetrySafety::Idempotent,
         timeout_ms: 1_000,
         latency_objective_ms: 300,
+        max_event_gap_ms: 250,
         priority: 1,
         max_attempts: 2,
         is_public: name == "public",
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -87,6 +87,7 @@
         isolated_workspace: None,
         priority: 1,
         latency_objective: ms(400),
+        max_event_gap: ms(250),
         tried: &[],
     }
 }
@@ -99,6 +100,7 @@
         isolated_workspace: None,
         priority: 2,
         latency_objective: ms(300),
+        max_event_gap: ms(0),
         tried: &[],
     }
 }
