feat(relay): log the framing of answers and where a stream ended

The incident's log cannot tell an answer that ends with its connection from a framed one whose truncation was lost on the way: both would be outcome=complete. 'answered' lines now carry framing= (length, chunked, connection_close) and, for streams, inside_event=. EventPosition follows the line ends of an event stream; a property test splits streams at random.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -4,12 +4,13 @@
 //! all other cases it is closed.
 
 use super::deadline::timeout_at;
+use super::framing::Framing;
 use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use rustix::net::sockopt;
 use smol::net::TcpStream;
@@ -69,6 +70,8 @@
     pub status: StatusCode,
     /// Headers of the answer.
     pub headers: HeaderMap,
+    /// How the answer tells where its body ends; an answer without a body has the length 0.
+    pub framing: Framing,
     body: Incoming,
     connection: Connection,
     key: (ServerId, SocketAddr),
@@ -101,7 +104,10 @@
             head_error(&key, delivery, error.into())
         })?;
         let (parts, body) = answer.into_parts();
-        Ok(PooledExchange { status: parts.status, headers: parts.headers, body, connection, key })
+        let (status, headers) = (parts.status, parts.headers);
+        let has_no_body = body.is_end_stream();
+        let framing = if has_no_body { Framing::Length } else { Framing::of(&headers) };
+        Ok(PooledExchange { status, headers, framing, body, connection, key })
     }
 
     /// Closes idle connections that have expired or that the server has closed.
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -42,11 +42,13 @@
     *reply.headers_mut() = end_to_end_headers(received.exchange.headers.clone());
     let outcome = if status.is_success() { "complete" } else { "failed" };
     log::info!(
-        "event=answered request={} route={} outcome={outcome} status={} server={} age_ms={}",
+        "event=answered request={} route={} outcome={outcome} status={} server={} framing={} \
+         age_ms={}",
         request.id,
         request.route.name,
         status.as_u16(),
         received.in_flight.server,
+        received.exchange.framing,
         request.age_ms()
     );
     context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -9,7 +9,7 @@
 use super::request::{RelayedRequest, end_to_end_headers};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::{BodyAborted, Reply};
-use crate::decision::relay::{Choice, EventSplitter, RetrySafety};
+use crate::decision::relay::{Choice, EventPosition, EventSplitter, RetrySafety};
 use crate::types::PeerError;
 use bytes::Bytes;
 use futures_lite::stream::unfold;
@@ -47,6 +47,8 @@
     answer: Option<Answer>,
     /// Splits the stream into whole events, `None` if the stream cannot be resumed.
     splitter: Option<EventSplitter>,
+    /// Where the data of the current answer ends.
+    position: EventPosition,
     forwarded_bytes: usize,
     /// Longest time between two forwarded pieces.
     max_pause: Duration,
@@ -75,6 +77,7 @@
         attempts,
         answer: Some(received),
         splitter: is_resumable.then(EventSplitter::default),
+        position: EventPosition::default(),
         forwarded_bytes: 0,
         max_pause: Duration::ZERO,
         last_data_at: None,
@@ -106,6 +109,7 @@
             match answer.exchange.next_data(deadline).await {
                 Ok(Some(data)) => {
                     answer.in_flight.record_contact();
+                    self.position.advance(&data);
                     match self.take_whole_events(data) {
                         Ok(events) if events.is_empty() => {}
                         Ok(events) => return Some(Ok(self.record_data(events))),
@@ -160,9 +164,9 @@
     /// Ends a complete stream; returns the data after the last whole event, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.is_ended = true;
-        if let Some(Answer { exchange, head, in_flight }) = self.answer.take() {
-            return_to_pool(&self.context, exchange, &head);
-            self.log_outcome("complete", &in_flight.server);
+        if let Some(answer) = self.answer.take() {
+            self.log_outcome("complete", Some(&answer));
+            return_to_pool(&self.context, answer.exchange, &answer.head);
         }
         let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
         rest.filter(|rest| !rest.is_empty())
@@ -171,9 +175,9 @@
     /// Ends an incomplete stream and logs why.
     fn abort(&mut self, reason: &str) -> BodyAborted {
         self.is_ended = true;
-        let server = self.answer.take().map(|answer| answer.in_flight.server.clone());
+        let answer = self.answer.take();
         log::info!("event=stream_broken request={} reason={reason}", self.request.id);
-        self.log_outcome("broken", server.as_deref().unwrap_or("none"));
+        self.log_outcome("broken", answer.as_ref());
         BodyAborted
     }
 
@@ -269,6 +273,7 @@
         match outcome {
             AttemptOutcome::Answered(answer) if answer.exchange.status.is_success() => {
                 self.answer = Some(*answer);
+                self.position = EventPosition::default();
                 self.context.metrics.resumed_streams.inc();
                 true
             }
@@ -282,13 +287,16 @@
         }
     }
 
-    fn log_outcome(&self, outcome: &str, server: &str) {
+    fn log_outcome(&self, outcome: &str, answer: Option<&Answer>) {
         count_outcome(&self.context, &self.request, outcome);
         log::info!(
-            "event=answered request={} route={} outcome={outcome} server={server} first_ms={} \
-             bytes={} longest_pause_ms={} attempts={} age_ms={}",
+            "event=answered request={} route={} outcome={outcome} server={} framing={} \
+             inside_event={} first_ms={} bytes={} longest_pause_ms={} attempts={} age_ms={}",
             self.request.id,
             self.request.route.name,
+            answer.map_or("none", |answer| answer.in_flight.server.as_str()),
+            answer.map_or(String::from("none"), |answer| answer.exchange.framing.to_string()),
+            self.position.is_inside_event(),
             self.first_answer_ms,
             self.forwarded_bytes,
             self.max_pause.as_millis(),
@@ -301,7 +309,7 @@
 impl Drop for RelayedStream {
     fn drop(&mut self) {
         if let Some(answer) = self.answer.take() {
-            self.log_outcome("left", &answer.in_flight.server);
+            self.log_outcome("left", Some(&answer));
         }
     }
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod choose;
 mod configuration;
+mod event_position;
 mod event_splitter;
 mod fixture;
 mod health;
