fix(relay): a stream that ends inside an event was broken off

Cause: the relay took the end of an answer's body for the end of the stream. If the body has neither a length nor chunks, it ends with its connection, and a server that crashes closes its connections too, so that the end says nothing. The relay then ended its own chunked answer in order, with the half event as its last bytes. The class of fault is an answer that gets stronger framing on the way than it had.

The regression test failed before with 'Ok(… id: 3\nda)' for a stream that a stand-in cut in its third event, and passes now.

Fix: every event stream is split into events, also where it cannot be resumed, and its end counts only between two events; a body that ends with its connection must have had an event as well. Otherwise the answer is an interrupted one: resumed elsewhere where the route allows it, else aborted for the caller. Half events are not forwarded any more. Answers that declare another content type are not events and are passed on as before, and only 2xx answers are streams; a 4xx of a stream's route is buffered. The end of an event is found by one state machine, which also knows lines that end with carriage returns only.

The test reads the abort also where it comes before the head of the answer; it still fails for every end that looks complete.

--- a/src/decision/relay/event_splitter.rs
+++ b/src/decision/relay/event_splitter.rs
@@ -1,6 +1,7 @@
 //! Splits an event stream into complete events, so that another server can resume after the last
 //! event that the caller received.
 
+use super::EventPosition;
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
 
@@ -16,6 +17,9 @@
 pub struct EventSplitter {
     /// Bytes received after the last complete event.
     partial: BytesMut,
+    position: EventPosition,
+    /// Whether the current answer has completed an event.
+    has_event: bool,
     last_event_id: Option<SmolStr>,
 }
 
@@ -26,13 +30,16 @@
     ///
     /// An event is longer than the limit.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
-        let search_start = self.partial.len().saturating_sub(3);
-        self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial[search_start..]) else {
+        let Some(end) = self.position.advance(data) else {
+            self.partial.extend_from_slice(data);
             let is_within_limit = self.partial.len() <= MAX_EVENT_BYTES;
             return if is_within_limit { Ok(Bytes::new()) } else { Err(EventTooLong) };
         };
-        let complete = self.partial.split_to(search_start + end).freeze();
+        let (completing, remaining) = data.split_at(end);
+        self.partial.extend_from_slice(completing);
+        let complete = self.partial.split().freeze();
+        self.partial.extend_from_slice(remaining);
+        self.has_event |= has_field(&complete);
         if let Some(id) = last_id(&complete) {
             self.last_event_id = Some(id);
         }
@@ -44,24 +51,41 @@
         self.partial.split().freeze()
     }
 
+    /// Drops the incomplete event of an answer that another one continues.
+    pub fn begin_answer(&mut self) {
+        self.partial.clear();
+        self.position = EventPosition::default();
+        self.has_event = false;
+    }
+
+    /// Whether the received bytes end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.position.is_inside_event()
+    }
+
+    /// Whether the current answer has completed an event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Returns the last id among the complete events, `None` if none had one.
     pub fn last_event_id(&self) -> Option<&SmolStr> {
         self.last_event_id.as_ref()
     }
 }
 
-/// Returns the offset after the last blank line, which ends an event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (1..=bytes.len()).rev().find(|&end| {
-        let head = &bytes[..end];
-        head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
-    })
+fn lines(events: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    events.split(|byte| matches!(byte, b'\n' | b'\r'))
+}
+
+/// Whether there is anything but comments and blank lines.
+fn has_field(events: &[u8]) -> bool {
+    lines(events).any(|line| line.first().is_some_and(|byte| *byte != b':'))
 }
 
 /// Returns the value of the last `id` field.
 fn last_id(events: &[u8]) -> Option<SmolStr> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let values = lines(events).rev().filter_map(|line| line.strip_prefix(b"id:"));
     let text = values.filter_map(|value| std::str::from_utf8(value).ok()).next()?;
     Some(SmolStr::new(text.trim()))
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -201,7 +201,7 @@
     if is_failure && is_retryable && attempts.try_resend(context, request, "server_error") {
         return Ok(None);
     }
-    if !is_failure && request.route.retry_safety.is_stream() {
+    if received.exchange.status.is_success() && request.route.retry_safety.is_stream() {
         return Ok(Some(stream::forward_stream(context, request, attempts.clone(), received)));
     }
     match forward_buffered(context, request, received).await {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,12 +8,15 @@
 use super::metrics::AnswerLabels;
 use super::request::{RelayedRequest, end_to_end_headers};
 use crate::adapters::deadline::timeout_at;
+use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
-use crate::decision::relay::{Choice, EventPosition, EventSplitter, RetrySafety};
-use crate::types::PeerError;
+use crate::decision::relay::event_splitter::EventTooLong;
+use crate::decision::relay::{Choice, EventSplitter, RetrySafety};
+use crate::types::{Delivery, PeerError, Step};
+use anyhow::anyhow;
 use bytes::Bytes;
 use futures_lite::stream::unfold;
-use http::Response;
+use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use smol::Timer;
@@ -45,10 +48,9 @@
     attempts: Attempts,
     /// Answer of the current server, `None` after it was interrupted or the stream has ended.
     answer: Option<Answer>,
-    /// Splits the stream into whole events, `None` if the stream cannot be resumed.
+    /// Splits the stream into whole events, `None` if the answer is not an event stream.
     splitter: Option<EventSplitter>,
-    /// Where the data of the current answer ends.
-    position: EventPosition,
+    is_resumable: bool,
     forwarded_bytes: usize,
     /// Longest time between two forwarded pieces.
     max_pause: Duration,
@@ -70,14 +72,15 @@
     context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
     let status = received.exchange.status;
     let headers = end_to_end_headers(received.exchange.headers.clone());
-    let is_resumable = request.route.retry_safety == RetrySafety::ResumableStream;
+    let is_event_stream = is_event_stream(&headers);
+    let retry_safety = request.route.retry_safety;
     let relayed = RelayedStream {
         context: Arc::clone(context),
         request: Arc::clone(request),
         attempts,
         answer: Some(received),
-        splitter: is_resumable.then(EventSplitter::default),
-        position: EventPosition::default(),
+        splitter: is_event_stream.then(EventSplitter::default),
+        is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         forwarded_bytes: 0,
         max_pause: Duration::ZERO,
         last_data_at: None,
@@ -95,6 +98,12 @@
     reply
 }
 
+/// Whether the answer declares events, or declares nothing.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(content_type) = headers.get(header::CONTENT_TYPE) else { return true };
+    content_type.as_bytes().to_ascii_lowercase().starts_with(b"text/event-stream")
+}
+
 impl RelayedStream {
     /// Returns the next data for the caller, `None` at the end of a complete stream.
     async fn next_data(&mut self) -> Option<Result<Bytes, BodyAborted>> {
@@ -106,24 +115,25 @@
             let Some(answer) = self.answer.as_mut() else {
                 return Some(Err(self.abort("no_server_goes_on")));
             };
-            match answer.exchange.next_data(deadline).await {
+            let interruption = match answer.exchange.next_data(deadline).await {
                 Ok(Some(data)) => {
                     answer.in_flight.record_contact();
-                    self.position.advance(&data);
                     match self.take_whole_events(data) {
-                        Ok(events) if events.is_empty() => {}
+                        Ok(events) if events.is_empty() => continue,
                         Ok(events) => return Some(Ok(self.record_data(events))),
                         Err(BodyAborted) => return Some(Err(self.abort("event_too_long"))),
                     }
                 }
-                Ok(None) => return self.finish().map(Ok),
-                Err(error) => {
-                    if !self.resume_after(&error).await {
-                        let is_late = Instant::now() >= self.request.deadline;
-                        let reason = if is_late { "time_over" } else { "server_broke_off" };
-                        return Some(Err(self.abort(reason)));
-                    }
-                }
+                Ok(None) => match self.find_truncation() {
+                    Some(truncation) => truncation,
+                    None => return self.finish().map(Ok),
+                },
+                Err(error) => error,
+            };
+            if !self.resume_after(&interruption).await {
+                let is_late = Instant::now() >= self.request.deadline;
+                let reason = if is_late { "time_over" } else { "server_broke_off" };
+                return Some(Err(self.abort(reason)));
             }
         }
         None
@@ -138,18 +148,37 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.splitter.is_some() && self.attempts.possible_runs < self.request.route.max_attempts
+        self.is_resumable && self.attempts.possible_runs < self.request.route.max_attempts
     }
 
-    /// Returns the whole events that `data` completes; all of `data` if the stream cannot be
-    /// resumed.
+    /// Returns the whole events that `data` completes; all of `data` if the answer is not an event
+    /// stream.
     fn take_whole_events(&mut self, data: Bytes) -> Result<Bytes, BodyAborted> {
-        match &mut self.splitter {
-            None => Ok(data),
-            Some(splitter) => splitter.push(&data).map_err(|_| BodyAborted),
+        let Some(splitter) = &mut self.splitter else { return Ok(data) };
+        match splitter.push(&data) {
+            Ok(events) => Ok(events),
+            Err(EventTooLong) if self.is_resumable => Err(BodyAborted),
+            Err(EventTooLong) => Ok(splitter.take_partial()),
         }
     }
 
+    /// Returns an error if the body that has just ended is not the whole stream. A server that
+    /// crashes closes its connections, which ends a body that has neither a length nor chunks.
+    fn find_truncation(&self) -> Option<PeerError> {
+        let (answer, splitter) = (self.answer.as_ref()?, self.splitter.as_ref()?);
+        let framing = answer.exchange.framing;
+        let fault = if splitter.is_inside_event() {
+            "the stream ended inside an event"
+        } else if framing == Framing::ConnectionClose && !splitter.has_event() {
+            "the connection ended before the first event"
+        } else {
+            return None;
+        };
+        let error = anyhow!("{fault} (framing {framing})");
+        let server = answer.in_flight.server.clone();
+        Some(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error))
+    }
+
     /// Updates the statistics for data that is about to be forwarded.
     fn record_data(&mut self, data: Bytes) -> Bytes {
         let now = Instant::now();
@@ -207,9 +236,7 @@
         }
         let resume_deadline = self.request.deadline.min(now + MAX_STREAM_SILENCE);
         // The current server continues until the new answer replaces its answer.
-        if self.continue_at(&choice, last_event_id, resume_deadline).await {
-            self.drop_partial_event();
-        }
+        self.continue_at(&choice, last_event_id, resume_deadline).await;
     }
 
     /// Resumes an interrupted stream at another server, after the last whole event; returns whether
@@ -221,19 +248,13 @@
         }
         drop(interrupted);
         log::info!("event=stream_cut request={} {error}", self.request.id);
-        let Some(splitter) = &mut self.splitter else { return false };
+        let Some(splitter) = self.splitter.as_ref().filter(|_| self.is_resumable) else {
+            return false;
+        };
         let last_event_id = splitter.last_event_id().cloned();
-        self.drop_partial_event();
         self.resume_elsewhere(last_event_id).await
     }
 
-    /// Drops the incomplete event at the end of an interrupted answer.
-    fn drop_partial_event(&mut self) {
-        if let Some(splitter) = &mut self.splitter {
-            splitter.take_partial();
-        }
-    }
-
     /// Sends the request to other servers until one continues after `last_event_id`; returns
     /// whether one did in time.
     async fn resume_elsewhere(&mut self, last_event_id: Option<SmolStr>) -> bool {
@@ -273,7 +294,7 @@
         match outcome {
             AttemptOutcome::Answered(answer) if answer.exchange.status.is_success() => {
                 self.answer = Some(*answer);
-                self.position = EventPosition::default();
+                self.splitter.iter_mut().for_each(EventSplitter::begin_answer);
                 self.context.metrics.resumed_streams.inc();
                 true
             }
@@ -291,12 +312,11 @@
         count_outcome(&self.context, &self.request, outcome);
         log::info!(
             "event=answered request={} route={} outcome={outcome} server={} framing={} \
-             inside_event={} first_ms={} bytes={} longest_pause_ms={} attempts={} age_ms={}",
+             first_ms={} bytes={} longest_pause_ms={} attempts={} age_ms={}",
             self.request.id,
             self.request.route.name,
             answer.map_or("none", |answer| answer.in_flight.server.as_str()),
             answer.map_or(String::from("none"), |answer| answer.exchange.framing.to_string()),
-            self.position.is_inside_event(),
             self.first_answer_ms,
             self.forwarded_bytes,
             self.max_pause.as_millis(),
