fix(http): reset the connection of an HTTP/1.0 caller whose answer is aborted

What callers saw: a caller of HTTP/1.0 gets streams without chunks, so that the end of the connection is the end of the answer. An aborted stream closed the connection in order: a 200 with the first two of six events, complete by its framing.

Cause: the relay aborts a body by closing the connection, which is visible only where chunks or a length are missing.

Fix: the connection of such a caller is closed with a linger time of zero, which the kernel turns into a reset. Callers of HTTP/1.1 keep the orderly end, after which they still receive what was sent before.

--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -5,11 +5,12 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::sockopt;
 use smol::Executor;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -18,6 +19,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -114,7 +116,10 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let service = service_fn(move |request| {
+    let socket = stream.clone();
+    let ends_with_connection = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_with_connection.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
@@ -136,7 +141,12 @@
             connection.await
         }
     };
-    if let Err(error) = result {
-        log::debug!("event=connection_ended error=\"{error}\"");
+    let Err(error) = result else { return };
+    log::debug!("event=connection_ended error=\"{error}\"");
+    // Without chunks the end of the connection would complete an aborted reply; a reset does not.
+    if ends_with_connection.load(Ordering::Relaxed)
+        && let Err(error) = sockopt::set_socket_linger(&socket, Some(Duration::ZERO))
+    {
+        log::warn!("event=connection_not_reset error=\"{error}\"");
     }
 }
