fix(relay): abort a stream at once when its attempts are used up

What callers saw: a stream that broke off at the last server that its route allows stayed open and silent for a second before it was aborted.

Cause: an interrupted stream looked for a server until a deadline without asking whether another attempt was allowed, and found none it had not tried.

The splitter also hands on data that ends with an event without copying it, since all event streams pass through it now; a test holds when an answer counts as having an event.

--- a/src/decision/relay/event_splitter.rs
+++ b/src/decision/relay/event_splitter.rs
@@ -29,16 +29,13 @@
     /// # Errors
     ///
     /// An event is longer than the limit.
-    pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
-        let Some(end) = self.position.advance(data) else {
-            self.partial.extend_from_slice(data);
+    pub fn push(&mut self, data: Bytes) -> Result<Bytes, EventTooLong> {
+        let Some(end) = self.position.advance(&data) else {
+            self.partial.extend_from_slice(&data);
             let is_within_limit = self.partial.len() <= MAX_EVENT_BYTES;
             return if is_within_limit { Ok(Bytes::new()) } else { Err(EventTooLong) };
         };
-        let (completing, remaining) = data.split_at(end);
-        self.partial.extend_from_slice(completing);
-        let complete = self.partial.split().freeze();
-        self.partial.extend_from_slice(remaining);
+        let complete = self.complete(data, end);
         self.has_event |= has_field(&complete);
         if let Some(id) = last_id(&complete) {
             self.last_event_id = Some(id);
@@ -46,6 +43,17 @@
         Ok(complete)
     }
 
+    /// Returns the incomplete event with the first `end` bytes of `data`, and keeps the others.
+    fn complete(&mut self, mut data: Bytes, end: usize) -> Bytes {
+        let remaining = data.split_off(end);
+        if !self.partial.is_empty() {
+            self.partial.extend_from_slice(&data);
+            data = self.partial.split().freeze();
+        }
+        self.partial.extend_from_slice(&remaining);
+        data
+    }
+
     /// Takes the bytes received after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -155,7 +155,7 @@
     /// stream.
     fn take_whole_events(&mut self, data: Bytes) -> Result<Bytes, BodyAborted> {
         let Some(splitter) = &mut self.splitter else { return Ok(data) };
-        match splitter.push(&data) {
+        match splitter.push(data) {
             Ok(events) => Ok(events),
             Err(EventTooLong) if self.is_resumable => Err(BodyAborted),
             Err(EventTooLong) => Ok(splitter.take_partial()),
@@ -248,7 +248,7 @@
         }
         drop(interrupted);
         log::info!("event=stream_cut request={} {error}", self.request.id);
-        let Some(splitter) = self.splitter.as_ref().filter(|_| self.is_resumable) else {
+        let Some(splitter) = self.splitter.as_ref().filter(|_| self.may_resume()) else {
             return false;
         };
         let last_event_id = splitter.last_event_id().cloned();
--- a/tests/relay/event_splitter.rs
+++ b/tests/relay/event_splitter.rs
@@ -1,6 +1,7 @@
 //! Event streams that break anywhere can be resumed after the last complete event.
 
 use super::proptest_config;
+use bytes::Bytes;
 use coriandertide::decision::relay::EventSplitter;
 use proptest::prelude::*;
 
@@ -27,7 +28,7 @@
         let mut remaining = text.as_bytes();
         for cut in cuts {
             let (head, tail) = remaining.split_at(cut.min(remaining.len()));
-            output.extend_from_slice(&splitter.push(head).unwrap());
+            output.extend_from_slice(&splitter.push(Bytes::copy_from_slice(head)).unwrap());
             remaining = tail;
         }
         let complete = String::from_utf8(output).unwrap();
@@ -44,7 +45,25 @@
 #[test]
 fn an_endless_event_is_an_error() {
     let mut splitter = EventSplitter::default();
-    let long = vec![b'x'; 800 * 1024];
-    assert!(splitter.push(&long).unwrap().is_empty());
-    assert!(splitter.push(&long).is_err());
+    let long = Bytes::from(vec![b'x'; 800 * 1024]);
+    assert!(splitter.push(long.clone()).unwrap().is_empty());
+    assert!(splitter.push(long).is_err());
+}
+
+/// Guards against taking an answer without events for a whole stream: comments and blank lines keep
+/// a connection alive, and the events before an interruption are those of another answer.
+#[test]
+fn only_an_event_of_the_current_answer_counts() {
+    let mut splitter = EventSplitter::default();
+    let mut has_event_after = |text: &'static str| {
+        splitter.push(Bytes::from_static(text.as_bytes())).unwrap();
+        (splitter.has_event(), splitter.is_inside_event())
+    };
+    assert_eq!(has_event_after("\n: waiting\r\n\r\n"), (false, false));
+    assert_eq!(has_event_after("id: 7\nda"), (false, true));
+    assert_eq!(has_event_after("ta: x\n\nid: 8\n"), (true, true));
+    splitter.begin_answer();
+    assert_eq!((splitter.has_event(), splitter.is_inside_event()), (false, false));
+    assert!(splitter.take_partial().is_empty());
+    assert_eq!(splitter.last_event_id().unwrap(), "7");
 }
