feat(relay): learn the prefill rate of engines from their answers

Cause: the wait for a prompt was worked out with 80 tokens a millisecond for every engine. Long prompts went to queues that were too long, admission let in what came late, and servers looked slow that were not.

Change: each node learns the rate of a service from answers behind 16,000 tokens or more, each with a small weight and a bounded factor, so that one stalled server teaches little. Rates above the initial one are not learned.

Tests: tests/relay/prefill_rate.rs; before, a fleet expected half the wait whatever its engines answered.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -80,6 +80,11 @@
     pub save_s: f64,
     /// Rendezvous rank of the server for the prefix, 0 for the home server.
     pub rank: usize,
+    /// Tokens that the server prefills before it begins to answer, those of earlier prompts
+    /// included.
+    pub tokens_before_answer: f64,
+    /// Milliseconds of the expected time that are not prefill.
+    pub expected_wait_ms: f64,
 }
 
 /// Reason why no server can take a request.
--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -3,6 +3,7 @@
 
 use super::choose::{Choice, CostedServer, PromptChoice, ServerQuery, build_choice, two_cheapest};
 use super::fleet::Fleet;
+use super::prefill_rate::PrefillRate;
 use super::prompt::{MIN_STORED_TOKENS, PrefixKey, Prompt};
 use super::server::{PendingPrefill, Server, ServerLoad};
 use crate::decision::routing::homes::rendezvous_hash;
@@ -11,10 +12,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Prompt tokens that an engine prefills in a millisecond between decode steps: 4,096 in a step
-/// of 50 ms, by the data sheets of the supported engines.
-const PREFILL_TOKENS_PER_MS: f64 = 80.0;
-
 /// Milliseconds by which each running request slows the others.
 const RUNNING_REQUEST_COST_MS: f64 = 1.5;
 
@@ -103,15 +100,17 @@
         let mut costs: Vec<CostedServer<'_>> = Vec::with_capacity(SERVERS_PER_ROUND);
         let mut plans = Vec::with_capacity(SERVERS_PER_ROUND);
         let mut min_expected_ms = f64::INFINITY;
+        let prefill_rate = self.prefill_rate(query.service);
         for (rank, server) in ranked.iter().enumerate() {
             let ends_round = rank > 0 && rank % SERVERS_PER_ROUND == 0;
             let is_last_round = rank == MAX_ROUNDS * SERVERS_PER_ROUND;
             if is_last_round || ends_round && min_expected_ms < NEXT_ROUND_EXPECTED_MS {
                 break;
             }
-            let plan = self.plan_prompt(server, &ranked, prompt, isolated_workspace, rank, now);
+            let mut plan = self.plan_prompt(server, &ranked, prompt, isolated_workspace, rank, now);
             let load = server.total_load(now);
-            let expected_ms = first_token_ms(server, load, &plan, query.priority, now);
+            let expected_ms =
+                expect_first_token(server, load, &mut plan, query.priority, prefill_rate, now);
             min_expected_ms = min_expected_ms.min(expected_ms);
             let mut cost_ms = expected_ms + self.penalty_ms(server, load, prompt, &plan, now);
             cost_ms += pool_cost_ms(prompt, pool.contains(&server.entry.id));
@@ -351,23 +350,25 @@
     }
 }
 
-/// Returns the milliseconds until a server has prefilled the prompt, after all requests of the same
-/// or a higher priority.
-fn first_token_ms(
+/// Works out what a server does before the first token, and returns the milliseconds until it has
+/// prefilled the prompt, after all requests of the same or a higher priority.
+fn expect_first_token(
     server: &Server,
     load: ServerLoad,
-    plan: &PromptPlan,
+    plan: &mut PromptPlan,
     priority: u8,
+    prefill_rate: PrefillRate,
     now: Instant,
 ) -> f64 {
     let ahead = f64::from(load.pending_prefill.ahead_of(priority)) + server.unreported_tokens(now);
-    let mut expected_ms = (ahead + f64::from(plan.prefill_tokens)) / PREFILL_TOKENS_PER_MS;
-    expected_ms += slot_wait_ms(server, load);
+    let mut wait_ms = slot_wait_ms(server, load);
     if plan.fetched_tokens > 0 {
         let fetched_k_tokens = f64::from(plan.fetched_tokens) / 1_000.0;
-        expected_ms += FETCH_OVERHEAD_MS + fetched_k_tokens * FETCH_MS_PER_1K_TOKENS;
+        wait_ms += FETCH_OVERHEAD_MS + fetched_k_tokens * FETCH_MS_PER_1K_TOKENS;
     }
-    expected_ms
+    plan.choice.tokens_before_answer = ahead + f64::from(plan.prefill_tokens);
+    plan.choice.expected_wait_ms = wait_ms;
+    plan.choice.tokens_before_answer / prefill_rate.tokens_per_ms() + wait_ms
 }
 
 /// Returns the milliseconds for which another request waits for a slot.
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,9 +1,10 @@
 //! Backend servers known to a node.
 
-use super::choose::{MIN_CALLER_PATIENCE, OUTDATED_WEIGHTS_DEADLINE};
+use super::choose::{MIN_CALLER_PATIENCE, OUTDATED_WEIGHTS_DEADLINE, PromptChoice};
 use super::decode_rate::DecodeRate;
 use super::departures::Departures;
 use super::health::SilenceChange;
+use super::prefill_rate::PrefillRate;
 use super::prefix_index::PrefixIndex;
 use super::server::{
     PendingPrefill, Server, ServerEntry, ServerLoad, ServerState, ServerUpdate, UpdateScope,
@@ -69,6 +70,8 @@
     pub prefixes: PrefixIndex,
     /// Output token rate of decode-heavy requests.
     pub decode_rate: DecodeRate,
+    /// Prefill rates by service.
+    pub(super) prefill_rates: BTreeMap<ServiceId, PrefillRate>,
     /// Link to the external store of KV cache, `None` without a store or while it does not answer.
     pub kv_store: Option<StoreLink>,
     /// Servers that are known to be leaving.
@@ -87,12 +90,30 @@
             kv_capacity_tokens: BTreeMap::new(),
             prefixes: PrefixIndex::default(),
             decode_rate: DecodeRate::default(),
+            prefill_rates: BTreeMap::new(),
             kv_store: None,
             departures: Departures::default(),
             report_delay: Duration::ZERO,
         }
     }
 
+    /// Returns the rate at which the engines of a service prefill.
+    pub fn prefill_rate(&self, service: &ServiceId) -> PrefillRate {
+        self.prefill_rates.get(service).copied().unwrap_or_default()
+    }
+
+    /// Learns from an answer that began `answer_ms` after the request was sent. Returns the rate of
+    /// the service if it has changed much since it was last returned.
+    pub fn learn_prefill_rate(
+        &mut self,
+        service: &ServiceId,
+        choice: &PromptChoice,
+        answer_ms: f64,
+    ) -> Option<f64> {
+        let rate = self.prefill_rates.entry(service.clone()).or_default();
+        rate.add_answer(choice.tokens_before_answer, answer_ms - choice.expected_wait_ms)
+    }
+
     /// Sets the time that the reports of other nodes about servers take to arrive.
     pub fn set_report_delay(&mut self, report_delay: Duration) {
         self.report_delay = report_delay;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -176,6 +176,9 @@
     }
     let answer_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let succeeded = !exchange.status.is_server_error();
+    if succeeded {
+        learn_prefill_rate(context, request, choice, answer_ms);
+    }
     in_flight.record_outcome(succeeded, answer_ms - choice.expected_ms);
     if let Some(error) = find_answer_fault(request, choice, exchange.status, &head) {
         in_flight.record_outcome(false, 0.0);
@@ -313,6 +316,24 @@
     }
 }
 
+/// Learns the prefill rate of the service from when an answer began.
+fn learn_prefill_rate(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    answer_ms: f64,
+) {
+    let Some(prompt) = &choice.prompt else { return };
+    let changed = context.fleet().learn_prefill_rate(&request.service, prompt, answer_ms);
+    if let Some(tokens_per_ms) = changed {
+        log::info!(
+            "event=prefill_rate_learned service={} tokens_per_ms={tokens_per_ms:.0} request={}",
+            request.service,
+            request.id
+        );
+    }
+}
+
 /// Records that the server is leaving or wants a pause, if its answer says so.
 fn heed_server(
     context: &RelayContext,
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod loads;
 mod logging;
 mod notices;
+mod prefill_rate;
 mod prefix_index;
 #[path = "../common/proptest_config.rs"]
 mod proptest_config;
