test(relay): records between builds with and without pages

During a rolling update nodes of both builds are partners. The messages of the earlier build are encoded as it did: its request gets one message that claims no more than it holds, and the parts of its copies complete together, without a new request for each. Both pass on the code as it stands.

--- a/tests/relay/record_requests.rs
+++ b/tests/relay/record_requests.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use coriandertide::decision::relay::replica::{RecordsRequest, TopicDelta, TopicListing};
 use coriandertide::decision::relay::{KeyedRecord, RecordRequests, RecordTopic, Replica};
+use coriandertide::links::PartnerMessage;
+use coriandertide::links::message::{DecodedMessage, TopicDigest};
 use coriandertide::types::InstanceId;
 use proptest::prelude::*;
 use std::collections::{HashSet, VecDeque};
@@ -174,3 +176,76 @@
         prop_assert_eq!(everything(&fetch.local), everything(&fetch.neighbours));
     }
 }
+
+/// Messages of a build without pages, as they were encoded there.
+mod earlier_build {
+    use super::*;
+    use serde::Serialize;
+
+    #[derive(Serialize)]
+    pub struct TopicDelta {
+        pub topic: RecordTopic,
+        pub from: Option<u64>,
+        pub known_below: u64,
+        pub records: Vec<KeyedRecord>,
+    }
+
+    #[derive(Serialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum PartnerMessage {
+        RecordsRequest(TopicDigest),
+        Records(TopicDelta),
+    }
+
+    pub fn encode(message: &PartnerMessage) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(message, &mut bytes).unwrap();
+        bytes
+    }
+}
+
+/// Guards against a rolling update in which partners of an earlier build get no records.
+#[test]
+fn a_partner_without_pages_gets_one_message_that_claims_no_more_than_it_has() {
+    let digest = TopicDigest { topic: TOPIC, known_below: None, age_ms: None };
+    let encoded = earlier_build::encode(&earlier_build::PartnerMessage::RecordsRequest(digest));
+    let Ok(DecodedMessage::Known(PartnerMessage::RecordsRequest(request))) =
+        PartnerMessage::decode(&encoded)
+    else {
+        panic!("the request is not understood");
+    };
+    assert!(!request.is_paged);
+    let neighbours = replica_of(60);
+    let whole = neighbours.delta(&request, usize::MAX).unwrap();
+    assert_eq!((whole.from, whole.records.len()), (None, 60));
+    // Such a build takes a delta from beyond all positions for an incomplete one.
+    let part = neighbours.delta(&request, PAGE_BYTES).unwrap();
+    assert_eq!(part.from, Some(u64::MAX));
+}
+
+/// Guards against a copy from an earlier build, which sends its parts without being asked, that is
+/// requested again for each part or completed by one.
+#[test]
+fn the_parts_of_a_copy_from_a_partner_without_pages_complete_it_together() {
+    let mut fetch = Fetch::new(60);
+    fetch.announce(0);
+    fetch.pages.clear();
+    let records = everything(&fetch.neighbours);
+    let parts = [(Some(u64::MAX), &records[..30]), (None, &records[30..])];
+    for (from, records) in parts {
+        assert_eq!(fetch.local.known_below(TOPIC), None);
+        let records = records.to_vec();
+        let delta = earlier_build::TopicDelta { topic: TOPIC, from, known_below: 60, records };
+        let encoded = earlier_build::encode(&earlier_build::PartnerMessage::Records(delta));
+        let Ok(DecodedMessage::Known(PartnerMessage::Records(part))) =
+            PartnerMessage::decode(&encoded)
+        else {
+            panic!("the part is not understood");
+        };
+        fetch.pages.push_back(("n0".into(), *part));
+        fetch.receive_page();
+        assert!(fetch.pages.is_empty());
+    }
+    assert_eq!(everything(&fetch.local), everything(&fetch.neighbours));
+    assert_eq!(fetch.local.known_below(TOPIC), Some(60));
+}
