fix(relay): count the use of outdated weights from a node's start

Cause: a node that has just started learns of the weights from a listing or a copy and not since when they are named. It used outdated servers for three seconds from the moment at which it learned of them. Later learning widened the window by as much.

Ruled out: nodes that had not learned of the weights (all had, at 29.14 s and again after their start), servers that had not been ordered (the coordinator was killed with all others; five of nine had changed).

Change: the time counts from the node's start if it has never known the topic, and is half a second shorter. What a running node learns from a listing counts from then, as before.

Test: weights_that_a_started_node_learns_late_do_not_prolong_the_use_of_outdated_ones; counted from learning, as before, it fails (1.9 s later the server was still used). The bounds of the test beside it follow the shorter time: outdated servers are refused from 2.6 s on, not only from 3.1 s.

--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -21,7 +21,7 @@
 const MAX_REVISIONS: usize = 16;
 
 /// Time for which outdated servers are used if the age of the newer weights is unknown.
-const MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE: Duration = Duration::from_millis(3_000);
+const MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE: Duration = Duration::from_millis(2_500);
 
 /// Weights of a model that its servers should load.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -193,19 +193,21 @@
         self.targets.entry(model).or_default().add(revision, now)
     }
 
-    /// Records a `revision` that was announced an unknown time ago; returns whether it is newer
-    /// than the known ones.
+    /// Records a `revision` that was announced an unknown time ago, perhaps before `unknown_since`;
+    /// returns whether it is newer than the known ones.
     ///
-    /// Outdated servers are used for a short time only, since they may have been outdated for long.
+    /// Outdated servers are used for a short time after `unknown_since` only, since they may have
+    /// been outdated for long. A node that has just started must count from its start: it may have
+    /// learned of the weights late.
     pub fn set_target_of_unknown_age(
         &mut self,
         model: ModelId,
         revision: WeightsRevision,
-        now: Instant,
+        unknown_since: Instant,
     ) -> bool {
         let allowance =
             OUTDATED_WEIGHTS_DEADLINE - MIN_CALLER_PATIENCE - MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE;
-        let announced_at = now.checked_sub(allowance).unwrap_or(now);
+        let announced_at = unknown_since.checked_sub(allowance).unwrap_or(unknown_since);
         self.targets.entry(model).or_default().add(revision, announced_at)
     }
 
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -137,9 +137,12 @@
                 self.apply_configuration(*configuration, offset, source);
             }
             Ok(OperatorRecord::Weights { model, revision }) => {
+                let was_known =
+                    self.read_schedule.borrow().age(RecordTopic::Operator, now).is_some();
+                let unknown_since = if was_known { now } else { self.started_at };
                 let mut fleet = self.context.fleet();
                 let is_new_target = if source.is_age_unknown() {
-                    fleet.set_target_of_unknown_age(model.clone(), revision, now)
+                    fleet.set_target_of_unknown_age(model.clone(), revision, unknown_since)
                 } else {
                     fleet.set_target(model.clone(), revision, now)
                 };
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -45,6 +45,7 @@
 /// Control state; owned by the control thread.
 pub(super) struct ControlState {
     pub(super) context: Arc<RelayContext>,
+    pub(super) started_at: Instant,
     pub(super) executor: Weak<LocalExecutor<'static>>,
     pub(super) replica: Replica,
     /// Schedule of topic reads, shared with the tasks that read.
@@ -88,6 +89,7 @@
         },
         store_era: None,
         suspension_detector: SuspensionDetector::new(),
+        started_at: now,
         executor,
         context: Arc::clone(&context),
     };
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -147,8 +147,21 @@
     let mut fleet = fleet(2, 1);
     fleet.set_target_of_unknown_age(MODEL, 2, now);
     let prompt = long_prompt(7, 1);
-    assert!(fleet.choose(query(&prompt), now + ms(2_900)).is_ok());
-    assert!(fleet.choose(query(&prompt), now + ms(3_100)).is_err());
+    assert!(fleet.choose(query(&prompt), now + ms(2_400)).is_ok());
+    assert!(fleet.choose(query(&prompt), now + ms(2_600)).is_err());
+}
+
+/// A node that learns of newer weights a second after its start: it counts as running normally
+/// three seconds after its start, when it may have used outdated servers for too long.
+#[test]
+fn weights_that_a_started_node_learns_late_do_not_prolong_the_use_of_outdated_ones() {
+    let started_at = Instant::now() + ms(10_000);
+    let mut fleet = fleet(2, 1);
+    let learned_at = started_at + ms(1_000);
+    fleet.set_target_of_unknown_age(MODEL, 2, started_at);
+    let prompt = long_prompt(7, 1);
+    assert!(fleet.choose(query(&prompt), learned_at + ms(1_400)).is_ok());
+    assert!(fleet.choose(query(&prompt), learned_at + ms(1_900)).is_err());
 }
 
 #[test]
