--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -118,10 +118,17 @@
     }
     let socket = stream.clone();
     let ends_with_connection = AtomicBool::new(false);
+    let has_unanswered_request = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         ends_with_connection.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let reply = handler(request);
-        async move { Ok::<_, Infallible>(reply.await) }
+        has_unanswered_request.store(true, Ordering::Relaxed);
+        let has_unanswered_request = &has_unanswered_request;
+        async move {
+            let reply = reply.await;
+            has_unanswered_request.store(false, Ordering::Relaxed);
+            Ok::<_, Infallible>(reply)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -142,7 +149,11 @@
         }
     };
     let Err(error) = result else { return };
-    log::debug!("event=connection_ended error=\"{error}\"");
+    if has_unanswered_request.load(Ordering::Relaxed) {
+        log::info!("event=connection_lost_before_answer error=\"{error}\"");
+    } else {
+        log::debug!("event=connection_ended error=\"{error}\"");
+    }
     // Without chunks the end of the connection would complete an aborted reply; a reset does not.
     if ends_with_connection.load(Ordering::Relaxed)
         && let Err(error) = sockopt::set_socket_linger(&socket, Some(Duration::ZERO))
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -12,7 +12,7 @@
 use crate::adapters::http_server::{BodyAborted, Reply};
 use crate::decision::relay::event_splitter::EventTooLong;
 use crate::decision::relay::{Choice, EventSplitter, RetrySafety};
-use crate::types::{Delivery, PeerError, Step};
+use crate::types::{DeadlinePassed, Delivery, PeerError, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
 use futures_lite::stream::unfold;
@@ -23,6 +23,7 @@
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use strum::Display;
 
 /// Silence of a server after which a resumable stream moves to another one. It is several times the
 /// pause that callers accept and shorter than the one after which they leave.
@@ -35,6 +36,18 @@
 /// Time after which a server is chosen again for an interrupted stream.
 const CHOICE_RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Why the answer of a server was cut.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+enum CutCause {
+    /// The connection or the stream on it was broken off.
+    Broken,
+    /// The deadline of the request passed.
+    Deadline,
+    /// The server sent nothing for [`MAX_STREAM_SILENCE`].
+    Silent,
+}
+
 /// Counts a request by its outcome.
 pub fn count_outcome(context: &RelayContext, request: &RelayedRequest, outcome: &str) {
     let (route, outcome) = (request.route.name.to_string(), outcome.to_owned());
@@ -247,7 +260,8 @@
             answer.in_flight.record_outcome(false, 0.0);
         }
         drop(interrupted);
-        log::info!("event=stream_cut request={} {error}", self.request.id);
+        let cause = self.cut_cause(error);
+        log::info!("event=stream_cut request={} cause={cause} {error}", self.request.id);
         let Some(splitter) = self.splitter.as_ref().filter(|_| self.may_resume()) else {
             return false;
         };
@@ -255,6 +269,14 @@
         self.resume_elsewhere(last_event_id).await
     }
 
+    fn cut_cause(&self, error: &PeerError) -> CutCause {
+        match error.source.is::<DeadlinePassed>() {
+            false => CutCause::Broken,
+            true if Instant::now() >= self.request.deadline => CutCause::Deadline,
+            true => CutCause::Silent,
+        }
+    }
+
     /// Sends the request to other servers until one continues after `last_event_id`; returns
     /// whether one did in time.
     async fn resume_elsewhere(&mut self, last_event_id: Option<SmolStr>) -> bool {
