fix(relay): keep the answer of a silent server open until another one has it

Cause: the relay dropped the answer of a server that had been silent for a second, and abandoned an attempt whose server was silent, slow or gone from the list before its head, and only then looked for another server. If none took the request (full, closed for new weights, tried already, no attempt or resend left), the stream broke or the call was refused, though its server was sound and would have gone on. The class of fault is giving up what one has before its replacement stands.

Fix: silence and slowness only allow another server to be tried beside the open answers; the first server that answers is kept, the other connections are closed. One state machine decides for requests and streams (decision::relay::failover): no request with an open answer is given up before its deadline. An attempt counts as a possible run from its sending on, so that attempts stay within the route's limit. Moving a stream off a server that is to be closed works as before.

Ruled out by reading: that a resumed stream could repeat events, since the first data of the old answer ends the attempt, and nothing of it is read once the new one stands. Not changed: a kept connection keeps the limits it was opened with.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -12,10 +12,8 @@
 use crate::ports::{AnswerHead, ForwardHead};
 use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
 use anyhow::anyhow;
-use futures_lite::FutureExt;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use smol::Timer;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -25,13 +23,6 @@
 /// Time for which a server that rejected a request as full gets no new ones.
 const FULL_PERIOD: Duration = Duration::from_millis(120);
 
-/// Period at which a retryable request checks whether its server is silent or slow.
-const SERVER_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
-/// Number of latency objectives after which a server counts as slow for a request other than a
-/// stream.
-const SLOW_AFTER_OBJECTIVES: u32 = 2;
-
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// The server answered, possibly with a failure.
@@ -132,27 +123,18 @@
 }
 
 /// Sends `request` to the chosen server and waits for the head of its answer.
-///
-/// Unless it is the last attempt, a retryable request stops waiting when the server is silent or
-/// slow.
 pub async fn send(
     context: &Arc<RelayContext>,
     request: &RelayedRequest,
     choice: &Choice,
     last_event_id: Option<SmolStr>,
-    is_last_attempt: bool,
 ) -> AttemptOutcome {
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
     let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
-    let exchange = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
-    let sent = if request.route.retry_safety.is_retryable() && !is_last_attempt {
-        exchange.or(watch_server(context, request, &choice.server, sent_at)).await
-    } else {
-        exchange.await
-    };
-    let exchange = match sent {
+    let sent = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
+    let exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(error) => return handle_failure(context, request, choice, &in_flight, error),
     };
@@ -223,28 +205,6 @@
     outgoing
 }
 
-/// Returns an error once the server is silent, or too slow for a request other than a stream.
-async fn watch_server<T>(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    server: &ServerId,
-    sent_at: Instant,
-) -> Result<T, PeerError> {
-    let objective = Duration::from_millis(request.route.latency_objective_ms.max(1));
-    let is_stream = request.route.retry_safety.is_stream();
-    loop {
-        Timer::after(SERVER_CHECK_PERIOD).await;
-        let now = Instant::now();
-        let is_silent = context.fleet().server(server).is_none_or(|s| s.is_silent(now));
-        let is_slow = !is_stream && now >= sent_at + objective * SLOW_AFTER_OBJECTIVES;
-        if is_silent || is_slow {
-            let reason = if is_silent { "the server is silent" } else { "the server is slow" };
-            let error = anyhow!(reason);
-            return Err(PeerError::new(Step::ReadHead, server.clone(), Delivery::Unknown, error));
-        }
-    }
-}
-
 /// Records a failed attempt and returns its outcome.
 fn handle_failure(
     context: &RelayContext,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,13 +1,17 @@
 //! Handling of one request: admission, attempts at servers, and the answer or refusal.
 
-use super::attempt::{self, Answer, AttemptOutcome};
+use super::attempt::{Answer, AttemptOutcome};
 use super::buffered_answer::forward_buffered;
+use super::pending_attempts::{PendingAttempts, SERVER_CHECK_PERIOD};
 use super::refusal::{Refusal, RefusalReason};
 use super::request::{RelayedRequest, receive};
 use super::{RelayContext, stream};
+use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::Reply;
-use crate::decision::relay::{Choice, Unavailable, UnavailableReason};
-use crate::decision::relay::{Prompt, Route};
+use crate::decision::relay::{
+    Choice, Failover, FailoverStep, GiveUpReason, NotTriedReason, Prompt, Unavailable,
+    UnavailableReason,
+};
 use crate::metrics::labels::ReasonLabels;
 use crate::types::{Delivery, PeerError, RequestId, ServerId, Step};
 use http::Request;
@@ -42,17 +46,26 @@
 }
 
 impl Attempts {
-    /// Whether the route allows no attempt after the next one.
-    pub fn is_next_last(&self, route: &Route) -> bool {
-        self.possible_runs + 1 >= route.max_attempts
+    /// Records that the request was sent to a server, which may run it.
+    pub fn begin(&mut self, server: &ServerId) {
+        self.tried.push(server.clone());
+        self.possible_runs += 1;
     }
 
-    /// Counts an attempt unless the server certainly did not run the request.
-    pub fn record(&mut self, outcome: &AttemptOutcome) {
-        self.possible_runs += match outcome {
-            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => 1,
-            AttemptOutcome::NotRun(_) | AttemptOutcome::NotSent(_) => 0,
-        };
+    /// Records the outcome of an attempt: a server that certainly did not run the request does not
+    /// count.
+    pub fn end(&mut self, outcome: &AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => {}
+            AttemptOutcome::NotRun(_) | AttemptOutcome::NotSent(_) => self.possible_runs -= 1,
+        }
+    }
+
+    /// Whether the route and the remaining time allow another attempt.
+    pub fn allow_another(&self, request: &RelayedRequest, now: Instant) -> bool {
+        self.possible_runs < request.route.max_attempts
+            && self.tried.len() < MAX_TRIED_SERVERS
+            && now + MIN_ATTEMPT_TIME < request.deadline
     }
 
     /// Takes a resend from the budget if route, budget and remaining time allow one; returns
@@ -64,9 +77,7 @@
         reason: &str,
     ) -> bool {
         let now = Instant::now();
-        let is_allowed = self.possible_runs < request.route.max_attempts
-            && self.tried.len() < MAX_TRIED_SERVERS
-            && now + MIN_ATTEMPT_TIME < request.deadline
+        let is_allowed = self.allow_another(request, now)
             && context.resend_budget().try_take(&request.service, now);
         if is_allowed {
             let labels = ReasonLabels { reason: reason.to_owned() };
@@ -150,66 +161,177 @@
     context: &Arc<RelayContext>,
     request: &Arc<RelayedRequest>,
 ) -> Result<Reply, Refusal> {
-    context.resend_budget().count_first_attempt(&request.service, Instant::now());
-    let mut attempts = Attempts::default();
+    let now = Instant::now();
+    context.resend_budget().count_first_attempt(&request.service, now);
+    let mut search = ServerSearch {
+        context,
+        request,
+        attempts: Attempts::default(),
+        pending: PendingAttempts::default(),
+        failover: Failover::new(request.deadline, now),
+        next_attempt: NextAttempt::Free,
+        refusal: Refusal::new(RefusalReason::TimedOut),
+    };
     loop {
-        let choice = choose_server(context, request, &attempts).await?;
-        let is_last = attempts.is_next_last(&request.route);
-        attempts.tried.push(choice.server.clone());
-        let outcome = attempt::send(context, request, &choice, None, is_last).await;
-        attempts.record(&outcome);
-        let is_retry_allowed = match outcome {
-            AttemptOutcome::NotSent(error) if error.delivery == Delivery::NotSent => {
-                attempts.tried.len() < MAX_TRIED_SERVERS
-            }
-            AttemptOutcome::NotSent(_) => false,
-            AttemptOutcome::NotRun(reason) => {
-                attempts.try_resend(context, request, &reason.to_string())
+        let now = Instant::now();
+        match search.failover.step(search.may_try_another(now), now) {
+            FailoverStep::TryAnother => {
+                search.try_server().await;
             }
-            AttemptOutcome::Unknown(error) => {
-                let is_retryable = request.route.retry_safety.is_retryable();
-                if !is_retryable || !attempts.try_resend(context, request, "unknown") {
-                    return Err(failure_refusal(request, &error));
+            FailoverStep::Wait { until } => {
+                if let Some(reply) = search.wait_for_answer(until).await {
+                    return Ok(reply);
                 }
-                true
             }
-            AttemptOutcome::Answered(received) => {
-                match forward_answer(context, request, &mut attempts, *received).await? {
-                    Some(reply) => return Ok(reply),
-                    None => true,
-                }
+            FailoverStep::GiveUp(GiveUpReason::NoServer) => return Err(search.refusal),
+            FailoverStep::GiveUp(GiveUpReason::DeadlinePassed) => {
+                return Err(Refusal::new(RefusalReason::TimedOut));
             }
-        };
-        if !is_retry_allowed {
-            return Err(Refusal::with_retry(
-                RefusalReason::NotRun,
-                Instant::now() + NOT_RUN_RETRY_DELAY,
-            ));
         }
     }
 }
 
-/// Returns the answer for the caller, `None` if the request must be sent again.
-async fn forward_answer(
-    context: &Arc<RelayContext>,
-    request: &Arc<RelayedRequest>,
-    attempts: &mut Attempts,
-    received: Answer,
-) -> Result<Option<Reply>, Refusal> {
-    let is_failure = received.exchange.status.is_server_error();
-    let is_retryable = request.route.retry_safety.is_retryable();
-    if is_failure && is_retryable && attempts.try_resend(context, request, "server_error") {
-        return Ok(None);
+/// Whether a request may be sent to another server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum NextAttempt {
+    /// It may, since no server got it.
+    Free,
+    /// It may if the resend budget allows it.
+    Resend(SmolStr),
+    /// It may not.
+    Forbidden,
+}
+
+/// Search for a server that answers a request.
+struct ServerSearch<'a> {
+    context: &'a Arc<RelayContext>,
+    request: &'a Arc<RelayedRequest>,
+    attempts: Attempts,
+    pending: PendingAttempts,
+    failover: Failover,
+    next_attempt: NextAttempt,
+    /// Refusal if no server answers.
+    refusal: Refusal,
+}
+
+impl ServerSearch<'_> {
+    fn may_try_another(&self, now: Instant) -> bool {
+        match self.next_attempt {
+            NextAttempt::Free => self.attempts.tried.len() < MAX_TRIED_SERVERS,
+            NextAttempt::Resend(_) => self.attempts.allow_another(self.request, now),
+            NextAttempt::Forbidden => false,
+        }
     }
-    if received.exchange.status.is_success() && request.route.retry_safety.is_stream() {
-        return Ok(Some(stream::forward_stream(context, request, attempts.clone(), received)));
+
+    /// Sends the request to the best available server, if budget and load allow it; returns
+    /// whether they do.
+    async fn try_server(&mut self) -> bool {
+        let (context, request) = (self.context, self.request);
+        let chosen = match self.pending.is_empty() {
+            true => choose_server(context, request, &self.attempts).await,
+            false => choose_server_now(context, request, &self.attempts, Instant::now()),
+        };
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(refusal) => {
+                self.refusal = refusal;
+                self.failover.record_not_tried(NotTriedReason::Unavailable, Instant::now());
+                return false;
+            }
+        };
+        if let NextAttempt::Resend(reason) = &self.next_attempt
+            && !self.attempts.try_resend(context, request, reason)
+        {
+            self.failover.record_not_tried(NotTriedReason::Budget, Instant::now());
+            return false;
+        }
+        self.attempts.begin(&choice.server);
+        self.pending.begin(context, request, choice, None);
+        self.failover.record_sent();
+        true
     }
-    match forward_buffered(context, request, received).await {
-        Ok(reply) => Ok(Some(reply)),
-        Err(_) if is_retryable && attempts.try_resend(context, request, "answer_broken") => {
-            Ok(None)
+
+    /// Waits for a server to answer; returns the answer for the caller if one did.
+    async fn wait_for_answer(&mut self, until: Instant) -> Option<Reply> {
+        let until = until.min(Instant::now() + SERVER_CHECK_PERIOD);
+        if let Ok(ended) = timeout_at(until, self.pending.next_ended()).await {
+            return self.end_attempt(ended.outcome).await;
         }
-        Err(error) => Err(failure_refusal(request, &error)),
+        let now = Instant::now();
+        if self.request.route.retry_safety.is_retryable()
+            && self.attempts.allow_another(self.request, now)
+            && self.pending.is_overdue(self.context, self.request)
+        {
+            self.next_attempt = NextAttempt::Resend("overdue".into());
+            self.failover.record_silence(now);
+        }
+        None
+    }
+
+    /// Applies the outcome of an attempt; returns the answer for the caller if it was one.
+    async fn end_attempt(&mut self, outcome: AttemptOutcome) -> Option<Reply> {
+        self.attempts.end(&outcome);
+        match outcome {
+            AttemptOutcome::NotSent(error) => {
+                let is_free = error.delivery == Delivery::NotSent;
+                self.refuse_not_run();
+                self.next_attempt =
+                    if is_free { NextAttempt::Free } else { NextAttempt::Forbidden };
+            }
+            AttemptOutcome::NotRun(reason) => {
+                self.refuse_not_run();
+                self.next_attempt = NextAttempt::Resend(reason.to_string().into());
+            }
+            AttemptOutcome::Unknown(error) => {
+                self.refusal = failure_refusal(self.request, &error);
+                self.next_attempt = self.resend_if_retryable("unknown");
+            }
+            AttemptOutcome::Answered(answer) => return self.forward_answer(*answer).await,
+        }
+        self.failover.record_failed_answer(false, Instant::now());
+        None
+    }
+
+    /// Returns the answer for the caller, `None` if another server may still answer.
+    async fn forward_answer(&mut self, answer: Answer) -> Option<Reply> {
+        let (context, request) = (self.context, self.request);
+        let retry_safety = request.route.retry_safety;
+        if answer.exchange.status.is_server_error() && retry_safety.is_retryable() {
+            self.next_attempt = NextAttempt::Resend("server_error".into());
+            if self.try_server().await || !self.pending.is_empty() {
+                self.refusal = Refusal::new(RefusalReason::OutcomeUnknown);
+                self.failover.record_failed_answer(false, Instant::now());
+                return None;
+            }
+        }
+        if answer.exchange.status.is_success() && retry_safety.is_stream() {
+            self.pending.abandon(request);
+            return Some(stream::forward_stream(context, request, self.attempts.clone(), answer));
+        }
+        match forward_buffered(context, request, answer).await {
+            Ok(reply) => {
+                self.pending.abandon(request);
+                Some(reply)
+            }
+            Err(error) => {
+                self.refusal = failure_refusal(request, &error);
+                self.next_attempt = self.resend_if_retryable("answer_broken");
+                self.failover.record_failed_answer(false, Instant::now());
+                None
+            }
+        }
+    }
+
+    fn resend_if_retryable(&self, reason: &'static str) -> NextAttempt {
+        match self.request.route.retry_safety.is_retryable() {
+            true => NextAttempt::Resend(SmolStr::new_static(reason)),
+            false => NextAttempt::Forbidden,
+        }
+    }
+
+    fn refuse_not_run(&mut self) {
+        let retry_at = Instant::now() + NOT_RUN_RETRY_DELAY;
+        self.refusal = Refusal::with_retry(RefusalReason::NotRun, retry_at);
     }
 }
 
@@ -234,21 +356,33 @@
     let wait_until = Instant::now() + objective / WAIT_OBJECTIVE_DIVISOR;
     loop {
         let now = Instant::now();
-        let chosen = context.fleet().choose(request.server_query(&attempts.tried), now);
-        match chosen {
-            Ok(choice) => {
-                check_overload(request, &choice, attempts.possible_runs > 0, now)?;
-                log_choice(request, &choice);
-                return Ok(choice);
-            }
-            Err(Unavailable { reason, retry_at }) => {
-                let may_wait = reason == UnavailableReason::Closed && now < wait_until;
-                if !may_wait {
-                    let reason = RefusalReason::Unavailable(reason);
-                    return Err(Refusal::with_retry(reason, retry_at));
-                }
-                Timer::after(CHOICE_POLL_PERIOD).await;
-            }
+        let chosen = choose_server_now(context, request, attempts, now);
+        let is_closed = chosen.as_ref().is_err_and(|refusal| {
+            refusal.reason == RefusalReason::Unavailable(UnavailableReason::Closed)
+        });
+        if !is_closed || now >= wait_until {
+            return chosen;
+        }
+        Timer::after(CHOICE_POLL_PERIOD).await;
+    }
+}
+
+/// Returns the server for the next attempt at `now`.
+pub fn choose_server_now(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    attempts: &Attempts,
+    now: Instant,
+) -> Result<Choice, Refusal> {
+    let chosen = context.fleet().choose(request.server_query(&attempts.tried), now);
+    match chosen {
+        Ok(choice) => {
+            check_overload(request, &choice, attempts.possible_runs > 0, now)?;
+            log_choice(request, &choice);
+            Ok(choice)
+        }
+        Err(Unavailable { reason, retry_at }) => {
+            Err(Refusal::with_retry(RefusalReason::Unavailable(reason), retry_at))
         }
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod metrics;
 pub mod node;
+pub mod pending_attempts;
 pub mod refusal;
 pub mod request;
 pub mod run;
--- /dev/null
+++ b/src/relay/pending_attempts.rs
@@ -0,0 +1,146 @@
+//! Attempts of one request whose servers have not begun to answer.
+
+use super::RelayContext;
+use super::attempt::{self, AttemptOutcome};
+use super::request::RelayedRequest;
+use crate::decision::relay::{Choice, Fleet};
+use crate::types::ServerId;
+use futures_lite::future::poll_fn;
+use smol_str::SmolStr;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+use strum::Display;
+
+/// Period at which a retryable request checks whether its server is silent or slow.
+pub const SERVER_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Number of latency objectives after which a server counts as slow for a request other than a
+/// stream.
+const SLOW_AFTER_OBJECTIVES: u32 = 2;
+
+/// Why an attempt is overdue.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+enum OverdueReason {
+    /// The server is silent or left the list of servers.
+    Silent,
+    /// The server is slow.
+    Slow,
+}
+
+/// Attempt that has ended.
+pub struct EndedAttempt {
+    /// Server that the request was sent to.
+    pub server: ServerId,
+    /// Outcome.
+    pub outcome: AttemptOutcome,
+}
+
+struct PendingAttempt {
+    server: ServerId,
+    sent_at: Instant,
+    is_overdue: bool,
+    outcome: Pin<Box<dyn Future<Output = AttemptOutcome> + Send>>,
+}
+
+/// Attempts of one request whose servers have not begun to answer, oldest first. Dropping an
+/// attempt closes its connection.
+#[derive(Default)]
+pub struct PendingAttempts {
+    attempts: Vec<PendingAttempt>,
+}
+
+impl PendingAttempts {
+    /// Sends the request to the chosen server.
+    pub fn begin(
+        &mut self,
+        context: &Arc<RelayContext>,
+        request: &Arc<RelayedRequest>,
+        choice: Choice,
+        last_event_id: Option<SmolStr>,
+    ) {
+        let server = choice.server.clone();
+        let (context, request) = (Arc::clone(context), Arc::clone(request));
+        let outcome =
+            Box::pin(
+                async move { attempt::send(&context, &request, &choice, last_event_id).await },
+            );
+        let sent_at = Instant::now();
+        self.attempts.push(PendingAttempt { server, sent_at, is_overdue: false, outcome });
+    }
+
+    /// Whether no attempt is pending.
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Waits until an attempt ends and removes it; never returns without attempts.
+    pub async fn next_ended(&mut self) -> EndedAttempt {
+        poll_fn(|cx| {
+            for index in 0..self.attempts.len() {
+                let polled = self.attempts[index].outcome.as_mut().poll(cx);
+                if let Poll::Ready(outcome) = polled {
+                    let server = self.attempts.remove(index).server;
+                    return Poll::Ready(EndedAttempt { server, outcome });
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Whether the server of the newest attempt is silent, or slow if the request is not a stream.
+    /// The first time, that counts as a failure of the server.
+    pub fn is_overdue(&mut self, context: &RelayContext, request: &RelayedRequest) -> bool {
+        let Some(newest) = self.attempts.last_mut() else { return false };
+        if newest.is_overdue {
+            return true;
+        }
+        let now = Instant::now();
+        let mut fleet = context.fleet();
+        let Some(reason) = overdue_reason(&fleet, request, newest, now) else { return false };
+        if let Some(server) = fleet.server_mut(&newest.server) {
+            server.health.record_outcome(false, 0.0, now);
+        }
+        drop(fleet);
+        newest.is_overdue = true;
+        log::info!(
+            "event=attempt_overdue request={} route={} server={} reason={reason} sent_ms={}",
+            request.id,
+            request.route.name,
+            newest.server,
+            newest.sent_at.elapsed().as_millis()
+        );
+        true
+    }
+
+    /// Drops the attempts, since another server answers.
+    pub fn abandon(&mut self, request: &RelayedRequest) {
+        for attempt in self.attempts.drain(..) {
+            log::info!(
+                "event=attempt_abandoned request={} server={} sent_ms={}",
+                request.id,
+                attempt.server,
+                attempt.sent_at.elapsed().as_millis()
+            );
+        }
+    }
+}
+
+fn overdue_reason(
+    fleet: &Fleet,
+    request: &RelayedRequest,
+    attempt: &PendingAttempt,
+    now: Instant,
+) -> Option<OverdueReason> {
+    if fleet.server(&attempt.server).is_none_or(|server| server.is_silent(now)) {
+        return Some(OverdueReason::Silent);
+    }
+    let objective = Duration::from_millis(request.route.latency_objective_ms.max(1));
+    let is_slow = !request.route.retry_safety.is_stream()
+        && now >= attempt.sent_at + objective * SLOW_AFTER_OBJECTIVES;
+    is_slow.then_some(OverdueReason::Slow)
+}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,40 +2,39 @@
 //! it.
 
 use super::RelayContext;
-use super::attempt::{self, Answer, AttemptOutcome, NotRunReason};
+use super::attempt::{Answer, AttemptOutcome, NotRunReason};
 use super::buffered_answer::return_to_pool;
-use super::exchange::{Attempts, choose_server};
+use super::exchange::{Attempts, choose_server, choose_server_now};
 use super::metrics::AnswerLabels;
+use super::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use super::request::{RelayedRequest, end_to_end_headers};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
 use crate::decision::relay::event_splitter::EventTooLong;
-use crate::decision::relay::{Choice, EventSplitter, RetrySafety};
-use crate::types::{DeadlinePassed, Delivery, PeerError, Step};
+use crate::decision::relay::{
+    Choice, EventSplitter, Failover, FailoverStep, GiveUpReason, NotTriedReason, RetrySafety,
+};
+use crate::types::{DeadlinePassed, Delivery, PeerError, PeerResult, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future;
 use futures_lite::stream::unfold;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use smol::Timer;
-use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use strum::Display;
 
-/// Silence of a server after which a resumable stream moves to another one. It is several times the
-/// pause that callers accept and shorter than the one after which they leave.
-const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1_000);
+/// Time in which another server must accept a stream that is moved off its server.
+const MAX_MOVE_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Time after which moving a stream off its server is tried again; one or two requests end
 /// meanwhile, so that another server may have room.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time after which a server is chosen again for an interrupted stream.
-const CHOICE_RETRY_DELAY: Duration = Duration::from_millis(40);
-
 /// Why the answer of a server was cut.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -44,8 +43,14 @@
     Broken,
     /// The deadline of the request passed.
     Deadline,
-    /// The server sent nothing for [`MAX_STREAM_SILENCE`].
-    Silent,
+}
+
+/// What a stream waits for.
+enum StreamEvent {
+    /// The current server sent data, ended its answer or broke it off.
+    Received(PeerResult<Option<Bytes>>),
+    /// An attempt to resume the stream at another server has ended.
+    Attempted(EndedAttempt),
 }
 
 /// Counts a request by its outcome.
@@ -59,8 +64,11 @@
     context: Arc<RelayContext>,
     request: Arc<RelayedRequest>,
     attempts: Attempts,
+    failover: Failover,
     /// Answer of the current server, `None` after it was interrupted or the stream has ended.
     answer: Option<Answer>,
+    /// Attempts to resume the stream while the current server is silent or its answer is cut.
+    pending: PendingAttempts,
     /// Splits the stream into whole events, `None` if the answer is not an event stream.
     splitter: Option<EventSplitter>,
     is_resumable: bool,
@@ -91,7 +99,9 @@
         context: Arc::clone(context),
         request: Arc::clone(request),
         attempts,
+        failover: Failover::of_stream(request.deadline, Instant::now()),
         answer: Some(received),
+        pending: PendingAttempts::default(),
         splitter: is_event_stream.then(EventSplitter::default),
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         forwarded_bytes: 0,
@@ -124,44 +134,83 @@
             if self.should_move() {
                 self.try_move().await;
             }
-            let deadline = self.read_deadline();
-            let Some(answer) = self.answer.as_mut() else {
-                return Some(Err(self.abort("no_server_goes_on")));
+            let now = Instant::now();
+            let event = match self.failover.step(self.may_resume(now), now) {
+                FailoverStep::Wait { until } => self.next_event(until).await,
+                FailoverStep::TryAnother => {
+                    self.try_another(now);
+                    continue;
+                }
+                FailoverStep::GiveUp(reason) => return Some(Err(self.abort(reason))),
             };
-            let interruption = match answer.exchange.next_data(deadline).await {
-                Ok(Some(data)) => {
-                    answer.in_flight.record_contact();
-                    match self.take_whole_events(data) {
-                        Ok(events) if events.is_empty() => continue,
-                        Ok(events) => return Some(Ok(self.record_data(events))),
-                        Err(BodyAborted) => return Some(Err(self.abort("event_too_long"))),
+            match event {
+                Some(StreamEvent::Received(received)) => {
+                    if let Some(data) = self.handle_received(received) {
+                        return data;
                     }
                 }
-                Ok(None) => match self.find_truncation() {
-                    Some(truncation) => truncation,
-                    None => return self.finish().map(Ok),
-                },
-                Err(error) => error,
-            };
-            if !self.resume_after(&interruption).await {
-                let is_late = Instant::now() >= self.request.deadline;
-                let reason = if is_late { "time_over" } else { "server_broke_off" };
-                return Some(Err(self.abort(reason)));
+                Some(StreamEvent::Attempted(ended)) => self.end_attempt(ended),
+                None => self.check_pending(),
             }
         }
         None
     }
 
-    /// Returns when the stream stops waiting for data from the current server.
-    fn read_deadline(&self) -> Instant {
-        if !self.may_resume() {
-            return self.request.deadline;
+    /// Waits for the next event; the current server goes first if several have happened.
+    async fn next_event(&mut self, until: Instant) -> Option<StreamEvent> {
+        let Self { answer, pending, request, .. } = self;
+        let until = match pending.is_empty() {
+            true => until,
+            false => until.min(Instant::now() + SERVER_CHECK_PERIOD),
+        };
+        let received = async {
+            match answer {
+                Some(answer) => {
+                    StreamEvent::Received(answer.exchange.next_data(request.deadline).await)
+                }
+                None => future::pending().await,
+            }
+        };
+        let attempted = async { StreamEvent::Attempted(pending.next_ended().await) };
+        timeout_at(until, received.or(attempted)).await.ok()
+    }
+
+    /// Handles what the current server sent. Returns what the caller gets, `None` if that is not
+    /// known yet; the inner `None` ends the stream.
+    fn handle_received(
+        &mut self,
+        received: PeerResult<Option<Bytes>>,
+    ) -> Option<Option<Result<Bytes, BodyAborted>>> {
+        let interruption = match received {
+            Ok(Some(data)) => {
+                self.record_contact();
+                return match self.take_whole_events(data) {
+                    Ok(events) if events.is_empty() => None,
+                    Ok(events) => Some(Some(Ok(self.record_data(events)))),
+                    Err(BodyAborted) => Some(Some(Err(self.abort_with("event_too_long")))),
+                };
+            }
+            Ok(None) => match self.find_truncation() {
+                Some(truncation) => truncation,
+                None => return Some(self.finish().map(Ok)),
+            },
+            Err(error) => error,
+        };
+        self.interrupt(&interruption);
+        None
+    }
+
+    /// Records that the current server goes on, so that no other one is needed.
+    fn record_contact(&mut self) {
+        if let Some(answer) = &mut self.answer {
+            answer.in_flight.record_contact();
         }
-        self.request.deadline.min(Instant::now() + MAX_STREAM_SILENCE)
+        self.pending.abandon(&self.request);
+        self.failover.record_data(Instant::now());
     }
 
-    fn may_resume(&self) -> bool {
-        self.is_resumable && self.attempts.possible_runs < self.request.route.max_attempts
+    fn may_resume(&self, now: Instant) -> bool {
+        self.is_resumable && self.attempts.allow_another(&self.request, now)
     }
 
     /// Returns the whole events that `data` completes; all of `data` if the answer is not an event
@@ -206,6 +255,7 @@
     /// Ends a complete stream; returns the data after the last whole event, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.is_ended = true;
+        self.pending.abandon(&self.request);
         if let Some(answer) = self.answer.take() {
             self.log_outcome("complete", Some(&answer));
             return_to_pool(&self.context, answer.exchange, &answer.head);
@@ -214,9 +264,19 @@
         rest.filter(|rest| !rest.is_empty())
     }
 
+    /// Ends an incomplete stream that no server continues.
+    fn abort(&mut self, reason: GiveUpReason) -> BodyAborted {
+        self.abort_with(match reason {
+            GiveUpReason::DeadlinePassed => "time_over",
+            GiveUpReason::NoServer if self.is_resumable => "no_server_goes_on",
+            GiveUpReason::NoServer => "server_broke_off",
+        })
+    }
+
     /// Ends an incomplete stream and logs why.
-    fn abort(&mut self, reason: &str) -> BodyAborted {
+    fn abort_with(&mut self, reason: &str) -> BodyAborted {
         self.is_ended = true;
+        self.pending.abandon(&self.request);
         let answer = self.answer.take();
         log::info!("event=stream_broken request={} reason={reason}", self.request.id);
         self.log_outcome("broken", answer.as_ref());
@@ -225,108 +285,111 @@
 
     /// Whether the stream must leave its server and can be resumed at another one now.
     fn should_move(&self) -> bool {
-        let Some(answer) = self.answer.as_ref().filter(|_| self.may_resume()) else { return false };
-        if self.next_move_at.is_some_and(|at| Instant::now() < at) {
+        let now = Instant::now();
+        let Some(answer) = self.answer.as_ref().filter(|_| self.may_resume(now)) else {
+            return false;
+        };
+        if !self.pending.is_empty() || self.next_move_at.is_some_and(|at| now < at) {
             return false;
         }
         let has_begun = self.splitter.as_ref().is_some_and(|s| s.last_event_id().is_some());
         let fleet = self.context.fleet();
         let server = fleet.server(&answer.in_flight.server);
-        has_begun && server.is_some_and(|server| server.is_evicted(Instant::now()))
+        has_begun && server.is_some_and(|server| server.is_evicted(now))
     }
 
     /// Moves the stream to another server if one accepts it; otherwise it stays at its server.
+    /// Nothing of the current answer is forwarded meanwhile, since the other one would repeat it.
     async fn try_move(&mut self) {
-        let Some(splitter) = &self.splitter else { return };
-        let last_event_id = splitter.last_event_id().cloned();
         let now = Instant::now();
         self.next_move_at = Some(now + MOVE_RETRY_DELAY);
         let Ok(choice) = choose_server(&self.context, &self.request, &self.attempts).await else {
             return;
         };
-        if !self.attempts.try_resend(&self.context, &self.request, "evicted") {
+        if !self.resume_at(choice, "evicted") {
             return;
         }
-        let resume_deadline = self.request.deadline.min(now + MAX_STREAM_SILENCE);
-        // The current server continues until the new answer replaces its answer.
-        self.continue_at(&choice, last_event_id, resume_deadline).await;
+        let deadline = self.request.deadline.min(now + MAX_MOVE_PERIOD);
+        match timeout_at(deadline, self.pending.next_ended()).await {
+            Ok(ended) => self.end_attempt(ended),
+            Err(DeadlinePassed) => self.pending.abandon(&self.request),
+        }
+        self.failover.record_data(Instant::now());
     }
 
-    /// Resumes an interrupted stream at another server, after the last whole event; returns whether
-    /// that succeeded.
-    async fn resume_after(&mut self, error: &PeerError) -> bool {
-        let interrupted = self.answer.take();
-        if let Some(answer) = &interrupted {
-            answer.in_flight.record_outcome(false, 0.0);
-        }
-        drop(interrupted);
-        let cause = self.cut_cause(error);
-        log::info!("event=stream_cut request={} cause={cause} {error}", self.request.id);
-        let Some(splitter) = self.splitter.as_ref().filter(|_| self.may_resume()) else {
-            return false;
+    /// Sends the request to another server, after the last whole event, beside the current answer.
+    fn try_another(&mut self, now: Instant) {
+        let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
+        let Ok(choice) = chosen else {
+            return self.failover.record_not_tried(NotTriedReason::Unavailable, now);
         };
-        let last_event_id = splitter.last_event_id().cloned();
-        self.resume_elsewhere(last_event_id).await
+        if !self.resume_at(choice, "resume") {
+            return self.failover.record_not_tried(NotTriedReason::Budget, now);
+        }
+        if let Some(silent) = &self.answer {
+            silent.in_flight.record_outcome(false, 0.0);
+        }
     }
 
-    fn cut_cause(&self, error: &PeerError) -> CutCause {
-        match error.source.is::<DeadlinePassed>() {
-            false => CutCause::Broken,
-            true if Instant::now() >= self.request.deadline => CutCause::Deadline,
-            true => CutCause::Silent,
+    /// Sends the request to the chosen server if the resend budget allows it; returns whether it
+    /// does.
+    fn resume_at(&mut self, choice: Choice, reason: &str) -> bool {
+        if !self.attempts.try_resend(&self.context, &self.request, reason) {
+            return false;
         }
+        let last_event_id = self.splitter.as_ref().and_then(|s| s.last_event_id().cloned());
+        self.attempts.begin(&choice.server);
+        self.pending.begin(&self.context, &self.request, choice, last_event_id);
+        self.failover.record_sent();
+        true
     }
 
-    /// Sends the request to other servers until one continues after `last_event_id`; returns
-    /// whether one did in time.
-    async fn resume_elsewhere(&mut self, last_event_id: Option<SmolStr>) -> bool {
-        let resume_deadline = self.request.deadline.min(Instant::now() + MAX_STREAM_SILENCE);
-        while Instant::now() < resume_deadline {
-            let Ok(choice) = choose_server(&self.context, &self.request, &self.attempts).await
-            else {
-                Timer::after(CHOICE_RETRY_DELAY).await;
-                continue;
-            };
-            if !self.attempts.try_resend(&self.context, &self.request, "resume") {
-                return false;
-            }
-            if self.continue_at(&choice, last_event_id.clone(), self.request.deadline).await {
-                return true;
-            }
+    /// Drops the answer of a server that broke it off.
+    fn interrupt(&mut self, error: &PeerError) {
+        if let Some(answer) = self.answer.take() {
+            answer.in_flight.record_outcome(false, 0.0);
         }
-        false
+        let is_late = error.source.is::<DeadlinePassed>();
+        let cause = if is_late { CutCause::Deadline } else { CutCause::Broken };
+        log::info!("event=stream_cut request={} cause={cause} {error}", self.request.id);
+        self.failover.record_failed_answer(true, Instant::now());
     }
 
-    /// Sends the request to `choice` and takes over its answer; returns whether that succeeded.
-    async fn continue_at(
-        &mut self,
-        choice: &Choice,
-        last_event_id: Option<SmolStr>,
-        answer_deadline: Instant,
-    ) -> bool {
-        let is_last_attempt = self.attempts.is_next_last(&self.request.route);
-        self.attempts.tried.push(choice.server.clone());
-        let sent =
-            attempt::send(&self.context, &self.request, choice, last_event_id, is_last_attempt);
-        let Ok(outcome) = timeout_at(answer_deadline, sent).await else {
-            self.attempts.possible_runs += 1;
-            return false;
-        };
-        self.attempts.record(&outcome);
+    /// Applies the outcome of an attempt to resume the stream.
+    fn end_attempt(&mut self, ended: EndedAttempt) {
+        let EndedAttempt { server, outcome } = ended;
+        self.attempts.end(&outcome);
         match outcome {
             AttemptOutcome::Answered(answer) if answer.exchange.status.is_success() => {
-                self.answer = Some(*answer);
-                self.splitter.iter_mut().for_each(EventSplitter::begin_answer);
-                self.context.metrics.resumed_streams.inc();
-                true
+                return self.resume_from(*answer);
             }
             AttemptOutcome::NotRun(NotRunReason::Full) => {
                 // It may be tried again: it has room once a request ends, and `choose` skips it
                 // until then.
-                self.attempts.tried.pop();
-                false
+                self.attempts.tried.retain(|tried| *tried != server);
             }
-            _ => false,
+            _ => {}
+        }
+        let now = Instant::now();
+        self.failover.record_failed_answer(true, now);
+        if self.pending.is_empty() && self.answer.is_some() {
+            self.failover.record_silence(now);
+        }
+    }
+
+    /// Continues the stream with the answer of another server.
+    fn resume_from(&mut self, answer: Answer) {
+        self.pending.abandon(&self.request);
+        self.answer = Some(answer);
+        self.splitter.iter_mut().for_each(EventSplitter::begin_answer);
+        self.context.metrics.resumed_streams.inc();
+        self.failover.record_data(Instant::now());
+    }
+
+    /// Records the silence of the servers that were asked to resume the stream.
+    fn check_pending(&mut self) {
+        if self.pending.is_overdue(&self.context, &self.request) {
+            self.failover.record_silence(Instant::now());
         }
     }
 
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod event_position;
 mod event_splitter;
+mod failover;
 mod fixture;
 mod health;
 mod lease;
