fix(http): bytes without end no longer stop a node or fill it

What callers saw: while one server, or one caller, sent bytes that complete nothing (informational heads, zeros in the size of a chunk), all requests of the node got neither an answer nor a refusal until it stopped.

Cause: the HTTP library reads and parses in a loop for as long as bytes are there, without giving up its thread, so that no other task or timer of the node's traffic thread ran, the request's own deadline included. The class of fault is work whose length a peer decides, without a limit of one's own.

Evidence: three tests with a stand-in that writes raw bytes failed before ("deadline passed" after 10 s; "the node did not close the connection") and pass now (platform/tests/floods.rs). Heads of garbage or header lines, bodies and events without end were limited already; their tests stay.

Fix: connections are read through a stream that lets other tasks run after 64 KiB at the latest, for servers, callers, the store and the readiness port. A connection to a server also fails after 128 KiB that led to neither a head nor data; the library buffers a quarter of that at most, so that no sound answer comes near. Links between nodes are authenticated and have limits of their own; not changed.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -5,6 +5,7 @@
 
 use super::deadline::timeout_at;
 use super::framing::Framing;
+use super::guarded_stream::{GuardedStream, UndeliveredBytes};
 use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
@@ -47,6 +48,7 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    undelivered: UndeliveredBytes,
     /// Performs the I/O; dropping it closes the connection.
     _driver: Task<()>,
 }
@@ -97,12 +99,14 @@
     ) -> PeerResult<PooledExchange> {
         let key = (server.clone(), address);
         let mut connection = self.acquire(&key, deadline).await?;
+        connection.undelivered.reset();
         let sent = timeout_at(deadline, connection.sender.send_request(request)).await;
         let answer = sent.map_err(|error| head_error(&key, Delivery::Unknown, error.into()))?;
         let answer = answer.map_err(|error| {
             let delivery = if error.is_canceled() { Delivery::NotSent } else { Delivery::Unknown };
             head_error(&key, delivery, error.into())
         })?;
+        connection.undelivered.reset();
         let (parts, body) = answer.into_parts();
         let (status, headers) = (parts.status, parts.headers);
         let has_no_body = body.is_end_stream();
@@ -171,9 +175,10 @@
             .map_err(|error| connect_error(error.into()))?
             .map_err(|error| connect_error(error.into()))?;
         set_options(&stream).map_err(|error| connect_error(error.into()))?;
+        let undelivered = UndeliveredBytes::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(GuardedStream::with_limit(stream, undelivered.clone())))
             .await
             .map_err(|error| connect_error(error.into()))?;
         let driver = executor.spawn(async move {
@@ -181,7 +186,7 @@
                 log::debug!("event=server_connection_ended error=\"{error}\"");
             }
         });
-        Ok(Connection { sender, _driver: driver })
+        Ok(Connection { sender, undelivered, _driver: driver })
     }
 
     fn lock(&self) -> MutexGuard<'_, IdleConnections> {
@@ -219,6 +224,7 @@
                 Err(error) => return Err(self.body_error(error.into())),
             };
             if let Ok(data) = frame.into_data() {
+                self.connection.undelivered.reset();
                 return Ok(Some(data));
             }
         }
--- a/src/adapters/http_client.rs
+++ b/src/adapters/http_client.rs
@@ -4,6 +4,7 @@
 //! it, which shows the peer that the response is no longer awaited.
 
 use super::deadline::timeout_at;
+use super::guarded_stream::GuardedStream;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
 use bytes::{Bytes, BytesMut};
 use futures_lite::future::poll_fn;
@@ -24,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Future that performs the I/O of a connection.
-type Driver = Pin<Box<Connection<FuturesIo<TcpStream>, Full<Bytes>>>>;
+type Driver = Pin<Box<Connection<FuturesIo<GuardedStream>, Full<Bytes>>>>;
 
 /// Response whose body is still being received.
 pub struct Exchange {
@@ -45,7 +46,7 @@
 ) -> PeerResult<Exchange> {
     let peer = address.to_smolstr();
     let stream = connect(address, &peer, deadline).await?;
-    let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
+    let (mut sender, connection) = http1::handshake(FuturesIo::new(GuardedStream::new(stream)))
         .await
         .map_err(|error| PeerError::new(Step::Connect, peer.clone(), Delivery::NotSent, error))?;
     let mut driver: Option<Driver> = Some(Box::pin(connection));
--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server with a limit on request heads and graceful shutdown.
 
+use super::guarded_stream::GuardedStream;
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
@@ -134,7 +135,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(GuardedStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let finished = async { Some(connection.as_mut().await) };
     let draining = async {
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection_pool;
 pub mod deadline;
 pub mod framing;
+pub mod guarded_stream;
 pub mod http_client;
 pub mod http_server;
 pub mod instance_list;
