feat(relay): log what a cut exchange was doing, and crash checks

A cut exchange now logs server, framing, time since its sending, bytes and part ids, and each crash check its result.

--- a/src/adapters/framing.rs
+++ b/src/adapters/framing.rs
@@ -1,10 +1,10 @@
 //! Framing of HTTP/1.1 response bodies.
 
 use http::{HeaderMap, header};
-use strum::Display;
+use strum::{Display, IntoStaticStr};
 
 /// How a response tells where its body ends.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Framing {
     /// By the length in its head.
--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -57,6 +57,12 @@
             .collect()
     }
 
+    /// Returns the ids of the shared parts, separated by commas.
+    pub fn shared_part_ids(&self) -> String {
+        let ids: Vec<&str> = self.shared_parts().iter().map(|part| part.id.as_str()).collect();
+        ids.join(",")
+    }
+
     /// Returns the tokens of all shared parts.
     pub fn shared_tokens(&self) -> u32 {
         self.shared_parts().iter().map(|part| part.tokens).sum()
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,6 +15,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use smol_str::SmolStr;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -67,6 +68,7 @@
     load: ServerLoad,
     /// Whether the prompt has been prefilled.
     is_prefilled: bool,
+    sent_at: Instant,
 }
 
 impl InFlightAttempt {
@@ -91,7 +93,7 @@
             }
         }
         drop(fleet);
-        Self { context, server, attempt, load, is_prefilled: false }
+        Self { context, server, attempt, load, is_prefilled: false, sent_at: now }
     }
 
     /// Records that the server sent something. The first time, the prompt counts as prefilled.
@@ -116,6 +118,12 @@
     }
 }
 
+impl fmt::Display for InFlightAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "server={} sent_ms={}", self.server, self.sent_at.elapsed().as_millis())
+    }
+}
+
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
         self.context.fleet().end_request(&self.server, self.attempt, self.load);
@@ -215,7 +223,12 @@
 ) -> AttemptOutcome {
     let labels = ReasonLabels { reason: error.step.to_string() };
     context.metrics.server_failures.get_or_create(&labels).inc();
-    log::info!("event=attempt_failed request={} route={} {error}", request.id, request.route.name);
+    log::info!(
+        "event=attempt_failed request={} route={} {in_flight} parts={} {error}",
+        request.id,
+        request.route.name,
+        request.part_ids()
+    );
     if error.delivery == Delivery::NotSent {
         if error.step == Step::Connect {
             suspend_server(context, choice);
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -67,11 +67,21 @@
             crate::adapters::deadline::timeout_at(deadline, TcpStream::connect(address)).await;
         match opened {
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                log_check(&strike, "crashed");
                 context.notify_control(RelayControlEvent::ServerCrashed(strike));
                 return;
             }
-            Ok(Ok(_)) => return,
+            Ok(Ok(_)) => return log_check(&strike, "accepts_connections"),
             Ok(Err(_)) | Err(_) => Timer::after(CRASH_CHECK_PERIOD).await,
         };
     }
+    log_check(&strike, "no_answer");
+}
+
+fn log_check(strike: &Strike, result: &str) {
+    let Strike { fingerprint, server, incarnation } = strike;
+    log::info!(
+        "event=crash_checked server={server} incarnation={incarnation} result={result} \
+         fingerprint={fingerprint:016x}"
+    );
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -5,7 +5,7 @@
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
-use crate::decision::relay::{AdmissionRequest, Configuration, Route, ServerQuery};
+use crate::decision::relay::{AdmissionRequest, Configuration, Prompt, Route, ServerQuery};
 use crate::ports::RequestHead;
 use crate::types::{RequestId, ServerId, ServiceId};
 use bytes::{Bytes, BytesMut};
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns the ids of the shared parts of the prompt, separated by commas.
+    pub fn part_ids(&self) -> String {
+        self.head.prompt.as_ref().map_or_else(String::new, Prompt::shared_part_ids)
+    }
+
     /// Returns the milliseconds since the request arrived.
     pub fn age_ms(&self) -> u128 {
         self.arrived_at.elapsed().as_millis()
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -15,7 +15,7 @@
 use crate::decision::relay::{
     Choice, EventSplitter, Failover, FailoverStep, GiveUpReason, NotTriedReason, RetrySafety,
 };
-use crate::types::{DeadlinePassed, Delivery, PeerError, PeerResult, Step};
+use crate::types::{DeadlinePassed, Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -72,6 +72,8 @@
     /// Splits the stream into whole events, `None` if the answer is not an event stream.
     splitter: Option<EventSplitter>,
     is_resumable: bool,
+    /// Server and framing of the last answer that was interrupted.
+    last_answer: Option<(ServerId, Framing)>,
     forwarded_bytes: usize,
     /// Longest time between two forwarded pieces.
     max_pause: Duration,
@@ -104,6 +106,7 @@
         pending: PendingAttempts::default(),
         splitter: is_event_stream.then(EventSplitter::default),
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
+        last_answer: None,
         forwarded_bytes: 0,
         max_pause: Duration::ZERO,
         last_data_at: None,
@@ -346,12 +349,20 @@
 
     /// Drops the answer of a server that broke it off.
     fn interrupt(&mut self, error: &PeerError) {
+        let is_late = error.source.is::<DeadlinePassed>();
+        let cause = if is_late { CutCause::Deadline } else { CutCause::Broken };
         if let Some(answer) = self.answer.take() {
             answer.in_flight.record_outcome(false, 0.0);
+            log::info!(
+                "event=stream_cut request={} cause={cause} framing={} bytes={} {} parts={} {error}",
+                self.request.id,
+                answer.exchange.framing,
+                self.forwarded_bytes,
+                answer.in_flight,
+                self.request.part_ids()
+            );
+            self.last_answer = Some((answer.in_flight.server.clone(), answer.exchange.framing));
         }
-        let is_late = error.source.is::<DeadlinePassed>();
-        let cause = if is_late { CutCause::Deadline } else { CutCause::Broken };
-        log::info!("event=stream_cut request={} cause={cause} {error}", self.request.id);
         self.failover.record_failed_answer(true, Instant::now());
     }
 
@@ -395,13 +406,16 @@
 
     fn log_outcome(&self, outcome: &str, answer: Option<&Answer>) {
         count_outcome(&self.context, &self.request, outcome);
+        let current =
+            answer.map(|answer| (answer.in_flight.server.clone(), answer.exchange.framing));
+        let answer = current.or_else(|| self.last_answer.clone());
         log::info!(
             "event=answered request={} route={} outcome={outcome} server={} framing={} \
              first_ms={} bytes={} longest_pause_ms={} attempts={} age_ms={}",
             self.request.id,
             self.request.route.name,
-            answer.map_or("none", |answer| answer.in_flight.server.as_str()),
-            answer.map_or(String::from("none"), |answer| answer.exchange.framing.to_string()),
+            answer.as_ref().map_or("none", |(server, _)| server.as_str()),
+            answer.as_ref().map_or("none", |(_, framing)| framing.into()),
             self.first_answer_ms,
             self.forwarded_bytes,
             self.max_pause.as_millis(),
