feat(poison): evidence of what crashes servers

Strikes went by the fingerprint of a whole request, so requests that share one bad prompt part, of which no two are alike, never shared a strike. CrashEvidence keeps strikes by prompt part, ranked by causal chains of crashes; a complete answer clears them. Strikes carry their age, so that one sent again by a partner does not live longer.

--- /dev/null
+++ b/src/decision/poison/evidence.rs
@@ -0,0 +1,203 @@
+//! Evidence of which prompt parts crash servers, gathered from requests of which no two are alike.
+//!
+//! A crash while a server answers a request is a strike against keys of the request. The rank of a
+//! strike is the length of a causal chain: it is one higher than the rank that was known for the key
+//! when the request was sent. Servers that crash at the same moment therefore give rank 1 only. A
+//! complete answer clears all strikes of its keys, since another cause explains their crashes.
+
+use super::answered_keys::AnsweredKeys;
+use super::key_strikes::KeyStrikes;
+use crate::types::{Incarnation, ServerId};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Rank from which a node runs one request with the key at a time and resends none.
+pub const PROBE_RANK: u32 = 2;
+
+/// Rank from which all nodes refuse requests with the key.
+pub const REFUSAL_RANK: u32 = 3;
+
+/// Time after an answer in which a first strike is not recorded against the answered keys.
+const RECENT_ANSWER_PERIOD: Duration = Duration::from_secs(1);
+
+/// Hash that names a prompt part of a model, or a whole request.
+pub type SuspectKey = u64;
+
+/// Key of a request with the highest rank that the node knew for it when the request was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RankedKey {
+    /// Key of the request.
+    pub key: SuspectKey,
+    /// Rank that the node knew, 0 without strikes.
+    pub rank: u32,
+}
+
+/// Crash of a server while it answered a request with the key.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct KeyStrike {
+    /// Key of the request.
+    pub key: SuspectKey,
+    /// Server that crashed.
+    pub server: ServerId,
+    /// Incarnation of the server that crashed, so that repeated reports of a crash count once.
+    pub incarnation: Incarnation,
+    /// Length of the chain of crashes, each of which was known when the next request was sent.
+    pub rank: u32,
+    /// Whether a request with the key has been answered since, so that something else caused the
+    /// crash.
+    #[serde(default)]
+    pub is_cleared: bool,
+    /// Milliseconds since the crash, so that a strike sent again does not live longer.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+/// How a request is treated because of the strikes of its keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Treatment {
+    /// The request runs normally.
+    Normal,
+    /// The request runs alone among those with the key at this node, and is not resent.
+    Probe,
+    /// The request is refused.
+    Refused {
+        /// When the refusal ends.
+        until: Instant,
+    },
+}
+
+/// Strikes and recent answers that a node knows of, and the probes that it runs.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    strikes: KeyStrikes,
+    answered: AnsweredKeys,
+    /// Running probes by key.
+    probes: HashMap<SuspectKey, u32>,
+}
+
+impl CrashEvidence {
+    /// Returns `keys` with the highest rank of their strikes that are neither cleared nor expired.
+    pub fn ranked(&self, keys: &[SuspectKey], now: Instant) -> Vec<RankedKey> {
+        keys.iter().map(|key| RankedKey { key: *key, rank: self.strikes.rank(*key, now) }).collect()
+    }
+
+    /// Returns how to treat a request with `keys`.
+    pub fn treatment(&self, keys: &[SuspectKey], now: Instant) -> Treatment {
+        let refusals = keys.iter().filter_map(|key| self.strikes.refused_until(*key, now));
+        match refusals.max() {
+            Some(until) => Treatment::Refused { until },
+            None if keys.iter().any(|key| self.needs_probe(*key, now)) => Treatment::Probe,
+            None => Treatment::Normal,
+        }
+    }
+
+    /// Returns the strikes that a crash of `server` gives to the keys of a request which it was
+    /// answering.
+    ///
+    /// A refused key explains the crash by itself. So do keys that have strikes and were not
+    /// answered lately. Without either, a strike goes to the keys with the highest rank, and to all
+    /// keys that were not answered lately, since the cause may be a key that is new to this node.
+    pub fn strikes_of_crash(
+        &self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        keys: &[RankedKey],
+        now: Instant,
+    ) -> Vec<KeyStrike> {
+        let strike = |suspect: &RankedKey| KeyStrike {
+            key: suspect.key,
+            server: server.clone(),
+            incarnation,
+            rank: suspect.rank.saturating_add(1),
+            is_cleared: false,
+            age_ms: 0,
+        };
+        self.suspects(keys, now).iter().map(strike).collect()
+    }
+
+    /// Merges a strike, own or a partner's; returns whether it changed anything and must be
+    /// forwarded.
+    pub fn add(&mut self, strike: KeyStrike, now: Instant) -> bool {
+        self.strikes.merge(strike, now)
+    }
+
+    /// Records that a request with `keys` was answered completely; returns the strikes that this
+    /// clears and that partners must hear of.
+    pub fn acquit(&mut self, keys: &[SuspectKey], now: Instant) -> Vec<KeyStrike> {
+        let mut cleared = Vec::new();
+        for key in keys {
+            self.answered.insert(*key, now);
+            cleared.extend(self.strikes.clear(*key, now));
+        }
+        cleared.retain(|strike| strike.rank >= PROBE_RANK);
+        cleared
+    }
+
+    /// Returns all strikes, cleared ones too, for a partner that has just connected.
+    pub fn strikes(&self, now: Instant) -> Vec<KeyStrike> {
+        self.strikes.all(now)
+    }
+
+    /// Begins a probe of a request with `keys`; false if a probe of a key that needs one already
+    /// runs at this node. Each probe that began must be ended with the same keys.
+    pub fn try_begin_probe(&mut self, keys: &[SuspectKey], now: Instant) -> bool {
+        let is_running = |key: &SuspectKey| self.probes.contains_key(key);
+        if keys.iter().any(|key| is_running(key) && self.needs_probe(*key, now)) {
+            return false;
+        }
+        for key in keys {
+            *self.probes.entry(*key).or_default() += 1;
+        }
+        true
+    }
+
+    /// Ends a probe.
+    pub fn end_probe(&mut self, keys: &[SuspectKey]) {
+        for key in keys {
+            let Some(running) = self.probes.get_mut(key) else { continue };
+            *running -= 1;
+            if *running == 0 {
+                self.probes.remove(key);
+            }
+        }
+    }
+
+    fn needs_probe(&self, key: SuspectKey, now: Instant) -> bool {
+        self.strikes.rank(key, now) >= PROBE_RANK
+    }
+
+    /// Returns the keys that may have caused the crash of a request sent with `keys`.
+    fn suspects(&self, keys: &[RankedKey], now: Instant) -> Vec<RankedKey> {
+        let is_refused = |sent: &&RankedKey| self.strikes.refused_until(sent.key, now).is_some();
+        let refused: Vec<RankedKey> = keys.iter().filter(is_refused).copied().collect();
+        if !refused.is_empty() {
+            return refused;
+        }
+        // Strikes that were cleared after the request was sent do not count.
+        let current = |sent: &RankedKey| RankedKey {
+            key: sent.key,
+            rank: sent.rank.min(self.strikes.rank(sent.key, now)),
+        };
+        let (answered, unanswered): (Vec<RankedKey>, Vec<RankedKey>) =
+            keys.iter().map(current).partition(|suspect| self.answered.contains(suspect.key, now));
+        if unanswered.iter().any(|suspect| suspect.rank > 0) {
+            return highest_ranked(unanswered);
+        }
+        let mut suspects = highest_ranked(answered);
+        suspects.retain(|suspect| suspect.rank > 0 || !self.is_recent(suspect.key, now));
+        suspects.extend(unanswered);
+        suspects
+    }
+
+    fn is_recent(&self, key: SuspectKey, now: Instant) -> bool {
+        let answered_at = self.answered.answered_at(key);
+        answered_at.is_some_and(|answered_at| now < answered_at + RECENT_ANSWER_PERIOD)
+    }
+}
+
+fn highest_ranked(mut suspects: Vec<RankedKey>) -> Vec<RankedKey> {
+    let highest = suspects.iter().map(|suspect| suspect.rank).max();
+    suspects.retain(|suspect| Some(suspect.rank) == highest);
+    suspects
+}
--- /dev/null
+++ b/src/decision/poison/key_strikes.rs
@@ -0,0 +1,162 @@
+//! Strikes by key, merged from all nodes.
+
+use super::evidence::{KeyStrike, REFUSAL_RANK, SuspectKey};
+use crate::types::{Incarnation, ServerId};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Time after the last strike in which a key is refused.
+const BLOCK_PERIOD: Duration = Duration::from_secs(600);
+
+/// Time after which a strike expires.
+const STRIKE_LIFETIME: Duration = Duration::from_secs(3_600);
+
+/// Maximum keys with strikes; the one with the lowest rank is evicted.
+const MAX_KEYS: usize = 4_096;
+
+/// Maximum strikes of a key; the oldest one is evicted.
+const MAX_STRIKES_PER_KEY: usize = 64;
+
+/// Strike against a key.
+#[derive(Clone, Debug)]
+struct RecordedStrike {
+    server: ServerId,
+    incarnation: Incarnation,
+    rank: u32,
+    is_cleared: bool,
+    /// When a refusal because of the strike ends.
+    blocks_until: Instant,
+    expires_at: Instant,
+}
+
+impl RecordedStrike {
+    /// Returns `None` for a strike that has expired.
+    fn new(strike: &KeyStrike, now: Instant) -> Option<Self> {
+        let age = Duration::from_millis(strike.age_ms);
+        let lifetime = STRIKE_LIFETIME.checked_sub(age).filter(|left| !left.is_zero())?;
+        Some(Self {
+            server: strike.server.clone(),
+            incarnation: strike.incarnation,
+            rank: strike.rank,
+            is_cleared: strike.is_cleared,
+            blocks_until: now + BLOCK_PERIOD.saturating_sub(age),
+            expires_at: now + lifetime,
+        })
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        !self.is_cleared && now < self.expires_at
+    }
+
+    fn is_same_crash(&self, other: &Self) -> bool {
+        self.server == other.server && self.incarnation == other.incarnation
+    }
+
+    /// Merges another report of the same crash; returns whether partners must hear of the result.
+    fn merge(&mut self, other: &Self) -> bool {
+        let is_news = other.rank > self.rank || other.is_cleared && !self.is_cleared;
+        self.rank = self.rank.max(other.rank);
+        self.is_cleared |= other.is_cleared;
+        self.blocks_until = self.blocks_until.min(other.blocks_until);
+        self.expires_at = self.expires_at.min(other.expires_at);
+        is_news
+    }
+
+    fn to_strike(&self, key: SuspectKey, now: Instant) -> KeyStrike {
+        let left = self.expires_at.saturating_duration_since(now);
+        let age_ms = STRIKE_LIFETIME.saturating_sub(left).as_millis();
+        KeyStrike {
+            key,
+            server: self.server.clone(),
+            incarnation: self.incarnation,
+            rank: self.rank,
+            is_cleared: self.is_cleared,
+            age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// Strikes by key. Cleared and expired ones are kept within the bounds, so that a partner that sends
+/// them again does not revive them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KeyStrikes {
+    strikes: HashMap<SuspectKey, Vec<RecordedStrike>>,
+}
+
+impl KeyStrikes {
+    /// Returns the highest rank of the live strikes of `key`, 0 without any.
+    pub(super) fn rank(&self, key: SuspectKey, now: Instant) -> u32 {
+        self.live(key, now).map(|strike| strike.rank).max().unwrap_or(0)
+    }
+
+    /// Returns when the refusal of `key` ends, `None` if it is not refused.
+    pub(super) fn refused_until(&self, key: SuspectKey, now: Instant) -> Option<Instant> {
+        if self.rank(key, now) < REFUSAL_RANK {
+            return None;
+        }
+        let until = self.live(key, now).map(|strike| strike.blocks_until).max();
+        until.filter(|until| now < *until)
+    }
+
+    /// Merges a strike; returns whether it changed anything.
+    pub(super) fn merge(&mut self, strike: KeyStrike, now: Instant) -> bool {
+        let Some(new) = RecordedStrike::new(&strike, now) else { return false };
+        if self.strikes.len() >= MAX_KEYS && !self.strikes.contains_key(&strike.key) {
+            self.evict_key(now);
+        }
+        let known = self.strikes.entry(strike.key).or_default();
+        if let Some(same) = known.iter_mut().find(|same| same.is_same_crash(&new)) {
+            return same.merge(&new);
+        }
+        if known.len() >= MAX_STRIKES_PER_KEY {
+            evict_strike(known);
+        }
+        known.push(new);
+        true
+    }
+
+    /// Clears the strikes of `key`; returns those that were live.
+    pub(super) fn clear(&mut self, key: SuspectKey, now: Instant) -> Vec<KeyStrike> {
+        let Some(strikes) = self.strikes.get_mut(&key) else { return Vec::new() };
+        let live = strikes.iter_mut().filter(|strike| strike.is_live(now));
+        live.map(|strike| {
+            strike.is_cleared = true;
+            strike.to_strike(key, now)
+        })
+        .collect()
+    }
+
+    /// Returns all strikes that have not expired.
+    pub(super) fn all(&self, now: Instant) -> Vec<KeyStrike> {
+        let strikes =
+            self.strikes.iter().flat_map(|(key, of_key)| of_key.iter().map(|one| (*key, one)));
+        strikes
+            .filter(|(_, strike)| now < strike.expires_at)
+            .map(|(key, strike)| strike.to_strike(key, now))
+            .collect()
+    }
+
+    fn live(&self, key: SuspectKey, now: Instant) -> impl Iterator<Item = &RecordedStrike> {
+        self.strikes.get(&key).into_iter().flatten().filter(move |strike| strike.is_live(now))
+    }
+
+    /// Evicts the key with the lowest rank, of several the one that expires first. Cleared strikes
+    /// count, since a partner could revive the refusal of a key that was cleared and then evicted.
+    fn evict_key(&mut self, now: Instant) {
+        let priority = |strikes: &[RecordedStrike]| {
+            let unexpired = strikes.iter().filter(|strike| now < strike.expires_at);
+            unexpired.map(|strike| (strike.rank, strike.expires_at)).max()
+        };
+        let lowest = self.strikes.iter().min_by_key(|(_, strikes)| priority(strikes));
+        if let Some(key) = lowest.map(|(key, _)| *key) {
+            self.strikes.remove(&key);
+        }
+    }
+}
+
+fn evict_strike(strikes: &mut Vec<RecordedStrike>) {
+    let oldest = strikes.iter().enumerate().min_by_key(|(_, strike)| strike.expires_at);
+    if let Some(index) = oldest.map(|(index, _)| index) {
+        strikes.swap_remove(index);
+    }
+}
--- a/src/decision/poison/mod.rs
+++ b/src/decision/poison/mod.rs
@@ -3,9 +3,16 @@
 //! A request is identified by a fingerprint of its content. Each server that crashed while it ran
 //! the request counts as a strike. A request with one strike is a suspect and runs apart from other
 //! requests; with two strikes every node refuses it, since nodes share their strikes.
+//!
+//! Requests of which no two are alike can crash servers through a prompt part that they share; see
+//! [`evidence`].
 
+mod answered_keys;
+pub mod evidence;
+mod key_strikes;
 pub mod state;
 
+pub use evidence::{CrashEvidence, KeyStrike, RankedKey, SuspectKey, Treatment};
 pub use state::{PoisonState, PoisonView};
 
 use crate::types::{Incarnation, ServerId};
