--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod choose;
 mod configuration;
+mod crash_evidence;
 mod event_position;
 mod event_splitter;
 mod failover;
