fix(relay): find the prompt part that crashes servers, and refuse it everywhere

Cause: strikes went by the fingerprint of the whole request, so that no two requests with one bad part shared a strike; and a stream that was cut after its head started no crash check. Either is enough by itself: by the record 15 of 16 requests were cut in their stream, and no fingerprint repeated. The class of fault is evidence that is kept under the wrong identity.

Fix: a crash counts against the shared parts of the prompts that the server was answering, and against the whole request, in causal chains that all nodes share; a complete answer acquits. Three crashes in a chain refuse the key at once; two let one request at a time through at a node and forbid resends. One check a run of a server, also for streams and bodies. A resend after a cut waits 30 ms for it. Strikes by fingerprint stay as they are for requests cut before the head of an answer.

Ruled out by the record: resumes and resends that spread the crash (none of the 16 was sent to a second server after one had begun it).

--- a/src/adapters/framing.rs
+++ b/src/adapters/framing.rs
@@ -27,4 +27,12 @@
         }
         Self::ConnectionClose
     }
+
+    /// Whether a body that ended as this framing tells is complete.
+    pub fn proves_completeness(self) -> bool {
+        match self {
+            Self::Length | Self::Chunked => true,
+            Self::ConnectionClose => false,
+        }
+    }
 }
--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -61,7 +61,8 @@
                 log::info!("event=configuration_from_partner peer={peer}");
                 self.apply_configuration_event(ConfigurationEvent::PartnerCopy(*copy), now);
             }
-            PartnerMessage::Topics(_)
+            PartnerMessage::KeyStrikes(_)
+            | PartnerMessage::Topics(_)
             | PartnerMessage::RecordsRequest(_)
             | PartnerMessage::Records(_)
             | PartnerMessage::RelayLoad(_)
--- a/src/decision/relay/failover.rs
+++ b/src/decision/relay/failover.rs
@@ -19,6 +19,10 @@
 /// Time after which another server is tried again if the resend budget allowed none.
 const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which the crash check of a server is awaited before another server gets the request,
+/// which may crash that one too.
+const CRASH_CHECK_PERIOD: Duration = Duration::from_millis(30);
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FailoverStep {
@@ -108,6 +112,13 @@
         }
     }
 
+    /// Records that it is being checked whether the request has crashed the server of the failed
+    /// answer.
+    pub fn record_crash_check(&mut self, now: Instant) {
+        self.next_try_at = self.next_try_at.max(now + CRASH_CHECK_PERIOD);
+        self.search_deadline = self.search_deadline.max(self.next_try_at);
+    }
+
     /// Records that no other server was tried.
     pub fn record_not_tried(&mut self, reason: NotTriedReason, now: Instant) {
         let delay = match reason {
--- a/src/decision/relay/prompt.rs
+++ b/src/decision/relay/prompt.rs
@@ -1,5 +1,6 @@
 //! Prompt of a request: its parts as the caller declares them, and the keys of its shared prefixes.
 
+use crate::decision::poison::SuspectKey;
 use crate::types::ModelId;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -57,6 +58,13 @@
             .collect()
     }
 
+    /// Returns a key of each shared part that tells it from other parts of prompts for the model.
+    pub fn shared_part_keys(&self) -> Vec<SuspectKey> {
+        let model = xxh3_64_with_seed(self.model.as_bytes(), 0);
+        let shared = self.shared_parts().iter();
+        shared.map(|part| xxh3_64_with_seed(part.id.as_bytes(), model)).collect()
+    }
+
     /// Returns the ids of the shared parts, separated by commas.
     pub fn shared_part_ids(&self) -> String {
         let ids: Vec<&str> = self.shared_parts().iter().map(|part| part.id.as_str()).collect();
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -3,7 +3,7 @@
 use crate::decision::configuration::{ConfigurationAnnouncement, ConfigurationCopy};
 use crate::decision::leaving::LeavingNotice;
 use crate::decision::membership::MemberRecord;
-use crate::decision::poison::Strike;
+use crate::decision::poison::{KeyStrike, Strike};
 use crate::decision::power::PowerMessage;
 use crate::decision::relay::RecordTopic;
 use crate::decision::relay::load_exchange::RelayLoad;
@@ -38,6 +38,9 @@
     Members(Vec<MemberRecord>),
     /// Strikes against requests; the receiver keeps the union.
     Strikes(Vec<Strike>),
+    /// Strikes against keys of requests, new, cleared, or all of the sender; the receiver keeps the
+    /// union.
+    KeyStrikes(Vec<KeyStrike>),
     /// Backend servers that are leaving.
     Leaving(Vec<LeavingNotice>),
     /// Transfer of power.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt of a request: sends it to a server and receives the head of the answer.
 
 use super::RelayContext;
-use super::control::RelayControlEvent;
+use super::control::{CutExchange, RelayControlEvent};
 use super::request::RelayedRequest;
+use super::suspects::KeyList;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::leaving::LeavingNotice;
+use crate::decision::poison::RankedKey;
 use crate::decision::relay::pause::Pause;
 use crate::decision::relay::server::{PendingPrefill, Server, ServerLoad};
 use crate::decision::relay::{Choice, Prompt};
@@ -16,6 +18,7 @@
 use http_body_util::Full;
 use smol_str::SmolStr;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -58,6 +61,17 @@
     pub in_flight: InFlightAttempt,
 }
 
+/// How far an answer had come when its exchange was cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutStage {
+    /// Its head had not arrived.
+    Head,
+    /// A buffered body had not arrived completely.
+    Body,
+    /// A stream had not ended.
+    Stream,
+}
+
 /// Attempt that counts towards the load of its server until dropped.
 pub struct InFlightAttempt {
     context: Arc<RelayContext>,
@@ -69,6 +83,10 @@
     /// Whether the prompt has been prefilled.
     is_prefilled: bool,
     sent_at: Instant,
+    address: SocketAddr,
+    incarnation: Option<Incarnation>,
+    /// Keys of the request with the crashes that were known when it was sent.
+    suspect_keys: Vec<RankedKey>,
 }
 
 impl InFlightAttempt {
@@ -76,7 +94,9 @@
         let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
         let (server, load) = (choice.server.clone(), choice.load);
         let now = Instant::now();
+        let suspect_keys = context.crash_evidence().ranked(request.suspect_keys.all(), now);
         let mut fleet = context.fleet();
+        let incarnation = fleet.server(&server).and_then(|server| server.entry.started_unix_ms);
         fleet.begin_request(&server, attempt, load, now);
         if let Some(prompt) = request.head.prompt.as_ref().filter(|prompt| prompt.is_decode_heavy())
         {
@@ -93,7 +113,17 @@
             }
         }
         drop(fleet);
-        Self { context, server, attempt, load, is_prefilled: false, sent_at: now }
+        Self {
+            context,
+            server,
+            attempt,
+            load,
+            is_prefilled: false,
+            sent_at: now,
+            address: choice.address,
+            incarnation,
+            suspect_keys,
+        }
     }
 
     /// Records that the server sent something. The first time, the prompt counts as prefilled.
@@ -120,7 +150,9 @@
 
 impl fmt::Display for InFlightAttempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "server={} sent_ms={}", self.server, self.sent_at.elapsed().as_millis())
+        let Self { server, sent_at, suspect_keys, .. } = self;
+        let keys = KeyList(suspect_keys);
+        write!(f, "server={server} sent_ms={} keys={keys}", sent_at.elapsed().as_millis())
     }
 }
 
@@ -237,7 +269,7 @@
     }
     in_flight.record_outcome(false, 0.0);
     if error.is_disconnect() {
-        request_crash_check(context, request, choice);
+        request_crash_check(request, in_flight, CutStage::Head);
     }
     AttemptOutcome::Unknown(error)
 }
@@ -257,16 +289,18 @@
     log::info!("event=server_suspended server={} for_ms={for_ms}", choice.server);
 }
 
-/// Makes the control thread check whether the server crashed; a crash is a strike against the
-/// request.
-pub fn request_crash_check(context: &RelayContext, request: &RelayedRequest, choice: &Choice) {
-    let incarnation = context.fleet().server(&choice.server).and_then(|s| s.entry.started_unix_ms);
-    context.notify_control(RelayControlEvent::ExchangeCut {
-        server: choice.server.clone(),
-        address: choice.address,
-        incarnation: incarnation.unwrap_or_default(),
-        fingerprint: request.fingerprint,
-    });
+/// Makes the control thread check whether the server of a cut exchange crashed; a crash is a strike
+/// against the request and its prompt parts.
+pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
+    in_flight.context.notify_control(RelayControlEvent::ExchangeCut(CutExchange {
+        server: in_flight.server.clone(),
+        address: in_flight.address,
+        incarnation: in_flight.incarnation.unwrap_or_default(),
+        // Streams of sound requests are cut by the same crash, so that only prompts with a chain of
+        // crashes are refused.
+        fingerprint: (stage != CutStage::Stream).then_some(request.fingerprint),
+        keys: in_flight.suspect_keys.clone(),
+    }));
 }
 
 /// Records the weights that the answer reports, if they are not the expected ones.
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -1,9 +1,9 @@
 //! Answers that are read completely before they are forwarded.
 
 use super::RelayContext;
-use super::attempt::Answer;
+use super::attempt::{self, Answer, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
-use super::stream;
+use super::{stream, suspects};
 use crate::adapters::connection_pool::PooledExchange;
 use crate::adapters::http_server::Reply;
 use crate::ports::AnswerHead;
@@ -34,7 +34,10 @@
     let read = received.exchange.read_all(MAX_ANSWER_BYTES, request.deadline).await;
     let body = read.inspect_err(|error| {
         received.in_flight.record_outcome(false, 0.0);
-        log::info!("event=answer_broken request={} {error}", request.id);
+        if error.is_disconnect() {
+            attempt::request_crash_check(request, &received.in_flight, CutStage::Body);
+        }
+        log::info!("event=answer_broken request={} {} {error}", request.id, received.in_flight);
     })?;
     let status = received.exchange.status;
     let mut reply = Response::new(full_body(body));
@@ -53,6 +56,9 @@
     );
     context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
     stream::count_outcome(context, request, outcome);
+    if status.is_success() && received.exchange.framing.proves_completeness() {
+        suspects::acquit(context, request);
+    }
     let Answer { exchange, head, in_flight } = received;
     return_to_pool(context, exchange, &head);
     drop(in_flight);
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -5,7 +5,7 @@
 use super::settings::RelaySettings;
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
-use crate::decision::poison::PoisonState;
+use crate::decision::poison::{CrashEvidence, PoisonState};
 use crate::decision::relay::{Configuration, Fleet, ResendBudget};
 use crate::ports::{CoordinationStore, Dialect, EngineControl};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -47,6 +47,7 @@
     pub(super) fleet: Mutex<Fleet>,
     pub(super) resend_budget: Mutex<ResendBudget>,
     pub(super) poison: Mutex<PoisonState>,
+    pub(super) crash_evidence: Mutex<CrashEvidence>,
     /// Next number of an attempt or of a partner link.
     pub(super) next_number: AtomicU64,
 }
@@ -67,6 +68,11 @@
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the evidence of what crashes servers.
+    pub fn crash_evidence(&self) -> MutexGuard<'_, CrashEvidence> {
+        self.crash_evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the node is ready for new connections.
     pub fn is_ready(&self) -> bool {
         let is_configured =
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -1,13 +1,14 @@
-//! Poison requests: confirms crashes of servers and shares the strikes with partners.
+//! Confirms crashes of servers and shares with partners the strikes that follow from them.
 
-use super::RelayControlEvent;
 use super::state::ControlState;
-use crate::decision::poison::{Fingerprint, Strike};
+use super::{CutExchange, RelayControlEvent};
+use crate::decision::poison::{KeyStrike, Strike, Treatment};
 use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
 use crate::types::{Incarnation, InstanceId, ServerId};
 use smol::Timer;
 use smol::net::TcpStream;
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,17 +23,127 @@
 /// Timeout of one connection attempt.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which a check is remembered: exchanges that a crash cut may be noticed late.
+const CHECK_MEMORY: Duration = Duration::from_secs(10);
+
+/// Run of a server.
+type ServerRun = (ServerId, Incarnation);
+
+/// Check of whether a server crashed.
+#[derive(Debug)]
+struct CrashCheck {
+    state: CrashCheckState,
+    forget_at: Instant,
+}
+
+#[derive(Debug)]
+enum CrashCheckState {
+    /// The check runs for these exchanges.
+    Running(Vec<CutExchange>),
+    /// The server crashed.
+    Confirmed,
+}
+
+/// Checks of servers that cut connections, one for each run of a server.
+#[derive(Debug, Default)]
+pub(super) struct CrashChecks {
+    checks: BTreeMap<ServerRun, CrashCheck>,
+}
+
+impl CrashChecks {
+    /// Forgets checks that began or confirmed a crash long ago.
+    pub(super) fn remove_expired(&mut self, now: Instant) {
+        self.checks.retain(|_, check| now < check.forget_at);
+    }
+}
+
 impl ControlState {
-    /// Checks whether a server crashed that cut the connection during a request.
-    pub(super) fn check_crash(
-        &self,
-        server: ServerId,
-        address: SocketAddr,
-        incarnation: Incarnation,
-        fingerprint: Fingerprint,
+    /// Checks whether a server crashed that cut the connection during a request. The exchanges that
+    /// the same run of the server cuts meanwhile share the check.
+    pub(super) fn check_crash(&mut self, cut: CutExchange, now: Instant) {
+        let run = (cut.server.clone(), cut.incarnation);
+        match self.crash_checks.checks.get_mut(&run).map(|check| &mut check.state) {
+            Some(CrashCheckState::Running(waiting)) => waiting.push(cut),
+            Some(CrashCheckState::Confirmed) => self.record_crash(&[cut], now),
+            None => {
+                let check = confirm_crash(Arc::clone(&self.context), run.clone(), cut.address);
+                let state = CrashCheckState::Running(vec![cut]);
+                let forget_at = now + CHECK_MEMORY;
+                self.crash_checks.checks.insert(run, CrashCheck { state, forget_at });
+                self.spawn(check);
+            }
+        }
+    }
+
+    /// Applies the result of a check.
+    pub(super) fn apply_crash_check(&mut self, run: ServerRun, has_crashed: bool, now: Instant) {
+        let Some(check) = self.crash_checks.checks.remove(&run) else { return };
+        let CrashCheckState::Running(cuts) = check.state else { return };
+        log::info!(
+            "event=crash_checked server={} incarnation={} has_crashed={has_crashed} exchanges={}",
+            run.0,
+            run.1,
+            cuts.len()
+        );
+        if has_crashed {
+            let (state, forget_at) = (CrashCheckState::Confirmed, now + CHECK_MEMORY);
+            self.crash_checks.checks.insert(run, CrashCheck { state, forget_at });
+            self.record_crash(&cuts, now);
+        }
+    }
+
+    /// Records a crash against the requests that the server was answering.
+    fn record_crash(&mut self, cuts: &[CutExchange], now: Instant) {
+        let strike = |cut: &CutExchange| {
+            let (server, incarnation) = (cut.server.clone(), cut.incarnation);
+            cut.fingerprint.map(|fingerprint| Strike { fingerprint, server, incarnation })
+        };
+        self.add_strikes(None, cuts.iter().filter_map(strike).collect(), now);
+        let evidence = self.context.crash_evidence();
+        let key_strikes = cuts.iter().flat_map(|cut| {
+            evidence.strikes_of_crash(&cut.server, cut.incarnation, &cut.keys, now)
+        });
+        let key_strikes: Vec<KeyStrike> = key_strikes.collect();
+        drop(evidence);
+        self.add_key_strikes(None, key_strikes, now);
+    }
+
+    /// Adds strikes against keys of requests, received from `source`, `None` for this node's own,
+    /// and forwards what is new.
+    pub(super) fn add_key_strikes(
+        &mut self,
+        source: Option<&InstanceId>,
+        strikes: Vec<KeyStrike>,
+        now: Instant,
     ) {
-        let strike = Strike { fingerprint, server, incarnation };
-        self.spawn(confirm_crash(Arc::clone(&self.context), strike, address));
+        let mut evidence = self.context.crash_evidence();
+        let mut new_strikes = Vec::new();
+        for strike in strikes {
+            let was_refused = is_refused(evidence.treatment(&[strike.key], now));
+            if !evidence.add(strike.clone(), now) {
+                continue;
+            }
+            let is_refused = is_refused(evidence.treatment(&[strike.key], now));
+            log::info!(
+                "event=key_strike key={:016x} server={} incarnation={} rank={} is_cleared={} source={}",
+                strike.key,
+                strike.server,
+                strike.incarnation,
+                strike.rank,
+                strike.is_cleared,
+                source.map_or("own", |source| source.as_str())
+            );
+            if is_refused != was_refused {
+                let event = if is_refused { "key_refused" } else { "key_readmitted" };
+                log::warn!("event={event} key={:016x} server={}", strike.key, strike.server);
+            }
+            new_strikes.push(strike);
+        }
+        drop(evidence);
+        self.context.metrics.key_strikes.inc_by(new_strikes.len() as u64);
+        if !new_strikes.is_empty() {
+            self.broadcast(source, &PartnerMessage::KeyStrikes(new_strikes));
+        }
     }
 
     /// Adds strikes received from `source`, `None` for this node's own, and forwards new ones.
@@ -58,30 +169,27 @@
     }
 }
 
-/// Sends an event if the server refuses connections: it crashed, since nothing listens at its
-/// address.
-async fn confirm_crash(context: Arc<RelayContext>, strike: Strike, address: SocketAddr) {
+fn is_refused(treatment: Treatment) -> bool {
+    matches!(treatment, Treatment::Refused { .. })
+}
+
+/// Checks whether a server refuses connections: it crashed, since nothing listens at its address.
+async fn confirm_crash(context: Arc<RelayContext>, run: ServerRun, address: SocketAddr) {
+    let has_crashed = refuses_connections(address).await;
+    let (server, incarnation) = run;
+    context.notify_control(RelayControlEvent::CrashChecked { server, incarnation, has_crashed });
+}
+
+async fn refuses_connections(address: SocketAddr) -> bool {
     for _ in 0..MAX_CRASH_CHECKS {
         let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
         let opened =
             crate::adapters::deadline::timeout_at(deadline, TcpStream::connect(address)).await;
         match opened {
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                log_check(&strike, "crashed");
-                context.notify_control(RelayControlEvent::ServerCrashed(strike));
-                return;
-            }
-            Ok(Ok(_)) => return log_check(&strike, "accepts_connections"),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(Ok(_)) => return false,
             Ok(Err(_)) | Err(_) => Timer::after(CRASH_CHECK_PERIOD).await,
         };
     }
-    log_check(&strike, "no_answer");
-}
-
-fn log_check(strike: &Strike, result: &str) {
-    let Strike { fingerprint, server, incarnation } = strike;
-    log::info!(
-        "event=crash_checked server={server} incarnation={incarnation} result={result} \
-         fingerprint={fingerprint:016x}"
-    );
+    false
 }
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::decision::leaving::LeavingNotice;
 use crate::decision::membership::MemberRecord;
-use crate::decision::poison::{Fingerprint, Strike};
+use crate::decision::poison::{Fingerprint, KeyStrike, RankedKey};
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::rollout::{WeightsOrderOutcome, WeightsReport};
@@ -30,6 +30,21 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+/// Exchange with a server that cut the connection.
+#[derive(Clone, Debug)]
+pub struct CutExchange {
+    /// Server.
+    pub server: ServerId,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Incarnation of the server.
+    pub incarnation: Incarnation,
+    /// Fingerprint of the request, `None` if a crash is no strike against the request alone.
+    pub fingerprint: Option<Fingerprint>,
+    /// Keys of the request with the crashes that were known when it was sent.
+    pub keys: Vec<RankedKey>,
+}
+
 /// Event that the control thread handles.
 #[derive(Debug)]
 pub enum RelayControlEvent {
@@ -85,20 +100,20 @@
     /// A server saved prefixes to the external store of KV cache.
     PrefixesStored,
     /// A server cut the connection during a request.
-    ExchangeCut {
+    ExchangeCut(CutExchange),
+    /// A check of whether a server crashed has ended.
+    CrashChecked {
         /// Server.
         server: ServerId,
-        /// Address of the server.
-        address: SocketAddr,
-        /// Incarnation of the server.
+        /// Incarnation that cut connections.
         incarnation: Incarnation,
-        /// Fingerprint of the request.
-        fingerprint: Fingerprint,
+        /// Whether it crashed.
+        has_crashed: bool,
     },
+    /// Strikes were cleared by a complete answer.
+    KeysCleared(Vec<KeyStrike>),
     /// Servers announced in answers to this node that they are leaving.
     ServersLeaving(Vec<LeavingNotice>),
-    /// A server crashed while running a request.
-    ServerCrashed(Strike),
     /// A request for a report of weights has ended.
     ReportEnded {
         /// Model of the rollout.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -36,6 +36,9 @@
 /// Maximum bytes of the records for a partner that does not request pages.
 const MAX_UNPAGED_BYTES: usize = MAX_MESSAGE_BYTES / 2;
 
+/// Maximum strikes in a message.
+const MAX_MESSAGE_STRIKES: usize = 1_000;
+
 /// Live node.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct LiveNode {
@@ -216,6 +219,9 @@
         if !strikes.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Strikes(strikes));
         }
+        for batch in self.context.crash_evidence().strikes(now).chunks(MAX_MESSAGE_STRIKES) {
+            self.partners.send(&instance, &PartnerMessage::KeyStrikes(batch.to_vec()));
+        }
         let departures = self.context.fleet().departures.notices();
         if !departures.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Leaving(departures));
@@ -247,6 +253,7 @@
                 self.advance_membership(MembershipEvent::Records { peer, records }, now);
             }
             PartnerMessage::Strikes(strikes) => self.add_strikes(Some(&peer), strikes, now),
+            PartnerMessage::KeyStrikes(strikes) => self.add_key_strikes(Some(&peer), strikes, now),
             PartnerMessage::Leaving(notices) => self.receive_leaving(&peer, notices),
             PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(request) => self.send_records(&peer, &request),
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -1,5 +1,6 @@
 //! State and event loop of the control thread.
 
+use super::crashes::CrashChecks;
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayControlEvent, follow, kv_store, partner_links};
@@ -59,6 +60,7 @@
     pub(super) kv_store_address: Rc<Cell<Option<SocketAddr>>>,
     /// This node as it is announced in the store.
     pub(super) announced_node: AnnouncedNode,
+    pub(super) crash_checks: CrashChecks,
     /// Newest known era of the store, `None` before its first answer.
     pub(super) store_era: Option<StoreEra>,
     suspension_detector: SuspensionDetector,
@@ -87,6 +89,7 @@
             name: context.settings.instance_name.clone(),
             address: partner_address,
         },
+        crash_checks: CrashChecks::default(),
         store_era: None,
         suspension_detector: SuspensionDetector::new(),
         started_at: now,
@@ -163,13 +166,16 @@
             RelayControlEvent::DialFailed(address) => self.handle_failed_dial(address, now),
             RelayControlEvent::PrefixesStored if self.loads.is_tree() => {}
             RelayControlEvent::PrefixesStored => self.send_load(now),
-            RelayControlEvent::ExchangeCut { server, address, incarnation, fingerprint } => {
-                self.check_crash(server, address, incarnation, fingerprint);
+            RelayControlEvent::ExchangeCut(cut) => self.check_crash(cut, now),
+            RelayControlEvent::CrashChecked { server, incarnation, has_crashed } => {
+                self.apply_crash_check((server, incarnation), has_crashed, now);
+            }
+            RelayControlEvent::KeysCleared(strikes) => {
+                self.broadcast(None, &PartnerMessage::KeyStrikes(strikes));
             }
             RelayControlEvent::ServersLeaving(notices) => {
                 self.broadcast(None, &PartnerMessage::Leaving(notices));
             }
-            RelayControlEvent::ServerCrashed(strike) => self.add_strikes(None, vec![strike], now),
             RelayControlEvent::ReportEnded { model, server, report } => {
                 self.apply_report(&model, &server, report, now);
             }
@@ -194,6 +200,7 @@
             self.context.pool.close_idle_connections(&server);
         }
         self.context.pool.close_expired(now);
+        self.crash_checks.remove_expired(now);
         self.tick_partners(now);
         self.tick_loads(now);
         if !self.context.is_stopping.load(Ordering::Acquire) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,7 +5,7 @@
 use super::pending_attempts::{PendingAttempts, SERVER_CHECK_PERIOD};
 use super::refusal::{Refusal, RefusalReason};
 use super::request::{RelayedRequest, receive};
-use super::{RelayContext, stream};
+use super::{RelayContext, stream, suspects};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::Reply;
 use crate::decision::relay::{
@@ -62,10 +62,16 @@
     }
 
     /// Whether the route and the remaining time allow another attempt.
-    pub fn allow_another(&self, request: &RelayedRequest, now: Instant) -> bool {
+    pub fn allow_another(
+        &self,
+        context: &RelayContext,
+        request: &RelayedRequest,
+        now: Instant,
+    ) -> bool {
         self.possible_runs < request.route.max_attempts
             && self.tried.len() < MAX_TRIED_SERVERS
             && now + MIN_ATTEMPT_TIME < request.deadline
+            && suspects::may_resend(context, request, now)
     }
 
     /// Takes a resend from the budget if route, budget and remaining time allow one; returns
@@ -77,7 +83,7 @@
         reason: &str,
     ) -> bool {
         let now = Instant::now();
-        let is_allowed = self.allow_another(request, now)
+        let is_allowed = self.allow_another(context, request, now)
             && context.resend_budget().try_take(&request.service, now);
         if is_allowed {
             let labels = ReasonLabels { reason: reason.to_owned() };
@@ -218,7 +224,7 @@
     fn may_try_another(&self, now: Instant) -> bool {
         match self.next_attempt {
             NextAttempt::Free => self.attempts.tried.len() < MAX_TRIED_SERVERS,
-            NextAttempt::Resend(_) => self.attempts.allow_another(self.request, now),
+            NextAttempt::Resend(_) => self.attempts.allow_another(self.context, self.request, now),
             NextAttempt::Forbidden => false,
         }
     }
@@ -259,7 +265,7 @@
         }
         let now = Instant::now();
         if self.request.route.retry_safety.is_retryable()
-            && self.attempts.allow_another(self.request, now)
+            && self.attempts.allow_another(self.context, self.request, now)
             && self.pending.is_overdue(self.context, self.request)
         {
             self.next_attempt = NextAttempt::Resend("overdue".into());
@@ -271,6 +277,10 @@
     /// Applies the outcome of an attempt; returns the answer for the caller if it was one.
     async fn end_attempt(&mut self, outcome: AttemptOutcome) -> Option<Reply> {
         self.attempts.end(&outcome);
+        let is_crash_checked = match &outcome {
+            AttemptOutcome::Unknown(error) => error.is_disconnect(),
+            _ => false,
+        };
         match outcome {
             AttemptOutcome::NotSent(error) => {
                 let is_free = error.delivery == Delivery::NotSent;
@@ -288,7 +298,11 @@
             }
             AttemptOutcome::Answered(answer) => return self.forward_answer(*answer).await,
         }
-        self.failover.record_failed_answer(false, Instant::now());
+        let now = Instant::now();
+        self.failover.record_failed_answer(false, now);
+        if is_crash_checked && self.request.head.prompt.is_some() {
+            self.failover.record_crash_check(now);
+        }
         None
     }
 
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -48,6 +48,8 @@
     pub refusals: Family<ReasonLabels, Counter>,
     /// Resends by reason.
     pub resends: Family<ReasonLabels, Counter>,
+    /// Strikes of crashes against keys of requests, as they became known.
+    pub key_strikes: Counter,
     /// Streams that were resumed at another server.
     pub resumed_streams: Counter,
     /// Failed exchanges with servers, by step.
@@ -89,6 +91,11 @@
         );
         registry.register("relay_refusals", "Refusals by reason", self.refusals.clone());
         registry.register("relay_resends", "Requests sent once more", self.resends.clone());
+        registry.register(
+            "relay_key_strikes",
+            "Strikes against keys of requests that may crash servers",
+            self.key_strikes.clone(),
+        );
         registry.register(
             "relay_resumed_streams",
             "Streams that went on at another server",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod run;
 pub mod settings;
 pub mod stream;
+pub mod suspects;
 pub mod suspension_detector;
 
 pub use context::{RelayContext, RelayPorts};
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -7,7 +7,7 @@
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::{self, Handler, ListenerLimits, Reply};
 use crate::daemon::threads::{self, spawn_control, spawn_traffic};
-use crate::decision::poison::PoisonState;
+use crate::decision::poison::{CrashEvidence, PoisonState};
 use crate::decision::relay::{Fleet, ResendBudget};
 use crate::metrics::encode;
 use crate::traffic::reply::text_reply;
@@ -180,6 +180,7 @@
         fleet: Mutex::new(Fleet::new(settings.availability_zone.clone())),
         resend_budget: Mutex::new(ResendBudget::new(settings.resend, 1)),
         poison: Mutex::new(PoisonState::default()),
+        crash_evidence: Mutex::new(CrashEvidence::default()),
         next_number: AtomicU64::new(1),
         settings,
         ports,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -39,6 +39,8 @@
     BodyIncomplete,
     /// Servers crashed while they ran the request, often enough to refuse it.
     Poison,
+    /// A request with the same prompt part, which may crash servers, runs at this node.
+    Suspect,
     /// No server can accept the request.
     Unavailable(UnavailableReason),
     /// The expected wait at the servers is too long.
@@ -63,6 +65,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Unconfigured
             | Self::Poison
+            | Self::Suspect
             | Self::Unavailable(_)
             | Self::Overloaded
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -2,6 +2,7 @@
 
 use super::RelayContext;
 use super::refusal::{Refusal, RefusalReason};
+use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
@@ -61,6 +62,10 @@
     pub deadline: Instant,
     /// Hash of workspace, path and body, which is the same when the caller retries.
     pub fingerprint: Fingerprint,
+    /// Keys under which crashes of servers are recorded.
+    pub suspect_keys: SuspectKeys,
+    /// Probe that the request holds if its keys are suspected to crash servers.
+    _probe: Option<Probe>,
 }
 
 impl RelayedRequest {
@@ -110,7 +115,7 @@
 
 /// Matches the route, authenticates the caller, reads the body and checks for poison requests.
 pub async fn receive(
-    context: &RelayContext,
+    context: &Arc<RelayContext>,
     request: Request<Incoming>,
     head: RequestHead,
     arrived_at: Instant,
@@ -135,6 +140,8 @@
     let uri = parts.uri.path_and_query().map_or(parts.uri.clone(), |path| path.clone().into());
     let fingerprint = fingerprint(workspace.as_deref(), &uri, &body);
     check_poison(context, fingerprint)?;
+    let suspect_keys = SuspectKeys::new(head.prompt.as_ref(), fingerprint);
+    let probe = suspects::admit(context, &id, &suspect_keys)?;
     Ok(RelayedRequest {
         id,
         route,
@@ -149,6 +156,8 @@
         arrived_at,
         deadline,
         fingerprint,
+        suspect_keys,
+        _probe: probe,
     })
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,12 +2,13 @@
 //! it.
 
 use super::RelayContext;
-use super::attempt::{Answer, AttemptOutcome, NotRunReason};
+use super::attempt::{self, Answer, AttemptOutcome, CutStage, NotRunReason};
 use super::buffered_answer::return_to_pool;
 use super::exchange::{Attempts, choose_server, choose_server_now};
 use super::metrics::AnswerLabels;
 use super::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use super::request::{RelayedRequest, end_to_end_headers};
+use super::suspects;
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
@@ -213,7 +214,7 @@
     }
 
     fn may_resume(&self, now: Instant) -> bool {
-        self.is_resumable && self.attempts.allow_another(&self.request, now)
+        self.is_resumable && self.attempts.allow_another(&self.context, &self.request, now)
     }
 
     /// Returns the whole events that `data` completes; all of `data` if the answer is not an event
@@ -261,6 +262,12 @@
         self.pending.abandon(&self.request);
         if let Some(answer) = self.answer.take() {
             self.log_outcome("complete", Some(&answer));
+            if answer.exchange.framing.proves_completeness() {
+                suspects::acquit(&self.context, &self.request);
+            } else {
+                // A crash may have ended the connection between two events.
+                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
+            }
             return_to_pool(&self.context, answer.exchange, &answer.head);
         }
         let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
@@ -362,8 +369,15 @@
                 self.request.part_ids()
             );
             self.last_answer = Some((answer.in_flight.server.clone(), answer.exchange.framing));
+            if error.is_disconnect() {
+                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
+            }
+        }
+        let now = Instant::now();
+        self.failover.record_failed_answer(true, now);
+        if error.is_disconnect() {
+            self.failover.record_crash_check(now);
         }
-        self.failover.record_failed_answer(true, Instant::now());
     }
 
     /// Applies the outcome of an attempt to resume the stream.
