fix(relay): a request that may have run is not refused as not run

Cause: each later refusal replaced the one of the attempt whose outcome is unknown. Fix: the refusal that ends a request says 502 if a server may have run it.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -14,7 +14,7 @@
 };
 use crate::metrics::labels::ReasonLabels;
 use crate::types::{Delivery, PeerError, RequestId, ServerId, Step};
-use http::Request;
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use smol::Timer;
 use smol_str::SmolStr;
@@ -202,7 +202,7 @@
                 }
             }
             FailoverStep::GiveUp(GiveUpReason::NoServer) => {
-                let refusal = search.refusal;
+                let refusal = search.final_refusal();
                 return search.give_up(refusal);
             }
             FailoverStep::GiveUp(GiveUpReason::DeadlinePassed) => {
@@ -338,6 +338,16 @@
         None
     }
 
+    /// Returns the refusal after all servers have failed. It does not promise that the request has
+    /// not run if a server may have run it.
+    fn final_refusal(&self) -> Refusal {
+        let promises_no_run = self.refusal.reason.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if promises_no_run && self.attempts.possible_runs > 0 {
+            return Refusal::new(RefusalReason::OutcomeUnknown);
+        }
+        self.refusal
+    }
+
     /// Returns the answer for the caller after all servers have failed.
     fn give_up(self, refusal: Refusal) -> Result<Reply, Refusal> {
         match self.failure {
