fix(relay): read the lease register again after the store was restored

What operators would see: weights that are named after a restore of the store are not ordered, and requests are refused as outdated_weights, until a node starts again.

Cause: a node reads the register only while it knows no record. A record of an earlier era can neither be replaced nor expire, so that only the node that had written it got out, by the conflict of its renewal. Fix: such a record counts as none known.

--- a/src/decision/relay/register_lease.rs
+++ b/src/decision/relay/register_lease.rs
@@ -87,6 +87,14 @@
         self.known.as_ref().map(|known| &known.record)
     }
 
+    /// Whether the register must be read: no record is known, or only one of an earlier era, which
+    /// can neither be replaced nor be held any more.
+    pub fn needs_read(&self) -> bool {
+        let Some(known) = &self.known else { return true };
+        let known_era = log_position::era(known.record.number);
+        self.era.is_some_and(|(era, _over_at)| known_era < era)
+    }
+
     /// Returns the number of the record to replace if this node may acquire or renew the lease now.
     pub fn replaceable_number(&self, now: Instant) -> Option<FencingNumber> {
         let known = self.known.as_ref()?;
--- a/src/relay/control/rollout/lease.rs
+++ b/src/relay/control/rollout/lease.rs
@@ -36,10 +36,10 @@
         if is_call_pending || now < self.rollout.next_acquire_at {
             return;
         }
-        if self.rollout.lease.known().is_none() {
-            self.read_register(now);
-        } else if self.rollout.lease.replaceable_number(now).is_some() {
+        if self.rollout.lease.replaceable_number(now).is_some() {
             self.replace_register(now);
+        } else if self.rollout.lease.needs_read() {
+            self.read_register(now);
         }
     }
 
--- a/tests/relay/lease.rs
+++ b/tests/relay/lease.rs
@@ -3,6 +3,7 @@
 use super::proptest_config;
 use coriandertide::decision::relay::RegisterLease;
 use coriandertide::decision::relay::register_lease::RegisterRecord;
+use coriandertide::types::log_position;
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -84,3 +85,21 @@
     lease.observe(RegisterRecord { number: 3, holder: "b".into() }, now);
     assert_eq!(lease.fencing_number(now), None);
 }
+
+// Guards against nodes that neither replace nor read again the record of an earlier era.
+#[test]
+fn a_record_of_an_earlier_era_is_read_again() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(2 * LEASE_MS);
+    let record =
+        |era| RegisterRecord { number: log_position::position(era, 7), holder: "other".into() };
+    let mut lease = RegisterLease::new("own".into(), LEASE_MS);
+    assert!(lease.needs_read());
+    lease.observe(record(1), now);
+    assert!(!lease.needs_read());
+    lease.observe_era(2, now);
+    assert_eq!((lease.needs_read(), lease.replaceable_number(later)), (true, None));
+    lease.observe(record(2), now);
+    assert!(!lease.needs_read());
+    assert_eq!(lease.replaceable_number(later), Some(record(2).number));
+}
