fix(relay): answers that end with their connection acquit after a crash check

Bodies of other requests without a length were not checked at all.

Change: an answer that ends in order with its connection acquits its keys if the check of its server finds no crash; bodies are checked like streams.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -81,6 +81,8 @@
     Body,
     /// A stream had not ended.
     Stream,
+    /// The answer ended with its connection, which a crash may have ended as well.
+    End,
 }
 
 /// Attempt that counts towards the load of its server until dropped.
@@ -330,8 +332,10 @@
         incarnation: in_flight.incarnation.unwrap_or_default(),
         // Streams of sound requests are cut by the same crash, so that only prompts with a chain of
         // crashes are refused.
-        fingerprint: (stage != CutStage::Stream).then_some(request.fingerprint),
+        fingerprint: matches!(stage, CutStage::Head | CutStage::Body)
+            .then_some(request.fingerprint),
         keys: in_flight.suspect_keys.clone(),
+        is_ended: stage == CutStage::End,
     }));
 }
 
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -52,6 +52,9 @@
         log::info!("event=answer_broken request={} {} {error}", request.id, received.in_flight);
     })?;
     let Answer { exchange, head, in_flight } = received;
+    if !exchange.framing.proves_completeness() {
+        attempt::request_crash_check(request, &in_flight, CutStage::End);
+    }
     let answer = BufferedAnswer {
         status: exchange.status,
         headers: exchange.headers.clone(),
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::state::ControlState;
 use super::{CutExchange, RelayControlEvent};
-use crate::decision::poison::{KeyStrike, Strike, Treatment};
+use crate::decision::poison::{KeyStrike, Strike, SuspectKey, Treatment};
 use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
 use crate::types::{Incarnation, InstanceId, ServerId};
@@ -88,7 +88,14 @@
         if has_crashed {
             let (state, forget_at) = (CrashCheckState::Confirmed, now + CHECK_MEMORY);
             self.crash_checks.checks.insert(run, CrashCheck { state, forget_at });
-            self.record_crash(&cuts, now);
+            return self.record_crash(&cuts, now);
+        }
+        let ended = cuts.iter().filter(|cut| cut.is_ended);
+        let keys: Vec<SuspectKey> =
+            ended.flat_map(|cut| cut.keys.iter().map(|ranked| ranked.key)).collect();
+        let cleared = self.context.crash_evidence().acquit(&keys, now);
+        if !cleared.is_empty() {
+            self.broadcast(None, &PartnerMessage::KeyStrikes(cleared));
         }
     }
 
@@ -187,8 +194,8 @@
             crate::adapters::deadline::timeout_at(deadline, TcpStream::connect(address)).await;
         match opened {
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
-            Ok(Ok(_)) => return false,
-            Ok(Err(_)) | Err(_) => Timer::after(CRASH_CHECK_PERIOD).await,
+            // A listener may outlive the connections of its process for a moment.
+            Ok(_) | Err(_) => Timer::after(CRASH_CHECK_PERIOD).await,
         };
     }
     false
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -359,8 +359,7 @@
             if answer.exchange.framing.proves_completeness() {
                 suspects::acquit(&self.context, &self.request);
             } else {
-                // A crash may have ended the connection between two events.
-                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
+                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::End);
             }
             return_to_pool(&self.context, answer.exchange, &answer.head);
         }
