fix(poison): neighbours of a bad part are not refused with it

A model of 20 nodes refused sound parts: a chain of three crashes also came together for neighbours of a bad part, and for the preamble that siblings share with it.

- A key is refused when three of its crashes are not shared with another key of refusal rank and as many crashes; with such a rival, only requests with both keys are refused.
- A strike prolongs a chain only if it was known when the request was sent and is still not cleared (RankedKey::known_at).
- The crash in question does not count as an earlier refusal.
- Clearings of first strikes are sent to partners too.

--- a/src/decision/poison/evidence.rs
+++ b/src/decision/poison/evidence.rs
@@ -15,7 +15,8 @@
 /// Rank from which a node runs one request with the key at a time and resends none.
 pub const PROBE_RANK: u32 = 2;
 
-/// Rank from which all nodes refuse requests with the key.
+/// Rank from which all nodes refuse requests with the key, and number of crashes that no other key
+/// may explain as well.
 pub const REFUSAL_RANK: u32 = 3;
 
 /// Time after an answer in which a first strike is not recorded against the answered keys.
@@ -31,6 +32,8 @@
     pub key: SuspectKey,
     /// Rank that the node knew, 0 without strikes.
     pub rank: u32,
+    /// When the node determined the rank.
+    pub known_at: Instant,
 }
 
 /// Crash of a server while it answered a request with the key.
@@ -79,12 +82,17 @@
 impl CrashEvidence {
     /// Returns `keys` with the highest rank of their strikes that are neither cleared nor expired.
     pub fn ranked(&self, keys: &[SuspectKey], now: Instant) -> Vec<RankedKey> {
-        keys.iter().map(|key| RankedKey { key: *key, rank: self.strikes.rank(*key, now) }).collect()
+        let ranked = |key: &SuspectKey| RankedKey {
+            key: *key,
+            rank: self.strikes.rank(*key, now),
+            known_at: now,
+        };
+        keys.iter().map(ranked).collect()
     }
 
     /// Returns how to treat a request with `keys`.
     pub fn treatment(&self, keys: &[SuspectKey], now: Instant) -> Treatment {
-        let refusals = keys.iter().filter_map(|key| self.strikes.refused_until(*key, now));
+        let refusals = keys.iter().filter_map(|key| self.strikes.refused_until(*key, keys, now));
         match refusals.max() {
             Some(until) => Treatment::Refused { until },
             None if keys.iter().any(|key| self.needs_probe(*key, now)) => Treatment::Probe,
@@ -113,7 +121,7 @@
             is_cleared: false,
             age_ms: 0,
         };
-        self.suspects(keys, now).iter().map(strike).collect()
+        self.suspects(server, incarnation, keys, now).iter().map(strike).collect()
     }
 
     /// Merges a strike, own or a partner's; returns whether it changed anything and must be
@@ -130,7 +138,6 @@
             self.answered.insert(*key, now);
             cleared.extend(self.strikes.clear(*key, now));
         }
-        cleared.retain(|strike| strike.rank >= PROBE_RANK);
         cleared
     }
 
@@ -168,16 +175,25 @@
     }
 
     /// Returns the keys that may have caused the crash of a request sent with `keys`.
-    fn suspects(&self, keys: &[RankedKey], now: Instant) -> Vec<RankedKey> {
-        let is_refused = |sent: &&RankedKey| self.strikes.refused_until(sent.key, now).is_some();
+    fn suspects(
+        &self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        keys: &[RankedKey],
+        now: Instant,
+    ) -> Vec<RankedKey> {
+        let of_request: Vec<SuspectKey> = keys.iter().map(|sent| sent.key).collect();
+        let crash = (server.clone(), incarnation);
+        let is_refused =
+            |sent: &&RankedKey| self.strikes.is_refused(sent.key, &of_request, Some(&crash), now);
         let refused: Vec<RankedKey> = keys.iter().filter(is_refused).copied().collect();
         if !refused.is_empty() {
             return refused;
         }
-        // Strikes that were cleared after the request was sent do not count.
+        // Strikes that were cleared since the request was sent do not count.
         let current = |sent: &RankedKey| RankedKey {
-            key: sent.key,
-            rank: sent.rank.min(self.strikes.rank(sent.key, now)),
+            rank: sent.rank.min(self.strikes.rank_known_at(sent.key, sent.known_at, now)),
+            ..*sent
         };
         let (answered, unanswered): (Vec<RankedKey>, Vec<RankedKey>) =
             keys.iter().map(current).partition(|suspect| self.answered.contains(suspect.key, now));
--- a/src/decision/poison/key_strikes.rs
+++ b/src/decision/poison/key_strikes.rs
@@ -2,7 +2,7 @@
 
 use super::evidence::{KeyStrike, REFUSAL_RANK, SuspectKey};
 use crate::types::{Incarnation, ServerId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Time after the last strike in which a key is refused.
@@ -17,13 +17,17 @@
 /// Maximum strikes of a key; the oldest one is evicted.
 const MAX_STRIKES_PER_KEY: usize = 64;
 
+/// Server that crashed, and its incarnation.
+pub(super) type Crash = (ServerId, Incarnation);
+
 /// Strike against a key.
 #[derive(Clone, Debug)]
 struct RecordedStrike {
-    server: ServerId,
-    incarnation: Incarnation,
+    crash: Crash,
     rank: u32,
     is_cleared: bool,
+    /// When this node first heard of the crash.
+    recorded_at: Instant,
     /// When a refusal because of the strike ends.
     blocks_until: Instant,
     expires_at: Instant,
@@ -35,10 +39,10 @@
         let age = Duration::from_millis(strike.age_ms);
         let lifetime = STRIKE_LIFETIME.checked_sub(age).filter(|left| !left.is_zero())?;
         Some(Self {
-            server: strike.server.clone(),
-            incarnation: strike.incarnation,
+            crash: (strike.server.clone(), strike.incarnation),
             rank: strike.rank,
             is_cleared: strike.is_cleared,
+            recorded_at: now,
             blocks_until: now + BLOCK_PERIOD.saturating_sub(age),
             expires_at: now + lifetime,
         })
@@ -48,10 +52,6 @@
         !self.is_cleared && now < self.expires_at
     }
 
-    fn is_same_crash(&self, other: &Self) -> bool {
-        self.server == other.server && self.incarnation == other.incarnation
-    }
-
     /// Merges another report of the same crash; returns whether partners must hear of the result.
     fn merge(&mut self, other: &Self) -> bool {
         let is_news = other.rank > self.rank || other.is_cleared && !self.is_cleared;
@@ -67,8 +67,8 @@
         let age_ms = STRIKE_LIFETIME.saturating_sub(left).as_millis();
         KeyStrike {
             key,
-            server: self.server.clone(),
-            incarnation: self.incarnation,
+            server: self.crash.0.clone(),
+            incarnation: self.crash.1,
             rank: self.rank,
             is_cleared: self.is_cleared,
             age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
@@ -86,18 +86,62 @@
 impl KeyStrikes {
     /// Returns the highest rank of the live strikes of `key`, 0 without any.
     pub(super) fn rank(&self, key: SuspectKey, now: Instant) -> u32 {
-        self.live(key, now).map(|strike| strike.rank).max().unwrap_or(0)
+        self.strikes.get(&key).map_or(0, |strikes| highest_rank(strikes, now))
     }
 
-    /// Returns when the refusal of `key` ends, `None` if it is not refused.
-    pub(super) fn refused_until(&self, key: SuspectKey, now: Instant) -> Option<Instant> {
-        if self.rank(key, now) < REFUSAL_RANK {
+    /// Like `rank`, of the strikes that this node knew at `known_at`.
+    pub(super) fn rank_known_at(&self, key: SuspectKey, known_at: Instant, now: Instant) -> u32 {
+        let known = self.live(key, now).filter(|strike| strike.recorded_at <= known_at);
+        known.map(|strike| strike.rank).max().unwrap_or(0)
+    }
+
+    /// Returns when the refusal of requests with all of `keys` because of `key` ends, `None` if they
+    /// are not refused.
+    pub(super) fn refused_until(
+        &self,
+        key: SuspectKey,
+        keys: &[SuspectKey],
+        now: Instant,
+    ) -> Option<Instant> {
+        if !self.is_refused(key, keys, None, now) {
             return None;
         }
         let until = self.live(key, now).map(|strike| strike.blocks_until).max();
         until.filter(|until| now < *until)
     }
 
+    /// Returns whether requests with all of `keys` are refused because of `key`, also without the
+    /// strikes of the crash `except`.
+    ///
+    /// A crash does not count if it gave a strike to another key of such a rank that has strikes of at
+    /// least as many crashes: it may be due to that key alone, so that only requests with both are
+    /// refused.
+    pub(super) fn is_refused(
+        &self,
+        key: SuspectKey,
+        keys: &[SuspectKey],
+        except: Option<&Crash>,
+        now: Instant,
+    ) -> bool {
+        if self.rank(key, now) < REFUSAL_RANK {
+            return false;
+        }
+        let crash_count = self.live(key, now).count();
+        let is_rival = |strikes: &[RecordedStrike]| {
+            highest_rank(strikes, now) >= REFUSAL_RANK
+                && strikes.iter().filter(|strike| strike.is_live(now)).count() >= crash_count
+        };
+        let others = self.strikes.iter().filter(|(other, _)| !keys.contains(other));
+        let rivals: HashSet<&Crash> = others
+            .filter(|(_, strikes)| is_rival(strikes))
+            .flat_map(|(_, strikes)| strikes.iter().filter(|strike| strike.is_live(now)))
+            .map(|strike| &strike.crash)
+            .collect();
+        let is_counted = |crash: &&Crash| Some(*crash) != except && !rivals.contains(crash);
+        let crashes = self.live(key, now).map(|strike| &strike.crash).filter(is_counted).count();
+        crashes >= REFUSAL_RANK as usize
+    }
+
     /// Merges a strike; returns whether it changed anything.
     pub(super) fn merge(&mut self, strike: KeyStrike, now: Instant) -> bool {
         let Some(new) = RecordedStrike::new(&strike, now) else { return false };
@@ -105,7 +149,7 @@
             self.evict_key(now);
         }
         let known = self.strikes.entry(strike.key).or_default();
-        if let Some(same) = known.iter_mut().find(|same| same.is_same_crash(&new)) {
+        if let Some(same) = known.iter_mut().find(|same| same.crash == new.crash) {
             return same.merge(&new);
         }
         if known.len() >= MAX_STRIKES_PER_KEY {
@@ -154,6 +198,11 @@
     }
 }
 
+fn highest_rank(strikes: &[RecordedStrike], now: Instant) -> u32 {
+    let live = strikes.iter().filter(|strike| strike.is_live(now));
+    live.map(|strike| strike.rank).max().unwrap_or(0)
+}
+
 fn evict_strike(strikes: &mut Vec<RecordedStrike>) {
     let oldest = strikes.iter().enumerate().min_by_key(|(_, strike)| strike.expires_at);
     if let Some(index) = oldest.map(|(index, _)| index) {
