test(poison): model of a bad part at tens of nodes

Messages have delays, links are cut, nodes restart or have an earlier build, servers and a zone are lost, and no two requests are alike.

--- a/tests/relay/crash_evidence.rs
+++ b/tests/relay/crash_evidence.rs
@@ -88,7 +88,7 @@
 }
 
 fn any_strike() -> impl Strategy<Value = KeyStrike> {
-    (0..3_u64, 0..4_u64, 1..5_u32, prop::bool::weighted(0.2), 0..3_u64).prop_map(
+    (0..3_u64, 0..4_u64, 1..7_u32, prop::bool::weighted(0.2), 0..3_u64).prop_map(
         |(key, server, rank, is_cleared, ages)| KeyStrike {
             is_cleared,
             age_ms: ages * BLOCK_MS,
@@ -152,7 +152,7 @@
 #[test]
 fn tables_are_bounded_and_keep_the_highest_ranks() {
     let mut nodes = Nodes::new();
-    nodes.share(&[strike(BAD_PART, 1, REFUSAL_RANK)]);
+    nodes.share(&[1, 2, 3].map(|number| strike(BAD_PART, number, number as u32)));
     for number in 0..5_000 {
         nodes.wait(1).share(&[strike(number + 10, 1, 1), strike(PREAMBLE, number, 1)]);
     }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod choose;
 mod configuration;
 mod crash_evidence;
+mod crash_evidence_model;
 mod event_position;
 mod event_splitter;
 mod failover;
