fix(poison): one node tries a refused key, soon and at growing intervals

What callers would see: a part that was refused for crashes with another cause (a service lost several times in a row) stayed refused for ten minutes, since nothing ran that could acquit it; and a bad part was tried every ten minutes by each node.

Change: the refusal lasts 30 s and doubles with each further crash of the chain, up to ten minutes; after it, the node that comes first for the key among the live ones runs one request, and the others go on refusing. Besides, a strike whose crash came before an answer of its key is cleared when it arrives; a request that no server ran is sent to another server whatever its keys; an answer clears the strikes by fingerprint too, which crashes in a body no longer give.

--- a/src/decision/poison/evidence.rs
+++ b/src/decision/poison/evidence.rs
@@ -7,10 +7,11 @@
 
 use super::answered_keys::AnsweredKeys;
 use super::key_strikes::KeyStrikes;
-use crate::types::{Incarnation, ServerId};
+use crate::types::{Incarnation, InstanceId, ServerId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Rank from which a node runs one request with the key at a time and resends none.
 pub const PROBE_RANK: u32 = 2;
@@ -77,9 +78,20 @@
     answered: AnsweredKeys,
     /// Running probes by key.
     probes: HashMap<SuspectKey, u32>,
+    /// This node, which is not among `other_nodes`.
+    own_node: u64,
+    /// Hashes of the other live nodes.
+    other_nodes: Vec<u64>,
 }
 
 impl CrashEvidence {
+    /// Sets the live nodes, among which one tries a key whose refusal has ended.
+    pub fn set_nodes(&mut self, own: &InstanceId, live: &[InstanceId]) {
+        self.own_node = xxh3_64(own.as_bytes());
+        let others = live.iter().filter(|node| *node != own);
+        self.other_nodes = others.map(|node| xxh3_64(node.as_bytes())).collect();
+    }
+
     /// Returns `keys` with the highest rank of their strikes that are neither cleared nor expired.
     pub fn ranked(&self, keys: &[SuspectKey], now: Instant) -> Vec<RankedKey> {
         let ranked = |key: &SuspectKey| RankedKey {
@@ -92,8 +104,12 @@
 
     /// Returns how to treat a request with `keys`.
     pub fn treatment(&self, keys: &[SuspectKey], now: Instant) -> Treatment {
-        let refusals = keys.iter().filter_map(|key| self.strikes.refused_until(*key, keys, now));
-        match refusals.max() {
+        let refusal = |key: &SuspectKey| {
+            let until = self.strikes.refused_until(*key, keys, now)?;
+            // After its time one node tries the key.
+            (now < until || !self.is_trial_node(*key)).then_some(until.max(now))
+        };
+        match keys.iter().filter_map(refusal).max() {
             Some(until) => Treatment::Refused { until },
             None if keys.iter().any(|key| self.needs_probe(*key, now)) => Treatment::Probe,
             None => Treatment::Normal,
@@ -127,7 +143,13 @@
     /// Merges a strike, own or a partner's; returns whether it changed anything and must be
     /// forwarded.
     pub fn add(&mut self, strike: KeyStrike, now: Instant) -> bool {
-        self.strikes.merge(strike, now)
+        let key = strike.key;
+        let is_news = self.strikes.merge(strike, now);
+        let answered_at = self.answered.answered_at(key);
+        if answered_at.is_some_and(|at| self.strikes.are_crashes_before(key, at, now)) {
+            self.strikes.clear(key, now);
+        }
+        is_news
     }
 
     /// Records that a request with `keys` was answered completely; returns the strikes that this
@@ -170,6 +192,12 @@
         }
     }
 
+    /// Whether this is the node that tries `key` after its refusal.
+    fn is_trial_node(&self, key: SuspectKey) -> bool {
+        let order = |node: u64| xxh3_64_with_seed(&key.to_le_bytes(), node);
+        self.other_nodes.iter().all(|other| order(*other) < order(self.own_node))
+    }
+
     fn needs_probe(&self, key: SuspectKey, now: Instant) -> bool {
         self.strikes.rank(key, now) >= PROBE_RANK
     }
--- a/src/decision/poison/key_strikes.rs
+++ b/src/decision/poison/key_strikes.rs
@@ -5,8 +5,15 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-/// Time after the last strike in which a key is refused.
-const BLOCK_PERIOD: Duration = Duration::from_secs(600);
+/// Time after the last strike in which a key is refused; doubles with each crash of a chain that is
+/// long enough for a refusal.
+const FIRST_BLOCK_PERIOD: Duration = Duration::from_secs(30);
+
+/// Maximum time after the last strike in which a key is refused.
+const MAX_BLOCK_PERIOD: Duration = Duration::from_secs(600);
+
+/// Maximum doublings of the time in which a key is refused.
+const MAX_DOUBLINGS: u32 = 5;
 
 /// Time after which a strike expires.
 const STRIKE_LIFETIME: Duration = Duration::from_secs(3_600);
@@ -28,8 +35,8 @@
     is_cleared: bool,
     /// When this node first heard of the crash.
     recorded_at: Instant,
-    /// When a refusal because of the strike ends.
-    blocks_until: Instant,
+    /// When the server crashed.
+    crashed_at: Instant,
     expires_at: Instant,
 }
 
@@ -43,7 +50,7 @@
             rank: strike.rank,
             is_cleared: strike.is_cleared,
             recorded_at: now,
-            blocks_until: now + BLOCK_PERIOD.saturating_sub(age),
+            crashed_at: now.checked_sub(age).unwrap_or(now),
             expires_at: now + lifetime,
         })
     }
@@ -57,7 +64,7 @@
         let is_news = other.rank > self.rank || other.is_cleared && !self.is_cleared;
         self.rank = self.rank.max(other.rank);
         self.is_cleared |= other.is_cleared;
-        self.blocks_until = self.blocks_until.min(other.blocks_until);
+        self.crashed_at = self.crashed_at.min(other.crashed_at);
         self.expires_at = self.expires_at.min(other.expires_at);
         is_news
     }
@@ -95,8 +102,8 @@
         known.map(|strike| strike.rank).max().unwrap_or(0)
     }
 
-    /// Returns when the refusal of requests with all of `keys` because of `key` ends, `None` if they
-    /// are not refused.
+    /// Returns when the refusal of requests with all of `keys` because of `key` ends, which may be in
+    /// the past, `None` if they are not refused.
     pub(super) fn refused_until(
         &self,
         key: SuspectKey,
@@ -106,8 +113,10 @@
         if !self.is_refused(key, keys, None, now) {
             return None;
         }
-        let until = self.live(key, now).map(|strike| strike.blocks_until).max();
-        until.filter(|until| now < *until)
+        let convictions = self.live(key, now).filter(|strike| strike.rank >= REFUSAL_RANK);
+        let doublings = (convictions.count().saturating_sub(1) as u32).min(MAX_DOUBLINGS);
+        let period = (FIRST_BLOCK_PERIOD * 2_u32.pow(doublings)).min(MAX_BLOCK_PERIOD);
+        self.live(key, now).map(|strike| strike.crashed_at + period).max()
     }
 
     /// Returns whether requests with all of `keys` are refused because of `key`, also without the
@@ -159,6 +168,12 @@
         true
     }
 
+    /// Whether all crashes of the live strikes of `key` were before `at`; false without any.
+    pub(super) fn are_crashes_before(&self, key: SuspectKey, at: Instant, now: Instant) -> bool {
+        let mut crashes = self.live(key, now).map(|strike| strike.crashed_at).peekable();
+        crashes.peek().is_some() && crashes.all(|crashed_at| crashed_at < at)
+    }
+
     /// Clears the strikes of `key`; returns those that were live.
     pub(super) fn clear(&mut self, key: SuspectKey, now: Instant) -> Vec<KeyStrike> {
         let Some(strikes) = self.strikes.get_mut(&key) else { return Vec::new() };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -332,8 +332,7 @@
         incarnation: in_flight.incarnation.unwrap_or_default(),
         // Streams of sound requests are cut by the same crash, so that only prompts with a chain of
         // crashes are refused.
-        fingerprint: matches!(stage, CutStage::Head | CutStage::Body)
-            .then_some(request.fingerprint),
+        fingerprint: (stage == CutStage::Head).then_some(request.fingerprint),
         keys: in_flight.suspect_keys.clone(),
         is_ended: stage == CutStage::End,
     }));
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -405,6 +405,7 @@
             let instances: Vec<InstanceId> =
                 live.iter().map(|node| node.instance.clone()).collect();
             self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
+            self.context.crash_evidence().set_nodes(me, &instances);
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -78,7 +78,7 @@
         self.possible_runs < request.route.max_attempts
             && self.tried.len() < MAX_TRIED_SERVERS
             && now + MIN_ATTEMPT_TIME < request.deadline
-            && suspects::may_resend(context, request, now)
+            && (self.possible_runs == 0 || suspects::may_resend(context, request, now))
     }
 
     /// Takes a resend from the budget if route, budget and remaining time allow one; returns
--- a/src/relay/suspects.rs
+++ b/src/relay/suspects.rs
@@ -46,7 +46,7 @@
 
 impl fmt::Display for KeyList<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, RankedKey { key, rank }) in self.0.iter().enumerate() {
+        for (index, RankedKey { key, rank, .. }) in self.0.iter().enumerate() {
             let separator = if index == 0 { "" } else { "," };
             write!(f, "{separator}{key:016x}/{rank}")?;
         }
@@ -108,6 +108,7 @@
 pub fn acquit(context: &RelayContext, request: &RelayedRequest) {
     let now = Instant::now();
     let keys = &request.suspect_keys;
+    context.poison().clear_strikes(request.fingerprint);
     let mut evidence = context.crash_evidence();
     let is_request_suspect = evidence.ranked(&[request.fingerprint], now)[0].rank > 0;
     // A request that never comes again need not be remembered as answered.
