--- /dev/null
+++ b/src/relay/answer_head.rs
@@ -0,0 +1,145 @@
+//! What the head of an answer tells about its server.
+
+use super::RelayContext;
+use super::attempt::{NotRunReason, suspend_server};
+use super::control::RelayControlEvent;
+use super::request::RelayedRequest;
+use crate::decision::leaving::LeavingNotice;
+use crate::decision::relay::Choice;
+use crate::decision::relay::pause::Pause;
+use crate::ports::AnswerHead;
+use crate::types::{Delivery, Incarnation, PeerError, Step};
+use anyhow::anyhow;
+use http::StatusCode;
+use std::time::{Duration, Instant};
+
+/// Time for which a server that rejected a request as full gets no new ones.
+const FULL_PERIOD: Duration = Duration::from_millis(120);
+
+/// Records the weights that the answer reports, if they are not the expected ones.
+pub fn update_weights(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    head: &AnswerHead,
+) {
+    let Some(model) = request.head.prompt.as_ref().map(|prompt| &prompt.model) else { return };
+    let Some(revision) = head.weights.filter(|_| !is_misdirected(choice, head)) else { return };
+    let expected = choice.prompt.as_ref().map(|prompt| prompt.weights);
+    if expected != Some(revision) {
+        log::info!(
+            "event=weights_learned server={} revision={revision} believed={}",
+            choice.server,
+            expected.unwrap_or_default()
+        );
+        context.fleet().set_weights(&choice.server, model, revision);
+    }
+}
+
+/// Learns the prefill rate of the service from when an answer began.
+pub fn learn_prefill_rate(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    answer_ms: f64,
+) {
+    let Some(prompt) = &choice.prompt else { return };
+    let changed = context.fleet().learn_prefill_rate(&request.service, prompt, answer_ms);
+    if let Some(tokens_per_ms) = changed {
+        log::info!(
+            "event=prefill_rate_learned service={} tokens_per_ms={tokens_per_ms:.0} request={}",
+            request.service,
+            request.id
+        );
+    }
+}
+
+/// Records that the server is leaving or wants a pause, if its answer says so.
+pub fn heed_server(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    incarnation: Incarnation,
+    head: &AnswerHead,
+) {
+    let server = &choice.server;
+    if head.is_leaving {
+        let notice = LeavingNotice { server: server.clone(), incarnation };
+        if context.fleet().departures.add(&notice) {
+            log::info!("event=server_leaving server={server} source=answer request={}", request.id);
+            context.notify_control(RelayControlEvent::ServersLeaving(vec![notice]));
+        }
+    }
+    if let Some(pause) = head.pause_ms.map(|pause_ms| Pause::new(pause_ms, fastrand::f64())) {
+        let now = Instant::now();
+        if let Some(server) = context.fleet().server_mut(server)
+            && server.incarnation() == incarnation
+        {
+            server.pause_until(pause.end(now));
+        }
+        log::info!(
+            "event=server_paused server={server} for_ms={} asked_ms={} request={}",
+            pause.end(now).saturating_duration_since(now).as_millis(),
+            head.pause_ms.unwrap_or_default(),
+            request.id
+        );
+    }
+}
+
+/// Whether another server listens at the address.
+pub fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
+    head.server.as_ref().is_some_and(|server| *server != choice.server)
+}
+
+/// Records why the server did not run the request, so that the next choice avoids it.
+pub fn record_not_run(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    status: StatusCode,
+    head: &AnswerHead,
+) -> NotRunReason {
+    let now = Instant::now();
+    if is_misdirected(choice, head) {
+        suspend_server(context, choice);
+        return NotRunReason::Misdirected;
+    }
+    if let Some(prompt) = &choice.prompt
+        && status == StatusCode::MISDIRECTED_REQUEST
+    {
+        if head.weights.is_none() {
+            let model = request.head.prompt.as_ref().map(|prompt| prompt.model.clone());
+            model.iter().for_each(|model| {
+                context.fleet().record_weights_mismatch(&choice.server, model, prompt.weights);
+            });
+        }
+        return NotRunReason::OtherWeights;
+    }
+    if let Some(server) = context.fleet().server_mut(&choice.server) {
+        server.set_full_until(now + FULL_PERIOD);
+    }
+    NotRunReason::Full
+}
+
+/// Returns an error if the answer cannot be the answer of a server that ran this request.
+pub fn find_answer_fault(
+    request: &RelayedRequest,
+    choice: &Choice,
+    status: StatusCode,
+    head: &AnswerHead,
+) -> Option<PeerError> {
+    let promises_no_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    let fault = if head.request_id.as_ref() != Some(&request.id) {
+        "the answer belongs to another request"
+    } else if status.is_success() && !head.is_signed {
+        "the answer is not signed"
+    } else if head.has_content_encoding {
+        "the answer is encoded"
+    } else if promises_no_run || status.is_informational() {
+        "the status contradicts that the request was run"
+    } else {
+        return None;
+    };
+    let error = anyhow!("{fault} (status {status})");
+    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,33 +1,27 @@
 //! One attempt of a request: sends it to a server and receives the head of the answer.
 
 use super::RelayContext;
+use super::answer_head::{
+    find_answer_fault, heed_server, is_misdirected, learn_prefill_rate, record_not_run,
+    update_weights,
+};
 use super::buffered_answer::{self, BufferedAnswer};
-use super::control::{CutExchange, RelayControlEvent};
+use super::control::RelayControlEvent;
+use super::in_flight::{CutStage, InFlightAttempt, request_crash_check};
 use super::request::RelayedRequest;
-use super::suspects::KeyList;
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::leaving::LeavingNotice;
-use crate::decision::poison::RankedKey;
-use crate::decision::relay::pause::Pause;
-use crate::decision::relay::server::{PendingPrefill, Server, ServerLoad};
-use crate::decision::relay::{Choice, Prompt};
+use crate::decision::relay::Choice;
+use crate::decision::relay::server::Server;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
-use anyhow::anyhow;
-use http::{Request, StatusCode};
+use crate::types::{Delivery, PeerError, Step};
+use http::Request;
 use http_body_util::Full;
 use smol_str::SmolStr;
-use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use strum::Display;
 
-/// Time for which a server that rejected a request as full gets no new ones.
-const FULL_PERIOD: Duration = Duration::from_millis(120);
-
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// The server began a stream.
@@ -72,109 +66,6 @@
     pub in_flight: InFlightAttempt,
 }
 
-/// How far an answer had come when its exchange was cut.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CutStage {
-    /// Its head had not arrived.
-    Head,
-    /// A buffered body had not arrived completely.
-    Body,
-    /// A stream had not ended.
-    Stream,
-    /// The answer ended with its connection, which a crash may have ended as well.
-    End,
-}
-
-/// Attempt that counts towards the load of its server until dropped.
-pub struct InFlightAttempt {
-    context: Arc<RelayContext>,
-    /// Server that the request was sent to.
-    pub server: ServerId,
-    /// Number of the attempt.
-    attempt: u64,
-    load: ServerLoad,
-    /// Whether the prompt has been prefilled.
-    is_prefilled: bool,
-    sent_at: Instant,
-    address: SocketAddr,
-    incarnation: Option<Incarnation>,
-    /// Keys of the request with the crashes that were known when it was sent.
-    suspect_keys: Vec<RankedKey>,
-}
-
-impl InFlightAttempt {
-    fn new(context: Arc<RelayContext>, request: &RelayedRequest, choice: &Choice) -> Self {
-        let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
-        let (server, load) = (choice.server.clone(), choice.load);
-        let now = Instant::now();
-        let suspect_keys = context.crash_evidence().ranked(request.suspect_keys.all(), now);
-        let mut fleet = context.fleet();
-        let incarnation = fleet.server(&server).and_then(|server| server.entry.started_unix_ms);
-        fleet.begin_request(&server, attempt, load, now);
-        if let Some(prompt) = request.head.prompt.as_ref().filter(|prompt| prompt.is_decode_heavy())
-        {
-            fleet.decode_rate.add(prompt.expected_output_tokens(), now);
-        }
-        if let Some(prompt) = &choice.prompt {
-            let is_announced = request.head.prompt.as_ref().is_some_and(Prompt::is_worth_storing);
-            fleet.prefixes.add_cached(&prompt.keys, &server, is_announced, now);
-            if prompt.save_to.is_some() {
-                fleet.prefixes.mark_saving(&prompt.keys, now);
-            }
-            if let Some(store) = &mut fleet.kv_store {
-                store.take(prompt.fetch_s, prompt.save_s, now);
-            }
-        }
-        drop(fleet);
-        Self {
-            context,
-            server,
-            attempt,
-            load,
-            is_prefilled: false,
-            sent_at: now,
-            address: choice.address,
-            incarnation,
-            suspect_keys,
-        }
-    }
-
-    /// Records that the server sent something. The first time, the prompt counts as prefilled.
-    pub fn record_contact(&mut self) {
-        let mut fleet = self.context.fleet();
-        if let Some(server) = fleet.server_mut(&self.server) {
-            server.health.record_contact(Instant::now());
-        }
-        if !self.is_prefilled {
-            self.is_prefilled = true;
-            fleet.finish_prefill(&self.server, self.attempt, self.load.pending_prefill);
-            self.load.pending_prefill = PendingPrefill::default();
-        }
-    }
-
-    /// Records whether the server succeeded, and how many milliseconds later than expected it
-    /// answered.
-    pub fn record_outcome(&self, succeeded: bool, delay_ms: f64) {
-        if let Some(server) = self.context.fleet().server_mut(&self.server) {
-            server.health.record_outcome(succeeded, delay_ms, Instant::now());
-        }
-    }
-}
-
-impl fmt::Display for InFlightAttempt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { server, sent_at, suspect_keys, .. } = self;
-        let keys = KeyList(suspect_keys);
-        write!(f, "server={server} sent_ms={} keys={keys}", sent_at.elapsed().as_millis())
-    }
-}
-
-impl Drop for InFlightAttempt {
-    fn drop(&mut self) {
-        self.context.fleet().end_request(&self.server, self.attempt, self.load);
-    }
-}
-
 /// Sends `request` to the chosen server and waits for the head of its answer.
 pub async fn send(
     context: &Arc<RelayContext>,
@@ -309,7 +200,7 @@
 }
 
 /// Closes the connections to a server and sends it no requests for a while.
-fn suspend_server(context: &RelayContext, choice: &Choice) {
+pub fn suspend_server(context: &RelayContext, choice: &Choice) {
     context.pool.close_idle_connections(&choice.server);
     let now = Instant::now();
     let Some(until) = context
@@ -322,146 +213,3 @@
     let for_ms = until.saturating_duration_since(now).as_millis();
     log::info!("event=server_suspended server={} for_ms={for_ms}", choice.server);
 }
-
-/// Makes the control thread check whether the server of a cut exchange crashed; a crash is a strike
-/// against the request and its prompt parts.
-pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
-    in_flight.context.notify_control(RelayControlEvent::ExchangeCut(CutExchange {
-        server: in_flight.server.clone(),
-        address: in_flight.address,
-        incarnation: in_flight.incarnation.unwrap_or_default(),
-        // Streams of sound requests are cut by the same crash, so that only prompts with a chain of
-        // crashes are refused.
-        fingerprint: (stage == CutStage::Head).then_some(request.fingerprint),
-        keys: in_flight.suspect_keys.clone(),
-        is_ended: stage == CutStage::End,
-    }));
-}
-
-/// Records the weights that the answer reports, if they are not the expected ones.
-fn update_weights(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-    head: &AnswerHead,
-) {
-    let Some(model) = request.head.prompt.as_ref().map(|prompt| &prompt.model) else { return };
-    let Some(revision) = head.weights.filter(|_| !is_misdirected(choice, head)) else { return };
-    let expected = choice.prompt.as_ref().map(|prompt| prompt.weights);
-    if expected != Some(revision) {
-        log::info!(
-            "event=weights_learned server={} revision={revision} believed={}",
-            choice.server,
-            expected.unwrap_or_default()
-        );
-        context.fleet().set_weights(&choice.server, model, revision);
-    }
-}
-
-/// Learns the prefill rate of the service from when an answer began.
-fn learn_prefill_rate(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-    answer_ms: f64,
-) {
-    let Some(prompt) = &choice.prompt else { return };
-    let changed = context.fleet().learn_prefill_rate(&request.service, prompt, answer_ms);
-    if let Some(tokens_per_ms) = changed {
-        log::info!(
-            "event=prefill_rate_learned service={} tokens_per_ms={tokens_per_ms:.0} request={}",
-            request.service,
-            request.id
-        );
-    }
-}
-
-/// Records that the server is leaving or wants a pause, if its answer says so.
-fn heed_server(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-    incarnation: Incarnation,
-    head: &AnswerHead,
-) {
-    let server = &choice.server;
-    if head.is_leaving {
-        let notice = LeavingNotice { server: server.clone(), incarnation };
-        if context.fleet().departures.add(&notice) {
-            log::info!("event=server_leaving server={server} source=answer request={}", request.id);
-            context.notify_control(RelayControlEvent::ServersLeaving(vec![notice]));
-        }
-    }
-    if let Some(pause) = head.pause_ms.map(|pause_ms| Pause::new(pause_ms, fastrand::f64())) {
-        let now = Instant::now();
-        if let Some(server) = context.fleet().server_mut(server)
-            && server.incarnation() == incarnation
-        {
-            server.pause_until(pause.end(now));
-        }
-        log::info!(
-            "event=server_paused server={server} for_ms={} asked_ms={} request={}",
-            pause.end(now).saturating_duration_since(now).as_millis(),
-            head.pause_ms.unwrap_or_default(),
-            request.id
-        );
-    }
-}
-
-/// Whether another server listens at the address.
-fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
-    head.server.as_ref().is_some_and(|server| *server != choice.server)
-}
-
-/// Records why the server did not run the request, so that the next choice avoids it.
-fn record_not_run(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-    status: StatusCode,
-    head: &AnswerHead,
-) -> NotRunReason {
-    let now = Instant::now();
-    if is_misdirected(choice, head) {
-        suspend_server(context, choice);
-        return NotRunReason::Misdirected;
-    }
-    if let Some(prompt) = &choice.prompt
-        && status == StatusCode::MISDIRECTED_REQUEST
-    {
-        if head.weights.is_none() {
-            let model = request.head.prompt.as_ref().map(|prompt| prompt.model.clone());
-            model.iter().for_each(|model| {
-                context.fleet().record_weights_mismatch(&choice.server, model, prompt.weights);
-            });
-        }
-        return NotRunReason::OtherWeights;
-    }
-    if let Some(server) = context.fleet().server_mut(&choice.server) {
-        server.set_full_until(now + FULL_PERIOD);
-    }
-    NotRunReason::Full
-}
-
-/// Returns an error if the answer cannot be the answer of a server that ran this request.
-fn find_answer_fault(
-    request: &RelayedRequest,
-    choice: &Choice,
-    status: StatusCode,
-    head: &AnswerHead,
-) -> Option<PeerError> {
-    let promises_no_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    let fault = if head.request_id.as_ref() != Some(&request.id) {
-        "the answer belongs to another request"
-    } else if status.is_success() && !head.is_signed {
-        "the answer is not signed"
-    } else if head.has_content_encoding {
-        "the answer is encoded"
-    } else if promises_no_run || status.is_informational() {
-        "the status contradicts that the request was run"
-    } else {
-        return None;
-    };
-    let error = anyhow!("{fault} (status {status})");
-    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
-}
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -1,6 +1,7 @@
 //! Answers that are read completely before they are forwarded.
 
-use super::attempt::{self, Answer, CutStage};
+use super::attempt::Answer;
+use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
 use super::{RelayContext, stream, suspects};
 use crate::adapters::connection_pool::PooledExchange;
@@ -47,13 +48,13 @@
     let body = read.inspect_err(|error| {
         received.in_flight.record_outcome(false, 0.0);
         if error.is_disconnect() {
-            attempt::request_crash_check(request, &received.in_flight, CutStage::Body);
+            in_flight::request_crash_check(request, &received.in_flight, CutStage::Body);
         }
         log::info!("event=answer_broken request={} {} {error}", request.id, received.in_flight);
     })?;
     let Answer { exchange, head, in_flight } = received;
     if !exchange.framing.proves_completeness() {
-        attempt::request_crash_check(request, &in_flight, CutStage::End);
+        in_flight::request_crash_check(request, &in_flight, CutStage::End);
     }
     let answer = BufferedAnswer {
         status: exchange.status,
--- /dev/null
+++ b/src/relay/in_flight.rs
@@ -0,0 +1,134 @@
+//! Attempts under way: their share of a server's load, and checks of servers that cut them.
+
+use super::RelayContext;
+use super::control::{CutExchange, RelayControlEvent};
+use super::request::RelayedRequest;
+use super::suspects::KeyList;
+use crate::decision::poison::RankedKey;
+use crate::decision::relay::server::{PendingPrefill, ServerLoad};
+use crate::decision::relay::{Choice, Prompt};
+use crate::types::{Incarnation, ServerId};
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+/// How far an answer had come when its exchange was cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutStage {
+    /// Its head had not arrived.
+    Head,
+    /// A buffered body had not arrived completely.
+    Body,
+    /// A stream had not ended.
+    Stream,
+    /// The answer ended with its connection, which a crash may have ended as well.
+    End,
+}
+
+/// Attempt that counts towards the load of its server until dropped.
+pub struct InFlightAttempt {
+    context: Arc<RelayContext>,
+    /// Server that the request was sent to.
+    pub server: ServerId,
+    /// Number of the attempt.
+    attempt: u64,
+    load: ServerLoad,
+    /// Whether the prompt has been prefilled.
+    is_prefilled: bool,
+    sent_at: Instant,
+    address: SocketAddr,
+    incarnation: Option<Incarnation>,
+    /// Keys of the request with the crashes that were known when it was sent.
+    suspect_keys: Vec<RankedKey>,
+}
+
+impl InFlightAttempt {
+    /// Begins an attempt at the chosen server.
+    pub fn new(context: Arc<RelayContext>, request: &RelayedRequest, choice: &Choice) -> Self {
+        let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
+        let (server, load) = (choice.server.clone(), choice.load);
+        let now = Instant::now();
+        let suspect_keys = context.crash_evidence().ranked(request.suspect_keys.all(), now);
+        let mut fleet = context.fleet();
+        let incarnation = fleet.server(&server).and_then(|server| server.entry.started_unix_ms);
+        fleet.begin_request(&server, attempt, load, now);
+        if let Some(prompt) = request.head.prompt.as_ref().filter(|prompt| prompt.is_decode_heavy())
+        {
+            fleet.decode_rate.add(prompt.expected_output_tokens(), now);
+        }
+        if let Some(prompt) = &choice.prompt {
+            let is_announced = request.head.prompt.as_ref().is_some_and(Prompt::is_worth_storing);
+            fleet.prefixes.add_cached(&prompt.keys, &server, is_announced, now);
+            if prompt.save_to.is_some() {
+                fleet.prefixes.mark_saving(&prompt.keys, now);
+            }
+            if let Some(store) = &mut fleet.kv_store {
+                store.take(prompt.fetch_s, prompt.save_s, now);
+            }
+        }
+        drop(fleet);
+        Self {
+            context,
+            server,
+            attempt,
+            load,
+            is_prefilled: false,
+            sent_at: now,
+            address: choice.address,
+            incarnation,
+            suspect_keys,
+        }
+    }
+
+    /// Records that the server sent something. The first time, the prompt counts as prefilled.
+    pub fn record_contact(&mut self) {
+        let mut fleet = self.context.fleet();
+        if let Some(server) = fleet.server_mut(&self.server) {
+            server.health.record_contact(Instant::now());
+        }
+        if !self.is_prefilled {
+            self.is_prefilled = true;
+            fleet.finish_prefill(&self.server, self.attempt, self.load.pending_prefill);
+            self.load.pending_prefill = PendingPrefill::default();
+        }
+    }
+
+    /// Records whether the server succeeded, and how many milliseconds later than expected it
+    /// answered.
+    pub fn record_outcome(&self, succeeded: bool, delay_ms: f64) {
+        if let Some(server) = self.context.fleet().server_mut(&self.server) {
+            server.health.record_outcome(succeeded, delay_ms, Instant::now());
+        }
+    }
+}
+
+impl fmt::Display for InFlightAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { server, sent_at, suspect_keys, .. } = self;
+        let keys = KeyList(suspect_keys);
+        write!(f, "server={server} sent_ms={} keys={keys}", sent_at.elapsed().as_millis())
+    }
+}
+
+impl Drop for InFlightAttempt {
+    fn drop(&mut self) {
+        self.context.fleet().end_request(&self.server, self.attempt, self.load);
+    }
+}
+
+/// Makes the control thread check whether the server of a cut exchange crashed; a crash is a strike
+/// against the request and its prompt parts.
+pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
+    in_flight.context.notify_control(RelayControlEvent::ExchangeCut(CutExchange {
+        server: in_flight.server.clone(),
+        address: in_flight.address,
+        incarnation: in_flight.incarnation.unwrap_or_default(),
+        // Streams of sound requests are cut by the same crash, so that only prompts with a chain of
+        // crashes are refused.
+        fingerprint: (stage == CutStage::Head).then_some(request.fingerprint),
+        keys: in_flight.suspect_keys.clone(),
+        is_ended: stage == CutStage::End,
+    }));
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,12 +4,14 @@
 //! One thread runs all traffic and never waits for the control thread, which follows the records of
 //! the site's store, exchanges records and loads with partners, and coordinates weight rollouts.
 
+pub mod answer_head;
 pub mod attempt;
 pub mod attempts;
 pub mod buffered_answer;
 pub mod context;
 pub mod control;
 pub mod exchange;
+pub mod in_flight;
 pub mod metrics;
 pub mod node;
 pub mod pending_attempts;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,9 +2,10 @@
 //! it.
 
 use super::RelayContext;
-use super::attempt::{self, Answer, AttemptOutcome, CutStage, NotRunReason};
+use super::attempt::{Answer, AttemptOutcome, NotRunReason};
 use super::attempts::Attempts;
 use super::buffered_answer::return_to_pool;
+use super::in_flight::{self, CutStage};
 use super::metrics::AnswerLabels;
 use super::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use super::request::{RelayedRequest, end_to_end_headers};
@@ -239,7 +240,7 @@
             Err(error) => error.into(),
         };
         candidate.in_flight.record_outcome(false, 0.0);
-        attempt::request_crash_check(&self.request, &candidate.in_flight, CutStage::Stream);
+        in_flight::request_crash_check(&self.request, &candidate.in_flight, CutStage::Stream);
         log::info!(
             "event=candidate_failed request={} {} error=\"{error:#}\"",
             self.request.id,
@@ -360,7 +361,7 @@
             if answer.exchange.framing.proves_completeness() {
                 suspects::acquit(&self.context, &self.request);
             } else {
-                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::End);
+                in_flight::request_crash_check(&self.request, &answer.in_flight, CutStage::End);
             }
             return_to_pool(&self.context, answer.exchange, &answer.head);
         }
@@ -482,7 +483,7 @@
             );
             self.last_answer = Some((answer.in_flight.server.clone(), answer.exchange.framing));
             if error.is_disconnect() {
-                attempt::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
+                in_flight::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
             }
         }
         let now = Instant::now();
