refactor(relay): failover of streams in a module of its own

The code of stream.rs moves unchanged; the folder's mod.rs forwards, failover.rs resumes at other servers.

--- a/src/relay/stream.rs
+++ b/src/relay/stream/mod.rs
@@ -1,24 +1,23 @@
 //! Event streams: forwarded as they arrive, and resumed at another server where the route allows
 //! it.
 
-use super::RelayContext;
-use super::attempt::{Answer, AttemptOutcome, NotRunReason};
-use super::attempts::Attempts;
-use super::buffered_answer::return_to_pool;
-use super::in_flight::{self, CutStage};
-use super::metrics::AnswerLabels;
-use super::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
-use super::request::{RelayedRequest, end_to_end_headers};
-use super::server_choice::{choose_server_now, log_choice};
-use super::suspects;
+mod failover;
+
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
 use crate::decision::relay::event_splitter::EventTooLong;
-use crate::decision::relay::{
-    Choice, EventSplitter, Failover, FailoverStep, GiveUpReason, NotTriedReason, RetrySafety,
-};
-use crate::types::{DeadlinePassed, Delivery, PeerError, PeerResult, ServerId, Step};
+use crate::decision::relay::{EventSplitter, Failover, FailoverStep, GiveUpReason, RetrySafety};
+use crate::relay::RelayContext;
+use crate::relay::attempt::Answer;
+use crate::relay::attempts::Attempts;
+use crate::relay::buffered_answer::return_to_pool;
+use crate::relay::in_flight::{self, CutStage};
+use crate::relay::metrics::AnswerLabels;
+use crate::relay::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
+use crate::relay::request::{RelayedRequest, end_to_end_headers};
+use crate::relay::suspects;
+use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -30,28 +29,6 @@
 use hyper::body::Frame;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use strum::Display;
-
-/// Time in which another server must continue a stream that is moved off its server.
-const MAX_MOVE_PERIOD: Duration = Duration::from_millis(1_000);
-
-/// Time after which moving a stream off its server is tried again; one or two requests end
-/// meanwhile, so that another server may have room.
-const MOVE_RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// Time for which a silent server is read again before another one is tried: its data may have
-/// arrived while the node itself stood still.
-const SILENCE_RECHECK_PERIOD: Duration = Duration::from_millis(10);
-
-/// Why the answer of a server was cut.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-enum CutCause {
-    /// The connection or the stream on it was broken off.
-    Broken,
-    /// The deadline of the request passed.
-    Deadline,
-}
 
 /// What a stream waits for.
 enum StreamEvent {
@@ -223,44 +200,6 @@
         timeout_at(until, received.or(continued).or(attempted)).await.ok()
     }
 
-    /// Handles what a candidate sent; returns it if the candidate becomes the current answer.
-    fn continue_with(
-        &mut self,
-        index: usize,
-        received: PeerResult<Option<Bytes>>,
-    ) -> Option<PeerResult<Option<Bytes>>> {
-        let candidate = self.candidates.swap_remove(index);
-        let is_end_proven = candidate.exchange.framing.proves_completeness();
-        let error = match received {
-            Ok(None) if !is_end_proven => anyhow!("the connection ended before the first event"),
-            Ok(data) => {
-                self.resume_from(candidate);
-                return Some(Ok(data));
-            }
-            Err(error) => error.into(),
-        };
-        candidate.in_flight.record_outcome(false, 0.0);
-        in_flight::request_crash_check(&self.request, &candidate.in_flight, CutStage::Stream);
-        log::info!(
-            "event=candidate_failed request={} {} error=\"{error:#}\"",
-            self.request.id,
-            candidate.in_flight
-        );
-        let now = Instant::now();
-        self.failover.record_failed_answer(now);
-        self.record_failed_candidate(now);
-        None
-    }
-
-    /// Records that the servers whose answers are still open are silent, or ends a failed move.
-    fn record_failed_candidate(&mut self, now: Instant) {
-        if self.moving_until.is_some() && self.is_alone() {
-            self.end_move(now);
-        } else if self.answer.is_some() || !self.candidates.is_empty() {
-            self.failover.record_silence(now);
-        }
-    }
-
     /// Handles what the current server sent. Returns what the caller gets, `None` if that is not
     /// known yet; the inner `None` ends the stream.
     fn handle_received(
@@ -296,23 +235,6 @@
         self.is_silence_recorded = false;
     }
 
-    /// Drops all answers and attempts but the current one.
-    fn abandon_others(&mut self) {
-        self.pending.abandon(&self.request);
-        for candidate in self.candidates.drain(..) {
-            log::info!(
-                "event=attempt_abandoned request={} {}",
-                self.request.id,
-                candidate.in_flight
-            );
-        }
-        self.moving_until = None;
-    }
-
-    fn may_resume(&self, now: Instant) -> bool {
-        self.is_resumable && self.attempts.allow_another(&self.context, &self.request, now)
-    }
-
     /// Returns the whole events that `data` completes; all of `data` if the answer is not an event
     /// stream.
     fn take_whole_events(&mut self, data: Bytes) -> Result<Bytes, BodyAborted> {
@@ -388,158 +310,6 @@
         BodyAborted
     }
 
-    /// Begins or ends moving the stream to another server.
-    fn update_move(&mut self) {
-        let now = Instant::now();
-        if self.moving_until.is_some_and(|moving_until| now >= moving_until) {
-            self.end_move(now);
-        }
-        if self.should_move(now) {
-            self.begin_move(now);
-        }
-    }
-
-    /// Whether the stream must leave its server and can be resumed at another one now.
-    fn should_move(&self, now: Instant) -> bool {
-        if !self.is_alone() || !self.may_resume(now) || self.next_move_at.is_some_and(|at| now < at)
-        {
-            return false;
-        }
-        let has_begun = self.splitter.as_ref().is_some_and(|s| s.last_event_id().is_some());
-        let fleet = self.context.fleet();
-        let server = self.answer.as_ref().and_then(|answer| fleet.server(&answer.in_flight.server));
-        has_begun && server.is_some_and(|server| server.is_evicted(now))
-    }
-
-    /// Asks another server to continue the stream. Nothing of the current answer is forwarded
-    /// meanwhile, since the other one would repeat it.
-    fn begin_move(&mut self, now: Instant) {
-        self.next_move_at = Some(now + MOVE_RETRY_DELAY);
-        let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
-        if chosen.is_ok_and(|choice| self.resume_at(choice, "evicted")) {
-            self.moving_until = Some(self.request.deadline.min(now + MAX_MOVE_PERIOD));
-        }
-    }
-
-    /// Goes on with the current answer after no other server has continued it.
-    fn end_move(&mut self, now: Instant) {
-        self.abandon_others();
-        self.failover.record_data(now);
-    }
-
-    /// Sends the request to another server, after the last whole event, beside the open answers,
-    /// unless one of these has sent something meanwhile.
-    async fn try_another(&mut self) -> Option<StreamEvent> {
-        if self.answer.is_some() {
-            let event = self.next_event(Instant::now() + SILENCE_RECHECK_PERIOD).await;
-            if event.is_some() {
-                return event;
-            }
-        }
-        let now = Instant::now();
-        let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
-        let Ok(choice) = chosen else {
-            self.failover.record_not_tried(NotTriedReason::Unavailable, now);
-            return None;
-        };
-        if !self.resume_at(choice, "resume") {
-            self.failover.record_not_tried(NotTriedReason::Budget, now);
-            return None;
-        }
-        if let Some(silent) = self.answer.as_ref().filter(|_| !self.is_silence_recorded) {
-            self.is_silence_recorded = true;
-            silent.in_flight.record_outcome(false, 0.0);
-        }
-        None
-    }
-
-    /// Sends the request to the chosen server if the resend budget allows it; returns whether it
-    /// does.
-    fn resume_at(&mut self, choice: Choice, reason: &str) -> bool {
-        if !self.attempts.try_resend(&self.context, &self.request, reason) {
-            return false;
-        }
-        log_choice(&self.request, &choice);
-        let last_event_id = self.splitter.as_ref().and_then(|s| s.last_event_id().cloned());
-        self.attempts.begin(&choice.server);
-        self.pending.begin(&self.context, &self.request, choice, last_event_id);
-        self.failover.record_sent();
-        true
-    }
-
-    /// Drops the answer of a server that broke it off.
-    fn interrupt(&mut self, error: &PeerError) {
-        let is_late = error.source.is::<DeadlinePassed>();
-        let cause = if is_late { CutCause::Deadline } else { CutCause::Broken };
-        if let Some(answer) = self.answer.take() {
-            answer.in_flight.record_outcome(false, 0.0);
-            log::info!(
-                "event=stream_cut request={} cause={cause} framing={} bytes={} {} parts={} {error}",
-                self.request.id,
-                answer.exchange.framing,
-                self.forwarded_bytes,
-                answer.in_flight,
-                self.request.part_ids()
-            );
-            self.last_answer = Some((answer.in_flight.server.clone(), answer.exchange.framing));
-            if error.is_disconnect() {
-                in_flight::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
-            }
-        }
-        let now = Instant::now();
-        self.failover.record_failed_answer(now);
-        if error.is_disconnect() {
-            self.failover.record_crash_check(now);
-        }
-    }
-
-    /// Applies the outcome of an attempt to resume the stream.
-    fn end_attempt(&mut self, ended: EndedAttempt) {
-        let EndedAttempt { server, outcome } = ended;
-        self.attempts.end(&outcome);
-        let now = Instant::now();
-        match outcome {
-            AttemptOutcome::Streaming(answer) => {
-                self.candidates.push(*answer);
-                return self.failover.record_wait(now);
-            }
-            AttemptOutcome::NotRun(NotRunReason::Full) => {
-                // It may be tried again: it has room once a request ends, and `choose` skips it
-                // until then.
-                self.attempts.tried.retain(|tried| *tried != server);
-                self.failover.record_full_server(now);
-            }
-            AttemptOutcome::NotRun(_)
-            | AttemptOutcome::NotSent(_)
-            | AttemptOutcome::Unknown(_)
-            | AttemptOutcome::Answered(_) => self.failover.record_failed_answer(now),
-        }
-        self.record_failed_candidate(now);
-    }
-
-    /// Continues the stream with the answer of another server.
-    fn resume_from(&mut self, answer: Answer) {
-        self.abandon_others();
-        let left = self.answer.replace(answer);
-        log::info!(
-            "event=stream_resumed request={} from={} to={} bytes={}",
-            self.request.id,
-            left.as_ref().map_or("none", |left| left.in_flight.server.as_str()),
-            self.answer.as_ref().map_or("none", |answer| answer.in_flight.server.as_str()),
-            self.forwarded_bytes
-        );
-        self.splitter.iter_mut().for_each(EventSplitter::begin_answer);
-        self.context.metrics.resumed_streams.inc();
-    }
-
-    /// Records the silence of the servers that were asked to resume the stream.
-    fn check_pending(&mut self) {
-        let is_overdue = self.pending.becomes_overdue(&self.context, &self.request);
-        if is_overdue && self.moving_until.is_none() {
-            self.failover.record_silence(Instant::now());
-        }
-    }
-
     fn log_outcome(&self, outcome: &str, answer: Option<&Answer>) {
         count_outcome(&self.context, &self.request, outcome);
         let current =
