refactor(relay): simpler handling of received data, names with one meaning

The wait for a crash check had the name of the check's period, and what has arrived of an answer that of an event. The rank of one key is no longer read through a list.

--- a/src/decision/poison/evidence.rs
+++ b/src/decision/poison/evidence.rs
@@ -92,6 +92,11 @@
         self.other_nodes = others.map(|node| xxh3_64(node.as_bytes())).collect();
     }
 
+    /// Whether `key` has strikes that are neither cleared nor expired.
+    pub fn is_suspect(&self, key: SuspectKey, now: Instant) -> bool {
+        self.strikes.rank(key, now) > 0
+    }
+
     /// Returns `keys` with the highest rank of their strikes that are neither cleared nor expired.
     pub fn ranked(&self, keys: &[SuspectKey], now: Instant) -> Vec<RankedKey> {
         let ranked = |key: &SuspectKey| RankedKey {
--- a/src/decision/relay/failover.rs
+++ b/src/decision/relay/failover.rs
@@ -24,7 +24,7 @@
 
 /// Time for which the crash check of a server is awaited before another server gets the request,
 /// which may crash that one too.
-const CRASH_CHECK_PERIOD: Duration = Duration::from_millis(30);
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(30);
 
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -152,7 +152,7 @@
     /// Records that it is being checked whether the request has crashed the server of the failed
     /// answer.
     pub fn record_crash_check(&mut self, now: Instant) {
-        self.next_try_at = self.next_try_at.max(now + CRASH_CHECK_PERIOD);
+        self.next_try_at = self.next_try_at.max(now + CRASH_CHECK_WAIT);
     }
 
     /// Records that no other server was tried.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -49,11 +49,11 @@
 }
 
 /// What has arrived of an answer.
-pub enum Received {
+pub enum ReceivedHead {
     /// Its head.
     Answer(Box<Answer>),
     /// Nothing; the attempt has ended.
-    Nothing(AttemptOutcome),
+    None(AttemptOutcome),
 }
 
 /// Answer whose head has arrived.
@@ -72,7 +72,7 @@
     request: &RelayedRequest,
     choice: &Choice,
     last_event_id: Option<SmolStr>,
-) -> Received {
+) -> ReceivedHead {
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
@@ -81,7 +81,7 @@
     let exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(error) => {
-            return Received::Nothing(handle_failure(context, request, choice, &in_flight, error));
+            return ReceivedHead::None(handle_failure(context, request, choice, &in_flight, error));
         }
     };
     in_flight.record_contact();
@@ -100,7 +100,7 @@
             head.weights.unwrap_or_default(),
             choice.prompt.as_ref().map_or(0, |prompt| prompt.weights)
         );
-        return Received::Nothing(AttemptOutcome::NotRun(reason));
+        return ReceivedHead::None(AttemptOutcome::NotRun(reason));
     }
     let answer_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let succeeded = !exchange.status.is_server_error();
@@ -110,7 +110,7 @@
     in_flight.record_outcome(succeeded, answer_ms - choice.expected_ms);
     if let Some(error) = find_answer_fault(request, choice, exchange.status, &head) {
         in_flight.record_outcome(false, 0.0);
-        return Received::Nothing(AttemptOutcome::Unknown(error));
+        return ReceivedHead::None(AttemptOutcome::Unknown(error));
     }
     if succeeded
         && let Some(prompt) = choice.prompt.as_ref().filter(|prompt| prompt.save_to.is_some())
@@ -118,18 +118,18 @@
         context.fleet().prefixes.add_stored(&prompt.keys, Instant::now());
         context.notify_control(RelayControlEvent::PrefixesStored);
     }
-    Received::Answer(Box::new(Answer { exchange, head, in_flight }))
+    ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
 }
 
 /// Receives the rest of an answer unless it is a stream.
 pub async fn receive(
     context: &RelayContext,
     request: &RelayedRequest,
-    received: Received,
+    received: ReceivedHead,
 ) -> AttemptOutcome {
     let answer = match received {
-        Received::Answer(answer) => answer,
-        Received::Nothing(outcome) => return outcome,
+        ReceivedHead::Answer(answer) => answer,
+        ReceivedHead::None(outcome) => return outcome,
     };
     if answer.exchange.status.is_success() && request.route.retry_safety.is_stream() {
         return AttemptOutcome::Streaming(answer);
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -2,6 +2,7 @@
 
 use super::state::ControlState;
 use super::{CutExchange, RelayControlEvent};
+use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{KeyStrike, Strike, SuspectKey, Treatment};
 use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
@@ -190,8 +191,7 @@
 async fn refuses_connections(address: SocketAddr) -> bool {
     for _ in 0..MAX_CRASH_CHECKS {
         let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
-        let opened =
-            crate::adapters::deadline::timeout_at(deadline, TcpStream::connect(address)).await;
+        let opened = timeout_at(deadline, TcpStream::connect(address)).await;
         match opened {
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
             // A listener may outlive the connections of its process for a moment.
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -167,7 +167,7 @@
                 }
             };
             if let Some(data) = self.handle_received(received) {
-                return data;
+                return Some(data);
             }
         }
         None
@@ -200,24 +200,23 @@
         timeout_at(until, received.or(continued).or(attempted)).await.ok()
     }
 
-    /// Handles what the current server sent. Returns what the caller gets, `None` if that is not
-    /// known yet; the inner `None` ends the stream.
+    /// Handles what the current server sent; returns what the caller gets now, `None` if nothing.
     fn handle_received(
         &mut self,
         received: PeerResult<Option<Bytes>>,
-    ) -> Option<Option<Result<Bytes, BodyAborted>>> {
+    ) -> Option<Result<Bytes, BodyAborted>> {
         let interruption = match received {
             Ok(Some(data)) => {
                 self.record_contact();
                 return match self.take_whole_events(data) {
                     Ok(events) if events.is_empty() => None,
-                    Ok(events) => Some(Some(Ok(self.record_data(events)))),
-                    Err(BodyAborted) => Some(Some(Err(self.abort_with("event_too_long")))),
+                    Ok(events) => Some(Ok(self.record_data(events))),
+                    Err(BodyAborted) => Some(Err(self.abort_with("event_too_long"))),
                 };
             }
             Ok(None) => match self.find_truncation() {
                 Some(truncation) => truncation,
-                None => return Some(self.finish().map(Ok)),
+                None => return self.finish().map(Ok),
             },
             Err(error) => error,
         };
--- a/src/relay/suspects.rs
+++ b/src/relay/suspects.rs
@@ -110,7 +110,7 @@
     let keys = &request.suspect_keys;
     context.poison().clear_strikes(request.fingerprint);
     let mut evidence = context.crash_evidence();
-    let is_request_suspect = evidence.ranked(&[request.fingerprint], now)[0].rank > 0;
+    let is_request_suspect = evidence.is_suspect(request.fingerprint, now);
     // A request that never comes again need not be remembered as answered.
     let acquitted = if is_request_suspect { keys.all() } else { keys.parts() };
     let cleared = evidence.acquit(acquitted, now);
