--- a/tests/relay/crash_evidence_model/mod.rs
+++ b/tests/relay/crash_evidence_model/mod.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use world::{Kind, Scenario, World};
+use world::{Kind, Repeats, Scenario, World};
 
 const SEEDS: u64 = 20;
 /// Time in which nodes in touch must hear of a crash.
@@ -88,3 +88,34 @@
         assert_eq!(refused, 0, "seed {seed}, {setting:?}");
     }
 }
+
+/// Crashes after which a request that is repeated must be refused.
+const CRASHES_OF_A_REPEATED_REQUEST: usize = 3;
+
+/// Times that it may reach servers later all the same.
+const MAX_LATE_REPEATS: usize = 3;
+
+/// Guards against a request that ends server after server as its callers repeat it, because sound
+/// requests that are repeated with it are cut by the same crashes.
+#[test]
+fn a_repeated_request_is_refused_and_its_companions_are_answered() {
+    let mut found = Vec::new();
+    for (bad_callers, companions) in [(1, 0), (1, 1), (1, 2), (1, 5), (3, 0), (3, 3)] {
+        let repeats = Repeats { bad_callers, companions };
+        for (seed, setting) in (0..SEEDS).flat_map(|seed| [(seed, LARGE), (seed, SMALL)]) {
+            let world = World::run(seed, Scenario::Repeated(repeats), setting.0, setting.1);
+            let third_at = world.bad_crashes_at.get(CRASHES_OF_A_REPEATED_REQUEST - 1);
+            let is_late = |at: &&u64| third_at.is_some_and(|third| **at > third + CONTACT_MS);
+            let late = world.bad_runs_at.iter().filter(is_late).count();
+            let answered = world.answered_callers.len();
+            if late > MAX_LATE_REPEATS || answered < companions {
+                found.push(format!(
+                    "seed {seed}, {setting:?}, {repeats:?}: {} crashes, {late} late, \
+                     {answered} companions answered",
+                    world.bad_crashes_at.len()
+                ));
+            }
+        }
+    }
+    assert!(found.is_empty(), "{} runs:\n{}", found.len(), found.join("\n"));
+}
--- a/tests/relay/crash_evidence_model/world/mod.rs
+++ b/tests/relay/crash_evidence_model/world/mod.rs
@@ -1,12 +1,13 @@
 //! Nodes, servers, links and requests in virtual time.
 
 mod links;
+mod repeats;
 mod requests;
 
 use crate::fixture::ms;
 use coriandertide::decision::poison::{CrashEvidence, KeyStrike, RankedKey, SuspectKey};
 use fastrand::Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -28,6 +29,17 @@
     EarlierBuilds,
     /// Losses of servers and zones, no bad requests.
     LossesOnly,
+    /// Requests that come again at any node until they are answered, among the same disturbances.
+    Repeated(Repeats),
+}
+
+/// Requests that their callers repeat, all at the same time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Repeats {
+    /// Callers that repeat the same bad request.
+    pub bad_callers: usize,
+    /// Callers that each repeat a sound request with the same home server.
+    pub companions: usize,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,6 +48,8 @@
     /// A sound request with the preamble of the bad ones.
     Sibling,
     Unrelated,
+    /// A sound request that is repeated together with a bad one.
+    Companion,
 }
 
 /// What became of a request's first attempt.
@@ -56,6 +70,8 @@
     is_probe: bool,
     /// Index of its arrival, if the node is in touch and knows of strikes.
     arrival: Option<usize>,
+    /// Number of the caller that repeats it.
+    repeated_by: Option<usize>,
 }
 
 /// An attempt of a request at an incarnation of a server.
@@ -69,6 +85,8 @@
 
 enum Event {
     Arrive,
+    /// A caller sends its request again.
+    Repeat(usize),
     /// A request waits for a free slot.
     Retry(usize),
     Reach(Run),
@@ -131,6 +149,8 @@
     pub bad_runs_at: Vec<u64>,
     pub bad_crashes_at: Vec<u64>,
     pub other_crashes_at: Vec<u64>,
+    /// Callers whose repeated request was answered.
+    pub answered_callers: BTreeSet<usize>,
 }
 
 impl World {
@@ -151,6 +171,7 @@
             bad_runs_at: Vec::new(),
             bad_crashes_at: Vec::new(),
             other_crashes_at: Vec::new(),
+            answered_callers: BTreeSet::new(),
         };
         world.plan();
         while let Some(((at, _), event)) = world.events.pop_first() {
@@ -167,6 +188,11 @@
                 self.schedule_at(UPDATE_MS, Event::NodeDown(node));
             }
         }
+        if let Scenario::Repeated(repeats) = self.scenario {
+            for caller in 0..repeats.bad_callers + repeats.companions {
+                self.schedule_at(self.disturbed_from, Event::Repeat(caller));
+            }
+        }
         for _ in 0..END_MS / 15 {
             let at = self.rng.u64(0..END_MS);
             self.schedule_at(at, Event::Arrive);
@@ -201,6 +227,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
+            Event::Repeat(caller) => self.repeat(caller),
             Event::Retry(index) if self.requests[index].attempts > 0 => self.resend(index),
             Event::Retry(index) => self.admit(index),
             Event::Reach(run) => self.reach(run),
--- a/tests/relay/crash_evidence_model/world/requests.rs
+++ b/tests/relay/crash_evidence_model/world/requests.rs
@@ -2,8 +2,8 @@
 
 use super::{Arrival, Event, Kind, Request, Run, Scenario, World};
 use super::{MAX_ATTEMPTS, NODES, SLOTS};
-use coriandertide::decision::poison::Treatment;
 use coriandertide::decision::poison::evidence::PROBE_RANK;
+use coriandertide::decision::poison::{SuspectKey, Treatment};
 use smol_str::format_smolstr;
 
 impl World {
@@ -13,9 +13,7 @@
             return;
         }
         let kind = match self.rng.u32(0..100) {
-            0..8 if self.scenario != Scenario::LossesOnly && self.at >= self.disturbed_from => {
-                Kind::Bad
-            }
+            0..8 if self.has_bad_arrivals() => Kind::Bad,
             0..25 => Kind::Sibling,
             _ => Kind::Unrelated,
         };
@@ -23,16 +21,40 @@
         let keys = match kind {
             Kind::Bad => vec![1, 2, whole],
             Kind::Sibling => vec![1, self.rng.u64(3..9), whole],
-            Kind::Unrelated => vec![self.rng.u64(10..30), whole],
+            Kind::Unrelated | Kind::Companion => vec![self.rng.u64(10..30), whole],
         };
         let arrival = (!self.nodes[node].is_earlier_build && self.is_in_touch(node)).then(|| {
             let (at, has_begun, is_refused) = (self.at, false, false);
             self.arrivals.push(Arrival { at, kind, has_begun, is_refused });
             self.arrivals.len() - 1
         });
+        self.receive(node, kind, keys, arrival, None);
+    }
+
+    fn has_bad_arrivals(&self) -> bool {
+        let is_disturbed = self.at >= self.disturbed_from;
+        is_disturbed && matches!(self.scenario, Scenario::Disturbed | Scenario::EarlierBuilds)
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        node: usize,
+        kind: Kind,
+        keys: Vec<SuspectKey>,
+        arrival: Option<usize>,
+        repeated_by: Option<usize>,
+    ) {
         let restarts = self.nodes[node].restarts;
-        let request = Request { node, restarts, kind, keys, attempts: 0, is_probe: false, arrival };
-        self.requests.push(request);
+        self.requests.push(Request {
+            node,
+            restarts,
+            kind,
+            keys,
+            attempts: 0,
+            is_probe: false,
+            arrival,
+            repeated_by,
+        });
         self.admit(self.requests.len() - 1);
     }
 
@@ -49,7 +71,7 @@
                 Treatment::Normal => {}
                 Treatment::Probe => {
                     if !node.evidence.try_begin_probe(&request.keys, now) {
-                        return;
+                        return self.fail(index);
                     }
                     request.is_probe = true;
                 }
@@ -57,7 +79,7 @@
                     if let Some(arrival) = request.arrival {
                         self.arrivals[arrival].is_refused = true;
                     }
-                    return;
+                    return self.fail(index);
                 }
             }
         }
@@ -69,7 +91,9 @@
             !self.servers[*server].is_down && self.servers[*server].runs.len() < SLOTS
         };
         let free: Vec<usize> = (0..self.servers.len()).filter(is_free).collect();
-        let Some(server) = self.rng.choice(&free).copied() else {
+        let is_repeated = self.requests[index].repeated_by.is_some();
+        let home = free.first().filter(|_| is_repeated).copied();
+        let Some(server) = home.or_else(|| self.rng.choice(&free).copied()) else {
             self.end_probe(index);
             return self.schedule(100..101, Event::Retry(index));
         };
@@ -121,6 +145,7 @@
         }
         self.servers[run.server].runs.retain(|other| other.request != run.request);
         self.end_probe(run.request);
+        self.answered_callers.extend(self.requests[run.request].repeated_by);
         let now = self.now();
         let request = &self.requests[run.request];
         let node = request.node;
@@ -146,7 +171,7 @@
     /// A node has noticed that a server crashed on a request, and checked it.
     pub(super) fn cut(&mut self, run: Run) {
         if !self.is_current(run.request) {
-            return;
+            return self.fail(run.request);
         }
         self.end_probe(run.request);
         let now = self.now();
@@ -173,6 +198,7 @@
             self.send(index);
         } else {
             self.end_probe(index);
+            self.fail(index);
         }
     }
 
