fix(relay): all nodes together obey the limit that a server names

Callers saw no failure, but a server in need that named 1.6 requests a second got as many as before: the header was not decoded, and a bucket in each node would add up over the nodes.

A few owners a server, by rendezvous over the live nodes, may send their share of the limit; the fewer requests it takes, the fewer owners it has. One place takes a permit for whatever is sent. Partners are told of limits and their ends, ordered by the time of sending. Once a limit ends its rate grows, so that the nodes do not return all at once.

--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -62,6 +62,7 @@
                 self.apply_configuration_event(ConfigurationEvent::PartnerCopy(*copy), now);
             }
             PartnerMessage::KeyStrikes(_)
+            | PartnerMessage::Limits(_)
             | PartnerMessage::Topics(_)
             | PartnerMessage::RecordsRequest(_)
             | PartnerMessage::Records(_)
--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -99,6 +99,8 @@
     Closed,
     /// All servers have asked this node for a pause.
     Paused,
+    /// All servers take no more requests a second.
+    Limited,
     /// All servers have outdated weights.
     OutdatedWeights,
 }
@@ -172,6 +174,10 @@
             .map_err(|until| unavailable(UnavailableReason::Closed, until))?;
         retain_available(&mut candidates, |server| server.suspended_until(now))
             .map_err(|until| unavailable(UnavailableReason::Unreachable, until))?;
+        retain_available(&mut candidates, |server| {
+            self.limits.next_permit_at(&server.entry.id, server.incarnation(), now)
+        })
+        .map_err(|until| unavailable(UnavailableReason::Limited, until))?;
         match query.prompt {
             Some(prompt) => Ok(self.choose_engine(&candidates, prompt, query, now)),
             None => self.choose_plain(&candidates, now),
@@ -200,6 +206,7 @@
             let cost_ms = queue_ms
                 + occupancy * PLAIN_CALL_MS / 2.0
                 + self.zone_cost_ms(server)
+                + self.limits.cost_ms(&server.entry.id, server.incarnation(), now)
                 + server.health.cost_ms(now);
             costs.push((cost_ms, *server));
         }
--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -309,6 +309,7 @@
         cost_ms += f64::from(plan.recomputed_tokens) / 1_000.0 * RECOMPUTE_COST_MS_PER_1K_TOKENS;
         cost_ms += self.outdated_weights_cost_ms(prompt, plan.choice.weights, now);
         cost_ms += self.capacity_cost_ms(server, load, prompt);
+        cost_ms += self.limits.cost_ms(&server.entry.id, server.incarnation(), now);
         cost_ms + self.zone_cost_ms(server) + server.health.cost_ms(now)
     }
 
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -9,6 +9,7 @@
 use super::server::{
     PendingPrefill, Server, ServerEntry, ServerLoad, ServerState, ServerUpdate, UpdateScope,
 };
+use super::server_limit::ServerLimits;
 use super::store_link::StoreLink;
 use crate::decision::leaving::LeavingNotice;
 use crate::types::{
@@ -76,6 +77,8 @@
     pub kv_store: Option<StoreLink>,
     /// Servers that are known to be leaving.
     pub departures: Departures,
+    /// Limits that servers have named.
+    pub limits: ServerLimits,
     /// Time that the reports of other nodes about servers take to arrive.
     report_delay: Duration,
 }
@@ -93,6 +96,7 @@
             prefill_rates: BTreeMap::new(),
             kv_store: None,
             departures: Departures::default(),
+            limits: ServerLimits::default(),
             report_delay: Duration::ZERO,
         }
     }
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -28,6 +28,7 @@
 pub mod rollout;
 pub mod rollout_messages;
 pub mod server;
+pub mod server_limit;
 pub mod server_load;
 pub mod store_link;
 
@@ -48,4 +49,5 @@
 pub use resend::ResendBudget;
 pub use rollout::Rollout;
 pub use server::{ServerEntry, ServerState};
+pub use server_limit::{LimitNotice, NamedLimit, RequestRate, ServerLimits};
 pub use store_link::StoreLink;
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -5,10 +5,10 @@
 use crate::decision::membership::MemberRecord;
 use crate::decision::poison::{KeyStrike, Strike};
 use crate::decision::power::PowerMessage;
-use crate::decision::relay::RecordTopic;
 use crate::decision::relay::load_exchange::RelayLoad;
 use crate::decision::relay::register_lease::RegisterRecord;
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
+use crate::decision::relay::{LimitNotice, RecordTopic};
 use crate::types::{LogOffset, LogPosition, ModelId, ServerId, WeightsRevision};
 use bytes::Bytes;
 use ciborium::Value;
@@ -43,6 +43,8 @@
     KeyStrikes(Vec<KeyStrike>),
     /// Backend servers that are leaving.
     Leaving(Vec<LeavingNotice>),
+    /// Limits of backend servers, new, ended, or all of the sender.
+    Limits(Vec<LimitNotice>),
     /// Transfer of power.
     Power(PowerMessage),
     /// Requests the configuration if the receiver has folded records above an offset.
--- a/src/ports/dialect.rs
+++ b/src/ports/dialect.rs
@@ -1,7 +1,7 @@
 //! Port of the headers and record formats that a site's callers, servers and operators use. Each
 //! site has its own; the rest of the code uses only the types of this module.
 
-use crate::decision::relay::{Configuration, Prompt, ServerEntry};
+use crate::decision::relay::{Configuration, NamedLimit, Prompt, ServerEntry};
 use crate::types::{ModelId, RequestId, ServerId, WeightsRevision, WorkspaceId};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -69,6 +69,8 @@
     pub is_leaving: bool,
     /// Milliseconds for which the server wants nothing from this node, `None` if not stated.
     pub pause_ms: Option<u64>,
+    /// Requests a second that the server takes from all nodes together.
+    pub limit: NamedLimit,
 }
 
 /// Decoded record that an operator wrote.
--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -5,10 +5,11 @@
 use super::control::RelayControlEvent;
 use super::request::RelayedRequest;
 use crate::decision::leaving::LeavingNotice;
-use crate::decision::relay::Choice;
 use crate::decision::relay::pause::Pause;
+use crate::decision::relay::server_limit::LimitAnnouncement;
+use crate::decision::relay::{Choice, LimitNotice, NamedLimit};
 use crate::ports::AnswerHead;
-use crate::types::{Delivery, Incarnation, PeerError, Step};
+use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
 use anyhow::anyhow;
 use http::StatusCode;
 use std::time::{Duration, Instant};
@@ -54,15 +55,18 @@
     }
 }
 
-/// Records that the server is leaving or wants a pause, if its answer says so.
+/// Records that the server is leaving, wants a pause or has a limit, if its answer says so to a
+/// request that was sent at `sent_at`.
 pub fn heed_server(
     context: &RelayContext,
     request: &RelayedRequest,
     choice: &Choice,
     incarnation: Incarnation,
     head: &AnswerHead,
+    sent_at: Instant,
 ) {
     let server = &choice.server;
+    heed_limit(context, request, server, incarnation, head, sent_at);
     if head.is_leaving {
         let notice = LeavingNotice { server: server.clone(), incarnation };
         if context.fleet().departures.add(&notice) {
@@ -86,6 +90,40 @@
     }
 }
 
+/// Records the limit that the answer names, or the end of one. Only an answer that the server itself
+/// has signed ends a limit.
+fn heed_limit(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    server: &ServerId,
+    incarnation: Incarnation,
+    head: &AnswerHead,
+    sent_at: Instant,
+) {
+    let rate = match head.limit {
+        NamedLimit::Rate(rate) => Some(rate),
+        NamedLimit::None if head.is_signed => None,
+        NamedLimit::None | NamedLimit::Unreadable => return,
+    };
+    let now = Instant::now();
+    let learned = context.fleet().limits.learn(server, incarnation, rate, sent_at, now);
+    if let Some(announcement) = learned {
+        log_limit(&announcement, request.id.as_str());
+        context.notify_control(RelayControlEvent::LimitLearned(announcement));
+    }
+}
+
+/// Logs a limit or its end, as told by `source`.
+pub fn log_limit(announcement: &LimitAnnouncement, source: &str) {
+    let LimitNotice { server, incarnation, rate, age_ms } = &announcement.notice;
+    let per_s = rate.map_or("none".to_owned(), |rate| rate.per_s().to_string());
+    log::info!(
+        "event=server_limit server={server} incarnation={incarnation} per_s={per_s} \
+         age_ms={age_ms} is_refresh={} source={source}",
+        announcement.is_refresh
+    );
+}
+
 /// Whether another server listens at the address.
 pub fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
     head.server.as_ref().is_some_and(|server| *server != choice.server)
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,6 +15,7 @@
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
 use crate::types::{Delivery, PeerError, Step};
+use anyhow::anyhow;
 use http::Request;
 use http_body_util::Full;
 use smol_str::SmolStr;
@@ -75,12 +76,18 @@
 ) -> ReceivedHead {
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
+    if !context.fleet().limits.try_take(&choice.server, incarnation, sent_at) {
+        return ReceivedHead::None(AttemptOutcome::NotSent(limit_reached(request, choice)));
+    }
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
     let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
     let sent = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
     let exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(error) => {
+            if error.delivery == Delivery::NotSent {
+                context.fleet().limits.give_back(&choice.server, incarnation, Instant::now());
+            }
             return ReceivedHead::None(handle_failure(context, request, choice, &in_flight, error));
         }
     };
@@ -88,7 +95,7 @@
     let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
     update_weights(context, request, choice, &head);
     if !is_misdirected(choice, &head) {
-        heed_server(context, request, choice, incarnation, &head);
+        heed_server(context, request, choice, incarnation, &head, sent_at);
     }
     if head.is_not_run {
         let reason = record_not_run(context, request, choice, exchange.status, &head);
@@ -170,6 +177,13 @@
     outgoing
 }
 
+/// Returns the error of an attempt whose server took its last request for now since it was chosen.
+fn limit_reached(request: &RelayedRequest, choice: &Choice) -> PeerError {
+    log::info!("event=limit_reached request={} server={}", request.id, choice.server);
+    let error = anyhow!("the server takes no more requests for now");
+    PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error)
+}
+
 /// Records a failed attempt and returns its outcome.
 fn handle_failure(
     context: &RelayContext,
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::rollout::{WeightsOrderOutcome, WeightsReport};
+use crate::decision::relay::server_limit::LimitAnnouncement;
 use crate::decision::relay::{KeyedRecord, RecordTopic};
 use crate::links::LinkEnd;
 use crate::links::connection::ReceivedMessage;
@@ -117,6 +118,8 @@
     KeysCleared(Vec<KeyStrike>),
     /// Servers announced in answers to this node that they are leaving.
     ServersLeaving(Vec<LeavingNotice>),
+    /// A server named a limit in an answer to this node, or names it no longer.
+    LimitLearned(LimitAnnouncement),
     /// A request for a report of weights has ended.
     ReportEnded {
         /// Model of the rollout.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -9,7 +9,8 @@
     MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
-use crate::decision::relay::{RecordRequests, RecordTopic};
+use crate::decision::relay::server_limit::LimitAnnouncement;
+use crate::decision::relay::{LimitNotice, RecordRequests, RecordTopic};
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::{MessageKind, TopicDigest};
 use crate::links::{
@@ -17,6 +18,7 @@
 };
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
+use crate::relay::answer_head::log_limit;
 use crate::types::{InstanceId, log_position};
 use async_channel::Sender;
 use bytes::Bytes;
@@ -39,6 +41,9 @@
 /// Maximum strikes in a message.
 const MAX_MESSAGE_STRIKES: usize = 1_000;
 
+/// Maximum limits of servers in a message.
+const MAX_MESSAGE_LIMITS: usize = 1_000;
+
 /// Live node.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct LiveNode {
@@ -178,8 +183,8 @@
     }
 
     /// Sends a message to the neighbours on the tree of nodes, except `source`.
-    pub(super) fn send_along_tree(&self, source: &InstanceId, message: &PartnerMessage) {
-        let neighbours = self.loads.neighbours().filter(|peer| *peer != source);
+    pub(super) fn send_along_tree(&self, source: Option<&InstanceId>, message: &PartnerMessage) {
+        let neighbours = self.loads.neighbours().filter(|peer| Some(*peer) != source);
         self.partners.send_to_all(neighbours, message);
     }
 
@@ -226,6 +231,9 @@
         if !departures.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Leaving(departures));
         }
+        for batch in self.context.fleet().limits.notices(now).chunks(MAX_MESSAGE_LIMITS) {
+            self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
+        }
     }
 
     /// Records servers of which a partner knows that they are leaving, and forwards the news.
@@ -239,6 +247,32 @@
         }
     }
 
+    /// Learns the limits of servers from a partner.
+    fn receive_limits(&self, peer: &InstanceId, notices: &[LimitNotice], now: Instant) {
+        for notice in notices {
+            let learned = self.context.fleet().limits.merge(notice, now);
+            if let Some(announcement) = learned {
+                log_limit(&announcement, peer);
+                self.announce_limit(Some(peer), &announcement);
+            }
+        }
+    }
+
+    /// Tells all partners of a limit but `source`; what they have been told before goes along the
+    /// tree of nodes only.
+    pub(super) fn announce_limit(
+        &self,
+        source: Option<&InstanceId>,
+        announcement: &LimitAnnouncement,
+    ) {
+        let message = PartnerMessage::Limits(vec![announcement.notice.clone()]);
+        if announcement.is_refresh {
+            self.send_along_tree(source, &message);
+        } else {
+            self.broadcast(source, &message);
+        }
+    }
+
     /// Handles a message from a partner.
     pub(super) fn receive_message(&mut self, number: u64, received: ReceivedMessage, now: Instant) {
         let Some(peer) = self.partners.links.peer(number).cloned() else { return };
@@ -255,6 +289,7 @@
             PartnerMessage::Strikes(strikes) => self.add_strikes(Some(&peer), strikes, now),
             PartnerMessage::KeyStrikes(strikes) => self.add_key_strikes(Some(&peer), strikes, now),
             PartnerMessage::Leaving(notices) => self.receive_leaving(&peer, notices),
+            PartnerMessage::Limits(notices) => self.receive_limits(&peer, &notices, now),
             PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(request) => self.send_records(&peer, &request),
             PartnerMessage::Records(delta) => self.receive_records(&peer, *delta, now),
@@ -406,6 +441,7 @@
                 live.iter().map(|node| node.instance.clone()).collect();
             self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
             self.context.crash_evidence().set_nodes(me, &instances);
+            self.context.fleet().limits.set_nodes(me, &instances, Instant::now());
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/rollout/notices.rs
+++ b/src/relay/control/rollout/notices.rs
@@ -102,7 +102,7 @@
         }
         self.apply_rollout_notice(&notice, now);
         if self.loads.is_tree() {
-            self.send_along_tree(source, &PartnerMessage::Rollout(notice));
+            self.send_along_tree(Some(source), &PartnerMessage::Rollout(notice));
         }
     }
 
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -176,6 +176,9 @@
             RelayControlEvent::ServersLeaving(notices) => {
                 self.broadcast(None, &PartnerMessage::Leaving(notices));
             }
+            RelayControlEvent::LimitLearned(announcement) => {
+                self.announce_limit(None, &announcement);
+            }
             RelayControlEvent::ReportEnded { model, server, report } => {
                 self.apply_report(&model, &server, report, now);
             }
@@ -194,7 +197,11 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let expired = self.context.fleet().remove_expired(now);
+        let mut fleet = self.context.fleet();
+        let expired = fleet.remove_expired(now);
+        fleet.limits.remove_free(now);
+        self.context.metrics.limited_servers.set(fleet.limits.len() as i64);
+        drop(fleet);
         for server in expired {
             log::info!("event=server_gone server={server} reason=entry_not_back");
             self.context.pool.close_idle_connections(&server);
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -70,6 +70,8 @@
     pub configuration_revision: Gauge,
     /// Known servers.
     pub servers: Gauge,
+    /// Servers that have named a limit for all nodes together.
+    pub limited_servers: Gauge,
     /// Log lines dropped because standard output was too slow.
     pub dropped_log_lines: Counter,
 }
@@ -132,6 +134,11 @@
             self.configuration_revision.clone(),
         );
         registry.register("relay_servers", "Servers known", self.servers.clone());
+        registry.register(
+            "relay_limited_servers",
+            "Servers that have named a limit for all nodes together",
+            self.limited_servers.clone(),
+        );
         registry.register(
             "relay_dropped_log_lines",
             "Log lines dropped because standard output did not take them in time",
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -14,7 +14,8 @@
 /// Time between two attempts to choose a server while all are closed.
 const CHOICE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
-/// Returns the server for the next attempt. Waits a short time if all servers are closed.
+/// Returns the server for the next attempt. Waits a short time if all servers are closed, or take no
+/// more requests for that time.
 pub async fn choose_server(
     context: &RelayContext,
     request: &RelayedRequest,
@@ -25,10 +26,14 @@
     loop {
         let now = Instant::now();
         let chosen = choose_server_now(context, request, attempts, now);
-        let is_closed = chosen.as_ref().is_err_and(|refusal| {
-            refusal.reason == RefusalReason::Unavailable(UnavailableReason::Closed)
+        let is_worth_waiting = chosen.as_ref().is_err_and(|refusal| match refusal.reason {
+            RefusalReason::Unavailable(UnavailableReason::Closed) => true,
+            RefusalReason::Unavailable(UnavailableReason::Limited) => {
+                refusal.retry_at.is_some_and(|retry_at| retry_at <= wait_until)
+            }
+            _ => false,
         });
-        if !is_closed || now >= wait_until {
+        if !is_worth_waiting || now >= wait_until {
             return chosen;
         }
         Timer::after(CHOICE_POLL_PERIOD).await;
