fix(relay): streams stay at a server that restarted during a rollout

A new incarnation of a server was opened to requests but kept the end of the eviction, so that resumable streams left it at once.

--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -155,8 +155,7 @@
         } else {
             self.weights = entry.weights.clone();
             self.health = Health::new(self.health.report_delay());
-            self.closed_until = None;
-            self.full_until = None;
+            self.reopen();
             self.paused_until = None;
         }
         self.entry = entry;
--- a/tests/relay/leaving.rs
+++ b/tests/relay/leaving.rs
@@ -49,6 +49,20 @@
     assert_eq!(chosen(&fleet, now), Ok("s1".into()));
 }
 
+/// Guards against streams that leave a server which restarted while a rollout had it closed.
+#[test]
+fn a_new_incarnation_is_open_and_keeps_its_streams() {
+    let now = Instant::now();
+    let mut fleet = fleet(1, 1);
+    fleet.server_mut(&"s0".into()).unwrap().close_until(now + ms(1_000), true);
+    let mut restarted = entry(0, 1);
+    restarted.started_unix_ms = Some(2);
+    fleet.set_entry(restarted);
+    let server = fleet.server(&"s0".into()).unwrap();
+    assert!(!server.is_evicted(now));
+    assert_eq!(server.closed_until(now), None);
+}
+
 #[test]
 fn a_new_incarnation_at_the_same_id_is_another_server() {
     let now = Instant::now();
