perf(relay): the rank of a node for a limited server is worked out once

A choice asked for the rendezvous rank of each limited candidate, over all live nodes. It now changes with the live nodes only. A limit that has ended grows no further than the rate from which it is dropped: the rate overflowed after some minutes where nothing dropped it, and a test of that is added.

--- a/src/decision/relay/server_limit.rs
+++ b/src/decision/relay/server_limit.rs
@@ -125,6 +125,8 @@
     is_ended: bool,
     /// When partners were last told, with the rate, `None` for the end.
     announced: Option<(Instant, Option<RequestRate>)>,
+    /// Rank of this node in the order of the live nodes for the server.
+    own_rank: usize,
     /// Requests that this node may send, as of `permits_at`.
     permits: f64,
     permits_at: Instant,
@@ -134,7 +136,8 @@
     /// Returns the requests a second for all nodes, which grow once the limit has ended.
     fn rate_per_s(&self, now: Instant) -> f64 {
         let ended_s = now.saturating_duration_since(self.ends_at).as_secs_f64();
-        self.rate.per_s().max(MIN_RATE_PER_S) * RETURN_FACTOR_PER_S.powf(ended_s)
+        let rate_per_s = self.rate.per_s().max(MIN_RATE_PER_S);
+        (rate_per_s * RETURN_FACTOR_PER_S.powf(ended_s)).min(rate_per_s.max(FREE_RATE_PER_S))
     }
 
     fn is_free(&self, now: Instant) -> bool {
@@ -217,6 +220,12 @@
         let others = live.iter().filter(|node| *node != own);
         self.other_nodes = others.map(|node| xxh3_64(node.as_bytes())).collect();
         self.max_nodes = self.max_nodes.max(self.other_nodes.len() + 1);
+        for server in &servers {
+            let own_rank = self.own_rank(server);
+            if let Some(limit) = self.limits.get_mut(server) {
+                limit.own_rank = own_rank;
+            }
+        }
     }
 
     /// Learns what an answer says to a request that this node sent at `sent_at`; returns what
@@ -271,7 +280,7 @@
         now: Instant,
     ) -> Option<Instant> {
         let limit = self.limit(server, incarnation, now)?;
-        let delay_s = match self.share(server, limit, now) {
+        let delay_s = match self.share(limit, now) {
             Some(share) if share.permits >= 1.0 => return None,
             Some(share) => (1.0 - share.permits) / share.per_s,
             None => 1.0 / limit.rate_per_s(now),
@@ -283,7 +292,7 @@
     /// without a limit need none.
     pub fn try_take(&mut self, server: &ServerId, incarnation: Incarnation, now: Instant) -> bool {
         let Some(limit) = self.limit(server, incarnation, now) else { return true };
-        let permits = self.permits(server, limit, now);
+        let permits = self.permits(limit, now);
         if permits < 1.0 {
             return false;
         }
@@ -294,14 +303,14 @@
     /// Gives a permit back, since nothing was sent.
     pub fn give_back(&mut self, server: &ServerId, incarnation: Incarnation, now: Instant) {
         let Some(limit) = self.limit(server, incarnation, now) else { return };
-        let permits = self.permits(server, limit, now);
+        let permits = self.permits(limit, now);
         self.set_permits(server, permits + 1.0, now);
     }
 
     /// Returns the cost of a server in milliseconds because of its limit.
     pub fn cost_ms(&self, server: &ServerId, incarnation: Incarnation, now: Instant) -> f64 {
         let Some(limit) = self.limit(server, incarnation, now) else { return 0.0 };
-        let Some(share) = self.share(server, limit, now) else { return LIMITED_SERVER_COST_MS };
+        let Some(share) = self.share(limit, now) else { return LIMITED_SERVER_COST_MS };
         let unused_s = (limit.permits_at_rate(share.per_s, now) - share.burst) / share.per_s;
         LIMITED_SERVER_COST_MS * (1.0 - unused_s / COST_FADE_S).clamp(0.0, 1.0)
     }
@@ -352,6 +361,7 @@
                     ends_at: told_at + LIMIT_LIFETIME,
                     is_ended: false,
                     announced: None,
+                    own_rank: self.own_rank(server),
                     permits: 0.0,
                     permits_at: now,
                 };
@@ -371,15 +381,18 @@
         }
     }
 
+    fn own_rank(&self, server: &ServerId) -> usize {
+        let order = |node: u64| xxh3_64_with_seed(server.as_bytes(), node);
+        let own_order = order(self.own_node);
+        self.other_nodes.iter().filter(|other| order(**other) > own_order).count()
+    }
+
     /// Returns what this node may send, `None` if other nodes own the limit.
-    fn share(&self, server: &ServerId, limit: &ServerLimit, now: Instant) -> Option<Share> {
+    fn share(&self, limit: &ServerLimit, now: Instant) -> Option<Share> {
         let rate_per_s = limit.rate_per_s(now);
         let spare = SPARE_REQUESTS + rate_per_s * SPARE_S;
         let owners = (spare as usize).clamp(1, self.max_nodes.max(1));
-        let order = |node: u64| xxh3_64_with_seed(server.as_bytes(), node);
-        let own_order = order(self.own_node);
-        let rank = self.other_nodes.iter().filter(|other| order(**other) > own_order).count();
-        if rank >= owners {
+        if limit.own_rank >= owners {
             return None;
         }
         let (per_s, burst) = (rate_per_s / owners as f64, (spare / owners as f64).max(1.0));
@@ -387,8 +400,8 @@
         Some(Share { per_s, burst, permits })
     }
 
-    fn permits(&self, server: &ServerId, limit: &ServerLimit, now: Instant) -> f64 {
-        self.share(server, limit, now).map_or(0.0, |share| share.permits)
+    fn permits(&self, limit: &ServerLimit, now: Instant) -> f64 {
+        self.share(limit, now).map_or(0.0, |share| share.permits)
     }
 
     fn set_permits(&mut self, server: &ServerId, permits: f64, now: Instant) {
@@ -401,7 +414,7 @@
     /// a share begins without any.
     fn update_permits(&mut self, server: &ServerId, now: Instant) {
         let Some(limit) = self.limits.get(server) else { return };
-        let permits = self.permits(server, limit, now);
+        let permits = self.permits(limit, now);
         self.set_permits(server, permits, now);
     }
 }
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -231,7 +231,8 @@
         if !departures.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Leaving(departures));
         }
-        for batch in self.context.fleet().limits.notices(now).chunks(MAX_MESSAGE_LIMITS) {
+        let limits = self.context.fleet().limits.notices(now);
+        for batch in limits.chunks(MAX_MESSAGE_LIMITS) {
             self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
         }
     }
--- a/tests/relay/server_limits.rs
+++ b/tests/relay/server_limits.rs
@@ -378,3 +378,16 @@
     assert_eq!(error.reason, UnavailableReason::Limited);
     assert!(error.retry_at > now && error.retry_at <= now + ms(1_500));
 }
+
+/// Guards against a limit that a server names anew long after it ended, and that is not obeyed.
+#[test]
+fn a_limit_that_is_named_anew_is_obeyed() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    limits.learn(&SERVER, INCARNATION, Some(rate(1.0)), now, now);
+    let later = now + Duration::from_secs(100_000);
+    limits.learn(&SERVER, INCARNATION, Some(rate(1.0)), later, later);
+    let sent =
+        (0..100).filter(|request| limits.try_take(&SERVER, INCARNATION, later + ms(10 * request)));
+    assert!(sent.count() <= 5);
+}
