--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -2,12 +2,11 @@
 
 use super::RelayContext;
 use super::attempt::{NotRunReason, suspend_server};
-use super::control::RelayControlEvent;
+use super::control::{RelayControlEvent, log_limit};
 use super::request::RelayedRequest;
 use crate::decision::leaving::LeavingNotice;
 use crate::decision::relay::pause::Pause;
-use crate::decision::relay::server_limit::LimitAnnouncement;
-use crate::decision::relay::{Choice, LimitNotice, NamedLimit};
+use crate::decision::relay::{Choice, NamedLimit};
 use crate::ports::AnswerHead;
 use crate::types::{Delivery, Incarnation, PeerError, ServerId, Step};
 use anyhow::anyhow;
@@ -113,17 +112,6 @@
     }
 }
 
-/// Logs a limit or its end, as told by `source`.
-pub fn log_limit(announcement: &LimitAnnouncement, source: &str) {
-    let LimitNotice { server, incarnation, rate, age_ms } = &announcement.notice;
-    let per_s = rate.map_or("none".to_owned(), |rate| rate.per_s().to_string());
-    log::info!(
-        "event=server_limit server={server} incarnation={incarnation} per_s={per_s} \
-         age_ms={age_ms} is_refresh={} source={source}",
-        announcement.is_refresh
-    );
-}
-
 /// Whether another server listens at the address.
 pub fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
     head.server.as_ref().is_some_and(|server| *server != choice.server)
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -10,8 +10,10 @@
 mod partners;
 mod records;
 mod rollout;
+mod server_notices;
 mod state;
 
+pub(super) use server_notices::log_limit;
 pub use state::{ControlDependencies, run_control};
 
 use crate::decision::leaving::LeavingNotice;
@@ -20,8 +22,7 @@
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::rollout::{WeightsOrderOutcome, WeightsReport};
-use crate::decision::relay::server_limit::LimitAnnouncement;
-use crate::decision::relay::{KeyedRecord, RecordTopic};
+use crate::decision::relay::{KeyedRecord, LimitAnnouncement, RecordTopic};
 use crate::links::LinkEnd;
 use crate::links::connection::ReceivedMessage;
 use crate::ports::{AnnouncedNode, ReplaceOutcome};
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -4,13 +4,11 @@
 use super::partner_links;
 use super::records::RecordSource;
 use super::state::ControlState;
-use crate::decision::leaving::LeavingNotice;
 use crate::decision::membership::{
     MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
-use crate::decision::relay::server_limit::LimitAnnouncement;
-use crate::decision::relay::{LimitNotice, RecordRequests, RecordTopic};
+use crate::decision::relay::{RecordRequests, RecordTopic};
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::{MessageKind, TopicDigest};
 use crate::links::{
@@ -18,7 +16,6 @@
 };
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
-use crate::relay::answer_head::log_limit;
 use crate::types::{InstanceId, log_position};
 use async_channel::Sender;
 use bytes::Bytes;
@@ -237,43 +234,6 @@
         }
     }
 
-    /// Records servers of which a partner knows that they are leaving, and forwards the news.
-    fn receive_leaving(&self, peer: &InstanceId, mut notices: Vec<LeavingNotice>) {
-        notices.retain(|notice| self.context.fleet().departures.add(notice));
-        for notice in &notices {
-            log::info!("event=server_leaving server={} source={peer}", notice.server);
-        }
-        if !notices.is_empty() {
-            self.broadcast(Some(peer), &PartnerMessage::Leaving(notices));
-        }
-    }
-
-    /// Learns the limits of servers from a partner.
-    fn receive_limits(&self, peer: &InstanceId, notices: &[LimitNotice], now: Instant) {
-        for notice in notices {
-            let learned = self.context.fleet().limits.merge(notice, now);
-            if let Some(announcement) = learned {
-                log_limit(&announcement, peer);
-                self.announce_limit(Some(peer), &announcement);
-            }
-        }
-    }
-
-    /// Tells all partners of a limit but `source`; what they have been told before goes along the
-    /// tree of nodes only.
-    pub(super) fn announce_limit(
-        &self,
-        source: Option<&InstanceId>,
-        announcement: &LimitAnnouncement,
-    ) {
-        let message = PartnerMessage::Limits(vec![announcement.notice.clone()]);
-        if announcement.is_refresh {
-            self.send_along_tree(source, &message);
-        } else {
-            self.broadcast(source, &message);
-        }
-    }
-
     /// Handles a message from a partner.
     pub(super) fn receive_message(&mut self, number: u64, received: ReceivedMessage, now: Instant) {
         let Some(peer) = self.partners.links.peer(number).cloned() else { return };
