fix(relay): a stream goes on at another server once that one sent a whole event

It was silent, or being replaced, and another server was asked that sent bytes without end: its first bytes counted as the answer that speaks first, so that the sound one was left; then the event was too long.

An answer now takes a stream over with its first whole event, and fails if that is too long or cut.

--- /dev/null
+++ b/src/relay/stream/candidate.rs
@@ -0,0 +1,65 @@
+//! Answer of another server that is to continue a stream.
+
+use crate::decision::relay::EventSplitter;
+use crate::decision::relay::event_splitter::EventTooLong;
+use crate::relay::attempt::Answer;
+use crate::types::PeerResult;
+use anyhow::anyhow;
+use bytes::{Bytes, BytesMut};
+
+/// What a candidate does after it has sent something.
+pub(super) enum CandidateStep {
+    /// It has not sent a whole event yet.
+    Waits,
+    /// It continues the stream with this, `None` if it ended it.
+    Continues(Option<Bytes>),
+    /// It cannot continue the stream.
+    Failed(anyhow::Error),
+}
+
+/// Answer of another server. It continues the stream once it has sent a whole event: a server that
+/// sends bytes without end must not take the stream from a sound one that is silent.
+pub(super) struct Candidate {
+    pub(super) answer: Answer,
+    splitter: EventSplitter,
+    /// All that has arrived.
+    received: BytesMut,
+}
+
+impl Candidate {
+    pub(super) fn new(answer: Answer) -> Self {
+        Self { answer, splitter: EventSplitter::default(), received: BytesMut::new() }
+    }
+
+    /// Handles what the server sent. Any data continues what is not an event stream.
+    pub(super) fn receive(
+        &mut self,
+        received: PeerResult<Option<Bytes>>,
+        is_event_stream: bool,
+    ) -> CandidateStep {
+        let data = match received {
+            Ok(Some(data)) => data,
+            Ok(None) if self.splitter.is_inside_event() => {
+                return CandidateStep::Failed(anyhow!("the stream ended inside an event"));
+            }
+            Ok(None) if self.answer.exchange.framing.proves_completeness() => {
+                return CandidateStep::Continues(None);
+            }
+            Ok(None) => {
+                let error = anyhow!("the connection ended before the first event");
+                return CandidateStep::Failed(error);
+            }
+            Err(error) => return CandidateStep::Failed(error.into()),
+        };
+        self.answer.in_flight.record_contact();
+        if !is_event_stream {
+            return CandidateStep::Continues(Some(data));
+        }
+        self.received.extend_from_slice(&data);
+        match self.splitter.push(data) {
+            Ok(events) if events.is_empty() => CandidateStep::Waits,
+            Ok(_) => CandidateStep::Continues(Some(self.received.split().freeze())),
+            Err(EventTooLong) => CandidateStep::Failed(anyhow!("the first event is too long")),
+        }
+    }
+}
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -1,6 +1,7 @@
 //! Failover of a stream: other servers resume it when its own is silent, is to be closed, or has
 //! broken off.
 
+use super::candidate::{Candidate, CandidateStep};
 use super::{RelayedStream, StreamEvent};
 use crate::decision::relay::{Choice, EventSplitter, NotTriedReason};
 use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason};
@@ -8,7 +9,6 @@
 use crate::relay::pending_attempts::EndedAttempt;
 use crate::relay::server_choice::{choose_server_now, log_choice};
 use crate::types::{DeadlinePassed, PeerError, PeerResult};
-use anyhow::anyhow;
 use bytes::Bytes;
 use std::time::{Duration, Instant};
 use strum::Display;
@@ -42,7 +42,7 @@
             log::info!(
                 "event=attempt_abandoned request={} {}",
                 self.request.id,
-                candidate.in_flight
+                candidate.answer.in_flight
             );
         }
         self.moving_until = None;
@@ -52,28 +52,28 @@
         self.is_resumable && self.attempts.allow_another(&self.context, &self.request, now)
     }
 
-    /// Handles what a candidate sent; returns it if the candidate becomes the current answer.
+    /// Handles what a candidate sent; returns all that it has sent if it becomes the current answer.
     pub(super) fn continue_with(
         &mut self,
         index: usize,
         received: PeerResult<Option<Bytes>>,
     ) -> Option<PeerResult<Option<Bytes>>> {
-        let candidate = self.candidates.swap_remove(index);
-        let is_end_proven = candidate.exchange.framing.proves_completeness();
-        let error = match received {
-            Ok(None) if !is_end_proven => anyhow!("the connection ended before the first event"),
-            Ok(data) => {
-                self.resume_from(candidate);
+        let error = match self.candidates[index].receive(received, self.splitter.is_some()) {
+            CandidateStep::Waits => return None,
+            CandidateStep::Continues(data) => {
+                let candidate = self.candidates.swap_remove(index);
+                self.resume_from(candidate.answer);
                 return Some(Ok(data));
             }
-            Err(error) => error.into(),
+            CandidateStep::Failed(error) => error,
         };
-        candidate.in_flight.record_outcome(false, 0.0);
-        in_flight::request_crash_check(&self.request, &candidate.in_flight, CutStage::Stream);
+        let Candidate { answer, .. } = self.candidates.swap_remove(index);
+        answer.in_flight.record_outcome(false, 0.0);
+        in_flight::request_crash_check(&self.request, &answer.in_flight, CutStage::Stream);
         log::info!(
             "event=candidate_failed request={} {} error=\"{error:#}\"",
             self.request.id,
-            candidate.in_flight
+            answer.in_flight
         );
         let now = Instant::now();
         self.failover.record_failed_answer(now);
@@ -202,7 +202,7 @@
         let now = Instant::now();
         match outcome {
             AttemptOutcome::Streaming(answer) => {
-                self.candidates.push(*answer);
+                self.candidates.push(Candidate::new(*answer));
                 return self.failover.record_wait(now);
             }
             AttemptOutcome::NotRun(NotRunReason::Full) => {
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -1,8 +1,10 @@
 //! Event streams: forwarded as they arrive, and resumed at another server where the route allows
 //! it.
 
+mod candidate;
 mod failover;
 
+use self::candidate::Candidate;
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
@@ -59,8 +61,8 @@
     failover: Failover,
     /// Answer of the current server, `None` after it was interrupted or the stream has ended.
     answer: Option<Answer>,
-    /// Answers of other servers that resume the stream and have sent no data yet.
-    candidates: Vec<Answer>,
+    /// Answers of other servers that resume the stream.
+    candidates: Vec<Candidate>,
     /// Attempts to resume the stream at other servers.
     pending: PendingAttempts,
     /// Until when the current answer is not read, `None` unless the stream is being moved.
@@ -331,11 +333,13 @@
 }
 
 /// Waits until one of the candidates sends something; never returns without candidates.
-async fn next_continued(candidates: &mut [Answer], deadline: Instant) -> StreamEvent {
+async fn next_continued(candidates: &mut [Candidate], deadline: Instant) -> StreamEvent {
     if candidates.is_empty() {
         return future::pending().await;
     }
-    let next = candidates.iter_mut().map(|answer| Box::pin(answer.exchange.next_data(deadline)));
+    let next = candidates
+        .iter_mut()
+        .map(|candidate| Box::pin(candidate.answer.exchange.next_data(deadline)));
     let (received, index, _others) = select_all(next).await;
     StreamEvent::Continued { index, received }
 }
