--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -85,8 +85,9 @@
     next_move_at: Option<Instant>,
 }
 
-/// Returns the answer for the caller; its body is forwarded as it arrives. The first data of one of
-/// the `pending` attempts is forwarded instead if it comes before that of the answer.
+/// Returns the answer for the caller; its body is forwarded as it arrives. The answer to one of
+/// the `pending` attempts is forwarded instead if it has a whole event before the first data of this
+/// one.
 pub fn forward_stream(
     context: &Arc<RelayContext>,
     request: &Arc<RelayedRequest>,
