--- a/src/decision/relay/server_limit.rs
+++ b/src/decision/relay/server_limit.rs
@@ -128,7 +128,7 @@
         (Some(told), Some(newest)) => {
             (told.per_s() - newest.per_s()).abs() > told.per_s() * ANNOUNCED_CHANGE
         }
-        (told, newest) => told.is_some() != newest.is_some(),
+        (told, newest) => told != newest,
     }
 }
 
