feat(relay): log the software version of servers and the streams that callers resume

The version in a server's entry was checked and dropped, and Resumes was not read, so that no log line could tell a caller's resumption from a failover, or name the version that a stream goes on at. The version is now part of a server's entry and of a choice; routed, server_entry, stream_resumed and the lines of cut attempts name it. No decision uses it yet.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -10,7 +10,9 @@
 use super::fleet::Fleet;
 use super::prompt::{PrefixKey, Prompt};
 use super::server::{Server, ServerLoad};
-use crate::types::{AvailabilityZone, ModelId, ServerId, ServiceId, WeightsRevision};
+use crate::types::{
+    AvailabilityZone, ModelId, ServerId, ServiceId, SoftwareVersion, WeightsRevision,
+};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -49,6 +51,8 @@
     pub address: SocketAddr,
     /// Availability zone of the server.
     pub availability_zone: AvailabilityZone,
+    /// Version of the server's software.
+    pub software: SoftwareVersion,
     /// Cost in milliseconds, including penalties.
     pub cost_ms: f64,
     /// Expected milliseconds until the server begins to answer.
@@ -244,6 +248,7 @@
         server: entry.id.clone(),
         address: entry.address,
         availability_zone: entry.availability_zone.clone(),
+        software: entry.software.clone(),
         cost_ms: best.0,
         expected_ms,
         runner_up: runner_up.map(|(cost_ms, server)| (server.entry.id.clone(), cost_ms)),
--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -3,7 +3,8 @@
 use super::health::{Health, ServerContact, SilenceChange};
 pub use super::server_load::{PendingPrefill, ServerLoad, ServerUpdate, UpdateScope};
 use crate::types::{
-    AvailabilityZone, Incarnation, InstanceId, ModelId, ServerId, ServiceId, WeightsRevision,
+    AvailabilityZone, Incarnation, InstanceId, ModelId, ServerId, ServiceId, SoftwareVersion,
+    WeightsRevision,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -56,6 +57,9 @@
     pub address: SocketAddr,
     /// Availability zone of the server.
     pub availability_zone: AvailabilityZone,
+    /// Version of its software, not of weights. What two versions write of one stream does not fit
+    /// together.
+    pub software: SoftwareVersion,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether the server accepts requests.
--- a/src/ports/dialect.rs
+++ b/src/ports/dialect.rs
@@ -19,6 +19,10 @@
     pub api_key: Option<SmolStr>,
     /// Description of the prompt, for requests to a model.
     pub prompt: Option<Prompt>,
+    /// Last event that the caller has of a stream that it takes up again.
+    pub last_event_id: Option<SmolStr>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
 }
 
 /// Values to encode into the head of a request that is forwarded to a server.
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -223,10 +223,11 @@
             }
         };
         log::info!(
-            "event=server_entry server={key} service={} state={} weights={:?} offset={offset} \
+            "event=server_entry server={key} service={} state={} software={} weights={:?} offset={offset} \
              source={source}",
             entry.service,
             entry.state,
+            entry.software,
             entry.weights.values().collect::<Vec<_>>()
         );
         if !matches!(source, RecordSource::Restored) {
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -7,7 +7,7 @@
 use crate::decision::poison::RankedKey;
 use crate::decision::relay::server::{PendingPrefill, ServerLoad};
 use crate::decision::relay::{Choice, Prompt};
-use crate::types::{Incarnation, ServerId};
+use crate::types::{Incarnation, ServerId, SoftwareVersion};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +32,8 @@
     context: Arc<RelayContext>,
     /// Server that the request was sent to.
     pub server: ServerId,
+    /// Version of the server's software when the request was sent.
+    pub software: SoftwareVersion,
     /// Number of the attempt.
     attempt: u64,
     load: ServerLoad,
@@ -72,6 +74,7 @@
         Self {
             context,
             server,
+            software: choice.software.clone(),
             attempt,
             load,
             is_prefilled: false,
@@ -106,9 +109,13 @@
 
 impl fmt::Display for InFlightAttempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { server, sent_at, suspect_keys, .. } = self;
+        let Self { server, software, sent_at, suspect_keys, .. } = self;
         let keys = KeyList(suspect_keys);
-        write!(f, "server={server} sent_ms={} keys={keys}", sent_at.elapsed().as_millis())
+        write!(
+            f,
+            "server={server} software={software} sent_ms={} keys={keys}",
+            sent_at.elapsed().as_millis()
+        )
     }
 }
 
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -90,12 +90,14 @@
         None => ("none", 0.0),
     };
     log::info!(
-        "event=routed request={} route={} server={} zone={} cost_ms={:.0} expected_ms={:.0} runner_up={runner_up} \
+        "event=routed request={} route={} server={} zone={} software={} resumes={} cost_ms={:.0} expected_ms={:.0} runner_up={runner_up} \
          runner_up_ms={runner_up_ms:.0} weights={} rank={} fetches={} saves={} tokens={}/{}/{} age_ms={}",
         request.id,
         request.route.name,
         choice.server,
         choice.availability_zone,
+        choice.software,
+        request.head.resumes.as_deref().unwrap_or("none"),
         choice.cost_ms,
         choice.expected_ms,
         prompt.map_or(0, |prompt| prompt.weights),
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -224,10 +224,12 @@
         self.abandon_others();
         let left = self.answer.replace(answer);
         log::info!(
-            "event=stream_resumed request={} from={} to={} bytes={}",
+            "event=stream_resumed request={} from={} from_software={} to={} to_software={} bytes={}",
             self.request.id,
             left.as_ref().map_or("none", |left| left.in_flight.server.as_str()),
+            left.as_ref().map_or("none", |left| left.in_flight.software.as_str()),
             self.answer.as_ref().map_or("none", |answer| answer.in_flight.server.as_str()),
+            self.answer.as_ref().map_or("none", |answer| answer.in_flight.software.as_str()),
             self.forwarded_bytes
         );
         self.splitter.iter_mut().for_each(EventSplitter::begin_answer);
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -32,6 +32,8 @@
 pub type ServiceId = SmolStr;
 /// Revision of a model's weights, set by an operator; higher is newer.
 pub type WeightsRevision = u64;
+/// Version of a backend server's software.
+pub type SoftwareVersion = SmolStr;
 /// Name of a version of a model's weights.
 pub type WeightsVersion = SmolStr;
 /// Name of a workspace.
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -28,6 +28,7 @@
         service: SERVICE.clone(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index)),
         availability_zone: ZONES[usize::from(index) % ZONES.len()].into(),
+        software: "v1".into(),
         slots: 48,
         state: ServerState::Ready,
         started_unix_ms: Some(1),
