fix(relay): failover within an answer stays at the software version that began the stream

Callers saw: a resumable stream whose server broke it off, fell silent or was to replace its weights went on at a server of another software version, whose events do not fit those that they had. Change: the first data that is forwarded binds the stream to the version of the server that wrote it, as known when the request was sent; further servers of that answer are chosen from that version only. Before that nothing is bound, since the answers beside the one that is heard are dropped. Ruled out: a check of the version at the end of an attempt (the server would have run for nothing). Not yet: the attempts of a caller, which are the report's cause by its timeline.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -107,6 +107,8 @@
     Limited,
     /// All servers have outdated weights.
     OutdatedWeights,
+    /// No server has the software version that began the stream.
+    OtherSoftware,
 }
 
 /// Error of a choice without a usable server.
@@ -133,6 +135,8 @@
     pub latency_objective: Duration,
     /// Longest pause between the events of a stream that is still on time.
     pub max_event_gap: Duration,
+    /// Software version that the server must have, since it began the stream; `None` if any will do.
+    pub software: Option<&'a SoftwareVersion>,
     /// Servers to which the request has been sent already.
     pub tried: &'a [ServerId],
 }
@@ -163,6 +167,13 @@
         if candidates.is_empty() {
             return Err(unavailable(UnavailableReason::NoServer, now + NO_SERVER_RETRY_DELAY));
         }
+        if let Some(software) = query.software {
+            candidates.retain(|server| server.entry.software == *software);
+            if candidates.is_empty() {
+                let retry_at = now + NO_SERVER_RETRY_DELAY;
+                return Err(unavailable(UnavailableReason::OtherSoftware, retry_at));
+            }
+        }
         retain_preferred_if_any(&mut candidates, |server| !server.is_entry_missing());
         if let Some(prompt) = query.prompt {
             let begins_by = now + query.caller_patience();
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -4,7 +4,7 @@
 use super::request::RelayedRequest;
 use super::{RelayContext, suspects};
 use crate::metrics::labels::ReasonLabels;
-use crate::types::ServerId;
+use crate::types::{ServerId, SoftwareVersion};
 use std::time::{Duration, Instant};
 
 /// Minimum remaining time for a resend.
@@ -20,6 +20,9 @@
     pub tried: Vec<ServerId>,
     /// Number of attempts in which the server may have run the request.
     pub possible_runs: u32,
+    /// Software version that began the stream, at which alone it goes on; `None` before its first
+    /// event.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Attempts {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -1,6 +1,7 @@
 //! Receives requests: matches the route, authenticates the caller and reads the body.
 
 use super::RelayContext;
+use super::attempts::Attempts;
 use super::refusal::{Refusal, RefusalReason};
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
@@ -8,7 +9,7 @@
 use crate::decision::relay::configuration::{Caller, Workspace};
 use crate::decision::relay::{AdmissionRequest, Configuration, Prompt, Route, ServerQuery};
 use crate::ports::RequestHead;
-use crate::types::{RequestId, ServerId, ServiceId};
+use crate::types::{RequestId, ServiceId};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::BodyExt;
@@ -88,8 +89,8 @@
         }
     }
 
-    /// Returns the query that selects a server other than those in `tried`.
-    pub fn server_query<'a>(&'a self, tried: &'a [ServerId]) -> ServerQuery<'a> {
+    /// Returns the query that selects the server of the next attempt.
+    pub fn server_query<'a>(&'a self, attempts: &'a Attempts) -> ServerQuery<'a> {
         let isolated = self.workspace.as_ref().filter(|workspace| workspace.is_isolated);
         ServerQuery {
             service: &self.service,
@@ -98,7 +99,8 @@
             priority: self.priority(),
             latency_objective: Duration::from_millis(self.route.latency_objective_ms),
             max_event_gap: Duration::from_millis(self.route.max_event_gap_ms),
-            tried,
+            software: attempts.software.as_ref(),
+            tried: &attempts.tried,
         }
     }
 
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -47,7 +47,7 @@
     attempts: &Attempts,
     now: Instant,
 ) -> Result<Choice, Refusal> {
-    let chosen = context.fleet().choose(request.server_query(&attempts.tried), now);
+    let chosen = context.fleet().choose(request.server_query(attempts), now);
     match chosen {
         Ok(choice) => {
             check_overload(request, &choice, attempts.possible_runs > 0, now)?;
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -265,9 +265,14 @@
         Some(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error))
     }
 
-    /// Updates the statistics for data that is about to be forwarded.
+    /// Records that data is about to be forwarded: from now on the stream goes on only at the
+    /// software version that wrote it.
     fn record_data(&mut self, data: Bytes) -> Bytes {
         let now = Instant::now();
+        if self.attempts.software.is_none() {
+            self.attempts.software =
+                self.answer.as_ref().map(|answer| answer.in_flight.software.clone());
+        }
         if let Some(last) = self.last_data_at {
             self.max_pause = self.max_pause.max(now.saturating_duration_since(last));
         }
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -445,3 +445,21 @@
     assert!(is_served_with_gap(400, 300, 5_599));
     assert!(!is_served_with_gap(400, 300, 5_600));
 }
+
+/// Guards against a stream that goes on at another software version than the one that began it.
+#[test]
+fn a_resumed_stream_gets_only_servers_of_its_software_version() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    for index in [3, 7] {
+        fleet.set_entry(ServerEntry { software: "v1.1".into(), ..entry(index, 1) });
+    }
+    let (new, gone) = ("v1.1".into(), "v0".into());
+    for subject in 0..100 {
+        let prompt = long_prompt(subject, 1);
+        let chosen = fleet.choose(ServerQuery { software: Some(&new), ..query(&prompt) }, now);
+        assert!(["s3", "s7"].contains(&chosen.unwrap().server.as_str()));
+        let chosen = fleet.choose(ServerQuery { software: Some(&gone), ..query(&prompt) }, now);
+        assert_eq!(chosen.unwrap_err().reason, UnavailableReason::OtherSoftware);
+    }
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -92,6 +92,7 @@
         priority: 1,
         latency_objective: ms(400),
         max_event_gap: ms(250),
+        software: None,
         tried: &[],
     }
 }
@@ -105,6 +106,7 @@
         priority: 2,
         latency_objective: ms(300),
         max_event_gap: ms(0),
+        software: None,
         tried: &[],
     }
 }
