fix(relay): a stream that its caller resumes goes on at the software version that began it

Unknown streams go on only if the service has had one version in the last minute, by this node and those that answer; otherwise the caller is refused at once (unknown_stream). Resumed streams wait up to a second for one of the servers that may go on with them.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,6 +1,7 @@
 //! Implementations of the ports over HTTP/1.1, and the HTTP client and server that they share.
 
 pub mod connection_pool;
+pub mod datagram_socket;
 pub mod deadline;
 pub mod framing;
 pub mod guarded_stream;
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -32,6 +32,7 @@
 pub mod server_limit;
 pub mod server_load;
 pub mod store_link;
+pub mod stream_origins;
 
 pub use admission::AdmissionRequest;
 pub use choose::{Choice, ServerQuery, Unavailable, UnavailableReason};
@@ -53,3 +54,4 @@
 pub use server::{ServerEntry, ServerState};
 pub use server_limit::ServerLimits;
 pub use store_link::StoreLink;
+pub use stream_origins::StreamOrigins;
--- /dev/null
+++ b/src/decision/relay/stream_origins.rs
@@ -0,0 +1,394 @@
+//! Which software version began a stream that its caller may resume at any node.
+//!
+//! What two versions write of one stream does not fit together, and servers do not check it. The
+//! node that forwards the first event of a stream tells the owners of the stream: a few other nodes,
+//! the first ones for it by rendezvous hashing, in different availability zones. A node that a caller
+//! asks to resume a stream asks these nodes and some more. A stream that nobody knows goes on only if
+//! its service has had a single version.
+//!
+//! Streams are told also while a service has a single version: a node that is killed just before it
+//! learns of the second one could not tell them any more.
+
+use crate::types::{AvailabilityZone, InstanceId, RequestId, ServiceId, SoftwareVersion};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Longest time for which a caller resumes a stream; a version is remembered that long after its last
+/// server was seen.
+pub const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Other nodes that are told of a stream.
+const OWNERS: usize = 3;
+
+/// Other nodes that are asked for a stream; more than its owners, since the nodes may disagree for a
+/// moment on which are live.
+const ASKED_NODES: usize = 8;
+
+/// Nodes with the highest hashes for a stream, among which its owners and those that are asked are.
+const RANKED_NODES: usize = 2 * ASKED_NODES;
+
+/// Maximum streams that are remembered.
+const MAX_STREAMS: usize = 65_536;
+
+/// Answers of other nodes that confirm that a service has had a single version.
+const CONFIRMING_ANSWERS: usize = 2;
+
+/// Maximum versions in an answer: two already show that a service has several.
+const MAX_ANSWERED_VERSIONS: usize = 4;
+
+/// Hash of the request id of the attempt that brought the first event of a stream.
+pub type StreamKey = u64;
+
+/// Returns the key of the stream whose first event the attempt `request` brought.
+pub fn stream_key(request: &RequestId) -> StreamKey {
+    xxh3_64(request.as_bytes())
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Service of the server.
+    #[serde(rename = "s")]
+    pub service: ServiceId,
+    /// Software version of the server.
+    #[serde(rename = "v")]
+    pub software: SoftwareVersion,
+}
+
+/// Record of the origin of a stream, sent to its owners.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OriginRecord {
+    /// Stream.
+    #[serde(rename = "k")]
+    pub stream: StreamKey,
+    /// Origin.
+    #[serde(rename = "o")]
+    pub origin: StreamOrigin,
+    /// Milliseconds for which it may be resumed.
+    #[serde(rename = "r")]
+    pub remaining_ms: u64,
+}
+
+/// What a node knows of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KnownOrigin {
+    /// Nothing.
+    Unknown,
+    /// Two streams of different origins have the same id.
+    Ambiguous,
+    /// Its origin.
+    Origin(StreamOrigin),
+}
+
+/// Answer of a node that was asked for a stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OriginAnswer {
+    /// What it knows of the stream.
+    #[serde(rename = "o")]
+    pub known: KnownOrigin,
+    /// Versions that it has seen in the service within [`MAX_STREAM_LIFETIME`]; some of them if there
+    /// are many.
+    #[serde(rename = "v")]
+    pub versions: Vec<SoftwareVersion>,
+}
+
+/// Live node that answers queries for streams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OriginNode {
+    /// Id of the run.
+    pub instance: InstanceId,
+    /// Availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// Address that takes datagrams.
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct KnownStream {
+    /// Origin, `None` if it is ambiguous.
+    origin: Option<StreamOrigin>,
+    expires_at: Instant,
+}
+
+/// Origins of streams and versions of services, as known to a node.
+#[derive(Clone, Debug)]
+pub struct StreamOrigins {
+    /// Since when the node has observed versions.
+    observed_since: Instant,
+    streams: HashMap<StreamKey, KnownStream>,
+    /// When a server of each version of a service was last seen.
+    versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
+    /// Other live nodes.
+    nodes: Vec<OriginNode>,
+}
+
+impl StreamOrigins {
+    /// Returns the state of a node that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            observed_since: now,
+            streams: HashMap::new(),
+            versions: BTreeMap::new(),
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Sets the other live nodes.
+    pub fn set_nodes(&mut self, nodes: Vec<OriginNode>) {
+        self.nodes = nodes;
+    }
+
+    /// Records that a server of a service has a version; returns whether it is a new one.
+    pub fn observe_version(
+        &mut self,
+        service: &ServiceId,
+        software: &SoftwareVersion,
+        now: Instant,
+    ) -> bool {
+        let versions = self.versions.entry(service.clone()).or_default();
+        versions.retain(|_, seen_at| now < *seen_at + MAX_STREAM_LIFETIME);
+        versions.insert(software.clone(), now).is_none()
+    }
+
+    /// Returns the versions that the service has had within [`MAX_STREAM_LIFETIME`].
+    pub fn versions(&self, service: &ServiceId, now: Instant) -> Vec<SoftwareVersion> {
+        let seen = self.versions.get(service).into_iter().flatten();
+        let current = seen.filter(|(_, seen_at)| now < **seen_at + MAX_STREAM_LIFETIME);
+        current.map(|(software, _)| software.clone()).collect()
+    }
+
+    /// Records the origin of a stream of which this node is about to forward events; returns the
+    /// record and the nodes that must be told.
+    pub fn begin(
+        &mut self,
+        stream: StreamKey,
+        origin: StreamOrigin,
+        expires_at: Instant,
+        now: Instant,
+    ) -> (OriginRecord, Vec<SocketAddr>) {
+        let expires_at = expires_at.min(now + MAX_STREAM_LIFETIME);
+        let record = origin_record(stream, origin.clone(), expires_at, now);
+        self.merge(stream, origin, expires_at, now);
+        (record, self.first_nodes(stream, OWNERS))
+    }
+
+    /// Records what another node says of a stream.
+    pub fn receive(&mut self, record: OriginRecord, now: Instant) {
+        let remaining = Duration::from_millis(record.remaining_ms).min(MAX_STREAM_LIFETIME);
+        self.merge(record.stream, record.origin, now + remaining, now);
+    }
+
+    /// Returns what this node knows of a stream.
+    pub fn known(&self, stream: StreamKey, now: Instant) -> KnownOrigin {
+        match self.streams.get(&stream).filter(|known| now < known.expires_at) {
+            None => KnownOrigin::Unknown,
+            Some(KnownStream { origin: None, .. }) => KnownOrigin::Ambiguous,
+            Some(KnownStream { origin: Some(origin), .. }) => KnownOrigin::Origin(origin.clone()),
+        }
+    }
+
+    /// Answers a query of another node.
+    pub fn answer(
+        &self,
+        stream: Option<StreamKey>,
+        service: &ServiceId,
+        now: Instant,
+    ) -> OriginAnswer {
+        let mut versions = self.versions(service, now);
+        versions.truncate(MAX_ANSWERED_VERSIONS);
+        let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
+        OriginAnswer { known, versions }
+    }
+
+    /// Returns the state of a search for the origin of a stream, `None` if the caller did not name
+    /// its first attempt.
+    pub fn search(
+        &self,
+        stream: Option<StreamKey>,
+        service: &ServiceId,
+        now: Instant,
+    ) -> OriginSearch {
+        let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
+        let asked = self.first_nodes(stream.unwrap_or_default(), ASKED_NODES);
+        OriginSearch {
+            service: service.clone(),
+            known,
+            versions: self.versions(service, now),
+            needs_answer: !self.nodes.is_empty() && now < self.observed_since + MAX_STREAM_LIFETIME,
+            unanswered: asked,
+            answers: 0,
+            has_contradiction: false,
+        }
+    }
+
+    /// Forgets expired streams and versions.
+    pub fn remove_expired(&mut self, now: Instant) {
+        self.streams.retain(|_, known| now < known.expires_at);
+        for versions in self.versions.values_mut() {
+            versions.retain(|_, seen_at| now < *seen_at + MAX_STREAM_LIFETIME);
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
+    }
+
+    /// Returns the number of remembered streams.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether no stream is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    fn merge(
+        &mut self,
+        stream: StreamKey,
+        origin: StreamOrigin,
+        expires_at: Instant,
+        now: Instant,
+    ) {
+        if self.streams.len() >= MAX_STREAMS {
+            self.make_room(now);
+        }
+        match self.streams.get_mut(&stream).filter(|known| now < known.expires_at) {
+            Some(known) => {
+                if known.origin.as_ref() != Some(&origin) {
+                    known.origin = None;
+                }
+                known.expires_at = known.expires_at.max(expires_at);
+            }
+            None => {
+                self.streams.insert(stream, KnownStream { origin: Some(origin), expires_at });
+            }
+        }
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        self.streams.retain(|_, known| now < known.expires_at);
+        if self.streams.len() < MAX_STREAMS {
+            return;
+        }
+        let first = self.streams.iter().min_by_key(|(_, known)| known.expires_at);
+        if let Some(stream) = first.map(|(stream, _)| *stream) {
+            self.streams.remove(&stream);
+        }
+    }
+
+    /// Returns the first `count` other nodes for a stream: the first ones of several availability
+    /// zones, then the others, by their hashes.
+    fn first_nodes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let hash = |node: &OriginNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
+        let mut ranked: Vec<(Reverse<u64>, &OriginNode)> =
+            self.nodes.iter().map(|node| (Reverse(hash(node)), node)).collect();
+        if ranked.len() > RANKED_NODES {
+            ranked.select_nth_unstable_by_key(RANKED_NODES, |(hash, _)| *hash);
+            ranked.truncate(RANKED_NODES);
+        }
+        ranked.sort_by(|(left, a), (right, b)| (left, &a.instance).cmp(&(right, &b.instance)));
+        let mut chosen: Vec<&OriginNode> = Vec::with_capacity(count);
+        for (_, node) in &ranked {
+            let is_in_new_zone =
+                chosen.iter().all(|other| other.availability_zone != node.availability_zone);
+            if chosen.len() < OWNERS && is_in_new_zone {
+                chosen.push(node);
+            }
+        }
+        for (_, node) in &ranked {
+            if chosen.len() < count && !chosen.contains(node) {
+                chosen.push(node);
+            }
+        }
+        chosen.iter().map(|node| node.address).collect()
+    }
+}
+
+fn origin_record(
+    stream: StreamKey,
+    origin: StreamOrigin,
+    expires_at: Instant,
+    now: Instant,
+) -> OriginRecord {
+    let remaining = expires_at.saturating_duration_since(now).as_millis();
+    OriginRecord { stream, origin, remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX) }
+}
+
+/// How the version of a stream was found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FoundVersion {
+    /// A node knows the stream.
+    Known(SoftwareVersion),
+    /// Nobody knows it, and the service has had no other version.
+    Only(SoftwareVersion),
+}
+
+/// Search for the origin of a stream.
+#[derive(Clone, Debug)]
+pub struct OriginSearch {
+    service: ServiceId,
+    known: KnownOrigin,
+    /// Versions that this node or one that has answered has seen in the service.
+    versions: Vec<SoftwareVersion>,
+    /// Whether a version of before this node's start may be known to other nodes alone.
+    needs_answer: bool,
+    unanswered: Vec<SocketAddr>,
+    answers: usize,
+    /// Whether two nodes know different origins.
+    has_contradiction: bool,
+}
+
+impl OriginSearch {
+    /// Returns the nodes that have not answered.
+    pub fn unanswered(&self) -> &[SocketAddr] {
+        &self.unanswered
+    }
+
+    /// Returns the number of answers.
+    pub fn answers(&self) -> usize {
+        self.answers
+    }
+
+    /// Adds the answer of the node at `address`; a second one of a node changes nothing.
+    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer) {
+        let Some(index) = self.unanswered.iter().position(|asked| *asked == address) else {
+            return;
+        };
+        self.unanswered.swap_remove(index);
+        self.answers += 1;
+        for software in answer.versions {
+            if !self.versions.contains(&software) {
+                self.versions.push(software);
+            }
+        }
+        match (&self.known, answer.known) {
+            (_, KnownOrigin::Unknown) => {}
+            (KnownOrigin::Unknown, known) => self.known = known,
+            (known, other) => self.has_contradiction |= *known != other,
+        }
+    }
+
+    /// Returns whether more answers cannot change the result, or hardly ever.
+    pub fn is_over(&self) -> bool {
+        let is_confirmed = self.versions.len() == 1 && self.answers >= CONFIRMING_ANSWERS;
+        self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_confirmed
+    }
+
+    /// Returns the version at which the stream goes on, `None` if that is not certain.
+    pub fn result(&self) -> Option<FoundVersion> {
+        match &self.known {
+            _ if self.has_contradiction => None,
+            KnownOrigin::Ambiguous => None,
+            KnownOrigin::Origin(origin) if origin.service != self.service => None,
+            KnownOrigin::Origin(origin) => Some(FoundVersion::Known(origin.software.clone())),
+            KnownOrigin::Unknown if self.needs_answer && self.answers == 0 => None,
+            KnownOrigin::Unknown => match self.versions.as_slice() {
+                [only] => Some(FoundVersion::Only(only.clone())),
+                _ => None,
+            },
+        }
+    }
+}
--- a/src/links/handshake.rs
+++ b/src/links/handshake.rs
@@ -45,6 +45,7 @@
             version: 0,
             status: MemberStatus::Alive,
             processor_percent: 0,
+            datagram_address: None,
         };
         Self { key, record }
     }
@@ -124,8 +125,8 @@
     message.extend(challenge.protocol.to_le_bytes());
     message.extend(challenge.nonce.to_le_bytes());
     message.extend(nonce.to_le_bytes());
-    // Earlier builds leave the field out of the proof.
-    let member = MemberRecord { processor_percent: 0, ..member.clone() };
+    // Earlier builds leave these fields out of the proof.
+    let member = MemberRecord { processor_percent: 0, datagram_address: None, ..member.clone() };
     ciborium::into_writer(&member, &mut message).expect("writing to a Vec cannot fail");
     hmac_sha256(key.as_bytes(), &message)
 }
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -1,12 +1,14 @@
 //! Partner links between nodes: authenticated WebSocket connections that carry CBOR messages.
 
 pub mod connection;
+pub mod datagram;
 pub mod handshake;
 pub mod message;
 pub mod outbox;
 pub mod table;
 
 pub use connection::{Link, LinkEnd, accept, dial};
+pub use datagram::Datagram;
 pub use handshake::{Identity, LINK_PROTOCOL_VERSION};
 pub use message::{DecodedMessage, PartnerMessage};
 pub use outbox::Outbox;
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -3,10 +3,11 @@
 use super::control::RelayControlEvent;
 use super::metrics::RelayMetrics;
 use super::settings::RelaySettings;
+use super::stream_origin::OriginQueries;
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
 use crate::decision::poison::{CrashEvidence, PoisonState};
-use crate::decision::relay::{Configuration, Fleet, ResendBudget};
+use crate::decision::relay::{Configuration, Fleet, ResendBudget, StreamOrigins};
 use crate::ports::{CoordinationStore, Dialect, EngineControl};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
@@ -48,7 +49,10 @@
     pub(super) resend_budget: Mutex<ResendBudget>,
     pub(super) poison: Mutex<PoisonState>,
     pub(super) crash_evidence: Mutex<CrashEvidence>,
-    /// Next number of an attempt or of a partner link.
+    pub(super) origins: Mutex<StreamOrigins>,
+    /// Queries between nodes for the origins of streams.
+    pub(super) origin_queries: OriginQueries,
+    /// Next number of an attempt, a query or a partner link.
     pub(super) next_number: AtomicU64,
 }
 
@@ -73,6 +77,11 @@
         self.crash_evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the origins of streams.
+    pub fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the node is ready for new connections.
     pub fn is_ready(&self) -> bool {
         let is_configured =
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -8,6 +8,7 @@
     MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
+use crate::decision::relay::stream_origins::OriginNode;
 use crate::decision::relay::{RecordRequests, RecordTopic};
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::{MessageKind, TopicDigest};
@@ -85,6 +86,7 @@
             context.settings.availability_zone.clone(),
         );
         identity.record.processor_percent = context.settings.processor_percent;
+        identity.record.datagram_address = Some(context.origin_queries.address());
         let settings = MembershipSettings { redial_delay_ms: 300, ..MembershipSettings::default() };
         Self {
             membership: MembershipState::new(identity.record.clone(), settings),
@@ -131,6 +133,18 @@
         all
     }
 
+    /// Returns the other live nodes that take datagrams.
+    fn list_origin_nodes(&self) -> Vec<OriginNode> {
+        let node = |member: &MemberRecord| {
+            Some(OriginNode {
+                instance: member.instance.clone(),
+                availability_zone: member.availability_zone.clone(),
+                address: member.datagram_address?,
+            })
+        };
+        self.membership.live_members().filter_map(node).collect()
+    }
+
     /// Whether a link to `peer` is open.
     pub(super) fn has_link(&self, peer: &InstanceId) -> bool {
         self.links.get(peer).is_some()
@@ -403,6 +417,7 @@
             self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
             self.context.crash_evidence().set_nodes(me, &instances);
             self.context.fleet().limits.set_nodes(me, &instances, Instant::now());
+            self.context.origins().set_nodes(self.partners.list_origin_nodes());
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -230,6 +230,13 @@
             entry.software,
             entry.weights.values().collect::<Vec<_>>()
         );
+        if self.context.origins().observe_version(&entry.service, &entry.software, now) {
+            log::info!(
+                "event=software_version service={} software={}",
+                entry.service,
+                entry.software
+            );
+        }
         if !matches!(source, RecordSource::Restored) {
             self.context.fleet().set_entry(entry);
         } else if !self.context.fleet().set_restored_entry(entry) {
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -29,6 +29,9 @@
 /// coordinator.
 const ROLLOUT_TICK_PERIOD: Duration = Duration::from_millis(25);
 
+/// Period at which the software versions of all servers are recorded.
+const VERSION_OBSERVATION_PERIOD: Duration = Duration::from_secs(1);
+
 /// Arguments of [`run_control`].
 pub struct ControlDependencies {
     /// State shared with the traffic thread.
@@ -61,6 +64,8 @@
     /// This node as it is announced in the store.
     pub(super) announced_node: AnnouncedNode,
     pub(super) crash_checks: CrashChecks,
+    /// When the versions of all servers are observed again.
+    next_observation_at: Instant,
     /// Newest known era of the store, `None` before its first answer.
     pub(super) store_era: Option<StoreEra>,
     suspension_detector: SuspensionDetector,
@@ -90,6 +95,7 @@
             address: partner_address,
         },
         crash_checks: CrashChecks::default(),
+        next_observation_at: now,
         store_era: None,
         suspension_detector: SuspensionDetector::new(),
         started_at: now,
@@ -207,6 +213,7 @@
             self.context.pool.close_idle_connections(&server);
         }
         self.context.pool.close_expired(now);
+        self.observe_versions(now);
         self.crash_checks.remove_expired(now);
         self.tick_partners(now);
         self.tick_loads(now);
@@ -215,6 +222,20 @@
         }
     }
 
+    /// Records which software versions still have servers.
+    fn observe_versions(&mut self, now: Instant) {
+        if now < self.next_observation_at {
+            return;
+        }
+        self.next_observation_at = now + VERSION_OBSERVATION_PERIOD;
+        let fleet = self.context.fleet();
+        let mut origins = self.context.origins();
+        for server in fleet.servers() {
+            origins.observe_version(&server.entry.service, &server.entry.software, now);
+        }
+        origins.remove_expired(now);
+    }
+
     /// Sets or removes the external store of KV cache in the fleet.
     fn apply_kv_store(&mut self, address: Option<SocketAddr>, is_emptied: bool, now: Instant) {
         let state = if address.is_some() { "regained" } else { "lost" };
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -52,6 +52,8 @@
     pub key_strikes: Counter,
     /// Streams that were resumed at another server.
     pub resumed_streams: Counter,
+    /// Searches for the software version of a stream that its caller resumes, by source.
+    pub stream_searches: Family<ReasonLabels, Counter>,
     /// Failed exchanges with servers, by step.
     pub server_failures: Family<ReasonLabels, Counter>,
     /// Calls to the coordination store, by call.
@@ -103,6 +105,11 @@
             "Streams that went on at another server",
             self.resumed_streams.clone(),
         );
+        registry.register(
+            "relay_stream_searches",
+            "Searches for the software version of a stream that its caller resumes",
+            self.stream_searches.clone(),
+        );
         registry.register(
             "relay_server_failures",
             "Failed exchanges with servers by step",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -22,6 +22,7 @@
 pub mod server_search;
 pub mod settings;
 pub mod stream;
+pub mod stream_origin;
 pub mod suspects;
 pub mod suspension_detector;
 
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -3,12 +3,14 @@
 use super::control::{self, ControlDependencies, RelayControlEvent};
 use super::exchange;
 use super::metrics::RelayMetrics;
+use super::stream_origin::{self, OriginQueries};
 use super::{RelayContext, RelayPorts, RelaySettings};
 use crate::adapters::connection_pool::ConnectionPool;
+use crate::adapters::datagram_socket::DatagramSocket;
 use crate::adapters::http_server::{self, Handler, ListenerLimits, Reply};
 use crate::daemon::threads::{self, spawn_control, spawn_traffic};
 use crate::decision::poison::{CrashEvidence, PoisonState};
-use crate::decision::relay::{Fleet, ResendBudget};
+use crate::decision::relay::{Fleet, ResendBudget, StreamOrigins};
 use crate::metrics::encode;
 use crate::traffic::reply::text_reply;
 use crate::types::InstanceId;
@@ -74,12 +76,15 @@
         let readiness = http_server::bind(settings.listen.readiness, "readiness")?;
         let metrics_listener = http_server::bind(settings.listen.metrics, "metrics")?;
         let partners = http_server::bind(settings.listen.partners, "partners")?;
+        let datagrams = DatagramSocket::bind(settings.listen.datagrams)?;
         let partner_address = partners.local_addr()?;
         let caller_address = callers.local_addr()?;
         let readiness_address = readiness.local_addr()?;
         let instance = new_instance_id(&settings);
         let (control_events, events) = async_channel::bounded(MAX_QUEUED_EVENTS);
-        let context = Arc::new(new_context(settings, metrics, ports, pool, control_events));
+        let origin_queries = OriginQueries::new(datagrams);
+        let context = new_context(settings, metrics, ports, pool, origin_queries, control_events);
+        let context = Arc::new(context);
         let (drain_sender, drain_signal) = async_channel::bounded(1);
         let (stop_sender, stop_signal) = async_channel::bounded(1);
         let control_dependencies = ControlDependencies {
@@ -94,6 +99,7 @@
             move |executor| control::run_control(executor, control_dependencies),
             stop_signal.clone(),
         )?;
+        executor.spawn(stream_origin::receive_datagrams(Arc::clone(&context))).detach();
         serve_callers(&executor, &context, callers, drain_signal);
         serve_monitoring(&executor, &context, readiness, metrics_listener, stop_signal.clone());
         let traffic_thread =
@@ -167,6 +173,7 @@
     metrics: RelayMetrics,
     ports: RelayPorts,
     pool: Arc<ConnectionPool>,
+    origin_queries: OriginQueries,
     control_events: Sender<RelayControlEvent>,
 ) -> RelayContext {
     RelayContext {
@@ -181,6 +188,8 @@
         resend_budget: Mutex::new(ResendBudget::new(settings.resend, 1)),
         poison: Mutex::new(PoisonState::default()),
         crash_evidence: Mutex::new(CrashEvidence::default()),
+        origins: Mutex::new(StreamOrigins::new(Instant::now())),
+        origin_queries,
         next_number: AtomicU64::new(1),
         settings,
         ports,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -45,6 +45,8 @@
     Unavailable(UnavailableReason),
     /// The expected wait at the servers is too long.
     Overloaded,
+    /// The software version that began the stream is not certain.
+    UnknownStream,
     /// No server ran the request.
     NotRun,
     /// A server may have run the request, but its answer was lost.
@@ -68,6 +70,7 @@
             | Self::Suspect
             | Self::Unavailable(_)
             | Self::Overloaded
+            | Self::UnknownStream
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown | Self::BadAnswer => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -7,7 +7,9 @@
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, Workspace};
-use crate::decision::relay::{AdmissionRequest, Configuration, Prompt, Route, ServerQuery};
+use crate::decision::relay::{
+    AdmissionRequest, Configuration, Prompt, RetrySafety, Route, ServerQuery,
+};
 use crate::ports::RequestHead;
 use crate::types::{RequestId, ServiceId};
 use bytes::{Bytes, BytesMut};
@@ -22,6 +24,9 @@
 /// Maximum body size if the configuration sets none.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Longest time of a caller that counts, in milliseconds.
+const MAX_CALLER_TIMEOUT_MS: u64 = 3_600_000;
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -61,6 +66,8 @@
     pub arrived_at: Instant,
     /// When the answer must be complete.
     pub deadline: Instant,
+    /// Until when the caller waits, or would if the route allowed it.
+    pub caller_deadline: Instant,
     /// Hash of workspace, path and body, which is the same when the caller retries.
     pub fingerprint: Fingerprint,
     /// Keys under which crashes of servers are recorded.
@@ -89,6 +96,12 @@
         }
     }
 
+    /// Whether the caller resumes a stream that an earlier attempt of it has begun.
+    pub fn is_resumption(&self) -> bool {
+        let names_stream = self.head.resumes.is_some() || self.head.last_event_id.is_some();
+        names_stream && self.route.retry_safety == RetrySafety::ResumableStream
+    }
+
     /// Returns the query that selects the server of the next attempt.
     pub fn server_query<'a>(&'a self, attempts: &'a Attempts) -> ServerQuery<'a> {
         let isolated = self.workspace.as_ref().filter(|workspace| workspace.is_isolated);
@@ -131,11 +144,13 @@
     let (route, workspace) = find_route(&configuration, &request, &head)?;
     let id = head.id.clone().ok_or(Refusal::new(RefusalReason::NoRequestId))?;
     let service = route
-        .service(xxh3_64(id.as_bytes()))
+        .service(xxh3_64(head.resumes.as_ref().unwrap_or(&id).as_bytes()))
         .cloned()
         .ok_or(Refusal::new(RefusalReason::NoRoute))?;
     let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = arrived_at + Duration::from_millis(timeout_ms);
+    let caller_timeout_ms = head.timeout_ms.unwrap_or(timeout_ms).min(MAX_CALLER_TIMEOUT_MS);
+    let caller_deadline = arrived_at + Duration::from_millis(caller_timeout_ms);
     let max_bytes = configuration.limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
     let (parts, body) = request.into_parts();
     let body = read_body(body, max_bytes, deadline).await?;
@@ -157,6 +172,7 @@
         body,
         arrived_at,
         deadline,
+        caller_deadline,
         fingerprint,
         suspect_keys,
         _probe: probe,
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -11,6 +11,9 @@
 /// Divisor of the latency objective that gives the maximum wait for an available server.
 const WAIT_OBJECTIVE_DIVISOR: u32 = 8;
 
+/// Longest wait of a resumed stream for one of the servers that may go on with it.
+const MAX_RESUMPTION_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time between two attempts to choose a server while all are closed.
 const CHOICE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -22,7 +25,11 @@
     attempts: &Attempts,
 ) -> Result<Choice, Refusal> {
     let objective = Duration::from_millis(request.route.latency_objective_ms);
-    let wait_until = Instant::now() + objective / WAIT_OBJECTIVE_DIVISOR;
+    let max_wait = match attempts.software {
+        Some(_) => MAX_RESUMPTION_WAIT,
+        None => objective / WAIT_OBJECTIVE_DIVISOR,
+    };
+    let wait_until = Instant::now() + max_wait;
     loop {
         let now = Instant::now();
         let chosen = choose_server_now(context, request, attempts, now);
@@ -31,6 +38,12 @@
             RefusalReason::Unavailable(UnavailableReason::Limited) => {
                 refusal.retry_at.is_some_and(|retry_at| retry_at <= wait_until)
             }
+            RefusalReason::Unavailable(
+                UnavailableReason::Unreachable | UnavailableReason::Paused,
+            ) => {
+                let is_soon = refusal.retry_at.is_some_and(|retry_at| retry_at <= wait_until);
+                attempts.software.is_some() && is_soon
+            }
             _ => false,
         });
         if !is_worth_waiting || now >= wait_until {
@@ -50,7 +63,8 @@
     let chosen = context.fleet().choose(request.server_query(attempts), now);
     match chosen {
         Ok(choice) => {
-            check_overload(request, &choice, attempts.possible_runs > 0, now)?;
+            let has_started = attempts.possible_runs > 0 || attempts.software.is_some();
+            check_overload(request, &choice, has_started, now)?;
             Ok(choice)
         }
         Err(Unavailable { reason, retry_at }) => {
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -8,7 +8,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
 use super::server_choice::{choose_server, choose_server_now, log_choice};
-use super::{RelayContext, stream};
+use super::{RelayContext, stream, stream_origin};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::Reply;
 use crate::decision::relay::{Failover, FailoverStep, GiveUpReason, NotTriedReason};
@@ -33,10 +33,11 @@
 ) -> Result<Reply, Refusal> {
     let now = Instant::now();
     context.resend_budget().count_first_attempt(&request.service, now);
+    let software = stream_origin::find_software(context, request).await?;
     let mut search = ServerSearch {
         context,
         request,
-        attempts: Attempts::default(),
+        attempts: Attempts { software, ..Attempts::default() },
         pending: PendingAttempts::default(),
         failover: Failover::new(request.deadline, now),
         next_attempt: NextAttempt::Free,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -47,6 +47,8 @@
     pub readiness_path: SmolStr,
     /// Listener of partner links.
     pub partners: SmolStr,
+    /// UDP socket of queries between nodes; if empty, any free port at the address of `partners`.
+    pub datagrams: SmolStr,
     /// Listener of metrics scrapes.
     pub metrics: SmolStr,
     /// Path of the metrics.
@@ -122,6 +124,8 @@
     pub readiness_path: SmolStr,
     /// Listener of partner links.
     pub partners: SocketAddr,
+    /// UDP socket of queries between nodes.
+    pub datagrams: SocketAddr,
     /// Listener of metrics scrapes.
     pub metrics: SocketAddr,
     /// Path of the metrics.
@@ -182,11 +186,17 @@
         "listen.metrics_path",
         "must begin with a slash",
     );
+    let partners = check_address("listen.partners", &raw.partners, faults);
+    let datagrams = match raw.datagrams.as_str() {
+        "" => SocketAddr::new(partners.ip(), 0),
+        datagrams => check_address("listen.datagrams", datagrams, faults),
+    };
     RelayListen {
         callers: check_address("listen.callers", &raw.callers, faults),
         readiness: check_address("listen.readiness", &raw.readiness, faults),
         readiness_path: raw.readiness_path,
-        partners: check_address("listen.partners", &raw.partners, faults),
+        partners,
+        datagrams,
         metrics: check_address("listen.metrics", &raw.metrics, faults),
         metrics_path: raw.metrics_path,
     }
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -18,7 +18,7 @@
 use crate::relay::metrics::AnswerLabels;
 use crate::relay::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use crate::relay::request::{RelayedRequest, end_to_end_headers};
-use crate::relay::suspects;
+use crate::relay::{stream_origin, suspects};
 use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
@@ -269,10 +269,7 @@
     /// software version that wrote it.
     fn record_data(&mut self, data: Bytes) -> Bytes {
         let now = Instant::now();
-        if self.attempts.software.is_none() {
-            self.attempts.software =
-                self.answer.as_ref().map(|answer| answer.in_flight.software.clone());
-        }
+        self.bind_software();
         if let Some(last) = self.last_data_at {
             self.max_pause = self.max_pause.max(now.saturating_duration_since(last));
         }
@@ -281,6 +278,17 @@
         data
     }
 
+    fn bind_software(&mut self) {
+        let Some(answer) = self.answer.as_ref().filter(|_| self.last_data_at.is_none()) else {
+            return;
+        };
+        let software = &answer.in_flight.software;
+        if self.is_resumable {
+            stream_origin::record_origin(&self.context, &self.request, software);
+        }
+        self.attempts.software = Some(software.clone());
+    }
+
     /// Ends a complete stream; returns the data after the last whole event, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.is_ended = true;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -29,6 +29,7 @@
 mod server_limits;
 mod settings;
 mod store_restore;
+mod stream_origins;
 mod trace;
 
 use proptest_config::proptest_config;
