--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -186,14 +186,16 @@
         "listen.metrics_path",
         "must begin with a slash",
     );
+    let callers = check_address("listen.callers", &raw.callers, faults);
+    let readiness = check_address("listen.readiness", &raw.readiness, faults);
     let partners = check_address("listen.partners", &raw.partners, faults);
     let datagrams = match raw.datagrams.as_str() {
         "" => SocketAddr::new(partners.ip(), 0),
         datagrams => check_address("listen.datagrams", datagrams, faults),
     };
     RelayListen {
-        callers: check_address("listen.callers", &raw.callers, faults),
-        readiness: check_address("listen.readiness", &raw.readiness, faults),
+        callers,
+        readiness,
         readiness_path: raw.readiness_path,
         partners,
         datagrams,
