--- a/examples/capacity_slopes/membership.rs
+++ b/examples/capacity_slopes/membership.rs
@@ -56,7 +56,7 @@
         version: 1,
         status: MemberStatus::Alive,
         processor_percent: 0,
-        datagram_address: None,
+        peer_address: None,
     }
 }
 
--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -1,4 +1,4 @@
-//! Pool of HTTP/1.1 connections to backend servers.
+//! Pool of HTTP/1.1 connections to backend servers, or to other nodes.
 //!
 //! A connection is reused only if the caller releases it after it has read the complete answer. In
 //! all other cases it is closed.
@@ -6,6 +6,8 @@
 use super::deadline::timeout_at;
 use super::framing::Framing;
 use super::guarded_stream::{GuardedStream, UndeliveredBytes};
+use crate::links::Identity;
+use crate::links::node_connection::authenticate_dialer;
 use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
@@ -63,6 +65,8 @@
 /// Pool of idle connections by server and address.
 pub struct ConnectionPool {
     executor: Weak<Executor<'static>>,
+    /// Identity that this node proves on a new connection, `None` for connections to servers.
+    identity: Option<Identity>,
     idle: Mutex<IdleConnections>,
 }
 
@@ -77,12 +81,21 @@
     body: Incoming,
     connection: Connection,
     key: (ServerId, SocketAddr),
+    /// Whether the connection was opened for this exchange.
+    pub is_new_connection: bool,
+    /// Whether the peer is another node.
+    pub is_with_node: bool,
 }
 
 impl ConnectionPool {
     /// Returns an empty pool, which runs the I/O of its connections on `executor`.
     pub fn new(executor: Weak<Executor<'static>>) -> Self {
-        Self { executor, idle: Mutex::default() }
+        Self { executor, identity: None, idle: Mutex::default() }
+    }
+
+    /// Returns an empty pool of connections to other nodes, on which both ends authenticate.
+    pub fn of_nodes(executor: Weak<Executor<'static>>, identity: Identity) -> Self {
+        Self { executor, identity: Some(identity), idle: Mutex::default() }
     }
 
     /// Sends `request` to `server` and returns once the head of the answer has arrived.
@@ -98,7 +111,7 @@
         deadline: Instant,
     ) -> PeerResult<PooledExchange> {
         let key = (server.clone(), address);
-        let mut connection = self.acquire(&key, deadline).await?;
+        let (mut connection, is_new_connection) = self.acquire(&key, deadline).await?;
         connection.undelivered.reset();
         let sent = timeout_at(deadline, connection.sender.send_request(request)).await;
         let answer = sent.map_err(|error| head_error(&key, Delivery::Unknown, error.into()))?;
@@ -111,7 +124,17 @@
         let (status, headers) = (parts.status, parts.headers);
         let has_no_body = body.is_end_stream();
         let framing = if has_no_body { Framing::Length } else { Framing::of(&headers) };
-        Ok(PooledExchange { status, headers, framing, body, connection, key })
+        let is_with_node = self.identity.is_some();
+        Ok(PooledExchange {
+            status,
+            headers,
+            framing,
+            body,
+            connection,
+            key,
+            is_new_connection,
+            is_with_node,
+        })
     }
 
     /// Closes idle connections that have expired or that the server has closed.
@@ -133,19 +156,20 @@
         self.lock().entry(key).or_default().push(IdleConnection { connection, usable_until });
     }
 
-    /// Returns an idle connection that becomes ready within [`READY_TIMEOUT`], or opens a new one.
+    /// Returns an idle connection that becomes ready within [`READY_TIMEOUT`], or opens a new one,
+    /// and whether it is new.
     async fn acquire(
         &self,
         key: &(ServerId, SocketAddr),
         deadline: Instant,
-    ) -> PeerResult<Connection> {
+    ) -> PeerResult<(Connection, bool)> {
         while let Some(mut connection) = self.take_idle(key) {
             let ready = timeout_at(Instant::now() + READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Ok(connection);
+                return Ok((connection, false));
             }
         }
-        self.open(key, deadline).await
+        Ok((self.open(key, deadline).await?, true))
     }
 
     fn take_idle(&self, key: &(ServerId, SocketAddr)) -> Option<Connection> {
@@ -170,11 +194,16 @@
         };
         let executor = self.executor.upgrade().ok_or_else(|| connect_error(anyhow!("stopping")))?;
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let stream = timeout_at(deadline, TcpStream::connect(key.1))
+        let mut stream = timeout_at(deadline, TcpStream::connect(key.1))
             .await
             .map_err(|error| connect_error(error.into()))?
             .map_err(|error| connect_error(error.into()))?;
         set_options(&stream).map_err(|error| connect_error(error.into()))?;
+        if let Some(identity) = &self.identity {
+            let authenticated = authenticate_dialer(&mut stream, identity);
+            let authenticated = timeout_at(deadline, authenticated).await;
+            authenticated.map_err(Into::into).flatten().map_err(connect_error)?;
+        }
         let undelivered = UndeliveredBytes::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -108,7 +108,8 @@
     }
 }
 
-async fn serve_connection(
+/// Serves an open connection until it ends; once `drain` closes, after its current request.
+pub async fn serve_connection(
     stream: TcpStream,
     handler: Handler,
     limits: ListenerLimits,
--- a/src/decision/membership/messages.rs
+++ b/src/decision/membership/messages.rs
@@ -58,9 +58,9 @@
     /// the others.
     #[serde(rename = "c", default, skip_serializing_if = "is_unstated")]
     pub processor_percent: u32,
-    /// Address that takes datagrams, `None` for a node that takes none.
+    /// Address that takes requests and datagrams of other nodes, `None` for a node that takes none.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
-    pub datagram_address: Option<SocketAddr>,
+    pub peer_address: Option<SocketAddr>,
 }
 
 /// Whether a member does not state its processor. Earlier builds do not know the field.
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -1,6 +1,7 @@
 //! Configuration of the relay: routes, services, caller limits and workspaces.
 
 use crate::types::{AvailabilityZone, ModelId, RouteId, ServiceId, WorkspaceId};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -8,7 +9,8 @@
 use strum::Display;
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum RetrySafety {
     /// May run any number of times.
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -157,6 +157,16 @@
         }
     }
 
+    /// Sets whether this node has lost the servers of a service: what it leaves unanswered then says
+    /// nothing about them.
+    pub fn set_cut_off(&mut self, service: &ServiceId, is_cut_off: bool) {
+        for server in self.servers.values_mut() {
+            if server.entry.service == *service {
+                server.health.set_cut_off(is_cut_off);
+            }
+        }
+    }
+
     /// Whether a server accepts requests, by its entry and all that is known of its leaving.
     pub fn is_in_service(&self, server: &Server) -> bool {
         server.entry.state == ServerState::Ready
--- a/src/decision/relay/health.rs
+++ b/src/decision/relay/health.rs
@@ -92,6 +92,8 @@
     silent_at: Option<Instant>,
     /// Time that the reports of other nodes take to arrive.
     report_delay: Duration,
+    /// Whether this node has lost all servers of the service.
+    is_cut_off: bool,
 }
 
 impl Health {
@@ -111,6 +113,12 @@
         self.report_delay = report_delay;
     }
 
+    /// Sets whether this node has lost all servers of the service. Unanswered requests say nothing
+    /// about the server then.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
     /// Records that attempt `attempt` was sent.
     pub fn record_sent(&mut self, attempt: u64, now: Instant) {
         self.unanswered.insert(attempt, now);
@@ -155,7 +163,7 @@
 
     /// Returns the contact of this node with the server.
     pub fn contact(&self) -> ServerContact {
-        let unanswered_since = self.unanswered.values().min().copied();
+        let unanswered_since = self.unanswered.values().min().copied().filter(|_| !self.is_cut_off);
         ServerContact { last_contact_at: self.last_contact_at, unanswered_since }
     }
 
--- a/src/decision/relay/stream_origins.rs
+++ b/src/decision/relay/stream_origins.rs
@@ -9,7 +9,8 @@
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
 
-use crate::types::{AvailabilityZone, InstanceId, RequestId, ServiceId, SoftwareVersion};
+use super::peer_node::PeerNode;
+use crate::types::{RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -97,17 +98,6 @@
     pub versions: Vec<SoftwareVersion>,
 }
 
-/// Live node that answers queries for streams.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct OriginNode {
-    /// Id of the run.
-    pub instance: InstanceId,
-    /// Availability zone.
-    pub availability_zone: AvailabilityZone,
-    /// Address that takes datagrams.
-    pub address: SocketAddr,
-}
-
 #[derive(Clone, Debug)]
 struct KnownStream {
     /// Origin, `None` if it is ambiguous.
@@ -124,7 +114,7 @@
     /// When a server of each version of a service was last seen.
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
     /// Other live nodes.
-    nodes: Vec<OriginNode>,
+    nodes: Vec<PeerNode>,
 }
 
 impl StreamOrigins {
@@ -139,7 +129,7 @@
     }
 
     /// Sets the other live nodes.
-    pub fn set_nodes(&mut self, nodes: Vec<OriginNode>) {
+    pub fn set_nodes(&mut self, nodes: Vec<PeerNode>) {
         self.nodes = nodes;
     }
 
@@ -282,15 +272,15 @@
     /// Returns the first `count` other nodes for a stream: the first ones of several availability
     /// zones, then the others, by their hashes.
     fn first_nodes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
-        let hash = |node: &OriginNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
-        let mut ranked: Vec<(Reverse<u64>, &OriginNode)> =
+        let hash = |node: &PeerNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
+        let mut ranked: Vec<(Reverse<u64>, &PeerNode)> =
             self.nodes.iter().map(|node| (Reverse(hash(node)), node)).collect();
         if ranked.len() > RANKED_NODES {
             ranked.select_nth_unstable_by_key(RANKED_NODES, |(hash, _)| *hash);
             ranked.truncate(RANKED_NODES);
         }
         ranked.sort_by(|(left, a), (right, b)| (left, &a.instance).cmp(&(right, &b.instance)));
-        let mut chosen: Vec<&OriginNode> = Vec::with_capacity(count);
+        let mut chosen: Vec<&PeerNode> = Vec::with_capacity(count);
         for (_, node) in &ranked {
             let is_in_new_zone =
                 chosen.iter().all(|other| other.availability_zone != node.availability_zone);
--- a/src/links/connection.rs
+++ b/src/links/connection.rs
@@ -1,8 +1,8 @@
 //! Connections of partner links: opening, authentication and exchange of messages.
 
-use super::MAX_MESSAGE_BYTES;
 use super::handshake::{Challenge, Identity, LINK_PROTOCOL_VERSION, Proof, Side, fresh_nonce};
 use super::message::{DecodedMessage, PartnerMessage};
+use super::{MAX_HANDSHAKE_MESSAGE_BYTES, MAX_MESSAGE_BYTES};
 use crate::adapters::deadline::timeout_at;
 use crate::decision::membership::MemberRecord;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
@@ -28,9 +28,6 @@
 /// Maximum duration of the closing handshake of a link.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum size of a handshake message; the peer is not authenticated yet.
-const MAX_HANDSHAKE_MESSAGE_BYTES: usize = 1_024;
-
 /// Maximum bytes that a WebSocket frame adds to a message: header, longest length field and mask.
 pub const MAX_FRAME_OVERHEAD_BYTES: usize = 14;
 
--- a/src/links/datagram.rs
+++ b/src/links/datagram.rs
@@ -2,6 +2,7 @@
 //! a link to it. They may be lost, repeated or reordered.
 
 use super::handshake::hmac_sha256;
+use crate::decision::relay::gateways::ReachAnswer;
 use crate::decision::relay::stream_origins::{OriginAnswer, OriginRecord, StreamKey};
 use crate::types::ServiceId;
 use anyhow::{Context, ensure};
@@ -36,6 +37,10 @@
         /// Answer.
         answer: OriginAnswer,
     },
+    /// Asks which of these services the receiver reaches.
+    ReachQuery(Vec<ServiceId>),
+    /// Answer to it.
+    ReachAnswer(ReachAnswer),
 }
 
 impl Datagram {
--- a/src/links/handshake.rs
+++ b/src/links/handshake.rs
@@ -45,7 +45,7 @@
             version: 0,
             status: MemberStatus::Alive,
             processor_percent: 0,
-            datagram_address: None,
+            peer_address: None,
         };
         Self { key, record }
     }
@@ -126,7 +126,7 @@
     message.extend(challenge.nonce.to_le_bytes());
     message.extend(nonce.to_le_bytes());
     // Earlier builds leave these fields out of the proof.
-    let member = MemberRecord { processor_percent: 0, datagram_address: None, ..member.clone() };
+    let member = MemberRecord { processor_percent: 0, peer_address: None, ..member.clone() };
     ciborium::into_writer(&member, &mut message).expect("writing to a Vec cannot fail");
     hmac_sha256(key.as_bytes(), &message)
 }
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -4,6 +4,7 @@
 pub mod datagram;
 pub mod handshake;
 pub mod message;
+pub mod node_connection;
 pub mod outbox;
 pub mod table;
 
@@ -14,5 +15,8 @@
 pub use outbox::Outbox;
 pub use table::{LinkHandle, LinkTable, SendOutcome};
 
+/// Maximum size of a handshake message; the peer is not authenticated yet.
+const MAX_HANDSHAKE_MESSAGE_BYTES: usize = 1_024;
+
 /// Maximum size of a message, sent or received, without its frame.
 pub const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -154,18 +154,27 @@
     status: StatusCode,
     head: &AnswerHead,
 ) -> Option<PeerError> {
+    let fault = find_signature_fault(request, status, head)?;
+    let error = anyhow!("{fault} (status {status})");
+    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
+}
+
+/// Returns why the answer cannot be that of a server that ran this request, `None` if it can.
+pub fn find_signature_fault(
+    request: &RelayedRequest,
+    status: StatusCode,
+    head: &AnswerHead,
+) -> Option<&'static str> {
     let promises_no_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    let fault = if head.request_id.as_ref() != Some(&request.id) {
-        "the answer belongs to another request"
+    if head.request_id.as_ref() != Some(&request.id) {
+        Some("the answer belongs to another request")
     } else if status.is_success() && !head.is_signed {
-        "the answer is not signed"
+        Some("the answer is not signed")
     } else if head.has_content_encoding {
-        "the answer is encoded"
+        Some("the answer is encoded")
     } else if promises_no_run || status.is_informational() {
-        "the status contradicts that the request was run"
+        Some("the status contradicts that the request was run")
     } else {
-        return None;
-    };
-    let error = anyhow!("{fault} (status {status})");
-    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
+        None
+    }
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,6 +8,7 @@
 use super::buffered_answer::{self, BufferedAnswer};
 use super::control::RelayControlEvent;
 use super::in_flight::{CutStage, InFlightAttempt, request_crash_check};
+use super::peers::reach;
 use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::Choice;
@@ -47,6 +48,8 @@
     Misdirected,
     /// The server has loaded other weights.
     OtherWeights,
+    /// Another node, by way of which the request was sent, has refused it.
+    NodeRefused,
 }
 
 /// What has arrived of an answer.
@@ -92,6 +95,9 @@
         }
     };
     in_flight.record_contact();
+    if exchange.is_new_connection {
+        reach::record_opened(context, &request.service);
+    }
     let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
     update_weights(context, request, choice, &head);
     if !is_misdirected(choice, &head) {
@@ -203,6 +209,7 @@
     if error.delivery == Delivery::NotSent {
         if error.step == Step::Connect {
             suspend_server(context, choice);
+            reach::record_unreachable(context, &request.service, &choice.server);
         }
         return AttemptOutcome::NotSent(error);
     }
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -20,6 +20,9 @@
 /// Idle time after which a connection is not reused, if the server announces no keep-alive timeout.
 const DEFAULT_IDLE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Idle time after which a connection to another node is not reused; its listener waits longer.
+const NODE_IDLE_PERIOD: Duration = Duration::from_secs(10);
+
 /// Time before the announced keep-alive timeout from which a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -94,6 +97,9 @@
 
 /// Returns the connection of a complete answer to the pool, unless the server closes it.
 pub fn return_to_pool(context: &RelayContext, exchange: PooledExchange, head: &AnswerHead) {
+    if exchange.is_with_node {
+        return context.peer_pool.release(exchange, Instant::now() + NODE_IDLE_PERIOD);
+    }
     if head.closes_connection {
         return;
     }
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -2,16 +2,17 @@
 
 use super::control::RelayControlEvent;
 use super::metrics::RelayMetrics;
+use super::peers::PeerQueries;
 use super::settings::RelaySettings;
-use super::stream_origin::OriginQueries;
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
 use crate::decision::poison::{CrashEvidence, PoisonState};
-use crate::decision::relay::{Configuration, Fleet, ResendBudget, StreamOrigins};
+use crate::decision::relay::{Configuration, Fleet, Gateways, Reach, ResendBudget, StreamOrigins};
+use crate::links::Identity;
 use crate::ports::{CoordinationStore, Dialect, EngineControl};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Adapters of a relay node to its site.
@@ -50,8 +51,16 @@
     pub(super) poison: Mutex<PoisonState>,
     pub(super) crash_evidence: Mutex<CrashEvidence>,
     pub(super) origins: Mutex<StreamOrigins>,
-    /// Queries between nodes for the origins of streams.
-    pub(super) origin_queries: OriginQueries,
+    /// Queries between nodes.
+    pub(super) peer_queries: PeerQueries,
+    /// Connections to other nodes, by way of which requests are sent.
+    pub(super) peer_pool: Arc<ConnectionPool>,
+    /// Identity that this node proves on these connections.
+    pub(super) identity: Identity,
+    pub(super) reach: Mutex<Reach>,
+    pub(super) gateways: Mutex<Gateways>,
+    /// Requests of other nodes that this one is sending on.
+    pub(super) forwarded_requests: AtomicU32,
     /// Next number of an attempt, a query or a partner link.
     pub(super) next_number: AtomicU64,
 }
@@ -82,6 +91,16 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of the links to servers.
+    pub fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the nodes that may send requests on.
+    pub fn gateways(&self) -> MutexGuard<'_, Gateways> {
+        self.gateways.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the node is ready for new connections.
     pub fn is_ready(&self) -> bool {
         let is_configured =
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -8,8 +8,7 @@
     MemberRecord, MembershipCommand, MembershipEvent, MembershipSettings, MembershipState,
 };
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
-use crate::decision::relay::stream_origins::OriginNode;
-use crate::decision::relay::{RecordRequests, RecordTopic};
+use crate::decision::relay::{PeerNode, RecordRequests, RecordTopic};
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::{MessageKind, TopicDigest};
 use crate::links::{
@@ -86,7 +85,7 @@
             context.settings.availability_zone.clone(),
         );
         identity.record.processor_percent = context.settings.processor_percent;
-        identity.record.datagram_address = Some(context.origin_queries.address());
+        identity.record.peer_address = Some(context.peer_queries.address());
         let settings = MembershipSettings { redial_delay_ms: 300, ..MembershipSettings::default() };
         Self {
             membership: MembershipState::new(identity.record.clone(), settings),
@@ -133,13 +132,14 @@
         all
     }
 
-    /// Returns the other live nodes that take datagrams.
-    fn list_origin_nodes(&self) -> Vec<OriginNode> {
+    /// Returns the other live nodes that take requests and datagrams.
+    fn list_peer_nodes(&self) -> Vec<PeerNode> {
         let node = |member: &MemberRecord| {
-            Some(OriginNode {
+            Some(PeerNode {
                 instance: member.instance.clone(),
                 availability_zone: member.availability_zone.clone(),
-                address: member.datagram_address?,
+                address: member.peer_address?,
+                processor_percent: member.processor_percent,
             })
         };
         self.membership.live_members().filter_map(node).collect()
@@ -417,7 +417,9 @@
             self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
             self.context.crash_evidence().set_nodes(me, &instances);
             self.context.fleet().limits.set_nodes(me, &instances, Instant::now());
-            self.context.origins().set_nodes(self.partners.list_origin_nodes());
+            let peers = self.partners.list_peer_nodes();
+            self.context.gateways().set_nodes(me, peers.clone());
+            self.context.origins().set_nodes(peers);
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -8,6 +8,7 @@
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
+use crate::relay::peers::reach;
 use crate::relay::suspension_detector::SuspensionDetector;
 use crate::types::{InstanceId, ModelId, StoreEra, WeightsRevision, log_position};
 use async_channel::Receiver;
@@ -32,6 +33,9 @@
 /// Period at which the software versions of all servers are recorded.
 const VERSION_OBSERVATION_PERIOD: Duration = Duration::from_secs(1);
 
+/// Period at which a node that has lost servers asks others whether they reach them.
+const REACH_QUERY_PERIOD: Duration = Duration::from_millis(300);
+
 /// Arguments of [`run_control`].
 pub struct ControlDependencies {
     /// State shared with the traffic thread.
@@ -66,6 +70,8 @@
     pub(super) crash_checks: CrashChecks,
     /// When the versions of all servers are observed again.
     next_observation_at: Instant,
+    /// When other nodes are next asked for lost servers.
+    next_reach_query_at: Instant,
     /// Newest known era of the store, `None` before its first answer.
     pub(super) store_era: Option<StoreEra>,
     suspension_detector: SuspensionDetector,
@@ -96,6 +102,7 @@
         },
         crash_checks: CrashChecks::default(),
         next_observation_at: now,
+        next_reach_query_at: now,
         store_era: None,
         suspension_detector: SuspensionDetector::new(),
         started_at: now,
@@ -214,6 +221,7 @@
         }
         self.context.pool.close_expired(now);
         self.observe_versions(now);
+        self.tick_reach(now);
         self.crash_checks.remove_expired(now);
         self.tick_partners(now);
         self.tick_loads(now);
@@ -222,6 +230,18 @@
         }
     }
 
+    /// Tries links to servers, and asks other nodes for those that this one has lost.
+    fn tick_reach(&mut self, now: Instant) {
+        for trial in reach::due_trials(&self.context, now) {
+            let context = Arc::clone(&self.context);
+            self.spawn(async move { reach::try_link(&context, trial).await });
+        }
+        if now >= self.next_reach_query_at && reach::ask_other_nodes(&self.context, now) {
+            self.next_reach_query_at = now + REACH_QUERY_PERIOD;
+        }
+        self.context.peer_pool.close_expired(now);
+    }
+
     /// Records which software versions still have servers.
     fn observe_versions(&mut self, now: Instant) {
         if now < self.next_observation_at {
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -6,8 +6,8 @@
 use super::suspects::KeyList;
 use crate::decision::poison::RankedKey;
 use crate::decision::relay::server::{PendingPrefill, ServerLoad};
-use crate::decision::relay::{Choice, Prompt};
-use crate::types::{Incarnation, ServerId, SoftwareVersion};
+use crate::decision::relay::{Choice, PeerNode, Prompt};
+use crate::types::{Incarnation, ServerId, ServiceId, SoftwareVersion};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +34,8 @@
     pub server: ServerId,
     /// Version of the server's software when the request was sent.
     pub software: SoftwareVersion,
+    /// Service of the server, `None` if another node sends the request on.
+    service: Option<ServiceId>,
     /// Number of the attempt.
     attempt: u64,
     load: ServerLoad,
@@ -71,10 +73,13 @@
             }
         }
         drop(fleet);
+        let service = request.service.clone();
+        context.reach().record_sent(&service, &server, attempt, now);
         Self {
             context,
             server,
             software: choice.software.clone(),
+            service: Some(service),
             attempt,
             load,
             is_prefilled: false,
@@ -85,8 +90,29 @@
         }
     }
 
+    /// Begins an attempt by way of another node, which has chosen a server of a software version.
+    pub fn by_node(context: Arc<RelayContext>, node: &PeerNode, software: SoftwareVersion) -> Self {
+        let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
+        Self {
+            context,
+            server: node.instance.clone(),
+            software,
+            service: None,
+            attempt,
+            load: ServerLoad::default(),
+            is_prefilled: true,
+            sent_at: Instant::now(),
+            address: node.address,
+            incarnation: None,
+            suspect_keys: Vec::new(),
+        }
+    }
+
     /// Records that the server sent something. The first time, the prompt counts as prefilled.
     pub fn record_contact(&mut self) {
+        if let Some(service) = &self.service {
+            self.context.reach().record_contact(service, self.attempt, Instant::now());
+        }
         let mut fleet = self.context.fleet();
         if let Some(server) = fleet.server_mut(&self.server) {
             server.health.record_contact(Instant::now());
@@ -121,13 +147,19 @@
 
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
+        if let Some(service) = &self.service {
+            self.context.reach().record_ended(service, self.attempt);
+        }
         self.context.fleet().end_request(&self.server, self.attempt, self.load);
     }
 }
 
 /// Makes the control thread check whether the server of a cut exchange crashed; a crash is a strike
-/// against the request and its prompt parts.
+/// against the request and its prompt parts. A node that sends a request on checks by itself.
 pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
+    if in_flight.service.is_none() {
+        return;
+    }
     in_flight.context.notify_control(RelayControlEvent::ExchangeCut(CutExchange {
         server: in_flight.server.clone(),
         address: in_flight.address,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -54,6 +54,8 @@
     pub resumed_streams: Counter,
     /// Searches for the software version of a stream that its caller resumes, by source.
     pub stream_searches: Family<ReasonLabels, Counter>,
+    /// Requests of other nodes, which this one sends on.
+    pub forwarded_requests: Counter,
     /// Failed exchanges with servers, by step.
     pub server_failures: Family<ReasonLabels, Counter>,
     /// Calls to the coordination store, by call.
@@ -110,6 +112,11 @@
             "Searches for the software version of a stream that its caller resumes",
             self.stream_searches.clone(),
         );
+        registry.register(
+            "relay_forwarded_requests",
+            "Requests of other nodes that this one sends on",
+            self.forwarded_requests.clone(),
+        );
         registry.register(
             "relay_server_failures",
             "Failed exchanges with servers by step",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,6 +14,7 @@
 pub mod in_flight;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod pending_attempts;
 pub mod refusal;
 pub mod request;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -3,14 +3,15 @@
 use super::control::{self, ControlDependencies, RelayControlEvent};
 use super::exchange;
 use super::metrics::RelayMetrics;
-use super::stream_origin::{self, OriginQueries};
+use super::peers::{PeerQueries, listener, queries};
 use super::{RelayContext, RelayPorts, RelaySettings};
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::datagram_socket::DatagramSocket;
 use crate::adapters::http_server::{self, Handler, ListenerLimits, Reply};
 use crate::daemon::threads::{self, spawn_control, spawn_traffic};
 use crate::decision::poison::{CrashEvidence, PoisonState};
-use crate::decision::relay::{Fleet, ResendBudget, StreamOrigins};
+use crate::decision::relay::{Fleet, Gateways, ResendBudget, StreamOrigins};
+use crate::links::Identity;
 use crate::metrics::encode;
 use crate::traffic::reply::text_reply;
 use crate::types::InstanceId;
@@ -24,7 +25,7 @@
 use smol_str::format_smolstr;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -40,6 +41,9 @@
 const MONITORING_LIMITS: ListenerLimits =
     ListenerLimits { head_bytes: 8 * 1024, head_timeout_ms: 60_000 };
 
+/// Ports that are tried if any free one will do for the listener and the socket for other nodes.
+const MAX_PORT_ATTEMPTS: usize = 16;
+
 /// Period at which a draining node checks whether its connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -76,14 +80,25 @@
         let readiness = http_server::bind(settings.listen.readiness, "readiness")?;
         let metrics_listener = http_server::bind(settings.listen.metrics, "metrics")?;
         let partners = http_server::bind(settings.listen.partners, "partners")?;
-        let datagrams = DatagramSocket::bind(settings.listen.datagrams)?;
+        let (peers, datagrams) = bind_peers(settings.listen.peers)?;
         let partner_address = partners.local_addr()?;
         let caller_address = callers.local_addr()?;
         let readiness_address = readiness.local_addr()?;
         let instance = new_instance_id(&settings);
         let (control_events, events) = async_channel::bounded(MAX_QUEUED_EVENTS);
-        let origin_queries = OriginQueries::new(datagrams);
-        let context = new_context(settings, metrics, ports, pool, origin_queries, control_events);
+        let identity = Identity::new(
+            settings.partner_key.clone(),
+            instance.clone(),
+            partner_address,
+            settings.availability_zone.clone(),
+        );
+        let pools = Pools {
+            servers: pool,
+            peers: Arc::new(ConnectionPool::of_nodes(Arc::downgrade(&executor), identity.clone())),
+        };
+        let peer_queries = PeerQueries::new(datagrams);
+        let context =
+            new_context(settings, metrics, ports, pools, identity, peer_queries, control_events);
         let context = Arc::new(context);
         let (drain_sender, drain_signal) = async_channel::bounded(1);
         let (stop_sender, stop_signal) = async_channel::bounded(1);
@@ -99,7 +114,10 @@
             move |executor| control::run_control(executor, control_dependencies),
             stop_signal.clone(),
         )?;
-        executor.spawn(stream_origin::receive_datagrams(Arc::clone(&context))).detach();
+        executor.spawn(queries::receive_datagrams(Arc::clone(&context))).detach();
+        let weak = Arc::downgrade(&executor);
+        let peers = listener::serve(Arc::clone(&context), peers, weak, drain_signal.clone());
+        executor.spawn(peers).detach();
         serve_callers(&executor, &context, callers, drain_signal);
         serve_monitoring(&executor, &context, readiness, metrics_listener, stop_signal.clone());
         let traffic_thread =
@@ -168,18 +186,39 @@
     format_smolstr!("{}-{:x}", settings.instance_name, started.as_millis())
 }
 
+/// Connections to servers and to other nodes.
+struct Pools {
+    servers: Arc<ConnectionPool>,
+    peers: Arc<ConnectionPool>,
+}
+
+/// Binds the listener and the socket for other nodes to one address.
+fn bind_peers(address: SocketAddr) -> anyhow::Result<(TcpListener, DatagramSocket)> {
+    let mut attempts = if address.port() == 0 { MAX_PORT_ATTEMPTS } else { 1 };
+    loop {
+        attempts -= 1;
+        let listener = http_server::bind(address, "peers")?;
+        match DatagramSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if attempts == 0 => return Err(error),
+            Err(error) => log::debug!("event=port_taken error=\"{error:#}\""),
+        }
+    }
+}
+
 fn new_context(
     settings: RelaySettings,
     metrics: RelayMetrics,
     ports: RelayPorts,
-    pool: Arc<ConnectionPool>,
-    origin_queries: OriginQueries,
+    pools: Pools,
+    identity: Identity,
+    peer_queries: PeerQueries,
     control_events: Sender<RelayControlEvent>,
 ) -> RelayContext {
     RelayContext {
         configuration: ArcSwapOption::empty(),
         caller_limits: Arc::new(ArcSwap::from_pointee(DEFAULT_CALLER_LIMITS)),
-        pool,
+        pool: pools.servers,
         metrics,
         control_events,
         is_stopping: AtomicBool::new(false),
@@ -189,7 +228,12 @@
         poison: Mutex::new(PoisonState::default()),
         crash_evidence: Mutex::new(CrashEvidence::default()),
         origins: Mutex::new(StreamOrigins::new(Instant::now())),
-        origin_queries,
+        peer_queries,
+        peer_pool: pools.peers,
+        identity,
+        reach: Mutex::default(),
+        gateways: Mutex::new(Gateways::new(settings.availability_zone.clone())),
+        forwarded_requests: AtomicU32::new(0),
         next_number: AtomicU64::new(1),
         settings,
         ports,
--- /dev/null
+++ b/src/relay/peers/gateway.rs
@@ -0,0 +1,97 @@
+//! Sends on the requests of nodes that have lost their links to servers.
+
+use super::message::{self, ANSWERED, FORWARD_PATH, MAX_HEAD_BYTES, OUTCOME, REFUSED};
+use crate::adapters::http_server::Reply;
+use crate::relay::RelayContext;
+use crate::relay::refusal::{Refusal, RefusalReason};
+use crate::relay::request::{self, RelayedRequest};
+use crate::relay::server_search::serve;
+use crate::relay::stream;
+use crate::types::RequestId;
+use anyhow::ensure;
+use http::{HeaderValue, Request};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Time in which the body of a request must arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Handles a request of another node; the answer tells whether it is a server's.
+pub async fn handle(context: Arc<RelayContext>, request: Request<Incoming>) -> Reply {
+    let _count = ForwardedCount::begin(&context);
+    let received = receive(&context, request).await;
+    let (id, served) = match received {
+        Ok(request) => {
+            let request = Arc::new(request);
+            let served = serve(&context, &request).await;
+            if served.is_err() {
+                stream::count_outcome(&context, &request, "refused");
+            }
+            (Some(request.id.clone()), served)
+        }
+        Err((id, refusal)) => (id, Err(refusal)),
+    };
+    let (mut reply, outcome) = match served {
+        Ok(reply) => (reply, ANSWERED),
+        Err(refusal) => {
+            log::info!(
+                "event=refused_forwarded request={} reason={} status={}",
+                id.as_deref().unwrap_or("none"),
+                refusal.reason.name(),
+                refusal.reason.status().as_u16()
+            );
+            (refusal.reply(&context, id.as_ref()), REFUSED)
+        }
+    };
+    reply.headers_mut().insert(OUTCOME, outcome);
+    reply
+}
+
+type Rejection = (Option<RequestId>, Refusal);
+
+async fn receive(
+    context: &Arc<RelayContext>,
+    request: Request<Incoming>,
+) -> Result<RelayedRequest, Rejection> {
+    let deadline = Instant::now() + READ_TIMEOUT;
+    let is_forward = request.uri().path() == FORWARD_PATH;
+    let max_bytes = request::max_body_bytes(context) + MAX_HEAD_BYTES;
+    let body = request::read_body(request.into_body(), max_bytes, deadline).await;
+    let body = body.map_err(|refusal| (None, refusal))?;
+    let decoded = ensure_forward(is_forward).and_then(|()| message::decode(body, Instant::now()));
+    let forwarded = decoded.map_err(|error| {
+        log::warn!("event=forwarded_request_unreadable error=\"{error:#}\"");
+        (None, Refusal::new(RefusalReason::BodyIncomplete))
+    })?;
+    let id = forwarded.id.clone();
+    RelayedRequest::forwarded(context, forwarded).map_err(|refusal| (Some(id), refusal))
+}
+
+fn ensure_forward(is_forward: bool) -> anyhow::Result<()> {
+    ensure!(is_forward, "step=decode unknown path");
+    Ok(())
+}
+
+/// Returns the software version as the value of a header.
+pub fn software_header(software: &str) -> HeaderValue {
+    HeaderValue::from_str(software).unwrap_or(HeaderValue::from_static(""))
+}
+
+/// Request of another node that counts until its answer has begun.
+struct ForwardedCount<'a>(&'a RelayContext);
+
+impl<'a> ForwardedCount<'a> {
+    fn begin(context: &'a RelayContext) -> Self {
+        context.forwarded_requests.fetch_add(1, Ordering::Relaxed);
+        context.metrics.forwarded_requests.inc();
+        Self(context)
+    }
+}
+
+impl Drop for ForwardedCount<'_> {
+    fn drop(&mut self) {
+        self.0.forwarded_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -2,8 +2,10 @@
 
 use super::RelayContext;
 use super::attempt::{self, AttemptOutcome};
+use super::attempts::Attempts;
+use super::peers::forward;
 use super::request::RelayedRequest;
-use crate::decision::relay::{Choice, Fleet};
+use crate::decision::relay::{Choice, Fleet, PeerNode};
 use crate::types::ServerId;
 use futures_lite::future::poll_fn;
 use smol_str::SmolStr;
@@ -22,6 +24,10 @@
 /// stream.
 const SLOW_AFTER_OBJECTIVES: u32 = 2;
 
+/// Time after which another node that sends a request on counts as slow: it tries other servers
+/// itself before that.
+const MAX_NODE_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Why an attempt is overdue.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -42,6 +48,8 @@
 
 struct PendingAttempt {
     server: ServerId,
+    /// Whether another node sends the request on.
+    is_by_node: bool,
     sent_at: Instant,
     /// Whether the head of the answer has arrived.
     has_head: Arc<AtomicBool>,
@@ -77,6 +85,36 @@
         let sent_at = Instant::now();
         self.attempts.push(PendingAttempt {
             server,
+            is_by_node: false,
+            sent_at,
+            has_head,
+            is_overdue: false,
+            outcome,
+        });
+    }
+
+    /// Sends the request by way of another node.
+    pub fn begin_by_node(
+        &mut self,
+        context: &Arc<RelayContext>,
+        request: &Arc<RelayedRequest>,
+        node: PeerNode,
+        attempts: Attempts,
+        last_event_id: Option<SmolStr>,
+    ) {
+        let server = node.instance.clone();
+        let (context, request) = (Arc::clone(context), Arc::clone(request));
+        let has_head = Arc::new(AtomicBool::new(false));
+        let shared = Arc::clone(&has_head);
+        let outcome = Box::pin(async move {
+            let received = forward::send(&context, &request, &node, &attempts, last_event_id).await;
+            shared.store(true, Ordering::Relaxed);
+            attempt::receive(&context, &request, received).await
+        });
+        let sent_at = Instant::now();
+        self.attempts.push(PendingAttempt {
+            server,
+            is_by_node: true,
             sent_at,
             has_head,
             is_overdue: false,
@@ -153,6 +191,10 @@
     attempt: &PendingAttempt,
     now: Instant,
 ) -> Option<OverdueReason> {
+    if attempt.is_by_node {
+        let is_slow = now >= attempt.sent_at + MAX_NODE_SILENCE;
+        return is_slow.then_some(OverdueReason::Slow);
+    }
     if fleet.server(&attempt.server).is_none_or(|server| server.is_silent(now)) {
         return Some(OverdueReason::Silent);
     }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -2,6 +2,7 @@
 
 use super::RelayContext;
 use super::attempts::Attempts;
+use super::peers::message::ForwardedRequest;
 use super::refusal::{Refusal, RefusalReason};
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
@@ -16,6 +17,7 @@
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -72,6 +74,10 @@
     pub fingerprint: Fingerprint,
     /// Keys under which crashes of servers are recorded.
     pub suspect_keys: SuspectKeys,
+    /// Attempts at the node that sent the request, `None` if a caller did.
+    pub forwarded_attempts: Option<Attempts>,
+    /// Last event that this node has sent on of the stream, `None` if the caller says.
+    pub resume_after: Option<SmolStr>,
     /// Probe that the request holds if its keys are suspected to crash servers.
     _probe: Option<Probe>,
 }
@@ -96,6 +102,44 @@
         }
     }
 
+    /// Returns a request that another node sent.
+    pub fn forwarded(
+        context: &Arc<RelayContext>,
+        forwarded: ForwardedRequest,
+    ) -> Result<Self, Refusal> {
+        let ForwardedRequest { id, workspace, uri, headers, body, .. } = forwarded;
+        let head = context.ports.dialect.read_request(&headers);
+        let fingerprint = fingerprint(workspace.as_deref(), &uri, &body);
+        check_poison(context, fingerprint)?;
+        let suspect_keys = SuspectKeys::new(head.prompt.as_ref(), fingerprint);
+        let probe = suspects::admit(context, &id, &suspect_keys)?;
+        Ok(Self {
+            id,
+            route: forwarded.route,
+            service: forwarded.service,
+            strips_api_key: forwarded.strips_api_key,
+            workspace,
+            head,
+            method: forwarded.method,
+            uri,
+            headers,
+            body,
+            arrived_at: forwarded.arrived_at,
+            deadline: forwarded.deadline,
+            caller_deadline: forwarded.caller_deadline,
+            fingerprint,
+            suspect_keys,
+            forwarded_attempts: Some(forwarded.attempts),
+            resume_after: forwarded.last_event_id,
+            _probe: probe,
+        })
+    }
+
+    /// Whether another node sent the request.
+    pub fn is_forwarded(&self) -> bool {
+        self.forwarded_attempts.is_some()
+    }
+
     /// Whether the caller resumes a stream that an earlier attempt of it has begun.
     pub fn is_resumption(&self) -> bool {
         let names_stream = self.head.resumes.is_some() || self.head.last_event_id.is_some();
@@ -151,7 +195,7 @@
     let deadline = arrived_at + Duration::from_millis(timeout_ms);
     let caller_timeout_ms = head.timeout_ms.unwrap_or(timeout_ms).min(MAX_CALLER_TIMEOUT_MS);
     let caller_deadline = arrived_at + Duration::from_millis(caller_timeout_ms);
-    let max_bytes = configuration.limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
+    let max_bytes = max_body_bytes(context);
     let (parts, body) = request.into_parts();
     let body = read_body(body, max_bytes, deadline).await?;
     let uri = parts.uri.path_and_query().map_or(parts.uri.clone(), |path| path.clone().into());
@@ -175,6 +219,8 @@
         caller_deadline,
         fingerprint,
         suspect_keys,
+        forwarded_attempts: None,
+        resume_after: None,
         _probe: probe,
     })
 }
@@ -198,7 +244,15 @@
     }
 }
 
-async fn read_body(
+/// Returns the maximum size of a body by the configuration in force.
+pub fn max_body_bytes(context: &RelayContext) -> usize {
+    let configuration = context.configuration.load();
+    let limits = configuration.as_ref().and_then(|configuration| configuration.limits);
+    limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes)
+}
+
+/// Reads a body of at most `max_bytes`.
+pub async fn read_body(
     mut body: Incoming,
     max_bytes: usize,
     deadline: Instant,
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -4,6 +4,7 @@
 use super::attempt::AttemptOutcome;
 use super::attempts::{Attempts, MAX_TRIED_SERVERS};
 use super::buffered_answer::BufferedAnswer;
+use super::peers::forward;
 use super::pending_attempts::{PendingAttempts, SERVER_CHECK_PERIOD};
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
@@ -11,7 +12,9 @@
 use super::{RelayContext, stream, stream_origin};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::Reply;
-use crate::decision::relay::{Failover, FailoverStep, GiveUpReason, NotTriedReason};
+use crate::decision::relay::{
+    Failover, FailoverStep, GiveUpReason, NotTriedReason, PeerNode, UnavailableReason,
+};
 use crate::types::{Delivery, PeerError, Step};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -32,12 +35,21 @@
     request: &Arc<RelayedRequest>,
 ) -> Result<Reply, Refusal> {
     let now = Instant::now();
-    context.resend_budget().count_first_attempt(&request.service, now);
-    let software = stream_origin::find_software(context, request).await?;
+    if !request.is_forwarded() {
+        context.resend_budget().count_first_attempt(&request.service, now);
+    }
+    let attempts = match &request.forwarded_attempts {
+        Some(attempts) => attempts.clone(),
+        None => {
+            let software = stream_origin::find_software(context, request).await?;
+            Attempts { software, ..Attempts::default() }
+        }
+    };
     let mut search = ServerSearch {
         context,
         request,
-        attempts: Attempts { software, ..Attempts::default() },
+        attempts,
+        failed_connections: 0,
         pending: PendingAttempts::default(),
         failover: Failover::new(request.deadline, now),
         next_attempt: NextAttempt::Free,
@@ -88,6 +100,8 @@
     attempts: Attempts,
     pending: PendingAttempts,
     failover: Failover,
+    /// Servers that could not be reached.
+    failed_connections: usize,
     next_attempt: NextAttempt,
     /// Failure that a server answered, forwarded if no other server answers.
     failure: Option<BufferedAnswer>,
@@ -107,6 +121,11 @@
     /// Sends the request to the best available server, if budget and load allow it.
     async fn try_server(&mut self) {
         let (context, request) = (self.context, self.request);
+        let gateway =
+            forward::choose_gateway(context, request, &self.attempts, self.failed_connections);
+        if let Some(node) = gateway {
+            return self.try_node(node);
+        }
         let chosen = match self.pending.is_empty() {
             true => choose_server(context, request, &self.attempts).await,
             false => choose_server_now(context, request, &self.attempts, Instant::now()),
@@ -114,6 +133,11 @@
         let choice = match chosen {
             Ok(choice) => choice,
             Err(refusal) => {
+                if is_out_of_reach(refusal.reason)
+                    && let Some(node) = forward::find_gateway(context, request, &self.attempts)
+                {
+                    return self.try_node(node);
+                }
                 self.refusal = refusal;
                 return self.failover.record_not_tried(NotTriedReason::Unavailable, Instant::now());
             }
@@ -125,7 +149,23 @@
         }
         log_choice(request, &choice);
         self.attempts.begin(&choice.server);
-        self.pending.begin(context, request, choice, None);
+        let last_event_id = request.resume_after.clone();
+        self.pending.begin(context, request, choice, last_event_id);
+        self.failover.record_sent();
+    }
+
+    /// Sends the request by way of another node, if the budget allows it.
+    fn try_node(&mut self, node: PeerNode) {
+        let (context, request) = (self.context, self.request);
+        if let NextAttempt::Resend(reason) = &self.next_attempt
+            && !self.attempts.try_resend(context, request, reason)
+        {
+            return self.failover.record_not_tried(NotTriedReason::Budget, Instant::now());
+        }
+        forward::log_forwarding(request, &node);
+        let attempts = self.attempts.clone();
+        self.attempts.begin(&node.instance);
+        self.pending.begin_by_node(context, request, node, attempts, None);
         self.failover.record_sent();
     }
 
@@ -151,6 +191,7 @@
         match outcome {
             AttemptOutcome::NotSent(error) => {
                 let is_free = error.delivery == Delivery::NotSent;
+                self.failed_connections += usize::from(error.step == Step::Connect);
                 self.refuse_not_run();
                 self.next_attempt =
                     if is_free { NextAttempt::Free } else { NextAttempt::Forbidden };
@@ -237,6 +278,14 @@
     }
 }
 
+/// Whether other nodes may reach servers that this one cannot.
+fn is_out_of_reach(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::Unavailable(UnavailableReason::Unreachable | UnavailableReason::NoServer)
+    )
+}
+
 /// Returns the refusal of a request whose last attempt failed with `error`.
 fn failure_refusal(request: &RelayedRequest, error: &PeerError) -> Refusal {
     let is_late = Instant::now() >= request.deadline;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -47,8 +47,9 @@
     pub readiness_path: SmolStr,
     /// Listener of partner links.
     pub partners: SmolStr,
-    /// UDP socket of queries between nodes; if empty, any free port at the address of `partners`.
-    pub datagrams: SmolStr,
+    /// TCP listener and UDP socket of requests and queries of other nodes; if empty, any free port at
+    /// the address of `partners`.
+    pub peers: SmolStr,
     /// Listener of metrics scrapes.
     pub metrics: SmolStr,
     /// Path of the metrics.
@@ -124,8 +125,8 @@
     pub readiness_path: SmolStr,
     /// Listener of partner links.
     pub partners: SocketAddr,
-    /// UDP socket of queries between nodes.
-    pub datagrams: SocketAddr,
+    /// TCP listener and UDP socket of requests and queries of other nodes.
+    pub peers: SocketAddr,
     /// Listener of metrics scrapes.
     pub metrics: SocketAddr,
     /// Path of the metrics.
@@ -189,16 +190,16 @@
     let callers = check_address("listen.callers", &raw.callers, faults);
     let readiness = check_address("listen.readiness", &raw.readiness, faults);
     let partners = check_address("listen.partners", &raw.partners, faults);
-    let datagrams = match raw.datagrams.as_str() {
+    let peers = match raw.peers.as_str() {
         "" => SocketAddr::new(partners.ip(), 0),
-        datagrams => check_address("listen.datagrams", datagrams, faults),
+        peers => check_address("listen.peers", peers, faults),
     };
     RelayListen {
         callers,
         readiness,
         readiness_path: raw.readiness_path,
         partners,
-        datagrams,
+        peers,
         metrics: check_address("listen.metrics", &raw.metrics, faults),
         metrics_path: raw.metrics_path,
     }
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -3,9 +3,10 @@
 
 use super::candidate::{Candidate, CandidateStep};
 use super::{RelayedStream, StreamEvent};
-use crate::decision::relay::{Choice, EventSplitter, NotTriedReason};
+use crate::decision::relay::{Choice, EventSplitter, NotTriedReason, PeerNode};
 use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason};
 use crate::relay::in_flight::{self, CutStage};
+use crate::relay::peers::forward;
 use crate::relay::pending_attempts::EndedAttempt;
 use crate::relay::server_choice::{choose_server_now, log_choice};
 use crate::types::{DeadlinePassed, PeerError, PeerResult};
@@ -24,6 +25,14 @@
 /// arrived while the node itself stood still.
 const SILENCE_RECHECK_PERIOD: Duration = Duration::from_millis(10);
 
+/// Where a stream is resumed.
+enum NextHop {
+    /// At a server.
+    Server(Box<Choice>),
+    /// By way of another node.
+    Node(PeerNode),
+}
+
 /// Why the answer of a server was cut.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -118,7 +127,8 @@
     fn begin_move(&mut self, now: Instant) {
         self.next_move_at = Some(now + MOVE_RETRY_DELAY);
         let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
-        if chosen.is_ok_and(|choice| self.resume_at(choice, "evicted")) {
+        let next_hop = chosen.map(|choice| NextHop::Server(Box::new(choice)));
+        if next_hop.is_ok_and(|next_hop| self.resume_at(next_hop, "evicted")) {
             self.moving_until = Some(self.request.deadline.min(now + MAX_MOVE_PERIOD));
         }
     }
@@ -139,12 +149,17 @@
             }
         }
         let now = Instant::now();
-        let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
-        let Ok(choice) = chosen else {
+        let gateway = forward::choose_gateway(&self.context, &self.request, &self.attempts, 1);
+        let next_hop = match gateway {
+            Some(node) => Ok(NextHop::Node(node)),
+            None => choose_server_now(&self.context, &self.request, &self.attempts, now)
+                .map(|choice| NextHop::Server(Box::new(choice))),
+        };
+        let Ok(next_hop) = next_hop else {
             self.failover.record_not_tried(NotTriedReason::Unavailable, now);
             return None;
         };
-        if !self.resume_at(choice, "resume") {
+        if !self.resume_at(next_hop, "resume") {
             self.failover.record_not_tried(NotTriedReason::Budget, now);
             return None;
         }
@@ -155,16 +170,28 @@
         None
     }
 
-    /// Sends the request to the chosen server if the resend budget allows it; returns whether it
-    /// does.
-    fn resume_at(&mut self, choice: Choice, reason: &str) -> bool {
+    /// Sends the request to the chosen server or node if the resend budget allows it; returns
+    /// whether it does.
+    fn resume_at(&mut self, next_hop: NextHop, reason: &str) -> bool {
         if !self.attempts.try_resend(&self.context, &self.request, reason) {
             return false;
         }
-        log_choice(&self.request, &choice);
+        let (context, request) = (&self.context, &self.request);
         let last_event_id = self.splitter.as_ref().and_then(|s| s.last_event_id().cloned());
-        self.attempts.begin(&choice.server);
-        self.pending.begin(&self.context, &self.request, choice, last_event_id);
+        let last_event_id = last_event_id.or_else(|| request.resume_after.clone());
+        match next_hop {
+            NextHop::Server(choice) => {
+                log_choice(request, &choice);
+                self.attempts.begin(&choice.server);
+                self.pending.begin(context, request, *choice, last_event_id);
+            }
+            NextHop::Node(node) => {
+                forward::log_forwarding(request, &node);
+                let attempts = self.attempts.clone();
+                self.attempts.begin(&node.instance);
+                self.pending.begin_by_node(context, request, node, attempts, last_event_id);
+            }
+        }
         self.failover.record_sent();
         true
     }
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -16,6 +16,8 @@
 use crate::relay::buffered_answer::return_to_pool;
 use crate::relay::in_flight::{self, CutStage};
 use crate::relay::metrics::AnswerLabels;
+use crate::relay::peers::gateway::software_header;
+use crate::relay::peers::message::SOFTWARE;
 use crate::relay::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use crate::relay::request::{RelayedRequest, end_to_end_headers};
 use crate::relay::{stream_origin, suspects};
@@ -91,7 +93,7 @@
 pub fn forward_stream(
     context: &Arc<RelayContext>,
     request: &Arc<RelayedRequest>,
-    attempts: Attempts,
+    mut attempts: Attempts,
     pending: PendingAttempts,
     received: Answer,
 ) -> Reply {
@@ -100,6 +102,11 @@
     let headers = end_to_end_headers(received.exchange.headers.clone());
     let is_event_stream = is_event_stream(&headers);
     let retry_safety = request.route.retry_safety;
+    let software = received.in_flight.software.clone();
+    if request.is_forwarded() {
+        // The node that sent the request binds its caller's stream to this version.
+        attempts.software = Some(software.clone());
+    }
     let open_answers = 1 + u32::try_from(pending.len()).unwrap_or(u32::MAX - 1);
     let relayed = RelayedStream {
         context: Arc::clone(context),
@@ -128,6 +135,9 @@
     let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
+    if request.is_forwarded() {
+        reply.headers_mut().insert(SOFTWARE, software_header(&software));
+    }
     reply
 }
 
--- a/tests/relay/loads.rs
+++ b/tests/relay/loads.rs
@@ -27,7 +27,7 @@
         version: 0,
         status: MemberStatus::Alive,
         processor_percent: 0,
-        datagram_address: None,
+        peer_address: None,
     };
     (0..nodes).map(member).collect()
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -21,6 +21,7 @@
 mod prefix_index;
 #[path = "../common/proptest_config.rs"]
 mod proptest_config;
+mod reach;
 mod read_schedule;
 mod record_requests;
 mod replica;
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -1,10 +1,10 @@
 //! Origins of streams at 6, 68 and 295 nodes: streams of killed nodes are resumed at other nodes
 //! while a second software version joins, datagrams are lost, and nodes learn of it late.
 
-use coriandertide::decision::relay::StreamOrigins;
 use coriandertide::decision::relay::stream_origins::{
-    FoundVersion, KnownOrigin, OriginAnswer, OriginNode, OriginRecord, StreamKey, StreamOrigin,
+    FoundVersion, KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin,
 };
+use coriandertide::decision::relay::{PeerNode, StreamOrigins};
 use coriandertide::types::{ServiceId, SoftwareVersion};
 use smol_str::{SmolStr, format_smolstr};
 use std::cmp::Reverse;
@@ -98,10 +98,11 @@
         };
         for node in 0..nodes {
             let others = (0..nodes).filter(|other| *other != node);
-            let others = others.map(|other| OriginNode {
+            let others = others.map(|other| PeerNode {
                 instance: format_smolstr!("n{other}"),
                 availability_zone: format_smolstr!("z{}", other % ZONES),
                 address: address(other),
+                processor_percent: 0,
             });
             model.nodes[node].set_nodes(others.collect());
             model.nodes[node].observe_version(&SERVICE, &OLD, start);
@@ -232,11 +233,12 @@
     }
 }
 
-fn node(index: usize) -> OriginNode {
-    OriginNode {
+fn node(index: usize) -> PeerNode {
+    PeerNode {
         instance: format_smolstr!("n{index}"),
         availability_zone: format_smolstr!("z{index}"),
         address: address(index),
+        processor_percent: 0,
     }
 }
 
--- a/tests/together/links.rs
+++ b/tests/together/links.rs
@@ -22,7 +22,7 @@
         version: 0,
         status: MemberStatus::Alive,
         processor_percent: 0,
-        datagram_address: None,
+        peer_address: None,
     };
     Identity { key: key.into(), record }
 }
--- a/tests/together/network.rs
+++ b/tests/together/network.rs
@@ -80,7 +80,7 @@
             version: 0,
             status: MemberStatus::Alive,
             processor_percent: 0,
-            datagram_address: None,
+            peer_address: None,
         };
         self.nodes[index] = Some(MembershipState::new(record, MembershipSettings::default()));
         let seeds = (0..self.nodes.len()).map(address).collect();
