fix(rollout): a node that has lost the servers leaves rollouts to others

Callers would see: outdated weights, and requests refused for them, for as long as the coordinator of a rollout is cut off from the servers. Change: a node that has lost the servers of a model drops the lease and does not acquire it; reports that fail to connect count as evidence of lost links.

--- a/src/decision/relay/reach.rs
+++ b/src/decision/relay/reach.rs
@@ -241,6 +241,13 @@
         doubtful.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Returns the services that the node has lost.
+    pub fn lost_services(&self) -> Vec<ServiceId> {
+        let lost = self.services.iter();
+        let lost = lost.filter(|(_, reach)| matches!(reach.phase, Phase::Lost { .. }));
+        lost.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Returns the services that the node has lost, or had lost until recently.
     pub fn impaired_services(&self) -> Vec<ServiceId> {
         let impaired = self.services.iter().filter(|(_, reach)| reach.phase != Phase::Direct);
--- a/src/relay/control/rollout/mod.rs
+++ b/src/relay/control/rollout/mod.rs
@@ -110,6 +110,10 @@
             return;
         }
         self.rollout.needed_since.get_or_insert(now);
+        if self.has_lost_servers() {
+            self.hand_over_rollouts();
+            return;
+        }
         if self.rollout.lease.fencing_number(now).is_none() {
             self.rollout.end_rollouts();
             self.try_acquire_lease(now);
@@ -133,6 +137,25 @@
         }
     }
 
+    /// Whether this node has lost the servers of a model with target weights.
+    fn has_lost_servers(&self) -> bool {
+        let lost = self.context.reach().lost_services();
+        let fleet = self.context.fleet();
+        let mut servers = fleet
+            .servers()
+            .filter(|server| self.targets.keys().any(|model| server.weights.contains_key(model)));
+        !lost.is_empty() && servers.any(|server| lost.contains(&server.entry.service))
+    }
+
+    /// Leaves rollouts to nodes that reach the servers.
+    fn hand_over_rollouts(&mut self) {
+        if self.rollout.is_coordinator() {
+            log::warn!("event=rollout_handed_over reason=servers_lost");
+        }
+        self.rollout.drop_lease();
+        self.rollout.last_coordinator = None;
+    }
+
     /// Whether a server has weights older than the target of `model`.
     fn has_outdated_servers(&self, model: &ModelId) -> bool {
         let Some(target) = self.targets.get(model) else { return false };
--- a/src/relay/control/rollout/orders.rs
+++ b/src/relay/control/rollout/orders.rs
@@ -7,7 +7,8 @@
 use crate::ports::WeightsOrder;
 use crate::relay::control::RelayControlEvent;
 use crate::relay::control::state::ControlState;
-use crate::types::{ModelId, PeerResult, ServerId};
+use crate::relay::peers::reach;
+use crate::types::{ModelId, PeerResult, ServerId, Step};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,10 @@
     ) {
         if let Err(error) = &report {
             log::info!("event=report_failed server={server} {error}");
+            let service = self.context.fleet().server(server).map(|s| s.entry.service.clone());
+            if let Some(service) = service.filter(|_| error.step == Step::Connect) {
+                reach::record_unreachable(&self.context, &service, server);
+            }
         }
         let Some(rollout) = self.rollout.rollouts.get_mut(model) else { return };
         let commands = rollout.on_report(server, report.as_ref().ok(), now);
