fix(reach): a few servers that are down do not look like lost links

By reading: three servers out of reach and 400 ms without contact, as at a node with few requests, would count as lost links. Three more servers are tried first, except where three quarters of all are out of reach. A lost service is known 1.25 s after its links fell silent (0.85 s before), within the bound of 3 s (tests/relay/reach.rs).

--- a/src/decision/relay/reach.rs
+++ b/src/decision/relay/reach.rs
@@ -9,6 +9,9 @@
 use std::time::{Duration, Instant};
 use strum::Display;
 
+/// Servers that are tried at a time.
+pub const MAX_TRIED_SERVERS: usize = 3;
+
 /// Servers of a service that must be unreachable before it counts as lost, if it has as many.
 const MIN_LOST_SERVERS: usize = 3;
 
@@ -18,6 +21,10 @@
 /// Part of the servers that must be unreachable while others are heard on open connections.
 const LOST_FRACTION: f64 = 0.75;
 
+/// The same while others may only be idle. Servers beyond the first ones are tried on purpose, so
+/// that a few that are down do not look like lost links.
+const CONFIRMED_LOST_SERVERS: usize = 2 * MIN_LOST_SERVERS;
+
 /// Time without contact after which unanswered requests make the node try its links, and a service
 /// with too few reachable servers counts as lost.
 const MAX_SERVICE_SILENCE: Duration = Duration::from_millis(400);
@@ -52,6 +59,8 @@
 pub enum Trial {
     /// Those to these servers, which leave requests unanswered.
     Servers(Vec<ServerId>),
+    /// Those to some servers other than these, which are unreachable.
+    Others(Vec<ServerId>),
     /// That to any server, since the node has lost them all.
     AnyServer,
 }
@@ -102,7 +111,8 @@
         let are_nearly_all = failed as f64 >= servers as f64 * LOST_FRACTION;
         servers > 0
             && failed >= MIN_LOST_SERVERS.min(servers)
-            && (are_nearly_all || self.is_silent(now))
+            && (are_nearly_all
+                || failed >= CONFIRMED_LOST_SERVERS.min(servers) && self.is_silent(now))
     }
 
     /// Returns the servers that have left requests unanswered while none of the service was heard.
@@ -198,8 +208,13 @@
             }
             let trial = match reach.phase {
                 Phase::Lost { .. } => Trial::AnyServer,
+                Phase::Direct | Phase::Returning { .. }
+                    if reach.failed_servers(now) >= MIN_LOST_SERVERS && reach.is_silent(now) =>
+                {
+                    Trial::Others(reach.failures.keys().cloned().collect())
+                }
                 Phase::Direct | Phase::Returning { .. } => {
-                    let silent = reach.silent_servers(now).into_iter().take(MIN_LOST_SERVERS);
+                    let silent = reach.silent_servers(now).into_iter().take(MAX_TRIED_SERVERS);
                     Trial::Servers(silent.cloned().collect())
                 }
             };
--- a/src/relay/peers/reach.rs
+++ b/src/relay/peers/reach.rs
@@ -3,7 +3,7 @@
 use super::queries;
 use crate::adapters::deadline::timeout_at;
 use crate::decision::relay::gateways::ReachAnswer;
-use crate::decision::relay::reach::{ReachChange, Trial};
+use crate::decision::relay::reach::{MAX_TRIED_SERVERS, ReachChange, Trial};
 use crate::links::Datagram;
 use crate::relay::RelayContext;
 use crate::types::{ServerId, ServiceId};
@@ -16,9 +16,6 @@
 /// Time in which a tried link must be open: several round trips between availability zones.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Other servers that are tried to tell a crash of one from a lost link.
-const CONTROL_SERVERS: usize = 3;
-
 /// Link that is to be tried.
 pub struct DueTrial {
     service: ServiceId,
@@ -80,9 +77,14 @@
         let mut servers = servers_of(context, &service);
         match trial {
             Trial::Servers(tried) => servers.retain(|(server, _)| tried.contains(server)),
-            Trial::AnyServer if servers.is_empty() => {}
+            Trial::Others(failed) => {
+                servers.retain(|(server, _)| !failed.contains(server));
+                fastrand::shuffle(&mut servers);
+                servers.truncate(MAX_TRIED_SERVERS);
+            }
             Trial::AnyServer => {
-                servers = vec![servers.swap_remove(fastrand::usize(..servers.len()))]
+                fastrand::shuffle(&mut servers);
+                servers.truncate(1);
             }
         }
         let trial = |(server, address)| DueTrial { service: service.clone(), server, address };
@@ -118,7 +120,7 @@
     let mut others = servers_of(context, service);
     others.retain(|(other, _)| other != server);
     fastrand::shuffle(&mut others);
-    others.truncate(CONTROL_SERVERS);
+    others.truncate(MAX_TRIED_SERVERS);
     let trials = others.into_iter().map(|(server, address)| {
         let trial = DueTrial { service: service.clone(), server, address };
         Box::pin(try_link(context, trial))
--- a/tests/relay/reach.rs
+++ b/tests/relay/reach.rs
@@ -64,6 +64,15 @@
         .iter()
         .filter_map(|server| reach.record_unreachable(&SERVICE, server, 12, lost_at))
         .collect();
+    // Three servers may be down; others are tried before the links count as lost.
+    assert_eq!(changes, []);
+    let due = reach.due_trials(lost_at);
+    assert_eq!(due, [(SERVICE, Trial::Others(servers.clone()))]);
+    let lost_at = lost_at + ms(400);
+    let others = (0..12).map(server).filter(|other| !servers.contains(other)).take(3);
+    let changes: Vec<_> = others
+        .filter_map(|other| reach.record_unreachable(&SERVICE, &other, 12, lost_at))
+        .collect();
     assert_eq!(changes, [ReachChange::Lost]);
     assert!(lost_at < begin + CONTACT);
     assert!(!reach.is_direct(&SERVICE, 0, 0.0, lost_at));
