fix(relay): brittle servers are pressed by few nodes, each with a share of their rejections

Callers would see: servers that fall over, since nodes look for room at each of them by themselves. Cause: a bound on the sum over all nodes that each node judges alone, as with the limit that a server names. Change: Server-Brittle is decoded and told to partners. At most eight tenths of the named rejections are shared out to as many owners of a server (rendezvous over live nodes, the ranking of limits); a request takes one until it is accepted, a rejected one for 1.1 s, and an owner keeps to the room that it learned. Nodes that own no server send their requests by way of one that does. A fall is no strike against requests.

--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -63,6 +63,7 @@
             }
             PartnerMessage::KeyStrikes(_)
             | PartnerMessage::Limits(_)
+            | PartnerMessage::Brittle(_)
             | PartnerMessage::Topics(_)
             | PartnerMessage::RecordsRequest(_)
             | PartnerMessage::Records(_)
--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -193,6 +193,11 @@
             self.limits.next_permit_at(&server.entry.id, server.incarnation(), now)
         })
         .map_err(|until| unavailable(UnavailableReason::Limited, until))?;
+        retain_available(&mut candidates, |server| {
+            let in_flight = server.local_load.requests;
+            self.brittle.next_permit_at(query.service, &server.entry.id, in_flight, now)
+        })
+        .map_err(|until| unavailable(UnavailableReason::Limited, until))?;
         match query.prompt {
             Some(prompt) => Ok(self.choose_engine(&candidates, prompt, query, now)),
             None => self.choose_plain(&candidates, now),
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -1,5 +1,6 @@
 //! Backend servers known to a node.
 
+use super::brittle::BrittleServices;
 use super::choose::{MIN_CALLER_PATIENCE, OUTDATED_WEIGHTS_DEADLINE, PromptChoice};
 use super::decode_rate::DecodeRate;
 use super::departures::Departures;
@@ -79,6 +80,8 @@
     pub departures: Departures,
     /// Limits that servers have named.
     pub limits: ServerLimits,
+    /// Services whose servers fall over if they reject too many requests.
+    pub brittle: BrittleServices,
     /// Time that the reports of other nodes about servers take to arrive.
     report_delay: Duration,
 }
@@ -97,6 +100,7 @@
             kv_store: None,
             departures: Departures::default(),
             limits: ServerLimits::default(),
+            brittle: BrittleServices::default(),
             report_delay: Duration::ZERO,
         }
     }
@@ -167,6 +171,22 @@
         }
     }
 
+    /// Returns the services of which this node may use no server, since they are brittle and others
+    /// own them.
+    pub fn unowned_services(&self, now: Instant) -> Vec<ServiceId> {
+        let mut services = self.brittle.services(now);
+        services.retain(|service| !self.owns_server(service, now));
+        services
+    }
+
+    /// Whether this node may use a server of the service.
+    pub fn owns_server(&self, service: &ServiceId, now: Instant) -> bool {
+        let mut servers = self.servers.values().filter(|server| server.entry.service == *service);
+        servers.any(|server| {
+            self.is_in_service(server) && self.brittle.is_owner(service, &server.entry.id, now)
+        })
+    }
+
     /// Whether a server accepts requests, by its entry and all that is known of its leaving.
     pub fn is_in_service(&self, server: &Server) -> bool {
         server.entry.state == ServerState::Ready
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -3,6 +3,7 @@
 //! Everything here is deterministic: no sockets, no clock and no random source.
 
 pub mod admission;
+pub mod brittle;
 pub mod choose;
 pub mod configuration;
 pub mod decode_rate;
@@ -17,6 +18,7 @@
 pub mod limit_messages;
 mod load_changes;
 pub mod load_exchange;
+mod node_ranking;
 pub mod pause;
 pub mod peer_node;
 pub mod prefill_rate;
@@ -38,6 +40,7 @@
 pub mod stream_origins;
 
 pub use admission::AdmissionRequest;
+pub use brittle::{BrittleNotice, BrittleServices, RejectionLimit};
 pub use choose::{Choice, ServerQuery, Unavailable, UnavailableReason};
 pub use configuration::{Configuration, RetrySafety, Route, Service};
 pub use event_position::EventPosition;
--- a/src/decision/relay/server_limit.rs
+++ b/src/decision/relay/server_limit.rs
@@ -7,10 +7,10 @@
 //! the fewer owners it has, so that their first requests at one moment stay within the limit too.
 
 use super::limit_messages::{LimitAnnouncement, LimitNotice, RequestRate};
+use super::node_ranking::NodeRanking;
 use crate::types::{Incarnation, InstanceId, ServerId};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Requests that a server bears at one moment, beside what its limit allows.
 const SPARE_REQUESTS: f64 = 3.0;
@@ -147,11 +147,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     limits: BTreeMap<ServerId, ServerLimit>,
-    own_node: u64,
-    /// Hashes of the other live nodes.
-    other_nodes: Vec<u64>,
-    /// Highest number of live nodes so far: a node that has lost the others keeps to its share.
-    max_nodes: usize,
+    ranking: NodeRanking,
 }
 
 impl ServerLimits {
@@ -159,12 +155,9 @@
     pub fn set_nodes(&mut self, own: &InstanceId, live: &[InstanceId], now: Instant) {
         let servers: Vec<ServerId> = self.limits.keys().cloned().collect();
         servers.iter().for_each(|server| self.update_permits(server, now));
-        self.own_node = xxh3_64(own.as_bytes());
-        let others = live.iter().filter(|node| *node != own);
-        self.other_nodes = others.map(|node| xxh3_64(node.as_bytes())).collect();
-        self.max_nodes = self.max_nodes.max(self.other_nodes.len() + 1);
+        self.ranking.set_nodes(own, live);
         for server in &servers {
-            let own_rank = self.own_rank(server);
+            let own_rank = self.ranking.own_rank(server);
             if let Some(limit) = self.limits.get_mut(server) {
                 limit.own_rank = own_rank;
             }
@@ -304,7 +297,7 @@
                     ends_at: told_at + LIMIT_LIFETIME,
                     is_ended: false,
                     announced: None,
-                    own_rank: self.own_rank(server),
+                    own_rank: self.ranking.own_rank(server),
                     permits: 0.0,
                     permits_at: now,
                 };
@@ -324,17 +317,11 @@
         }
     }
 
-    fn own_rank(&self, server: &ServerId) -> usize {
-        let order = |node: u64| xxh3_64_with_seed(server.as_bytes(), node);
-        let own_order = order(self.own_node);
-        self.other_nodes.iter().filter(|other| order(**other) > own_order).count()
-    }
-
     /// Returns what this node may send, `None` if other nodes own the limit.
     fn share(&self, limit: &ServerLimit, now: Instant) -> Option<Share> {
         let rate_per_s = limit.rate_per_s(now);
         let spare = SPARE_REQUESTS + rate_per_s * SPARE_S;
-        let owners = (spare as usize).clamp(1, self.max_nodes.max(1));
+        let owners = (spare as usize).clamp(1, self.ranking.max_nodes());
         if limit.own_rank >= owners {
             return None;
         }
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -8,7 +8,7 @@
 use crate::decision::relay::load_exchange::RelayLoad;
 use crate::decision::relay::register_lease::RegisterRecord;
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
-use crate::decision::relay::{LimitNotice, RecordTopic};
+use crate::decision::relay::{BrittleNotice, LimitNotice, RecordTopic};
 use crate::types::{LogOffset, LogPosition, ModelId, ServerId, WeightsRevision};
 use bytes::Bytes;
 use ciborium::Value;
@@ -45,6 +45,8 @@
     Leaving(Vec<LeavingNotice>),
     /// Limits of backend servers, new, ended, or all of the sender.
     Limits(Vec<LimitNotice>),
+    /// Services with brittle servers, new, ended, or all of the sender.
+    Brittle(Vec<BrittleNotice>),
     /// Transfer of power.
     Power(PowerMessage),
     /// Requests the configuration if the receiver has folded records above an offset.
--- a/src/ports/dialect.rs
+++ b/src/ports/dialect.rs
@@ -1,7 +1,7 @@
 //! Port of the headers and record formats that a site's callers, servers and operators use. Each
 //! site has its own; the rest of the code uses only the types of this module.
 
-use crate::decision::relay::{Configuration, NamedLimit, Prompt, ServerEntry};
+use crate::decision::relay::{Configuration, NamedLimit, Prompt, RejectionLimit, ServerEntry};
 use crate::types::{ModelId, RequestId, ServerId, WeightsRevision, WorkspaceId};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -75,6 +75,8 @@
     pub pause_ms: Option<u64>,
     /// Requests a second that the server takes from all nodes together.
     pub limit: NamedLimit,
+    /// Rejections a second over which the server falls over, `None` if it is not brittle.
+    pub brittle: Option<RejectionLimit>,
 }
 
 /// Decoded record that an operator wrote.
--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -2,7 +2,7 @@
 
 use super::RelayContext;
 use super::attempt::{NotRunReason, suspend_server};
-use super::control::{RelayControlEvent, log_limit};
+use super::control::{RelayControlEvent, log_brittle, log_limit};
 use super::request::RelayedRequest;
 use crate::decision::leaving::LeavingNotice;
 use crate::decision::relay::pause::Pause;
@@ -66,6 +66,7 @@
 ) {
     let server = &choice.server;
     heed_limit(context, request, server, incarnation, head, sent_at);
+    heed_brittleness(context, request, server, head, sent_at);
     if head.is_leaving {
         let notice = LeavingNotice { server: server.clone(), incarnation };
         if context.fleet().departures.add(&notice) {
@@ -112,6 +113,31 @@
     }
 }
 
+/// Records that the servers of the service are brittle, or no longer. Only an answer that a server has
+/// signed ends it.
+fn heed_brittleness(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    server: &ServerId,
+    head: &AnswerHead,
+    sent_at: Instant,
+) {
+    let now = Instant::now();
+    let mut fleet = context.fleet();
+    if !head.is_not_run {
+        fleet.brittle.settle(server);
+    }
+    if head.brittle.is_none() && !head.is_signed {
+        return;
+    }
+    let learned = fleet.brittle.learn(&request.service, head.brittle, sent_at, now);
+    drop(fleet);
+    if let Some(notice) = learned {
+        log_brittle(&notice, request.id.as_str());
+        context.notify_control(RelayControlEvent::BrittleLearned(notice));
+    }
+}
+
 /// Whether another server listens at the address.
 pub fn is_misdirected(choice: &Choice, head: &AnswerHead) -> bool {
     head.server.as_ref().is_some_and(|server| *server != choice.server)
@@ -141,7 +167,11 @@
         }
         return NotRunReason::OtherWeights;
     }
-    if let Some(server) = context.fleet().server_mut(&choice.server) {
+    let mut fleet = context.fleet();
+    let in_flight = fleet.server(&choice.server).map_or(0, |server| server.local_load.requests);
+    let others = in_flight.saturating_sub(1);
+    fleet.brittle.record_rejection(&request.service, &choice.server, others, now);
+    if let Some(server) = fleet.server_mut(&choice.server) {
         server.set_full_until(now + FULL_PERIOD);
     }
     NotRunReason::Full
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 use crate::decision::relay::server::Server;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, PeerError, Step};
+use crate::types::{Delivery, Incarnation, PeerError, Step};
 use anyhow::anyhow;
 use http::Request;
 use http_body_util::Full;
@@ -79,7 +79,7 @@
 ) -> ReceivedHead {
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
-    if !context.fleet().limits.try_take(&choice.server, incarnation, sent_at) {
+    if !try_take_permits(context, request, choice, incarnation, sent_at) {
         return ReceivedHead::None(AttemptOutcome::NotSent(limit_reached(request, choice)));
     }
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
@@ -89,7 +89,9 @@
         Ok(exchange) => exchange,
         Err(error) => {
             if error.delivery == Delivery::NotSent {
-                context.fleet().limits.give_back(&choice.server, incarnation, Instant::now());
+                let mut fleet = context.fleet();
+                fleet.limits.give_back(&choice.server, incarnation, Instant::now());
+                fleet.brittle.settle(&choice.server);
             }
             return ReceivedHead::None(handle_failure(context, request, choice, &in_flight, error));
         }
@@ -134,6 +136,23 @@
     ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
 }
 
+/// Takes the permits to send a request to a server that names a limit or is brittle; returns whether
+/// there were any.
+fn try_take_permits(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    incarnation: Incarnation,
+    now: Instant,
+) -> bool {
+    let mut fleet = context.fleet();
+    let in_flight = fleet.server(&choice.server).map_or(0, |server| server.local_load.requests);
+    let (service, server) = (&request.service, &choice.server);
+    fleet.brittle.next_permit_at(service, server, in_flight, now).is_none()
+        && fleet.limits.try_take(server, incarnation, now)
+        && fleet.brittle.try_take(service, server, in_flight, now)
+}
+
 /// Receives the rest of an answer unless it is a stream.
 pub async fn receive(
     context: &RelayContext,
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -13,7 +13,7 @@
 mod server_notices;
 mod state;
 
-pub(super) use server_notices::log_limit;
+pub(super) use server_notices::{log_brittle, log_limit};
 pub use state::{ControlDependencies, run_control};
 
 use crate::decision::leaving::LeavingNotice;
@@ -22,7 +22,7 @@
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::rollout::{WeightsOrderOutcome, WeightsReport};
-use crate::decision::relay::{KeyedRecord, LimitAnnouncement, RecordTopic};
+use crate::decision::relay::{BrittleNotice, KeyedRecord, LimitAnnouncement, RecordTopic};
 use crate::links::LinkEnd;
 use crate::links::connection::ReceivedMessage;
 use crate::ports::{AnnouncedNode, ReplaceOutcome};
@@ -119,6 +119,8 @@
     KeysCleared(Vec<KeyStrike>),
     /// Servers announced in answers to this node that they are leaving.
     ServersLeaving(Vec<LeavingNotice>),
+    /// Servers of a service said in answers to this node that they are brittle, or say it no longer.
+    BrittleLearned(BrittleNotice),
     /// A server named a limit in an answer to this node, or names it no longer.
     LimitLearned(LimitAnnouncement),
     /// A request for a report of weights has ended.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -242,6 +242,10 @@
         if !departures.is_empty() {
             self.partners.send(&instance, &PartnerMessage::Leaving(departures));
         }
+        let brittle = self.context.fleet().brittle.notices(now);
+        if !brittle.is_empty() {
+            self.partners.send(&instance, &PartnerMessage::Brittle(brittle));
+        }
         let limits = self.context.fleet().limits.notices(now);
         for batch in limits.chunks(MAX_MESSAGE_LIMITS) {
             self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
@@ -265,6 +269,7 @@
             PartnerMessage::KeyStrikes(strikes) => self.add_key_strikes(Some(&peer), strikes, now),
             PartnerMessage::Leaving(notices) => self.receive_leaving(&peer, notices),
             PartnerMessage::Limits(notices) => self.receive_limits(&peer, &notices, now),
+            PartnerMessage::Brittle(notices) => self.receive_brittle(&peer, &notices, now),
             PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(request) => self.send_records(&peer, &request),
             PartnerMessage::Records(delta) => self.receive_records(&peer, *delta, now),
@@ -417,6 +422,7 @@
             self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
             self.context.crash_evidence().set_nodes(me, &instances);
             self.context.fleet().limits.set_nodes(me, &instances, Instant::now());
+            self.context.fleet().brittle.set_nodes(me, &instances);
             let peers = self.partners.list_peer_nodes();
             self.context.gateways().set_nodes(me, peers.clone());
             self.context.origins().set_nodes(peers);
--- a/src/relay/control/server_notices.rs
+++ b/src/relay/control/server_notices.rs
@@ -2,7 +2,7 @@
 
 use super::state::ControlState;
 use crate::decision::leaving::LeavingNotice;
-use crate::decision::relay::{LimitAnnouncement, LimitNotice};
+use crate::decision::relay::{BrittleNotice, LimitAnnouncement, LimitNotice};
 use crate::links::PartnerMessage;
 use crate::types::InstanceId;
 use std::time::Instant;
@@ -30,6 +30,22 @@
         }
     }
 
+    /// Learns from a partner which servers are brittle, and forwards the news.
+    pub(super) fn receive_brittle(
+        &self,
+        peer: &InstanceId,
+        notices: &[BrittleNotice],
+        now: Instant,
+    ) {
+        for notice in notices {
+            let learned = self.context.fleet().brittle.merge(notice, now);
+            if let Some(learned) = learned {
+                log_brittle(&learned, peer);
+                self.broadcast(Some(peer), &PartnerMessage::Brittle(vec![learned]));
+            }
+        }
+    }
+
     /// Tells all partners of a limit but `source`; what they have been told before goes along the
     /// tree of nodes only.
     pub(super) fn announce_limit(
@@ -46,6 +62,16 @@
     }
 }
 
+/// Logs that the servers of a service are brittle or no longer, as told by `source`.
+pub(in crate::relay) fn log_brittle(notice: &BrittleNotice, source: &str) {
+    let BrittleNotice { service, limit, age_ms } = notice;
+    let limit = limit.map_or("none".to_owned(), |limit| limit.to_string());
+    log::info!(
+        "event=servers_brittle service={service} rejections_per_s={limit} age_ms={age_ms} \
+         source={source}"
+    );
+}
+
 /// Logs a limit or its end, as told by `source`.
 pub(in crate::relay) fn log_limit(announcement: &LimitAnnouncement, source: &str) {
     let LimitNotice { server, incarnation, rate, age_ms } = &announcement.notice;
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -189,6 +189,9 @@
             RelayControlEvent::ServersLeaving(notices) => {
                 self.broadcast(None, &PartnerMessage::Leaving(notices));
             }
+            RelayControlEvent::BrittleLearned(notice) => {
+                self.broadcast(None, &PartnerMessage::Brittle(vec![notice]));
+            }
             RelayControlEvent::LimitLearned(announcement) => {
                 self.announce_limit(None, &announcement);
             }
@@ -213,6 +216,7 @@
         let mut fleet = self.context.fleet();
         let expired = fleet.remove_expired(now);
         fleet.limits.remove_free(now);
+        fleet.brittle.remove_expired(now);
         self.context.metrics.limited_servers.set(fleet.limits.len() as i64);
         drop(fleet);
         for server in expired {
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -157,7 +157,9 @@
 /// Makes the control thread check whether the server of a cut exchange crashed; a crash is a strike
 /// against the request and its prompt parts. A node that sends a request on checks by itself.
 pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
-    if in_flight.service.is_none() {
+    let Some(service) = &in_flight.service else { return };
+    // A brittle server falls over for want of room, whatever it was answering.
+    if in_flight.context.fleet().brittle.is_brittle(service, Instant::now()) {
         return;
     }
     in_flight.context.notify_control(RelayControlEvent::ExchangeCut(CutExchange {
--- a/src/relay/peers/reach.rs
+++ b/src/relay/peers/reach.rs
@@ -139,7 +139,8 @@
 /// Asks other nodes for the services of which this node has lost the servers; returns whether there
 /// are any.
 pub fn ask_other_nodes(context: &RelayContext, now: Instant) -> bool {
-    let services = context.reach().doubtful_services(now);
+    let mut services = context.reach().doubtful_services(now);
+    services.extend(context.fleet().unowned_services(now));
     if services.is_empty() {
         return false;
     }
@@ -157,7 +158,8 @@
         let mut servers = fleet.servers().filter(|server| server.entry.service == *service);
         let is_reached = servers
             .any(|server| fleet.is_in_service(server) && server.suspended_until(now).is_none());
-        is_reached && !is_stopping && !impaired.contains(service)
+        let may_send = is_reached && fleet.owns_server(service, now);
+        may_send && !is_stopping && !impaired.contains(service)
     });
     let forwarded = context.forwarded_requests.load(Ordering::Relaxed);
     ReachAnswer { reached: services, forwarded }
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -278,11 +278,15 @@
     }
 }
 
-/// Whether other nodes may reach servers that this one cannot.
+/// Whether other nodes may reach servers that this one cannot, or own brittle ones.
 fn is_out_of_reach(reason: RefusalReason) -> bool {
     matches!(
         reason,
-        RefusalReason::Unavailable(UnavailableReason::Unreachable | UnavailableReason::NoServer)
+        RefusalReason::Unavailable(
+            UnavailableReason::Unreachable
+                | UnavailableReason::NoServer
+                | UnavailableReason::Limited
+        )
     )
 }
 
