fix(pool): connections live through silences of a second and a half

By reading: the timeout for unacknowledged bytes, which also decides when keepalive probes give up, ended a connection whose server fell silent for 1.5 s; a sound server may be silent for a second or so. It is 1.9 s now, so that a dead connection is still found at the second keepalive probe, after two seconds. No stand-in of ours withholds acknowledgements, so that no test shows the difference; the tests of silences up to 1.6 s pass as before.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -28,8 +28,9 @@
 /// than the first retransmission of a lost packet takes.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which the kernel closes a connection with unacknowledged bytes.
-const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 1_500;
+/// Time after which the kernel closes a connection with unacknowledged bytes. It is longer than the
+/// second or so for which a sound server may fall silent, and ends before the second keepalive probe.
+const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 1_900;
 
 /// Idle time before the first keepalive probe. With the next two constants and
 /// [`UNACKNOWLEDGED_TIMEOUT_MS`], which also limits unanswered probes, the kernel detects a silent
@@ -39,7 +40,8 @@
 /// Time between two keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unanswered keepalive probes after which the kernel closes a connection.
+/// Unanswered keepalive probes after which the kernel closes a connection. The timeout for
+/// unacknowledged bytes goes before this number.
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Maximum time for an idle connection to become ready.
