--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -417,12 +417,11 @@
             let live = self.partners.list_live();
             let topics: Vec<RecordTopic> = RecordTopic::iter().collect();
             let me = &self.partners.membership.local_record().instance;
-            let instances: Vec<InstanceId> =
-                live.iter().map(|node| node.instance.clone()).collect();
-            self.read_schedule.borrow_mut().set_nodes(me, &instances, &topics);
-            self.context.crash_evidence().set_nodes(me, &instances);
-            self.context.fleet().limits.set_nodes(me, &instances, Instant::now());
-            self.context.fleet().brittle.set_nodes(me, &instances);
+            let ids: Vec<InstanceId> = live.iter().map(|node| node.instance.clone()).collect();
+            self.read_schedule.borrow_mut().set_nodes(me, &ids, &topics);
+            self.context.crash_evidence().set_nodes(me, &ids);
+            self.context.fleet().limits.set_nodes(me, &ids, Instant::now());
+            self.context.fleet().brittle.set_nodes(me, &ids);
             let peers = self.partners.list_peer_nodes();
             self.context.gateways().set_nodes(me, peers.clone());
             self.context.origins().set_nodes(peers);
