test(relay): streams resumed after a kill of all nodes, failing

Cause: a node confirms the versions that it knows, also when it began to observe after the stream did. After a kill of all nodes two of them confirm the version that has replaced the stream's own.

--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -294,3 +294,24 @@
     origins.remove_expired(after(61));
     assert!(origins.is_empty());
 }
+
+/// Guards against a stream that goes on at the only version that nodes know which all started after it
+/// began: the servers of its own version may have left before.
+#[test]
+fn nodes_that_started_after_a_stream_began_do_not_vouch_for_its_version() {
+    let now = Instant::now();
+    for node_count in [6, 68, 295] {
+        let mut nodes = vec![StreamOrigins::new(now); node_count];
+        for (index, origins) in nodes.iter_mut().enumerate() {
+            let others = (0..node_count).filter(|other| *other != index);
+            origins.set_nodes(others.map(node).collect());
+            origins.observe_version(&SERVICE, &NEW, now);
+        }
+        let mut search = nodes[0].search(Some(1), &SERVICE, now);
+        for asked in search.unanswered().to_vec() {
+            let other = usize::from(asked.port()) - 1_000;
+            search.add_answer(asked, nodes[other].answer(Some(1), &SERVICE, now));
+        }
+        assert_eq!(search.result(), None, "{node_count} nodes");
+    }
+}
