--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -37,7 +37,7 @@
 pub mod server_limit;
 pub mod server_load;
 pub mod store_link;
-pub mod stream_origins;
+pub mod streams;
 
 pub use admission::AdmissionRequest;
 pub use brittle::{BrittleNotice, BrittleServices, RejectionLimit};
@@ -63,4 +63,4 @@
 pub use server::{ServerEntry, ServerState};
 pub use server_limit::ServerLimits;
 pub use store_link::StoreLink;
-pub use stream_origins::StreamOrigins;
+pub use streams::StreamOrigins;
--- /dev/null
+++ b/src/decision/relay/streams/mod.rs
@@ -0,0 +1,6 @@
+//! Streams that their callers resume: which software version each one goes on at, decided from what
+//! this node and others have seen of its begin, and from the versions that the record store keeps.
+
+pub mod origins;
+
+pub use origins::StreamOrigins;
--- a/src/decision/relay/stream_origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -9,7 +9,7 @@
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
 
-use super::peer_node::PeerNode;
+use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
--- a/src/links/datagram.rs
+++ b/src/links/datagram.rs
@@ -3,7 +3,7 @@
 
 use super::handshake::hmac_sha256;
 use crate::decision::relay::gateways::ReachAnswer;
-use crate::decision::relay::stream_origins::{OriginAnswer, OriginRecord, StreamKey};
+use crate::decision::relay::streams::origins::{OriginAnswer, OriginRecord, StreamKey};
 use crate::types::ServiceId;
 use anyhow::{Context, ensure};
 use bytes::Bytes;
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -2,7 +2,7 @@
 
 use super::reach;
 use crate::adapters::datagram_socket::DatagramSocket;
-use crate::decision::relay::stream_origins::OriginAnswer;
+use crate::decision::relay::streams::origins::OriginAnswer;
 use crate::links::Datagram;
 use crate::links::datagram::MAX_DATAGRAM_BYTES;
 use crate::relay::RelayContext;
