fix(relay): versions of streams are recorded in the store

Change: each version of a service with resumable streams is recorded by the first three nodes by hash, and removed by one that has seen none of its servers for 60 s; an answer confirms versions only from a node that knows the whole minute, by the records, by its own observation or by the first start. A test that took nodes of unknown age for knowing is replaced by one that also asserts the refusal.

--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -3,7 +3,7 @@
 use crate::types::{AvailabilityZone, ModelId, RouteId, ServiceId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use strum::Display;
@@ -206,6 +206,14 @@
         routes.iter().find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Returns the services that get the streams of routes where they can be resumed.
+    pub fn resumable_services(&self) -> BTreeSet<ServiceId> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.retry_safety == RetrySafety::ResumableStream);
+        let targets = resumable.flat_map(|route| &route.targets);
+        targets.map(|target| target.service.clone()).collect()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -4,16 +4,18 @@
 //! node that forwards the first event of a stream tells the owners of the stream: a few other nodes,
 //! the first ones for it by rendezvous hashing, in different availability zones. A node that a caller
 //! asks to resume a stream asks these nodes and some more. A stream that nobody knows goes on only if
-//! its service has had a single version.
+//! its service has had a single version, by the word of a node that knows all versions of the time in
+//! which the stream can have begun.
 //!
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
 
+use super::version_records::ServiceVersion;
 use crate::decision::relay::peer_node::PeerNode;
-use crate::types::{RequestId, ServiceId, SoftwareVersion};
+use crate::types::{InstanceId, RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -92,10 +94,13 @@
     /// What it knows of the stream.
     #[serde(rename = "o")]
     pub known: KnownOrigin,
-    /// Versions that it has seen in the service within [`MAX_STREAM_LIFETIME`]; some of them if there
-    /// are many.
+    /// Versions that the service may have had within [`MAX_STREAM_LIFETIME`]; some of them if there are
+    /// many.
     #[serde(rename = "v")]
     pub versions: Vec<SoftwareVersion>,
+    /// Whether these are all such versions. Nodes of earlier builds do not say so.
+    #[serde(rename = "c", default)]
+    pub is_complete: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +115,10 @@
 pub struct StreamOrigins {
     /// Since when the node has observed versions.
     observed_since: Instant,
+    /// Whether no stream began before that, since the site started for the first time.
+    is_first_start: bool,
+    /// Versions that the record store held after the node's start.
+    recorded: BTreeSet<ServiceVersion>,
     streams: HashMap<StreamKey, KnownStream>,
     /// When a server of each version of a service was last seen.
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
@@ -118,10 +127,13 @@
 }
 
 impl StreamOrigins {
-    /// Returns the state of a node that starts now.
-    pub fn new(now: Instant) -> Self {
+    /// Returns the state of a node that starts now; `is_first_start` if the whole site starts for the
+    /// first time.
+    pub fn new(is_first_start: bool, now: Instant) -> Self {
         Self {
             observed_since: now,
+            is_first_start,
+            recorded: BTreeSet::new(),
             streams: HashMap::new(),
             versions: BTreeMap::new(),
             nodes: Vec::new(),
@@ -145,13 +157,51 @@
         versions.insert(software.clone(), now).is_none()
     }
 
-    /// Returns the versions that the service has had within [`MAX_STREAM_LIFETIME`].
+    /// Adds versions that the record store holds, of which some may have left before this node's start.
+    pub fn add_recorded(&mut self, recorded: BTreeSet<ServiceVersion>) {
+        self.recorded.extend(recorded);
+    }
+
+    /// Returns how many other nodes are before `instance` in the order of `seed`.
+    pub fn rank(&self, instance: &InstanceId, seed: u64) -> usize {
+        let hash = |instance: &InstanceId| xxh3_64_with_seed(instance.as_bytes(), seed);
+        let own = hash(instance);
+        self.nodes.iter().filter(|node| hash(&node.instance) > own).count()
+    }
+
+    /// Returns the versions of which this node has seen servers within [`MAX_STREAM_LIFETIME`].
     pub fn versions(&self, service: &ServiceId, now: Instant) -> Vec<SoftwareVersion> {
         let seen = self.versions.get(service).into_iter().flatten();
         let current = seen.filter(|(_, seen_at)| now < **seen_at + MAX_STREAM_LIFETIME);
         current.map(|(software, _)| software.clone()).collect()
     }
 
+    /// Returns the versions that the service may have had within [`MAX_STREAM_LIFETIME`], as far as
+    /// this node knows.
+    fn possible_versions(&self, service: &ServiceId, now: Instant) -> Vec<SoftwareVersion> {
+        let mut versions = self.versions(service, now);
+        if self.has_observed_long(now) {
+            return versions;
+        }
+        for recorded in self.recorded.iter().filter(|recorded| recorded.service == *service) {
+            if !versions.contains(&recorded.software) {
+                versions.push(recorded.software.clone());
+            }
+        }
+        versions
+    }
+
+    /// Whether these are all versions that the service may have had.
+    fn knows_all_versions(&self, service: &ServiceId, now: Instant) -> bool {
+        self.is_first_start
+            || self.has_observed_long(now)
+            || self.recorded.iter().any(|recorded| recorded.service == *service)
+    }
+
+    fn has_observed_long(&self, now: Instant) -> bool {
+        now >= self.observed_since + MAX_STREAM_LIFETIME
+    }
+
     /// Records the origin of a stream of which this node is about to forward events; returns the
     /// record and the nodes that must be told.
     pub fn begin(
@@ -189,10 +239,10 @@
         service: &ServiceId,
         now: Instant,
     ) -> OriginAnswer {
-        let mut versions = self.versions(service, now);
+        let mut versions = self.possible_versions(service, now);
         versions.truncate(MAX_ANSWERED_VERSIONS);
         let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
-        OriginAnswer { known, versions }
+        OriginAnswer { known, versions, is_complete: self.knows_all_versions(service, now) }
     }
 
     /// Returns the state of a search for the origin of a stream, `None` if the caller did not name
@@ -208,10 +258,11 @@
         OriginSearch {
             service: service.clone(),
             known,
-            versions: self.versions(service, now),
-            needs_answer: !self.nodes.is_empty() && now < self.observed_since + MAX_STREAM_LIFETIME,
+            versions: self.possible_versions(service, now),
+            is_complete: self.knows_all_versions(service, now),
             unanswered: asked,
             answers: 0,
+            complete_answers: 0,
             has_contradiction: false,
         }
     }
@@ -321,12 +372,14 @@
 pub struct OriginSearch {
     service: ServiceId,
     known: KnownOrigin,
-    /// Versions that this node or one that has answered has seen in the service.
+    /// Versions that the service may have had, by this node's knowledge and by the answers.
     versions: Vec<SoftwareVersion>,
-    /// Whether a version of before this node's start may be known to other nodes alone.
-    needs_answer: bool,
+    /// Whether these are all, by the word of any node.
+    is_complete: bool,
     unanswered: Vec<SocketAddr>,
     answers: usize,
+    /// Answers of nodes that know all versions.
+    complete_answers: usize,
     /// Whether two nodes know different origins.
     has_contradiction: bool,
 }
@@ -349,6 +402,8 @@
         };
         self.unanswered.swap_remove(index);
         self.answers += 1;
+        self.complete_answers += usize::from(answer.is_complete);
+        self.is_complete |= answer.is_complete;
         for software in answer.versions {
             if !self.versions.contains(&software) {
                 self.versions.push(software);
@@ -363,7 +418,7 @@
 
     /// Returns whether more answers cannot change the result, or hardly ever.
     pub fn is_over(&self) -> bool {
-        let is_confirmed = self.versions.len() == 1 && self.answers >= CONFIRMING_ANSWERS;
+        let is_confirmed = self.versions.len() == 1 && self.complete_answers >= CONFIRMING_ANSWERS;
         self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_confirmed
     }
 
@@ -374,7 +429,7 @@
             KnownOrigin::Ambiguous => None,
             KnownOrigin::Origin(origin) if origin.service != self.service => None,
             KnownOrigin::Origin(origin) => Some(FoundVersion::Known(origin.software.clone())),
-            KnownOrigin::Unknown if self.needs_answer && self.answers == 0 => None,
+            KnownOrigin::Unknown if !self.is_complete => None,
             KnownOrigin::Unknown => match self.versions.as_slice() {
                 [only] => Some(FoundVersion::Only(only.clone())),
                 _ => None,
--- /dev/null
+++ b/src/decision/relay/streams/version_records.rs
@@ -0,0 +1,188 @@
+//! Which software versions of services are recorded in the store, so that nodes that all start at
+//! once know the versions of before their start.
+//!
+//! A version stays recorded until none of its streams can be resumed any more. Records carry no
+//! times: a node that removes one has observed for long enough itself.
+
+use super::origins::{MAX_STREAM_LIFETIME, StreamOrigins};
+use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Nodes that record a version; more than one, since a node may die before it has written.
+const WRITERS: usize = 3;
+
+/// Time after a node's start in which it learns of the other nodes, before it writes.
+const SETTLE_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time after which an unanswered call is given up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Delay after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Software version of a service.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ServiceVersion {
+    /// Service.
+    pub service: ServiceId,
+    /// Software version of some of its servers.
+    pub software: SoftwareVersion,
+}
+
+impl ServiceVersion {
+    /// Returns a hash of the service and the version.
+    pub fn key_hash(&self) -> u64 {
+        xxh3_64_with_seed(self.software.as_bytes(), xxh3_64(self.service.as_bytes()))
+    }
+}
+
+/// Recorded versions, as listed by the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VersionListing {
+    /// Versions.
+    pub versions: BTreeSet<ServiceVersion>,
+    /// Position of the next record.
+    pub end: LogPosition,
+}
+
+/// Call to the record store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VersionCall {
+    /// List the recorded versions.
+    List,
+    /// Record a version.
+    Add(ServiceVersion),
+    /// Remove the record of a version unless a record was written since the listing.
+    Remove {
+        /// Version.
+        version: ServiceVersion,
+        /// End of the listing.
+        listed_end: LogPosition,
+    },
+}
+
+/// Outcome of a call that the store has answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VersionOutcome {
+    /// The recorded versions.
+    Listed(VersionListing),
+    /// The version is recorded.
+    Added(ServiceVersion),
+    /// The version is not recorded any more.
+    Removed(ServiceVersion),
+    /// A record was written since the listing; nothing was removed.
+    Conflict,
+}
+
+/// Records of versions, as known to one node.
+#[derive(Clone, Debug)]
+pub struct VersionRecords {
+    instance: InstanceId,
+    started_at: Instant,
+    /// Versions that the store holds as far as known, `None` until they are listed.
+    recorded: Option<BTreeSet<ServiceVersion>>,
+    /// End of the last listing, `None` if a record may have been written since.
+    listed_end: Option<LogPosition>,
+    /// Until when the pending call is waited for, `None` if none is pending.
+    pending_until: Option<Instant>,
+    next_call_at: Instant,
+}
+
+impl VersionRecords {
+    /// Returns the state of a node that starts now.
+    pub fn new(instance: InstanceId, now: Instant) -> Self {
+        Self {
+            instance,
+            started_at: now,
+            recorded: None,
+            listed_end: None,
+            pending_until: None,
+            next_call_at: now,
+        }
+    }
+
+    /// Returns the next call that this node makes; `services` have routes whose streams can be
+    /// resumed. Its outcome, or its failure, must be reported.
+    pub fn next_call(
+        &mut self,
+        origins: &StreamOrigins,
+        services: &BTreeSet<ServiceId>,
+        now: Instant,
+    ) -> Option<VersionCall> {
+        let is_pending = self.pending_until.is_some_and(|until| now < until);
+        if services.is_empty() || is_pending || now < self.next_call_at {
+            return None;
+        }
+        let call = self.needed_call(origins, services, now)?;
+        self.pending_until = Some(now + CALL_TIMEOUT);
+        Some(call)
+    }
+
+    /// Applies the outcome of a call.
+    pub fn apply(&mut self, outcome: VersionOutcome) {
+        self.pending_until = None;
+        self.listed_end = None;
+        match outcome {
+            VersionOutcome::Listed(VersionListing { versions, end }) => {
+                self.recorded = Some(versions);
+                self.listed_end = Some(end);
+            }
+            VersionOutcome::Added(version) => {
+                self.recorded.get_or_insert_default().insert(version);
+            }
+            VersionOutcome::Removed(version) => {
+                self.recorded.get_or_insert_default().remove(&version);
+            }
+            VersionOutcome::Conflict => {}
+        }
+    }
+
+    /// Records that a call failed; it may have taken effect.
+    pub fn record_failure(&mut self, now: Instant) {
+        self.pending_until = None;
+        self.listed_end = None;
+        self.next_call_at = now + RETRY_DELAY;
+    }
+
+    /// Lists the records again, since a restored store may lack some.
+    pub fn observe_restore(&mut self) {
+        self.recorded = None;
+        self.listed_end = None;
+    }
+
+    fn needed_call(
+        &self,
+        origins: &StreamOrigins,
+        services: &BTreeSet<ServiceId>,
+        now: Instant,
+    ) -> Option<VersionCall> {
+        let Some(recorded) = &self.recorded else { return Some(VersionCall::List) };
+        if now < self.started_at + SETTLE_PERIOD {
+            return None;
+        }
+        let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
+        for service in services {
+            for software in origins.versions(service, now) {
+                let version = ServiceVersion { service: service.clone(), software };
+                if !recorded.contains(&version) && rank(&version) < WRITERS {
+                    return Some(VersionCall::Add(version));
+                }
+            }
+        }
+        if now < self.started_at + MAX_STREAM_LIFETIME {
+            return None;
+        }
+        let is_gone = |version: &&ServiceVersion| {
+            let seen = origins.versions(&version.service, now);
+            !seen.contains(&version.software) && rank(version) == 0
+        };
+        let version = recorded.iter().find(is_gone)?.clone();
+        Some(match self.listed_end {
+            Some(listed_end) => VersionCall::Remove { version, listed_end },
+            None => VersionCall::List,
+        })
+    }
+}
--- a/src/ports/coordination_store.rs
+++ b/src/ports/coordination_store.rs
@@ -3,6 +3,7 @@
 
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
+use crate::decision::relay::streams::{ServiceVersion, VersionListing};
 use crate::decision::relay::{KeyedRecord, RecordTopic};
 use crate::types::{InstanceId, LogPosition, PeerResult};
 use async_trait::async_trait;
@@ -74,4 +75,18 @@
         number: FencingNumber,
         holder: &InstanceId,
     ) -> PeerResult<ReplaceOutcome>;
+
+    /// Returns the recorded software versions of services.
+    async fn list_versions(&self) -> PeerResult<VersionListing>;
+
+    /// Records a software version of a service.
+    async fn add_version(&self, version: &ServiceVersion) -> PeerResult<()>;
+
+    /// Removes the record of a software version if the last record is still the one before
+    /// `listed_end`; returns whether it did.
+    async fn remove_version(
+        &self,
+        version: &ServiceVersion,
+        listed_end: LogPosition,
+    ) -> PeerResult<bool>;
 }
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -205,6 +205,7 @@
             return;
         }
         log::warn!("event=store_restored era={era} known_era={known}");
+        self.version_records.observe_restore();
         let (context, node) = (Arc::clone(&self.context), self.announced_node.clone());
         let delay = MAX_REANNOUNCE_DELAY.mul_f64(fastrand::f64());
         self.spawn(async move {
@@ -214,7 +215,7 @@
     }
 }
 
-fn count_call(context: &RelayContext, call: &str) {
+pub(super) fn count_call(context: &RelayContext, call: &str) {
     let labels = ReasonLabels { reason: call.to_owned() };
     context.metrics.store_calls.get_or_create(&labels).inc();
 }
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -12,6 +12,7 @@
 mod rollout;
 mod server_notices;
 mod state;
+mod versions;
 
 pub(super) use server_notices::{log_brittle, log_limit};
 pub use state::{ControlDependencies, run_control};
@@ -22,6 +23,7 @@
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::rollout::{WeightsOrderOutcome, WeightsReport};
+use crate::decision::relay::streams::VersionOutcome;
 use crate::decision::relay::{BrittleNotice, KeyedRecord, LimitAnnouncement, RecordTopic};
 use crate::links::LinkEnd;
 use crate::links::connection::ReceivedMessage;
@@ -152,6 +154,8 @@
         /// Outcome.
         outcome: PeerResult<ReplaceOutcome>,
     },
+    /// A call about the recorded versions of services has ended.
+    VersionCallEnded(PeerResult<VersionOutcome>),
     /// The external store of KV cache became available or unavailable, or lost its contents.
     KvStoreChanged {
         /// Address of the store, `None` while it does not answer.
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -4,19 +4,20 @@
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayControlEvent, follow, kv_store, partner_links};
+use crate::decision::relay::streams::VersionRecords;
 use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
 use crate::relay::peers::reach;
 use crate::relay::suspension_detector::SuspensionDetector;
-use crate::types::{InstanceId, ModelId, StoreEra, WeightsRevision, log_position};
+use crate::types::{InstanceId, ModelId, ServiceId, StoreEra, WeightsRevision, log_position};
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -70,6 +71,9 @@
     pub(super) crash_checks: CrashChecks,
     /// When the versions of all servers are observed again.
     next_observation_at: Instant,
+    pub(super) version_records: VersionRecords,
+    /// Services with routes whose streams can be resumed.
+    pub(super) resumable_services: BTreeSet<ServiceId>,
     /// When other nodes are next asked for lost servers.
     next_reach_query_at: Instant,
     /// Newest known era of the store, `None` before its first answer.
@@ -89,6 +93,8 @@
     let identity: Rc<RefCell<Identity>> = partners.identity();
     let kv_store_address = Rc::new(Cell::new(None));
     let mut state = ControlState {
+        version_records: VersionRecords::new(instance.clone(), now),
+        resumable_services: BTreeSet::new(),
         rollout: RolloutControl::new(instance, context.settings.rollout_lease_ms),
         replica: Replica::default(),
         read_schedule: Rc::default(),
@@ -205,6 +211,7 @@
             RelayControlEvent::RegisterReplaced { sent_at, outcome } => {
                 self.apply_replacement(sent_at, outcome, now);
             }
+            RelayControlEvent::VersionCallEnded(outcome) => self.apply_version_call(outcome, now),
             RelayControlEvent::KvStoreChanged { address, is_emptied } => {
                 self.apply_kv_store(address, is_emptied, now);
             }
@@ -225,6 +232,7 @@
         }
         self.context.pool.close_expired(now);
         self.observe_versions(now);
+        self.tick_version_records(now);
         self.tick_reach(now);
         self.crash_checks.remove_expired(now);
         self.tick_partners(now);
--- /dev/null
+++ b/src/relay/control/versions.rs
@@ -0,0 +1,76 @@
+//! Calls that keep the record of the software versions of services whose streams can be resumed.
+
+use super::RelayControlEvent;
+use super::follow::count_call;
+use super::state::ControlState;
+use crate::decision::relay::streams::{VersionCall, VersionOutcome};
+use crate::relay::RelayContext;
+use crate::types::PeerResult;
+use std::sync::Arc;
+use std::time::Instant;
+
+impl ControlState {
+    /// Makes the next call that is needed, if any.
+    pub(super) fn tick_version_records(&mut self, now: Instant) {
+        let origins = self.context.origins();
+        let call = self.version_records.next_call(&origins, &self.resumable_services, now);
+        drop(origins);
+        let Some(call) = call else { return };
+        let context = Arc::clone(&self.context);
+        self.spawn(async move {
+            let outcome = make_call(&context, call).await;
+            context.notify_control(RelayControlEvent::VersionCallEnded(outcome));
+        });
+    }
+
+    /// Applies the outcome of a call.
+    pub(super) fn apply_version_call(&mut self, outcome: PeerResult<VersionOutcome>, now: Instant) {
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                log::warn!("event=version_call_failed {error}");
+                self.version_records.record_failure(now);
+                return;
+            }
+        };
+        match &outcome {
+            VersionOutcome::Listed(listing) => {
+                log::info!("event=versions_listed versions={}", listing.versions.len());
+                self.context.origins().add_recorded(listing.versions.clone());
+            }
+            VersionOutcome::Added(version) => log::info!(
+                "event=version_recorded service={} software={}",
+                version.service,
+                version.software
+            ),
+            VersionOutcome::Removed(version) => log::info!(
+                "event=version_removed service={} software={}",
+                version.service,
+                version.software
+            ),
+            VersionOutcome::Conflict => log::info!("event=version_kept reason=written_since"),
+        }
+        self.version_records.apply(outcome);
+    }
+}
+
+async fn make_call(context: &RelayContext, call: VersionCall) -> PeerResult<VersionOutcome> {
+    let store = &context.ports.store;
+    match call {
+        VersionCall::List => {
+            count_call(context, "list_versions");
+            Ok(VersionOutcome::Listed(store.list_versions().await?))
+        }
+        VersionCall::Add(version) => {
+            count_call(context, "add_version");
+            store.add_version(&version).await?;
+            Ok(VersionOutcome::Added(version))
+        }
+        VersionCall::Remove { version, listed_end } => {
+            count_call(context, "remove_version");
+            let is_removed = store.remove_version(&version, listed_end).await?;
+            let outcome = VersionOutcome::Removed(version);
+            Ok(if is_removed { outcome } else { VersionOutcome::Conflict })
+        }
+    }
+}
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -227,7 +227,7 @@
         resend_budget: Mutex::new(ResendBudget::new(settings.resend, 1)),
         poison: Mutex::new(PoisonState::default()),
         crash_evidence: Mutex::new(CrashEvidence::default()),
-        origins: Mutex::new(StreamOrigins::new(Instant::now())),
+        origins: Mutex::new(StreamOrigins::new(settings.is_first_start, Instant::now())),
         peer_queries,
         peer_pool: pools.peers,
         identity,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -33,6 +33,8 @@
     pub stop: StopSettings,
     /// Cores that the process may use, in part or whole; 0 if unknown.
     pub processor_cores: f64,
+    /// Whether the whole site starts for the first time, so that no stream has begun yet.
+    pub first_start: bool,
 }
 
 /// Addresses of the listeners as read from a file, as `ip:port`, and paths.
@@ -112,6 +114,8 @@
     pub stop: StopSettings,
     /// Percent of a core that the process may use, 0 if unknown.
     pub processor_percent: u32,
+    /// Whether the whole site starts for the first time, so that no stream has begun yet.
+    pub is_first_start: bool,
 }
 
 /// Addresses of the listeners, where port 0 means any free port, and paths.
@@ -171,6 +175,7 @@
             rollout_lease_ms: raw.rollout_lease_ms,
             stop: raw.stop,
             processor_percent: (raw.processor_cores * 100.0).round() as u32,
+            is_first_start: raw.first_start,
         };
         faults.into_result(settings)
     }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -33,5 +33,6 @@
 mod store_restore;
 mod stream_origins;
 mod trace;
+mod version_records;
 
 use proptest_config::proptest_config;
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -87,7 +87,7 @@
         let mut model = Self {
             random: fastrand::Rng::with_seed(seed),
             start,
-            nodes: vec![StreamOrigins::new(start); nodes],
+            nodes: vec![StreamOrigins::new(true, start); nodes],
             knows_new: vec![false; nodes],
             is_alive: vec![true; nodes],
             streams: Vec::new(),
@@ -248,14 +248,18 @@
     let now = Instant::now();
     let later = now + Duration::from_secs(5);
     let origin = |software| StreamOrigin { service: SERVICE, software };
-    let mut origins = StreamOrigins::new(now);
+    let mut origins = StreamOrigins::new(true, now);
     origins.observe_version(&SERVICE, &OLD, now);
     assert_eq!(origins.search(Some(1), &SERVICE, now).result(), Some(FoundVersion::Only(OLD)));
+    // Without the first start of the site, a version may have left before the node's start.
+    let mut origins = StreamOrigins::new(false, now);
+    origins.observe_version(&SERVICE, &OLD, now);
+    assert_eq!(origins.search(Some(1), &SERVICE, now).result(), None);
     origins.set_nodes(vec![node(1), node(2)]);
     // A version of before the node's start may be known to others alone.
     let mut search = origins.search(Some(1), &SERVICE, now);
     assert_eq!((search.is_over(), search.result()), (false, None));
-    let answer = |known, versions| OriginAnswer { known, versions };
+    let answer = |known, versions| OriginAnswer { known, versions, is_complete: true };
     search.add_answer(address(1), answer(KnownOrigin::Unknown, vec![OLD]));
     assert_eq!(search.result(), Some(FoundVersion::Only(OLD)));
     search.add_answer(address(2), answer(KnownOrigin::Unknown, vec![OLD, NEW]));
@@ -279,7 +283,7 @@
 fn origins_and_versions_expire() {
     let now = Instant::now();
     let after = |s| now + Duration::from_secs(s);
-    let mut origins = StreamOrigins::new(now);
+    let mut origins = StreamOrigins::new(true, now);
     origins.set_nodes(vec![node(1)]);
     origins.observe_version(&SERVICE, &OLD, now);
     assert!(origins.observe_version(&SERVICE, &NEW, now));
@@ -301,7 +305,7 @@
 fn nodes_that_started_after_a_stream_began_do_not_vouch_for_its_version() {
     let now = Instant::now();
     for node_count in [6, 68, 295] {
-        let mut nodes = vec![StreamOrigins::new(now); node_count];
+        let mut nodes = vec![StreamOrigins::new(false, now); node_count];
         for (index, origins) in nodes.iter_mut().enumerate() {
             let others = (0..node_count).filter(|other| *other != index);
             origins.set_nodes(others.map(node).collect());
--- /dev/null
+++ b/tests/relay/version_records.rs
@@ -0,0 +1,346 @@
+//! Streams that callers resume after all nodes were killed at once, at 6, 68 and 295 nodes: servers of
+//! another software version join before the kill, the old ones leave before or after it, calls to the
+//! record store are lost or fail, and the store is restored from a copy.
+
+use coriandertide::decision::relay::PeerNode;
+use coriandertide::decision::relay::streams::origins::FoundVersion;
+use coriandertide::decision::relay::streams::{
+    ServiceVersion, StreamOrigins, VersionCall, VersionListing, VersionOutcome, VersionRecords,
+};
+use coriandertide::types::{ServiceId, SoftwareVersion};
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const SERVICE: ServiceId = SmolStr::new_static("models");
+const OLD: SoftwareVersion = SmolStr::new_static("v1");
+const NEW: SoftwareVersion = SmolStr::new_static("v1.1");
+
+const TICK_MS: u64 = 250;
+
+/// Time from a kill of all nodes to their start.
+const OUTAGE_MS: u64 = 2_000;
+
+/// Time after the start in which streams are resumed.
+const RESUME_PERIOD_MS: u64 = 6_000;
+
+/// Time that a caller waits before it resumes a stream at a started node.
+const FIRST_RESUME_MS: u64 = 500;
+
+/// Part of the calls whose answers are lost, and of the datagrams.
+const LOSS: f64 = 0.05;
+
+const RUNS: u64 = 100;
+
+/// Resumed streams of one run: with all runs and sizes of sites over 10,000.
+const TRIES: usize = 40;
+
+/// Part of the resumed streams that must go on in a service that has had one version.
+const MIN_RESUMED_OF_ONE_VERSION: f64 = 0.95;
+
+/// The same while two versions are or were in service.
+const MIN_RESUMED_OF_TWO_VERSIONS: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    nodes: usize,
+    /// When servers of the new version join, and when those of the old one have left.
+    join_ms: u64,
+    gone_ms: u64,
+    kill_ms: u64,
+    /// When the store is restored from a copy of two seconds before, if at all.
+    restore_ms: u64,
+    /// When the store stops answering, and when it answers again.
+    down_ms: (u64, u64),
+}
+
+impl Case {
+    fn drawn(nodes: usize, has_two_versions: bool, random: &mut fastrand::Rng) -> Self {
+        let kill_ms = random.u64(10_000..16_000);
+        let join_ms = if has_two_versions { kill_ms - random.u64(0..5_000) } else { u64::MAX };
+        let leaves = has_two_versions && random.u8(0..4) > 0;
+        let gone_ms =
+            if leaves { kill_ms - 1_000 + random.u64(0..OUTAGE_MS + 1_000) } else { u64::MAX };
+        let restore_ms =
+            if random.u8(0..4) == 0 { kill_ms - 2_000 + random.u64(0..4_000) } else { u64::MAX };
+        let down_at_ms = kill_ms - 3_000 + random.u64(0..6_000);
+        let down_ms = if random.u8(0..4) == 0 {
+            (down_at_ms, down_at_ms + random.u64(0..8_000))
+        } else {
+            (u64::MAX, u64::MAX)
+        };
+        Self { nodes, join_ms, gone_ms, kill_ms, restore_ms, down_ms }
+    }
+
+    fn versions(&self, at_ms: u64) -> Vec<SoftwareVersion> {
+        let mut versions = Vec::new();
+        if at_ms < self.gone_ms {
+            versions.push(OLD);
+        }
+        if at_ms >= self.join_ms {
+            versions.push(NEW);
+        }
+        versions
+    }
+
+    fn is_store_up(&self, at_ms: u64) -> bool {
+        !(self.down_ms.0..self.down_ms.1).contains(&at_ms)
+    }
+}
+
+#[derive(Clone, Default)]
+struct Store {
+    versions: BTreeSet<ServiceVersion>,
+    end: u64,
+}
+
+struct Node {
+    origins: StreamOrigins,
+    records: VersionRecords,
+    /// Delay with which it learns of servers.
+    lag_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    right: usize,
+    wrong: usize,
+    refused: usize,
+}
+
+struct Model {
+    case: Case,
+    random: fastrand::Rng,
+    start: Instant,
+    store: Store,
+    /// States of the store, one a tick.
+    history: Vec<Store>,
+    nodes: Vec<Node>,
+}
+
+fn peer(node: usize) -> PeerNode {
+    PeerNode {
+        instance: format_smolstr!("n{node}"),
+        availability_zone: format_smolstr!("z{}", node % 3),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + node as u16)),
+        processor_percent: 0,
+    }
+}
+
+impl Model {
+    fn new(case: Case, random: fastrand::Rng) -> Self {
+        let mut model = Self {
+            case,
+            random,
+            start: Instant::now(),
+            store: Store::default(),
+            history: Vec::new(),
+            nodes: Vec::new(),
+        };
+        model.start_nodes(true, 0);
+        model
+    }
+
+    fn at(&self, at_ms: u64) -> Instant {
+        self.start + Duration::from_millis(at_ms)
+    }
+
+    fn start_nodes(&mut self, is_first_start: bool, at_ms: u64) {
+        let now = self.at(at_ms);
+        self.nodes.clear();
+        for index in 0..self.case.nodes {
+            let mut origins = StreamOrigins::new(is_first_start, now);
+            let others = (0..self.case.nodes).filter(|other| *other != index);
+            origins.set_nodes(others.map(peer).collect());
+            let records = VersionRecords::new(format_smolstr!("n{index}"), now);
+            let is_late = self.random.u8(0..10) == 0;
+            let lag_ms = self.random.u64(0..if is_late { 1_500 } else { 300 });
+            self.nodes.push(Node { origins, records, lag_ms });
+        }
+    }
+
+    /// Advances all nodes and the store by one tick.
+    fn tick(&mut self, at_ms: u64) {
+        let (now, case) = (self.at(at_ms), self.case);
+        self.history.push(self.store.clone());
+        if (at_ms..at_ms + TICK_MS).contains(&case.restore_ms) {
+            let copied = self.history.len().saturating_sub((2_000 / TICK_MS) as usize);
+            self.store = self.history[copied].clone();
+            self.nodes.iter_mut().for_each(|node| node.records.observe_restore());
+        }
+        let services = BTreeSet::from([SERVICE]);
+        for node in &mut self.nodes {
+            for software in case.versions(at_ms.saturating_sub(node.lag_ms)) {
+                node.origins.observe_version(&SERVICE, &software, now);
+            }
+            let Some(call) = node.records.next_call(&node.origins, &services, now) else {
+                continue;
+            };
+            let is_lost = self.random.f64() < LOSS;
+            let outcome = case.is_store_up(at_ms).then(|| self.store.answer(call));
+            match outcome.filter(|_| !is_lost) {
+                Some(outcome) => {
+                    if let VersionOutcome::Listed(listing) = &outcome {
+                        node.origins.add_recorded(listing.versions.clone());
+                    }
+                    node.records.apply(outcome);
+                }
+                None => node.records.record_failure(now),
+            }
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let mut at_ms = 0;
+        while at_ms < self.case.kill_ms {
+            self.tick(at_ms);
+            at_ms += TICK_MS;
+        }
+        let streams: Vec<SoftwareVersion> =
+            (0..TRIES).filter_map(|_| self.begun_stream()).collect();
+        let started_ms = self.case.kill_ms + OUTAGE_MS;
+        self.start_nodes(false, started_ms);
+        let mut tries: Vec<(u64, SoftwareVersion)> = streams
+            .into_iter()
+            .map(|stream| (started_ms + self.random.u64(FIRST_RESUME_MS..RESUME_PERIOD_MS), stream))
+            .collect();
+        tries.sort_unstable();
+        let mut outcome = Outcome::default();
+        at_ms = started_ms;
+        for (resumed_ms, software) in tries {
+            while at_ms < resumed_ms {
+                self.tick(at_ms);
+                at_ms += TICK_MS;
+            }
+            match self.resume(resumed_ms) {
+                None => outcome.refused += 1,
+                Some(found) if found == software => outcome.right += 1,
+                Some(_) => outcome.wrong += 1,
+            }
+        }
+        outcome
+    }
+
+    /// Returns the version of a stream that was open at the kill, `None` if its node knew no server.
+    fn begun_stream(&mut self) -> Option<SoftwareVersion> {
+        let begun_ms = self.case.kill_ms - self.random.u64(0..1_000);
+        let node = self.random.usize(0..self.case.nodes);
+        let versions = self.case.versions(begun_ms.saturating_sub(self.nodes[node].lag_ms));
+        self.random.choice(versions)
+    }
+
+    fn resume(&mut self, at_ms: u64) -> Option<SoftwareVersion> {
+        let now = self.at(at_ms);
+        let key = self.random.u64(..);
+        let node = self.random.usize(0..self.case.nodes);
+        let mut search = self.nodes[node].origins.search(Some(key), &SERVICE, now);
+        for asked in search.unanswered().to_vec() {
+            let other = usize::from(asked.port()) - 1_000;
+            if !search.is_over() && self.random.f64() >= LOSS {
+                search
+                    .add_answer(asked, self.nodes[other].origins.answer(Some(key), &SERVICE, now));
+            }
+        }
+        search.result().map(|found| match found {
+            FoundVersion::Known(software) | FoundVersion::Only(software) => software,
+        })
+    }
+}
+
+impl Store {
+    fn answer(&mut self, call: VersionCall) -> VersionOutcome {
+        match call {
+            VersionCall::List => VersionOutcome::Listed(VersionListing {
+                versions: self.versions.clone(),
+                end: self.end,
+            }),
+            VersionCall::Add(version) => {
+                self.end += 1;
+                self.versions.insert(version.clone());
+                VersionOutcome::Added(version)
+            }
+            VersionCall::Remove { listed_end, .. } if listed_end != self.end => {
+                VersionOutcome::Conflict
+            }
+            VersionCall::Remove { version, .. } => {
+                self.end += 1;
+                self.versions.remove(&version);
+                VersionOutcome::Removed(version)
+            }
+        }
+    }
+}
+
+fn outcomes(has_two_versions: bool) -> Vec<(Case, Outcome)> {
+    let mut outcomes = Vec::new();
+    for nodes in [6, 68, 295] {
+        for seed in 0..RUNS {
+            let mut random = fastrand::Rng::with_seed(seed);
+            let case = Case::drawn(nodes, has_two_versions, &mut random);
+            outcomes.push((case, Model::new(case, random).run()));
+        }
+    }
+    outcomes
+}
+
+/// Returns the part of the streams that go on at their version, resumed while the store answers.
+fn resumed_fraction(outcomes: &[(Case, Outcome)]) -> f64 {
+    let is_judged = |case: &Case| case.down_ms.0 == u64::MAX;
+    let judged = outcomes.iter().filter(|(case, _)| is_judged(case)).map(|(_, outcome)| outcome);
+    let (mut right, mut all) = (0, 0);
+    for Outcome { right: gone_on, wrong, refused } in judged {
+        right += gone_on;
+        all += gone_on + wrong + refused;
+    }
+    right as f64 / all as f64
+}
+
+/// Guards against streams of two software versions after a kill of all nodes.
+#[test]
+fn after_a_kill_of_all_nodes_no_stream_is_of_two_versions() {
+    for (case, outcome) in outcomes(true) {
+        assert_eq!(outcome.wrong, 0, "{case:?}: {outcome:?}");
+    }
+}
+
+/// Guards against refusing the resumed streams of a service with one version after such a kill.
+#[test]
+fn after_a_kill_of_all_nodes_streams_of_a_service_with_one_version_go_on() {
+    let outcomes = outcomes(false);
+    let fraction = resumed_fraction(&outcomes);
+    assert!(fraction >= MIN_RESUMED_OF_ONE_VERSION, "{fraction}");
+    assert!(outcomes.iter().all(|(_, outcome)| outcome.wrong == 0));
+}
+
+/// Guards against refusing most resumed streams while a service has, or just had, two versions.
+#[test]
+fn after_a_kill_of_all_nodes_half_of_the_streams_of_two_versions_go_on() {
+    let fraction = resumed_fraction(&outcomes(true));
+    assert!(fraction >= MIN_RESUMED_OF_TWO_VERSIONS, "{fraction}");
+}
+
+/// Guards against records that stay for ever, which would have streams refused after each later kill
+/// of all nodes, and against the removal of the record of a version that is still in service.
+#[test]
+fn the_record_of_a_version_that_has_left_is_removed() {
+    let case = Case {
+        nodes: 6,
+        join_ms: 5_000,
+        gone_ms: 9_000,
+        kill_ms: u64::MAX,
+        restore_ms: u64::MAX,
+        down_ms: (u64::MAX, u64::MAX),
+    };
+    let mut model = Model::new(case, fastrand::Rng::with_seed(1));
+    let recorded = |model: &Model| -> Vec<SoftwareVersion> {
+        model.store.versions.iter().map(|version| version.software.clone()).collect()
+    };
+    for at_ms in (0..80_000).step_by(TICK_MS as usize) {
+        model.tick(at_ms);
+        if at_ms == 12_000 {
+            assert_eq!(recorded(&model), [OLD, NEW]);
+        }
+    }
+    assert_eq!(recorded(&model), [NEW]);
+}
