feat(relay): quotas of workspaces over all nodes

Cause: the adapter dropped RatePerS, Burst, Unit and PlainTokens unseen, and no node knew a workspace's limit. Ruled out (docs/design/quotas.md): fixed shares, counts by gossip, leases ahead of need, a single owner. Change: two owners a workspace hold half of it each; the node that receives a request asks them first.

--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -1,5 +1,6 @@
 //! Configuration of the relay: routes, services, caller limits and workspaces.
 
+use super::quota::Quota;
 use crate::types::{AvailabilityZone, ModelId, RouteId, ServiceId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -142,6 +143,8 @@
     pub priority: Option<u8>,
     /// Whether the workspace has cache isolation: it shares no KV cache with other workspaces.
     pub is_isolated: bool,
+    /// Quota over all nodes, `None` if it has none.
+    pub quota: Option<Quota>,
 }
 
 /// Validated configuration of the relay.
@@ -160,6 +163,7 @@
     /// Workspaces by caller key.
     keys: HashMap<SmolStr, Arc<Workspace>>,
     has_workspaces: bool,
+    workspace_count: usize,
 }
 
 /// Who sent a request.
@@ -190,6 +194,7 @@
     /// key.
     pub fn set_workspaces(&mut self, workspaces: Vec<(Workspace, Vec<SmolStr>)>) {
         self.has_workspaces = true;
+        self.workspace_count = workspaces.len();
         for (workspace, keys) in workspaces {
             let workspace = Arc::new(workspace);
             self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
@@ -228,6 +233,11 @@
         workspace.map_or(Caller::Unknown, |found| Caller::Workspace(Arc::clone(found)))
     }
 
+    /// Returns the number of workspaces.
+    pub fn workspace_count(&self) -> usize {
+        self.workspace_count
+    }
+
     /// Whether requests carry workspace keys, which must not be forwarded to servers.
     pub fn has_workspaces(&self) -> bool {
         self.has_workspaces
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -24,6 +24,7 @@
 pub mod prefill_rate;
 pub mod prefix_index;
 pub mod prompt;
+pub mod quota;
 pub mod reach;
 pub mod read_schedule;
 pub mod received_notices;
--- /dev/null
+++ b/src/decision/relay/quota/ledger.rs
@@ -0,0 +1,181 @@
+//! Quotas that one node owns, and the owners of the others.
+
+use super::bucket::Bucket;
+use super::messages::{QuotaAnswer, QuotaCorrection, QuotaQuery};
+use super::owners::Nodes;
+use super::start_share::StartShares;
+use crate::decision::relay::peer_node::PeerNode;
+use crate::types::{InstanceId, WorkspaceId};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time after which a new owner grants, so that all nodes have learned of the change and an earlier
+/// owner grants no longer.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Time without a tick that counts as a pause of the process, in which other nodes may have taken
+/// over.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
+/// Maximum buckets, and workspaces whose owners are remembered.
+const MAX_BUCKETS: usize = 65_536;
+
+/// Quotas at one node.
+#[derive(Clone, Debug)]
+pub struct QuotaLedger {
+    own: InstanceId,
+    nodes: Nodes,
+    /// When this node last began: at its start, and after a pause.
+    began_at: Instant,
+    /// Earlier live nodes, each until when, as far as a takeover may still be under way.
+    earlier_nodes: VecDeque<(Instant, Nodes)>,
+    last_tick_at: Instant,
+    buckets: BTreeMap<WorkspaceId, Bucket>,
+    start_shares: StartShares,
+    /// Addresses of the owners that were worked out for these nodes.
+    owners: HashMap<WorkspaceId, Vec<SocketAddr>>,
+}
+
+impl QuotaLedger {
+    /// Returns the state of a node that starts now and knows no other one.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            own: InstanceId::default(),
+            nodes: Nodes::default(),
+            began_at: now,
+            earlier_nodes: VecDeque::new(),
+            last_tick_at: now,
+            buckets: BTreeMap::new(),
+            start_shares: StartShares::new(now),
+            owners: HashMap::new(),
+        }
+    }
+
+    /// Sets the live nodes, this one included.
+    pub fn set_nodes(&mut self, own: &InstanceId, live: Vec<PeerNode>, now: Instant) {
+        self.own = own.clone();
+        let had_majority = self.nodes.has_majority();
+        self.remove_settled(now);
+        self.earlier_nodes.push_back((now, self.nodes.clone()));
+        self.nodes.set(live, now);
+        if !had_majority && self.nodes.has_majority() {
+            // Nodes on the other side of the cut have granted meanwhile.
+            self.restart(now);
+        }
+        self.owners.clear();
+        let Self { own, nodes, buckets, .. } = self;
+        buckets.retain(|workspace, _| nodes.is_owner(own, workspace));
+    }
+
+    /// Notices pauses of the process, and nodes that are gone.
+    pub fn tick(&mut self, now: Instant) {
+        if now > self.last_tick_at + MAX_TICK_GAP {
+            self.restart(now);
+        }
+        self.last_tick_at = now;
+        self.nodes.tick(now);
+    }
+
+    /// Begins anew, since other nodes may have granted meanwhile.
+    pub fn restart(&mut self, now: Instant) {
+        log::warn!("event=quotas_restarted owned={}", self.buckets.len());
+        self.buckets.clear();
+        self.began_at = now;
+        self.last_tick_at = now;
+    }
+
+    /// Returns the addresses of the owners of a quota, best one first.
+    pub fn owners(&mut self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
+        if let Some(owners) = self.owners.get(workspace) {
+            return owners.clone();
+        }
+        let owners: Vec<SocketAddr> =
+            self.nodes.owners(workspace).into_iter().map(|node| node.address).collect();
+        if self.owners.len() >= MAX_BUCKETS {
+            self.owners.clear();
+        }
+        self.owners.insert(workspace.clone(), owners.clone());
+        owners
+    }
+
+    /// Answers a query.
+    pub fn answer(&mut self, query: &QuotaQuery, now: Instant) -> QuotaAnswer {
+        if now > self.last_tick_at + MAX_TICK_GAP {
+            self.restart(now);
+        }
+        let Some(bucket) = self.bucket(query, now) else { return QuotaAnswer::NotOwner };
+        bucket.set_limit(query.limit, now);
+        match bucket.take(query.units, query.priority, now) {
+            Ok(()) => QuotaAnswer::Granted,
+            Err(delay) => QuotaAnswer::Denied {
+                retry_ms: u32::try_from(delay.as_millis()).unwrap_or(u32::MAX),
+                level: bucket.level() as i64,
+                revision: bucket.revision(),
+            },
+        }
+    }
+
+    /// Corrects what this node has granted; does nothing if it is no owner.
+    pub fn correct(&mut self, correction: &QuotaCorrection, now: Instant) {
+        if let Some(bucket) = self.buckets.get_mut(&correction.workspace) {
+            bucket.correct(correction.units, now);
+        }
+    }
+
+    /// Sets how many nodes have announced themselves, those that no longer run included.
+    pub fn set_announced(&mut self, nodes: usize) {
+        self.start_shares.set_announced(nodes);
+    }
+
+    /// Takes units from this node's own share of a quota while no owner can grant yet, soon after its
+    /// start; `draw` is a number from 0 to 1 that differs between requests.
+    pub fn take_start_share(&mut self, query: &QuotaQuery, draw: f64, now: Instant) -> bool {
+        self.start_shares.take(query, self.nodes.expected(), draw, now)
+    }
+
+    /// Returns the number of quotas that this node has granted from.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether it has granted from none.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Whether this node has owned a quota for long enough, so that no other one grants from it.
+    fn has_settled(&self, workspace: &WorkspaceId, now: Instant) -> bool {
+        let is_owner = |nodes: &Nodes| nodes.is_owner(&self.own, workspace);
+        now >= self.began_at + TAKEOVER_DELAY
+            && is_owner(&self.nodes)
+            && self.earlier_nodes.iter().all(|(_, nodes)| is_owner(nodes))
+    }
+
+    fn remove_settled(&mut self, now: Instant) {
+        while let Some((until, _)) = self.earlier_nodes.front() {
+            if now < *until + TAKEOVER_DELAY {
+                break;
+            }
+            self.earlier_nodes.pop_front();
+        }
+    }
+
+    /// Returns the bucket of a quota that this node owns.
+    fn bucket(&mut self, query: &QuotaQuery, now: Instant) -> Option<&mut Bucket> {
+        if !self.nodes.has_majority() {
+            return None;
+        }
+        if !self.buckets.contains_key(&query.workspace) {
+            self.remove_settled(now);
+            if !self.has_settled(&query.workspace, now) || self.buckets.len() >= MAX_BUCKETS {
+                return None;
+            }
+            let last_change_at = self.earlier_nodes.back().map(|(until, _)| *until);
+            let empty_at = last_change_at.unwrap_or(self.began_at + TAKEOVER_DELAY);
+            let bucket = Bucket::new(query.limit, empty_at);
+            self.buckets.insert(query.workspace.clone(), bucket);
+        }
+        self.buckets.get_mut(&query.workspace)
+    }
+}
--- a/src/links/datagram.rs
+++ b/src/links/datagram.rs
@@ -3,8 +3,9 @@
 
 use super::handshake::hmac_sha256;
 use crate::decision::relay::gateways::ReachAnswer;
+use crate::decision::relay::quota::{QuotaAnswer, QuotaCorrection, QuotaQuery};
 use crate::decision::relay::streams::origins::{OriginAnswer, OriginRecord, StreamKey};
-use crate::types::ServiceId;
+use crate::types::{ServiceId, WorkspaceId};
 use anyhow::{Context, ensure};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,26 @@
         /// Answer.
         answer: OriginAnswer,
     },
+    /// Asks an owner of a quota for a grant.
+    QuotaQuery {
+        /// Number of the query, unique at its sender.
+        number: u64,
+        /// Request.
+        query: QuotaQuery,
+    },
+    /// Answer to it.
+    QuotaAnswer {
+        /// Number of the query.
+        number: u64,
+        /// Workspace of the query.
+        workspace: WorkspaceId,
+        /// Units of the query.
+        units: u64,
+        /// Answer.
+        answer: QuotaAnswer,
+    },
+    /// Corrects what the receiver has granted.
+    QuotaCorrection(QuotaCorrection),
     /// Asks which of these services the receiver reaches.
     ReachQuery(Vec<ServiceId>),
     /// Answer to it.
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::AttemptOutcome;
 use super::request::RelayedRequest;
-use super::{RelayContext, suspects};
+use super::{RelayContext, quota, suspects};
 use crate::metrics::labels::ReasonLabels;
 use crate::types::{ServerId, SoftwareVersion};
 use std::time::{Duration, Instant};
@@ -70,6 +70,9 @@
         if is_allowed {
             let labels = ReasonLabels { reason: reason.to_owned() };
             context.metrics.resends.get_or_create(&labels).inc();
+            if self.possible_runs > 0 {
+                quota::charge_again(context, request);
+            }
             log::info!(
                 "event=resend request={} route={} reason={reason} sent={} age_ms={}",
                 request.id,
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -7,6 +7,7 @@
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
 use crate::decision::poison::{CrashEvidence, PoisonState};
+use crate::decision::relay::quota::QuotaLedger;
 use crate::decision::relay::{Configuration, Fleet, Gateways, Reach, ResendBudget, StreamOrigins};
 use crate::links::Identity;
 use crate::ports::{CoordinationStore, Dialect, EngineControl};
@@ -51,6 +52,7 @@
     pub(super) poison: Mutex<PoisonState>,
     pub(super) crash_evidence: Mutex<CrashEvidence>,
     pub(super) origins: Mutex<StreamOrigins>,
+    pub(super) quotas: Mutex<QuotaLedger>,
     /// Queries between nodes.
     pub(super) peer_queries: PeerQueries,
     /// Connections to other nodes, by way of which requests are sent.
@@ -91,6 +93,11 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the quotas of workspaces that this node owns.
+    pub fn quotas(&self) -> MutexGuard<'_, QuotaLedger> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks what is known of the links to servers.
     pub fn reach(&self) -> MutexGuard<'_, Reach> {
         self.reach.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -209,6 +209,9 @@
         addresses.sort();
         addresses.dedup();
         log::info!("event=nodes_announced addresses={}", addresses.len());
+        if !nodes.is_empty() {
+            self.context.quotas().set_announced(nodes.len());
+        }
         self.advance_membership(MembershipEvent::SeedAddresses(addresses), now);
     }
 
@@ -407,6 +410,17 @@
         self.apply_membership_changes();
     }
 
+    /// Returns this node as others reach it.
+    fn own_peer_node(&self) -> PeerNode {
+        let own = self.partners.membership.local_record();
+        PeerNode {
+            instance: own.instance.clone(),
+            availability_zone: own.availability_zone.clone(),
+            address: self.context.peer_queries.address(),
+            processor_percent: own.processor_percent,
+        }
+    }
+
     /// Updates what depends on the live nodes: read schedule, load exchange, metrics and shares.
     fn apply_membership_changes(&mut self) {
         let links = i64::try_from(self.partners.links.peers().len()).unwrap_or(i64::MAX);
@@ -424,7 +438,9 @@
             self.context.fleet().brittle.set_nodes(me, &ids);
             let peers = self.partners.list_peer_nodes();
             self.context.gateways().set_nodes(me, peers.clone());
-            self.context.origins().set_nodes(peers);
+            self.context.origins().set_nodes(peers.clone());
+            let owners = peers.into_iter().chain([self.own_peer_node()]).collect();
+            self.context.quotas().set_nodes(me, owners, Instant::now());
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -232,6 +232,7 @@
         }
         self.context.pool.close_expired(now);
         self.observe_versions(now);
+        self.context.quotas().tick(now);
         self.tick_version_records(now);
         self.tick_reach(now);
         self.crash_checks.remove_expired(now);
@@ -295,5 +296,6 @@
         let Some(gap) = self.suspension_detector.take_suspension() else { return };
         log::warn!("event=suspended gap_ms={}", gap.as_millis());
         self.rollout.drop_lease();
+        self.context.quotas().restart(Instant::now());
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -3,7 +3,7 @@
 use super::refusal::Refusal;
 use super::request::{RelayedRequest, receive};
 use super::server_search::serve;
-use super::{RelayContext, stream};
+use super::{RelayContext, quota, stream};
 use crate::adapters::http_server::Reply;
 use crate::types::RequestId;
 use http::Request;
@@ -17,7 +17,10 @@
     let arrived_at = Instant::now();
     let head = context.ports.dialect.read_request(request.headers());
     let id = head.id.clone();
-    let received = receive(&context, request, head, arrived_at).await;
+    let received = match receive(&context, request, head, arrived_at).await {
+        Ok(request) => quota::check(&context, request).await,
+        Err(refusal) => Err(refusal),
+    };
     let request = match received {
         Ok(request) => Arc::new(request),
         Err(refusal) => {
@@ -33,6 +36,9 @@
         Ok(reply) => reply,
         Err(refusal) => {
             log_refusal(Some(&request.id), Some(&request.route.name), refusal, arrived_at);
+            if refusal.reason.promises_no_run() {
+                quota::give_back_grant(&context, &request);
+            }
             stream::count_outcome(&context, &request, "refused");
             refusal.reply(&context, Some(&request.id))
         }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// Labels of requests that count against a quota.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct QuotaLabels {
+    /// Workspace, `all` where there are many.
+    pub workspace: String,
+    /// Outcome: `granted`, `denied`, `too_small` or `unknown`.
+    pub outcome: String,
+}
+
 /// All metrics of a relay node. Clones share their values.
 #[derive(Clone, Debug, Default)]
 pub struct RelayMetrics {
@@ -54,6 +63,10 @@
     pub resumed_streams: Counter,
     /// Searches for the software version of a stream that its caller resumes, by source.
     pub stream_searches: Family<ReasonLabels, Counter>,
+    /// Units of requests that count against quotas, by workspace and outcome.
+    pub quota_units: Family<QuotaLabels, Counter>,
+    /// Time that queries for grants of quotas took, by route.
+    pub quota_wait: LatencyFamily<RouteLabels>,
     /// Requests of other nodes, which this one sends on.
     pub forwarded_requests: Counter,
     /// Failed exchanges with servers, by step.
@@ -112,6 +125,17 @@
             "Searches for the software version of a stream that its caller resumes",
             self.stream_searches.clone(),
         );
+        registry.register(
+            "relay_quota_units",
+            "Units of requests that count against quotas by workspace and outcome",
+            self.quota_units.clone(),
+        );
+        registry.register_with_unit(
+            "relay_quota_wait",
+            "Time that queries for grants of quotas took",
+            Unit::Seconds,
+            self.quota_wait.family(),
+        );
         registry.register(
             "relay_forwarded_requests",
             "Requests of other nodes that this one sends on",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod peers;
 pub mod pending_attempts;
+pub mod quota;
 pub mod refusal;
 pub mod request;
 pub mod run;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -10,6 +10,7 @@
 use crate::adapters::http_server::{self, Handler, ListenerLimits, Reply};
 use crate::daemon::threads::{self, spawn_control, spawn_traffic};
 use crate::decision::poison::{CrashEvidence, PoisonState};
+use crate::decision::relay::quota::QuotaLedger;
 use crate::decision::relay::{Fleet, Gateways, ResendBudget, StreamOrigins};
 use crate::links::Identity;
 use crate::metrics::encode;
@@ -228,6 +229,7 @@
         poison: Mutex::new(PoisonState::default()),
         crash_evidence: Mutex::new(CrashEvidence::default()),
         origins: Mutex::new(StreamOrigins::new(settings.is_first_start, Instant::now())),
+        quotas: Mutex::new(QuotaLedger::new(Instant::now())),
         peer_queries,
         peer_pool: pools.peers,
         identity,
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -207,7 +207,8 @@
     };
     let workspace = head.workspace.map(|workspace| {
         let ForwardedWorkspace { name, priority, is_isolated } = workspace;
-        Arc::new(Workspace { name, priority, is_isolated })
+        // The sender has a grant of the quota.
+        Arc::new(Workspace { name, priority, is_isolated, quota: None })
     });
     let age = Duration::from_millis(head.age_ms);
     Ok(ForwardedRequest {
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -2,10 +2,11 @@
 
 use super::reach;
 use crate::adapters::datagram_socket::DatagramSocket;
+use crate::decision::relay::quota::{QuotaAnswer, QuotaQuery};
 use crate::decision::relay::streams::origins::OriginAnswer;
 use crate::links::Datagram;
 use crate::links::datagram::MAX_DATAGRAM_BYTES;
-use crate::relay::RelayContext;
+use crate::relay::{RelayContext, quota};
 use async_channel::{Receiver, Sender};
 use smol::Timer;
 use std::collections::HashMap;
@@ -18,52 +19,81 @@
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Answer of the node at an address.
-pub type ReceivedOrigin = (SocketAddr, OriginAnswer);
+pub type Received<T> = (SocketAddr, T);
 
-/// Socket of queries between nodes, and the queries that wait for answers.
+/// Queries of one kind that wait for answers, by number.
 #[derive(Debug)]
-pub struct PeerQueries {
-    socket: DatagramSocket,
-    waiting: Mutex<HashMap<u64, Sender<ReceivedOrigin>>>,
+pub struct WaitingQueries<T>(Mutex<HashMap<u64, Sender<Received<T>>>>);
+
+impl<T> Default for WaitingQueries<T> {
+    fn default() -> Self {
+        Self(Mutex::default())
+    }
+}
+
+impl<T> WaitingQueries<T> {
+    /// Begins a query that at most `nodes` nodes answer.
+    pub fn begin(&self, number: u64, nodes: usize) -> WaitingQuery<'_, T> {
+        let (sender, answers) = async_channel::bounded(nodes.max(1));
+        self.lock().insert(number, sender);
+        WaitingQuery { queries: self, number, answers }
+    }
+
+    /// Hands an answer to its query; returns it if the query has ended.
+    fn deliver(&self, number: u64, received: Received<T>) -> Option<T> {
+        let sender = self.lock().get(&number).cloned();
+        let Some(sender) = sender else { return Some(received.1) };
+        match sender.try_send(received) {
+            Ok(()) => None,
+            Err(error) => Some(error.into_inner().1),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Sender<Received<T>>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Query that is forgotten when dropped.
-pub struct WaitingQuery<'a> {
-    queries: &'a PeerQueries,
+pub struct WaitingQuery<'a, T> {
+    queries: &'a WaitingQueries<T>,
     /// Number of the query.
     pub number: u64,
     /// Answers, in the order of their arrival.
-    pub answers: Receiver<ReceivedOrigin>,
+    pub answers: Receiver<Received<T>>,
 }
 
-impl Drop for WaitingQuery<'_> {
+impl<T> Drop for WaitingQuery<'_, T> {
     fn drop(&mut self) {
-        self.queries.waiting().remove(&self.number);
+        self.queries.lock().remove(&self.number);
     }
 }
 
+/// Socket of queries between nodes, and the queries that wait for answers.
+#[derive(Debug)]
+pub struct PeerQueries {
+    socket: DatagramSocket,
+    /// Queries for the origins of streams.
+    pub origins: WaitingQueries<OriginAnswer>,
+    /// Queries for grants of quotas.
+    pub quotas: WaitingQueries<QuotaAnswer>,
+}
+
 impl PeerQueries {
     /// Returns the state of a node without queries.
     pub fn new(socket: DatagramSocket) -> Self {
-        Self { socket, waiting: Mutex::default() }
+        Self { socket, origins: WaitingQueries::default(), quotas: WaitingQueries::default() }
     }
 
     /// Returns the address at which this node takes datagrams, and requests of other nodes.
     pub fn address(&self) -> SocketAddr {
         self.socket.address()
     }
-
-    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, Sender<ReceivedOrigin>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
-/// Begins a query that at most `nodes` nodes answer.
-pub fn begin_query(context: &RelayContext, nodes: usize) -> WaitingQuery<'_> {
-    let number = context.next_number.fetch_add(1, Ordering::Relaxed);
-    let (sender, answers) = async_channel::bounded(nodes.max(1));
-    context.peer_queries.waiting().insert(number, sender);
-    WaitingQuery { queries: &context.peer_queries, number, answers }
+/// Returns the number of a new query.
+pub fn next_query_number(context: &RelayContext) -> u64 {
+    context.next_number.fetch_add(1, Ordering::Relaxed)
 }
 
 /// Sends a datagram to several nodes; it may be lost.
@@ -104,11 +134,22 @@
             send(context, &Datagram::OriginAnswer { number, answer }, &[sender]);
         }
         Datagram::OriginAnswer { number, answer } => {
-            let waiting = context.peer_queries.waiting().get(&number).cloned();
-            if waiting.is_none_or(|waiting| waiting.try_send((sender, answer)).is_err()) {
+            if context.peer_queries.origins.deliver(number, (sender, answer)).is_some() {
                 log::debug!("event=datagram_ignored peer={sender} reason=query_ended");
             }
         }
+        Datagram::QuotaQuery { number, query } => {
+            let answer = context.quotas().answer(&query, now);
+            let QuotaQuery { workspace, units, .. } = query;
+            send(context, &Datagram::QuotaAnswer { number, workspace, units, answer }, &[sender]);
+        }
+        Datagram::QuotaAnswer { number, workspace, units, answer } => {
+            let unused = context.peer_queries.quotas.deliver(number, (sender, answer));
+            if unused == Some(QuotaAnswer::Granted) {
+                quota::give_back(context, sender, workspace, units);
+            }
+        }
+        Datagram::QuotaCorrection(correction) => context.quotas().correct(&correction, now),
         Datagram::ReachQuery(services) => {
             let answer = reach::answer(context, services, now);
             send(context, &Datagram::ReachAnswer(answer), &[sender]);
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -45,6 +45,12 @@
     Unavailable(UnavailableReason),
     /// The expected wait at the servers is too long.
     Overloaded,
+    /// The workspace is over its quota.
+    OverQuota,
+    /// The request is larger than what the quota of its workspace ever allows at one moment.
+    QuotaTooSmall,
+    /// No owner of the workspace's quota has answered.
+    QuotaUnknown,
     /// The software version that began the stream is not certain.
     UnknownStream,
     /// No server ran the request.
@@ -65,7 +71,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRequestId | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::OverQuota | Self::QuotaTooSmall => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
+            | Self::QuotaUnknown
             | Self::Poison
             | Self::Suspect
             | Self::Unavailable(_)
@@ -77,6 +85,11 @@
         }
     }
 
+    /// Whether the status promises that the request has not run and never will.
+    pub fn promises_no_run(self) -> bool {
+        matches!(self.status(), StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -3,6 +3,7 @@
 use super::RelayContext;
 use super::attempts::Attempts;
 use super::peers::message::ForwardedRequest;
+use super::quota::QuotaGrant;
 use super::refusal::{Refusal, RefusalReason};
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
@@ -78,6 +79,8 @@
     pub forwarded_attempts: Option<Attempts>,
     /// Last event that this node has sent on of the stream, `None` if the caller says.
     pub resume_after: Option<SmolStr>,
+    /// Grant of the workspace's quota, `None` without a quota.
+    pub quota_grant: Option<QuotaGrant>,
     /// Probe that the request holds if its keys are suspected to crash servers.
     _probe: Option<Probe>,
 }
@@ -131,6 +134,7 @@
             suspect_keys,
             forwarded_attempts: Some(forwarded.attempts),
             resume_after: forwarded.last_event_id,
+            quota_grant: None,
             _probe: probe,
         })
     }
@@ -221,6 +225,7 @@
         suspect_keys,
         forwarded_attempts: None,
         resume_after: None,
+        quota_grant: None,
         _probe: probe,
     })
 }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a relay node, as read from the file and as checked.
 
+use crate::decision::relay::quota::QuotaWindow;
 use crate::decision::relay::resend::ResendSettings;
 use crate::settings::check::{check_address, check_identity};
 use crate::types::{AvailabilityZone, Faults};
@@ -35,6 +36,8 @@
     pub processor_cores: f64,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub first_start: bool,
+    /// How quotas of workspaces are judged.
+    pub quota: RawQuotaSettings,
 }
 
 /// Addresses of the listeners as read from a file, as `ip:port`, and paths.
@@ -77,6 +80,18 @@
     }
 }
 
+/// Window and tolerance by which quotas of workspaces are judged, as read from a file.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, Serialize)]
+#[serde(default)]
+pub struct RawQuotaSettings {
+    /// Length of the window in seconds, 0 if quotas are rate and burst alone.
+    pub window_s: f64,
+    /// Part of the sum in a window that may be exceeded.
+    pub excess_ratio: f64,
+    /// Units that may be exceeded in addition.
+    pub slack_units: f64,
+}
+
 /// Periods of a graceful stop.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(default)]
@@ -116,6 +131,8 @@
     pub processor_percent: u32,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub is_first_start: bool,
+    /// How quotas of workspaces are judged.
+    pub quota_window: QuotaWindow,
 }
 
 /// Addresses of the listeners, where port 0 means any free port, and paths.
@@ -153,6 +170,14 @@
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
         faults.require(slack >= 0.0, "resend.slack", "must not be negative");
         faults.require(window_s > 0.0, "resend.window_s", "must be above 0");
+        let RawQuotaSettings { window_s, excess_ratio, slack_units } = raw.quota;
+        faults.require(window_s >= 0.0, "quota.window_s", "must not be negative");
+        faults.require(
+            (0.0..=1.0).contains(&excess_ratio),
+            "quota.excess_ratio",
+            "must be from 0 to 1",
+        );
+        faults.require(slack_units >= 0.0, "quota.slack_units", "must not be negative");
         faults.require(
             raw.stop.accept_ms < raw.stop.limit_ms,
             "stop.accept_ms",
@@ -176,6 +201,11 @@
             stop: raw.stop,
             processor_percent: (raw.processor_cores * 100.0).round() as u32,
             is_first_start: raw.first_start,
+            quota_window: QuotaWindow {
+                window_ms: (raw.quota.window_s * 1_000.0) as u64,
+                excess_ratio: raw.quota.excess_ratio,
+                slack_units: raw.quota.slack_units as u64,
+            },
         };
         faults.into_result(settings)
     }
--- a/src/relay/stream_origin.rs
+++ b/src/relay/stream_origin.rs
@@ -72,7 +72,8 @@
     request: &RelayedRequest,
     search: &mut OriginSearch,
 ) {
-    let waiting = queries::begin_query(context, search.unanswered().len());
+    let number = queries::next_query_number(context);
+    let waiting = context.peer_queries.origins.begin(number, search.unanswered().len());
     let (number, service) = (waiting.number, request.service.clone());
     let query = Datagram::OriginQuery { number, stream, service };
     let deadline = request.deadline.min(Instant::now() + SEARCH_PERIOD);
--- a/tests/relay/configuration.rs
+++ b/tests/relay/configuration.rs
@@ -82,7 +82,7 @@
     let mut configuration = configuration();
     let route = std::sync::Arc::clone(configuration.route("a.example", "/x/").unwrap());
     assert_eq!(configuration.caller(&route, None), Caller::Anonymous);
-    let workspace = Workspace { name: "w".into(), priority: None, is_isolated: true };
+    let workspace = Workspace { name: "w".into(), priority: None, is_isolated: true, quota: None };
     configuration.set_workspaces(vec![(workspace, vec!["k1".into(), "k2".into()])]);
     let caller = |key| configuration.caller(&route, key);
     assert!(matches!(caller(Some("k2")), Caller::Workspace(found) if found.name == "w"));
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod prefix_index;
 #[path = "../common/proptest_config.rs"]
 mod proptest_config;
+mod quota;
 mod reach;
 mod read_schedule;
 mod record_requests;
