fix(settings): quota window does not replace the resend window

Cause: the names of the quota settings shadowed window_s of the resend allowance, so that its window became that of the quotas, 0 without them.

--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -170,14 +170,7 @@
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
         faults.require(slack >= 0.0, "resend.slack", "must not be negative");
         faults.require(window_s > 0.0, "resend.window_s", "must be above 0");
-        let RawQuotaSettings { window_s, excess_ratio, slack_units } = raw.quota;
-        faults.require(window_s >= 0.0, "quota.window_s", "must not be negative");
-        faults.require(
-            (0.0..=1.0).contains(&excess_ratio),
-            "quota.excess_ratio",
-            "must be from 0 to 1",
-        );
-        faults.require(slack_units >= 0.0, "quota.slack_units", "must not be negative");
+        let quota_window = check_quota(raw.quota, &mut faults);
         faults.require(
             raw.stop.accept_ms < raw.stop.limit_ms,
             "stop.accept_ms",
@@ -201,16 +194,28 @@
             stop: raw.stop,
             processor_percent: (raw.processor_cores * 100.0).round() as u32,
             is_first_start: raw.first_start,
-            quota_window: QuotaWindow {
-                window_ms: (raw.quota.window_s * 1_000.0) as u64,
-                excess_ratio: raw.quota.excess_ratio,
-                slack_units: raw.quota.slack_units as u64,
-            },
+            quota_window,
         };
         faults.into_result(settings)
     }
 }
 
+fn check_quota(raw: RawQuotaSettings, faults: &mut Faults) -> QuotaWindow {
+    let RawQuotaSettings { window_s, excess_ratio, slack_units } = raw;
+    faults.require(window_s >= 0.0, "quota.window_s", "must not be negative");
+    faults.require(
+        (0.0..=1.0).contains(&excess_ratio),
+        "quota.excess_ratio",
+        "must be from 0 to 1",
+    );
+    faults.require(slack_units >= 0.0, "quota.slack_units", "must not be negative");
+    QuotaWindow {
+        window_ms: (window_s * 1_000.0) as u64,
+        excess_ratio,
+        slack_units: slack_units as u64,
+    }
+}
+
 fn check_listen(raw: RawRelayListen, faults: &mut Faults) -> RelayListen {
     faults.require(
         raw.readiness_path.starts_with('/'),
--- a/tests/relay/settings.rs
+++ b/tests/relay/settings.rs
@@ -31,6 +31,7 @@
 fn valid_settings_are_accepted() {
     let settings = check(valid()).unwrap();
     assert_eq!(settings.resend.window_ms, 10_000);
+    assert_eq!(settings.quota_window.window_ms, 0);
 }
 
 #[test]
@@ -40,12 +41,16 @@
     settings["seed_partners"] = json!(["127.0.0.1:1", "nowhere"]);
     settings["listen"]["metrics"] = json!("x");
     settings["resend"] = json!({"ratio": 2.0, "slack": -1.0, "window_s": 0.0});
+    settings["quota"] = json!({"window_s": -1.0, "excess_ratio": 2.0, "slack_units": -1.0});
     settings["stop"] = json!({"accept_ms": 9, "limit_ms": 9});
     insta::assert_snapshot!(check(settings).unwrap_err(), @"
     partner_key: must have at least 16 bytes
     resend.ratio: must be from 0 to 1
     resend.slack: must not be negative
     resend.window_s: must be above 0
+    quota.window_s: must not be negative
+    quota.excess_ratio: must be from 0 to 1
+    quota.slack_units: must not be negative
     stop.accept_ms: must be below stop.limit_ms
     listen.metrics: `x` is not an ip:port address
     seed_partners.1: `nowhere` is not an ip:port address
