--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod claims;
 mod cut_links;
+mod panics;
 mod partners;
 mod poison;
 mod refusals;
