fix(relay): values out of range and unexpected errors end neither requests nor threads

Cause: periods from servers, configurations and other nodes were added to clocks unbounded; the addition panics. In a request's task that costs an answer of a request that ran; on the control thread it ended all of the node's control while the process lived on. Change: periods count up to an hour; a panic in the handling of one event, tick or datagram is logged and counted (relay_handler_panics), and the next goes on.

--- a/src/daemon/threads.rs
+++ b/src/daemon/threads.rs
@@ -5,6 +5,7 @@
 use smol::{Executor, LocalExecutor};
 use std::convert::Infallible;
 use std::future::Future;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -41,6 +42,17 @@
     })
 }
 
+/// Calls `handle`, and logs a panic in it instead of ending the thread: an unexpected error in the
+/// handling of one `kind` of message must not end the handling of all others. Returns whether it
+/// returned.
+pub fn catch_panic(kind: &str, handle: impl FnOnce()) -> bool {
+    let result = catch_unwind(AssertUnwindSafe(handle));
+    if result.is_err() {
+        log::error!("event=handler_panicked kind={kind}");
+    }
+    result.is_ok()
+}
+
 /// Waits until all `threads` have ended, and logs each that panicked.
 pub fn join(threads: Vec<JoinHandle<()>>) {
     for thread in threads {
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -9,6 +9,10 @@
 use std::sync::Arc;
 use strum::Display;
 
+/// Longest period of a configuration that counts, in milliseconds; longer ones may be more than a
+/// clock can hold.
+pub const MAX_PERIOD_MS: u64 = 3_600_000;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -181,7 +185,10 @@
     /// Returns a configuration without workspaces, stores and limits.
     pub fn new(revision: u64, routes: Vec<Route>, services: BTreeMap<ServiceId, Service>) -> Self {
         let mut by_host: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
-        for route in routes {
+        for mut route in routes {
+            route.timeout_ms = route.timeout_ms.min(MAX_PERIOD_MS);
+            route.latency_objective_ms = route.latency_objective_ms.min(MAX_PERIOD_MS);
+            route.max_event_gap_ms = route.max_event_gap_ms.min(MAX_PERIOD_MS);
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -23,6 +23,9 @@
 /// Idle time after which a connection to another node is not reused; its listener waits longer.
 const NODE_IDLE_PERIOD: Duration = Duration::from_secs(10);
 
+/// Longest idle time that counts; a server may announce more than a clock can hold.
+const MAX_IDLE_PERIOD: Duration = Duration::from_secs(3_600);
+
 /// Time before the announced keep-alive timeout from which a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -104,7 +107,9 @@
         return;
     }
     let idle = match head.keep_alive_s {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
+        Some(seconds) => {
+            Duration::from_secs(seconds).min(MAX_IDLE_PERIOD).saturating_sub(IDLE_MARGIN)
+        }
         None => DEFAULT_IDLE_PERIOD,
     };
     context.pool.release(exchange, Instant::now() + idle);
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -3,7 +3,7 @@
 
 use super::state::ControlState;
 use crate::adapters::http_server::ListenerLimits;
-use crate::decision::relay::configuration::CallerLimits;
+use crate::decision::relay::configuration::{CallerLimits, MAX_PERIOD_MS};
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::{Configuration, KeyedRecord, RecordTopic};
 use crate::ports::OperatorRecord;
@@ -249,6 +249,7 @@
 fn server_limits(limits: CallerLimits) -> ListenerLimits {
     ListenerLimits {
         head_bytes: limits.head_bytes,
-        head_timeout_ms: limits.idle_timeout_ms.max(limits.head_timeout_ms) + IDLE_MARGIN_MS,
+        head_timeout_ms: limits.idle_timeout_ms.max(limits.head_timeout_ms).min(MAX_PERIOD_MS)
+            + IDLE_MARGIN_MS,
     }
 }
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -4,6 +4,7 @@
 use super::partners::Partners;
 use super::rollout::RolloutControl;
 use super::{RelayControlEvent, follow, kv_store, partner_links};
+use crate::daemon::threads::catch_panic;
 use crate::decision::relay::streams::VersionRecords;
 use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
 use crate::links::{Identity, PartnerMessage};
@@ -135,9 +136,9 @@
         let now = Instant::now();
         state.handle_suspension();
         match event {
-            Some(event) => state.handle(event, now),
+            Some(event) => state.guard("control_event", |state| state.handle(event, now)),
             None => {
-                state.tick(now);
+                state.guard("control_tick", |state| state.tick(now));
                 next_tick_at = now + state.tick_period();
             }
         }
@@ -153,6 +154,13 @@
         }
     }
 
+    /// Calls `handle`; a panic in it ends neither the thread nor the process.
+    fn guard(&mut self, kind: &str, handle: impl FnOnce(&mut Self)) {
+        if !catch_panic(kind, || handle(self)) {
+            self.context.metrics.handler_panics.inc();
+        }
+    }
+
     fn tick_period(&self) -> Duration {
         let is_tree = self.loads.is_tree();
         if self.rollout.is_coordinator() || self.rollout.is_active() && !is_tree {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -89,6 +89,8 @@
     pub servers: Gauge,
     /// Servers that have named a limit for all nodes together.
     pub limited_servers: Gauge,
+    /// Messages and periodic work whose handling ended with an unexpected error.
+    pub handler_panics: Counter,
     /// Log lines dropped because standard output was too slow.
     pub dropped_log_lines: Counter,
 }
@@ -171,6 +173,11 @@
             "Revision of the configuration in force",
             self.configuration_revision.clone(),
         );
+        registry.register(
+            "relay_handler_panics",
+            "Messages and periodic work whose handling panicked",
+            self.handler_panics.clone(),
+        );
         registry.register("relay_servers", "Servers known", self.servers.clone());
         registry.register(
             "relay_limited_servers",
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -1,6 +1,6 @@
 //! Requests that one node sends on for another, as they are encoded between them.
 
-use crate::decision::relay::configuration::Workspace;
+use crate::decision::relay::configuration::{MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{RetrySafety, Route};
 use crate::relay::attempts::Attempts;
 use crate::relay::request::RelayedRequest;
@@ -197,9 +197,9 @@
         host: SmolStr::default(),
         path_prefix: SmolStr::default(),
         retry_safety: head.retry_safety,
-        timeout_ms: head.timeout_ms,
-        latency_objective_ms: head.latency_objective_ms,
-        max_event_gap_ms: head.max_event_gap_ms,
+        timeout_ms: head.timeout_ms.min(MAX_PERIOD_MS),
+        latency_objective_ms: head.latency_objective_ms.min(MAX_PERIOD_MS),
+        max_event_gap_ms: head.max_event_gap_ms.min(MAX_PERIOD_MS),
         priority: head.priority,
         max_attempts: head.max_attempts,
         is_public: false,
@@ -210,7 +210,8 @@
         // The sender has a grant of the quota.
         Arc::new(Workspace { name, priority, is_isolated, quota: None })
     });
-    let age = Duration::from_millis(head.age_ms);
+    let period = |millis: u64| Duration::from_millis(millis.min(MAX_PERIOD_MS));
+    let age = period(head.age_ms);
     Ok(ForwardedRequest {
         id: head.id,
         route: Arc::new(route),
@@ -222,8 +223,8 @@
         headers,
         body: bytes,
         arrived_at: now.checked_sub(age).unwrap_or(now),
-        deadline: now + Duration::from_millis(head.remaining_ms),
-        caller_deadline: now + Duration::from_millis(head.caller_remaining_ms),
+        deadline: now + period(head.remaining_ms),
+        caller_deadline: now + period(head.caller_remaining_ms),
         attempts: Attempts {
             tried: Vec::new(),
             possible_runs: head.possible_runs,
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -2,6 +2,7 @@
 
 use super::reach;
 use crate::adapters::datagram_socket::DatagramSocket;
+use crate::daemon::threads::catch_panic;
 use crate::decision::relay::quota::{QuotaAnswer, QuotaQuery};
 use crate::decision::relay::streams::origins::OriginAnswer;
 use crate::links::Datagram;
@@ -119,7 +120,11 @@
             }
         };
         match Datagram::decode(&buffer[..len], &context.settings.partner_key) {
-            Ok(datagram) => handle_datagram(&context, sender, datagram),
+            Ok(datagram) => {
+                if !catch_panic("datagram", || handle_datagram(&context, sender, datagram)) {
+                    context.metrics.handler_panics.inc();
+                }
+            }
             Err(error) => log::debug!("event=datagram_ignored peer={sender} error=\"{error:#}\""),
         }
     }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -8,7 +8,7 @@
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
-use crate::decision::relay::configuration::{Caller, Workspace};
+use crate::decision::relay::configuration::{Caller, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{
     AdmissionRequest, Configuration, Prompt, RetrySafety, Route, ServerQuery,
 };
@@ -27,9 +27,6 @@
 /// Maximum body size if the configuration sets none.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
-/// Longest time of a caller that counts, in milliseconds.
-const MAX_CALLER_TIMEOUT_MS: u64 = 3_600_000;
-
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -197,7 +194,7 @@
         .ok_or(Refusal::new(RefusalReason::NoRoute))?;
     let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = arrived_at + Duration::from_millis(timeout_ms);
-    let caller_timeout_ms = head.timeout_ms.unwrap_or(timeout_ms).min(MAX_CALLER_TIMEOUT_MS);
+    let caller_timeout_ms = head.timeout_ms.unwrap_or(timeout_ms).min(MAX_PERIOD_MS);
     let caller_deadline = arrived_at + Duration::from_millis(caller_timeout_ms);
     let max_bytes = max_body_bytes(context);
     let (parts, body) = request.into_parts();
--- a/tests/whole_path/panics.rs
+++ b/tests/whole_path/panics.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use coriandertide::adapters::http_client;
 use coriandertide::adapters::http_server::{self, Handler, ListenerLimits};
-use coriandertide::daemon::threads::spawn_traffic;
+use coriandertide::daemon::threads::{catch_panic, spawn_traffic};
 use coriandertide::traffic::reply::text_reply;
 use coriandertide::types::PeerResult;
 use http::{Request, StatusCode};
@@ -48,3 +48,12 @@
     stop_sender.close();
     assert!(thread.join().is_ok());
 }
+
+/// Guards against a panic in the handling of one message that ends the handling of all later ones.
+#[test]
+fn a_panic_in_one_handler_is_caught() {
+    assert!(!catch_panic("message", || panic!("an unexpected error")));
+    let mut has_run = false;
+    assert!(catch_panic("message", || has_run = true));
+    assert!(has_run);
+}
