test(relay): messages of nodes under property tests

Datagrams, partner messages and forwarded requests, random and structured: each decodes or is an error.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod loads;
 mod logging;
+mod messages;
 mod notices;
 mod prefill_rate;
 mod prefix_index;
