fix(relay): a stream of single bytes counts as stalled

Cause: any byte of an unfinished event counted as progress, so that a server that stalls and sends a byte now and then kept its stream until the deadline.

--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -34,6 +34,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Bytes of an unfinished event from which a stream makes progress: events of models are shorter.
+const MIN_PROGRESS_BYTES: usize = 4 * 1024;
+
 /// What a stream waits for.
 enum StreamEvent {
     /// The current server sent data, ended its answer or broke it off.
@@ -77,6 +80,8 @@
     /// Server and framing of the last answer that was interrupted.
     last_answer: Option<(ServerId, Framing)>,
     forwarded_bytes: usize,
+    /// Bytes of an unfinished event since the stream last made progress.
+    partial_bytes: usize,
     /// Longest time between two forwarded pieces.
     max_pause: Duration,
     last_data_at: Option<Instant>,
@@ -122,6 +127,7 @@
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         last_answer: None,
         forwarded_bytes: 0,
+        partial_bytes: 0,
         max_pause: Duration::ZERO,
         last_data_at: None,
         first_answer_ms: request.age_ms(),
@@ -220,10 +226,16 @@
     ) -> Option<Result<Bytes, BodyAborted>> {
         let interruption = match received {
             Ok(Some(data)) => {
-                self.record_contact();
+                let received_bytes = data.len();
                 return match self.take_whole_events(data) {
-                    Ok(events) if events.is_empty() => None,
-                    Ok(events) => Some(Ok(self.record_data(events))),
+                    Ok(events) if events.is_empty() => {
+                        self.record_partial_event(received_bytes);
+                        None
+                    }
+                    Ok(events) => {
+                        self.record_contact();
+                        Some(Ok(self.record_data(events)))
+                    }
                     Err(BodyAborted) => Some(Err(self.abort_with("event_too_long"))),
                 };
             }
@@ -237,8 +249,20 @@
         None
     }
 
+    /// Records bytes of an unfinished event. They count as progress once there are some kilobytes: a
+    /// stalled server may send a byte now and then.
+    fn record_partial_event(&mut self, bytes: usize) {
+        self.partial_bytes += bytes;
+        if self.partial_bytes >= MIN_PROGRESS_BYTES {
+            self.record_contact();
+        } else if let Some(answer) = &mut self.answer {
+            answer.in_flight.record_contact();
+        }
+    }
+
     /// Records that the current server goes on, so that no other one is needed.
     fn record_contact(&mut self) {
+        self.partial_bytes = 0;
         if let Some(answer) = &mut self.answer {
             answer.in_flight.record_contact();
         }
