feat(relay): owners of quotas grant at once at a start of the whole site

Cause: after a kill of all nodes every request of a workspace with a quota was refused for 1.5 to 2.5 s, until owners had waited for earlier ones to notice them. Nobody had granted before: an owner that sees the nodes that have joined, and is asked by young nodes alone, now grants from its start on; the first query of an older node ends that. The number of announced nodes is rarely read at a start, so that nodes that have joined count as well.

--- a/src/decision/relay/quota/ledger.rs
+++ b/src/decision/relay/quota/ledger.rs
@@ -18,6 +18,12 @@
 /// over.
 const MAX_TICK_GAP: Duration = Duration::from_secs(1);
 
+/// Time by which a node must be older than this one to count as one that ran before it.
+const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(500);
+
+/// Time without another node after which all nodes that start at once have joined.
+const JOIN_PERIOD: Duration = Duration::from_millis(200);
+
 /// Maximum buckets, and workspaces whose owners are remembered.
 const MAX_BUCKETS: usize = 65_536;
 
@@ -26,8 +32,11 @@
 pub struct QuotaLedger {
     own: InstanceId,
     nodes: Nodes,
+    started_at: Instant,
     /// When this node last began: at its start, and after a pause.
     began_at: Instant,
+    /// Whether a node has asked that ran before this one, so that there were owners before.
+    has_older_nodes: bool,
     /// Earlier live nodes, each until when, as far as a takeover may still be under way.
     earlier_nodes: VecDeque<(Instant, Nodes)>,
     last_tick_at: Instant,
@@ -43,7 +52,9 @@
         Self {
             own: InstanceId::default(),
             nodes: Nodes::default(),
+            started_at: now,
             began_at: now,
+            has_older_nodes: false,
             earlier_nodes: VecDeque::new(),
             last_tick_at: now,
             buckets: BTreeMap::new(),
@@ -104,6 +115,7 @@
         if now > self.last_tick_at + MAX_TICK_GAP {
             self.restart(now);
         }
+        self.record_age(query.sender_age_ms, now);
         let Some(bucket) = self.bucket(query, now) else { return QuotaAnswer::NotOwner };
         bucket.set_limit(query.limit, now);
         match bucket.take(query.units, query.priority, now) {
@@ -131,7 +143,8 @@
     /// Takes units from this node's own share of a quota while no owner can grant yet, soon after its
     /// start; `draw` is a number from 0 to 1 that differs between requests.
     pub fn take_start_share(&mut self, query: &QuotaQuery, draw: f64, now: Instant) -> bool {
-        self.start_shares.take(query, self.nodes.expected(), draw, now)
+        let Some(nodes) = self.nodes_of_site(now) else { return false };
+        self.start_shares.take(query, nodes, draw, now)
     }
 
     /// Returns the number of quotas that this node has granted from.
@@ -144,6 +157,47 @@
         self.buckets.is_empty()
     }
 
+    /// Returns from when on this node grants from a quota, `None` if it does not yet.
+    fn owned_since(&mut self, workspace: &WorkspaceId, now: Instant) -> Option<Instant> {
+        self.remove_settled(now);
+        if self.has_settled(workspace, now) {
+            let last_change_at = self.earlier_nodes.back().map(|(until, _)| *until);
+            return Some(last_change_at.unwrap_or(self.began_at + TAKEOVER_DELAY));
+        }
+        let is_owner = self.nodes.is_owner(&self.own, workspace);
+        (is_owner && self.is_start_of_site(now)).then_some(self.started_at)
+    }
+
+    /// Whether all nodes have started just now, so that nobody has granted before.
+    fn is_start_of_site(&self, now: Instant) -> bool {
+        let is_new = self.began_at == self.started_at && now < self.started_at + TAKEOVER_DELAY;
+        let all = self.nodes_of_site(now);
+        is_new && !self.has_older_nodes && all.is_some_and(|all| 2 * self.nodes.live() > all)
+    }
+
+    /// Returns the number of nodes of the site, `None` while it is unknown: as many as have announced
+    /// themselves, or as many as are live once the others have joined.
+    fn nodes_of_site(&self, now: Instant) -> Option<usize> {
+        let live = self.nodes.live();
+        let announced = self.start_shares.announced().max(live);
+        let last_change_at = self.earlier_nodes.back().map(|(until, _)| *until);
+        let has_joined = last_change_at.is_none_or(|at| now >= at + JOIN_PERIOD) && live > 1;
+        (self.start_shares.announced() > 0 || has_joined).then_some(announced)
+    }
+
+    /// Records the age of a node that asks. If it ran before this one, other owners did as well, and
+    /// what this node has granted as at a start of the site ends.
+    fn record_age(&mut self, age_ms: u32, now: Instant) {
+        let own_age = now.saturating_duration_since(self.started_at);
+        let is_older = Duration::from_millis(age_ms.into()) > own_age + MIN_AGE_DIFFERENCE;
+        if is_older && !self.has_older_nodes {
+            self.has_older_nodes = true;
+            if now < self.started_at + TAKEOVER_DELAY {
+                self.buckets.clear();
+            }
+        }
+    }
+
     /// Whether this node has owned a quota for long enough, so that no other one grants from it.
     fn has_settled(&self, workspace: &WorkspaceId, now: Instant) -> bool {
         let is_owner = |nodes: &Nodes| nodes.is_owner(&self.own, workspace);
@@ -167,12 +221,10 @@
             return None;
         }
         if !self.buckets.contains_key(&query.workspace) {
-            self.remove_settled(now);
-            if !self.has_settled(&query.workspace, now) || self.buckets.len() >= MAX_BUCKETS {
+            let empty_at = self.owned_since(&query.workspace, now)?;
+            if self.buckets.len() >= MAX_BUCKETS {
                 return None;
             }
-            let last_change_at = self.earlier_nodes.back().map(|(until, _)| *until);
-            let empty_at = last_change_at.unwrap_or(self.began_at + TAKEOVER_DELAY);
             let bucket = Bucket::new(query.limit, empty_at);
             self.buckets.insert(query.workspace.clone(), bucket);
         }
--- a/src/decision/relay/quota/messages.rs
+++ b/src/decision/relay/quota/messages.rs
@@ -38,6 +38,13 @@
     /// Priority of the request's route, 0 is the highest.
     #[serde(rename = "p")]
     pub priority: u8,
+    /// Milliseconds since the start of the sender, the maximum if it does not say.
+    #[serde(rename = "a", default = "unknown_age")]
+    pub sender_age_ms: u32,
+}
+
+fn unknown_age() -> u32 {
+    u32::MAX
 }
 
 /// Answer of an owner.
--- a/src/decision/relay/quota/owners.rs
+++ b/src/decision/relay/quota/owners.rs
@@ -57,9 +57,9 @@
         }
     }
 
-    /// Returns the highest number of live nodes.
-    pub(super) fn expected(&self) -> usize {
-        self.expected
+    /// Returns the number of live nodes.
+    pub(super) fn live(&self) -> usize {
+        self.live
     }
 
     /// Whether this node sees more than half of the nodes, so that no others own the same quotas.
--- a/src/decision/relay/quota/start_share.rs
+++ b/src/decision/relay/quota/start_share.rs
@@ -33,8 +33,13 @@
         self.announced = nodes;
     }
 
-    /// Takes the units of a request from the share of one of `nodes` nodes, or of as many as were
-    /// announced; returns whether it may be sent on.
+    /// Returns how many nodes have announced themselves, 0 if that is unknown.
+    pub(super) fn announced(&self) -> usize {
+        self.announced
+    }
+
+    /// Takes the units of a request from the share of one of `nodes` nodes; returns whether it may be
+    /// sent on.
     ///
     /// Most requests are larger than the share, so that each passes with the probability at which the
     /// nodes together grant what the share adds up to.
@@ -46,12 +51,11 @@
         now: Instant,
     ) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        if age > START_PERIOD || self.announced == 0 {
+        if age > START_PERIOD {
             self.taken.clear();
             return false;
         }
-        let nodes = self.announced.max(nodes) as f64;
-        let share = query.limit.rate_per_s as f64 * age.as_secs_f64() / nodes;
+        let share = query.limit.rate_per_s as f64 * age.as_secs_f64() / nodes.max(1) as f64;
         let is_full = self.taken.len() >= MAX_SHARES && !self.taken.contains_key(&query.workspace);
         if is_full {
             return false;
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -15,6 +15,7 @@
 use async_channel::Sender;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// Adapters of a relay node to its site.
 #[derive(Clone)]
@@ -31,6 +32,8 @@
 pub struct RelayContext {
     /// Settings.
     pub settings: RelaySettings,
+    /// When the node started.
+    pub started_at: Instant,
     /// Ports.
     pub ports: RelayPorts,
     /// Configuration in force, `None` until one is known.
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -216,7 +216,9 @@
     peer_queries: PeerQueries,
     control_events: Sender<RelayControlEvent>,
 ) -> RelayContext {
+    let started_at = Instant::now();
     RelayContext {
+        started_at,
         configuration: ArcSwapOption::empty(),
         caller_limits: Arc::new(ArcSwap::from_pointee(DEFAULT_CALLER_LIMITS)),
         pool: pools.servers,
@@ -228,8 +230,8 @@
         resend_budget: Mutex::new(ResendBudget::new(settings.resend, 1)),
         poison: Mutex::new(PoisonState::default()),
         crash_evidence: Mutex::new(CrashEvidence::default()),
-        origins: Mutex::new(StreamOrigins::new(settings.is_first_start, Instant::now())),
-        quotas: Mutex::new(QuotaLedger::new(Instant::now())),
+        origins: Mutex::new(StreamOrigins::new(settings.is_first_start, started_at)),
+        quotas: Mutex::new(QuotaLedger::new(started_at)),
         peer_queries,
         peer_pool: pools.peers,
         identity,
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -135,6 +135,7 @@
         limit: quota.limit(revision, &context.settings.quota_window),
         units,
         priority: request.route.priority,
+        sender_age_ms: u32::try_from(context.started_at.elapsed().as_millis()).unwrap_or(u32::MAX),
     }
 }
 
--- a/tests/relay/quota.rs
+++ b/tests/relay/quota.rs
@@ -75,6 +75,7 @@
     ledger: QuotaLedger,
     instance: SmolStr,
     starts: usize,
+    started_ms: u64,
     limit: QuotaLimit,
     /// Side of a cut.
     side: usize,
@@ -109,6 +110,7 @@
             ledger: QuotaLedger::new(start),
             instance: format_smolstr!("n{index}-0"),
             starts: 0,
+            started_ms: 0,
             limit,
             side: 0,
             is_frozen: false,
@@ -153,11 +155,13 @@
     }
 
     fn restart(&mut self, node: usize, at_ms: u64) {
-        let now = self.at(at_ms);
+        let (now, announced) = (self.at(at_ms), self.nodes.len());
         let node = &mut self.nodes[node];
+        node.started_ms = at_ms;
         node.starts += 1;
         node.instance = format_smolstr!("{}-{}", node.instance, node.starts);
         node.ledger = QuotaLedger::new(now);
+        node.ledger.set_announced(announced);
     }
 
     fn apply(&mut self, event: Event, at_ms: u64) {
@@ -239,7 +243,8 @@
             return 0;
         }
         let limit = self.nodes[node].limit;
-        let query = QuotaQuery { workspace: WORKSPACE, limit, units, priority: 0 };
+        let sender_age_ms = (at_ms - self.nodes[node].started_ms) as u32;
+        let query = QuotaQuery { workspace: WORKSPACE, limit, units, priority: 0, sender_age_ms };
         let mut owners = self.nodes[node].ledger.owners(&WORKSPACE);
         if self.random.bool() {
             owners.reverse();
@@ -399,7 +404,7 @@
 
 fn query(units: u64, priority: u8) -> QuotaQuery {
     let limit = SMALL.limit(1, &QuotaWindow::default());
-    QuotaQuery { workspace: WORKSPACE, limit, units, priority }
+    QuotaQuery { workspace: WORKSPACE, limit, units, priority, sender_age_ms: u32::MAX }
 }
 
 fn is_granted(ledger: &mut QuotaLedger, query: &QuotaQuery, now: Instant) -> bool {
@@ -524,3 +529,31 @@
     let [urgent, small] = [f64::from(urgent) / 80.0, f64::from(small) / 2_000.0];
     assert!(small >= urgent * MIN_RELATIVE_SERVICE, "{small} of the small, {urgent} of the urgent");
 }
+
+/// Guards against a node that takes its own start, or that of a few, for the start of the whole site, and
+/// grants beside owners that it does not know yet.
+#[test]
+fn a_node_that_older_ones_ask_waits_before_it_grants() {
+    let start = Instant::now();
+    let own = |node: usize| PeerNode {
+        instance: format_smolstr!("n{node}"),
+        availability_zone: "z1".into(),
+        address: address(node),
+        processor_percent: 50,
+    };
+    let query = |sender_age_ms| QuotaQuery { sender_age_ms, ..query(10, 0) };
+    let at = |ms| start + Duration::from_millis(ms);
+    for (ages_ms, is_granted) in [([400, 450], true), ([400, 60_000], false)] {
+        let mut ledger = QuotaLedger::new(start);
+        ledger.set_announced(2);
+        ledger.set_nodes(&"n0".into(), vec![own(0), own(1)], at(300));
+        ledger.answer(&query(ages_ms[0]), at(400));
+        let answer = ledger.answer(&query(ages_ms[1]), at(450));
+        assert_eq!(answer == QuotaAnswer::Granted, is_granted, "{ages_ms:?}: {answer:?}");
+    }
+    // While further nodes may join, a few must not be taken for all.
+    let mut ledger = QuotaLedger::new(start);
+    ledger.set_nodes(&"n0".into(), vec![own(0), own(1)], at(300));
+    assert_eq!(ledger.answer(&query(400), at(450)), QuotaAnswer::NotOwner);
+    assert_eq!(ledger.answer(&query(400), at(510)), QuotaAnswer::Granted);
+}
