feat(cli): config check, a document checked before it is sent

Errors by the code that nodes use, entries without effect and limits that contradict each other as warnings, and differences from another file; no node is needed. Not built: line numbers, the running site as the other side (config diff does that), what a difference changes for callers.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -81,7 +81,7 @@
 
 /// Restores a document whose records expired from the log while no node was running.
 pub async fn restore(connection: &Connection, file: &Path) -> Result<ExitStatus, CliError> {
-    let request = RestoreRequest { document: read_document_file(file)?.document };
+    let request = RestoreRequest { document: DocumentFile::read(file)?.document };
     let reply: EditReply = connection.client().post("/admin/v1/restore", &request).await?;
     print_json(&reply);
     Ok(ExitStatus::Success)
@@ -110,7 +110,7 @@
 /// Computes the changes that a file makes. Fails if a changed section was edited after the file's
 /// base revision, unless `change.force` is set.
 pub async fn plan(connection: &Connection, change: &Change) -> Result<PlannedChange, CliError> {
-    let file = read_document_file(&change.file)?;
+    let file = DocumentFile::read(&change.file)?;
     let accepted: DocumentReply = connection.client().get("/admin/v1/document").await?;
     let changes = file.changes(&accepted, change.prune);
     let outdated = file.outdated(&changes);
@@ -122,14 +122,6 @@
     Err(CliError::new(ExitStatus::Conflict, lines.join("\n")))
 }
 
-fn read_document_file(path: &Path) -> Result<DocumentFile, CliError> {
-    let file_error = |message: String| {
-        CliError::new(ExitStatus::Failure, format!("{}: {message}", path.display()))
-    };
-    let text = std::fs::read_to_string(path).map_err(|error| file_error(error.to_string()))?;
-    DocumentFile::parse(&text).map_err(file_error)
-}
-
 fn format_outdated(accepted: &DocumentReply, change: &SectionChange) -> String {
     let author = accepted.sections.get(&change.section).map_or("", |section| &section.author);
     format!(
--- a/src/cli/diff.rs
+++ b/src/cli/diff.rs
@@ -1,5 +1,6 @@
 //! Differences between a document file and the accepted document.
 
+use super::exit::{CliError, ExitStatus};
 use crate::admin::messages::DocumentReply;
 use crate::decision::configuration::SectionChange;
 use crate::decision::configuration::sections::split_json;
@@ -7,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeSet;
+use std::path::Path;
 
 /// Field of a document file with the revision that the file is based on.
 pub const BASE_REVISION: &str = "base_revision";
@@ -34,6 +36,19 @@
 }
 
 impl DocumentFile {
+    /// Reads and parses a file.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read or is no document.
+    pub fn read(path: &Path) -> Result<Self, CliError> {
+        let file_error = |message: String| {
+            CliError::new(ExitStatus::Failure, format!("{}: {message}", path.display()))
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| file_error(error.to_string()))?;
+        Self::parse(&text).map_err(file_error)
+    }
+
     /// Parses the text of a file; the error is a message for people.
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut document: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
@@ -97,6 +112,18 @@
     found
 }
 
+/// Returns the values that differ between two files.
+pub fn compare(before: &DocumentFile, after: &DocumentFile) -> Vec<Difference> {
+    let (before, after) = (split_json(&before.document), split_json(&after.document));
+    let sections: BTreeSet<&SectionPath> = before.keys().chain(after.keys()).collect();
+    let mut found = Vec::new();
+    for section in sections {
+        let (old, new) = (before.get(section), after.get(section));
+        add_differences(section, String::new(), old, new, &mut found);
+    }
+    found
+}
+
 /// Formats a difference as one line for people.
 pub fn format_difference(difference: &Difference) -> String {
     let Difference { section, path, before, after } = difference;
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -26,6 +26,8 @@
     TimedOut = 7,
     /// The file differs from the accepted document; nothing was changed.
     Different = 8,
+    /// The document is valid, but parts of it are doubtful.
+    Doubtful = 9,
 }
 
 /// Error that ends a command.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command line for operators, a client of the administration API.
 
 pub mod apply;
+pub mod check;
 pub mod client;
 pub mod config;
 pub mod diff;
@@ -49,6 +50,9 @@
         ConfigCommand::Validate { connection, change } => {
             config::validate(&connection, &change).await
         }
+        ConfigCommand::Check { json, against, file } => {
+            check::check(&file, against.as_deref(), json)
+        }
         ConfigCommand::Diff { connection, change } => config::diff(&connection, &change).await,
         ConfigCommand::Apply { connection, change, yes, no_wait, timeout_s } => {
             let options = apply::ApplyOptions { yes, no_wait, timeout_s };
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -107,6 +107,18 @@
         #[bpaf(external)]
         change: Change,
     },
+    /// Check a file without a node: errors, entries without effect, limits that contradict each other
+    #[bpaf(command)]
+    Check {
+        /// Print JSON
+        json: bool,
+        /// Show what differs from this document, such as the output of `config get`
+        #[bpaf(long, argument("FILE"))]
+        against: Option<PathBuf>,
+        /// Whole document in JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show what a file would change
     #[bpaf(command)]
     Diff {
@@ -173,7 +185,8 @@
     /// Returns whether the output is JSON.
     pub fn is_json(&self) -> bool {
         match self {
-            Self::Config(command) => command.connection().json,
+            Self::Config(ConfigCommand::Check { json, .. }) => *json,
+            Self::Config(command) => command.connection().is_some_and(|connection| connection.json),
             Self::Status { connection }
             | Self::Servers { connection }
             | Self::Explain { connection, .. } => connection.json,
@@ -183,15 +196,16 @@
 }
 
 impl ConfigCommand {
-    fn connection(&self) -> &Connection {
+    fn connection(&self) -> Option<&Connection> {
         match self {
+            Self::Check { .. } => None,
             Self::Get { connection, .. }
             | Self::Validate { connection, .. }
             | Self::Diff { connection, .. }
             | Self::Apply { connection, .. }
             | Self::Restore { connection, .. }
             | Self::History { connection, .. }
-            | Self::Wait { connection, .. } => connection,
+            | Self::Wait { connection, .. } => Some(connection),
         }
     }
 }
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -4,6 +4,7 @@
 mod check_owners;
 pub mod owner;
 pub mod raw;
+pub mod review;
 
 pub use owner::{Owner, OwnerRole, SectionPattern, hash_key, is_key_hash};
 pub use raw::RawDocument;
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step must fail the test")]
 
 mod admin;
+mod check;
 mod cli;
 mod decoders;
 mod document;
