fix(relay): an answer that names another request promises nothing for this one

Cause: whether a server says that it did not run a request was read before the id in its answer was compared. A second answer to an earlier request, late on a connection in use again, was taken for the promise that the next request has not run, though it was running: it was refused, or sent again. Measured: platform/tests/late_answers.rs failed before (a refusal of a request that ran), passes now.

--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -177,6 +177,18 @@
     NotRunReason::Full
 }
 
+/// Returns an error if the answer names another request: a second answer of the server to an earlier
+/// request on the connection. What it promises does not hold for this one, which may be running.
+pub fn find_late_answer(
+    request: &RelayedRequest,
+    choice: &Choice,
+    head: &AnswerHead,
+) -> Option<PeerError> {
+    let other = head.request_id.as_ref().filter(|id| **id != request.id)?;
+    let error = anyhow!("the answer belongs to request {other}");
+    Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
+}
+
 /// Returns an error if the answer cannot be the answer of a server that ran this request.
 pub fn find_answer_fault(
     request: &RelayedRequest,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::RelayContext;
 use super::answer_head::{
-    find_answer_fault, heed_server, is_misdirected, learn_prefill_rate, record_not_run,
-    update_weights,
+    find_answer_fault, find_late_answer, heed_server, is_misdirected, learn_prefill_rate,
+    record_not_run, update_weights,
 };
 use super::buffered_answer::{self, BufferedAnswer};
 use super::control::RelayControlEvent;
@@ -101,6 +101,11 @@
         reach::record_opened(context, &request.service);
     }
     let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
+    if let Some(error) = find_late_answer(request, choice, &head) {
+        log::warn!("event=late_answer request={} {error}", request.id);
+        in_flight.record_outcome(false, 0.0);
+        return ReceivedHead::None(AttemptOutcome::Unknown(error));
+    }
     update_weights(context, request, choice, &head);
     if !is_misdirected(choice, &head) {
         heed_server(context, request, choice, incarnation, &head, sent_at);
