fix(relay): the nodes that remain grant their part of a quota

Cause: owners granted nothing while their node saw no more than half of the nodes, so that a workspace was refused for up to 30 s after the loss of most nodes. Change: owners grant the part of a quota that the nodes they see are of all, so that both sides of a cut add up to one quota; only queries of other nodes, three of them, tell a start of the whole site.

--- a/src/decision/relay/quota/bucket.rs
+++ b/src/decision/relay/quota/bucket.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
     limit: QuotaLimit,
+    /// Part of the limit that the owners grant together.
+    part: f64,
     /// Units left as of `filled_at`.
     level: f64,
     filled_at: Instant,
@@ -37,7 +39,14 @@
 impl Bucket {
     /// Returns a bucket that is empty at `filled_at`.
     pub(super) fn new(limit: QuotaLimit, filled_at: Instant) -> Self {
-        Self { limit, level: 0.0, filled_at, promised: 0.0, granted: WindowSum::new(filled_at) }
+        Self {
+            limit,
+            part: 1.0,
+            level: 0.0,
+            filled_at,
+            promised: 0.0,
+            granted: WindowSum::new(filled_at),
+        }
     }
 
     /// Returns the revision of the limit.
@@ -50,6 +59,16 @@
         self.level
     }
 
+    /// Sets which part of the limit the owners grant together.
+    pub(super) fn set_part(&mut self, part: f64, now: Instant) {
+        if part == self.part {
+            return;
+        }
+        self.fill(now);
+        self.part = part;
+        self.level = self.level.min(self.capacity());
+    }
+
     /// Applies a limit unless the known one is newer.
     pub(super) fn set_limit(&mut self, limit: QuotaLimit, now: Instant) {
         if limit.revision <= self.limit.revision {
@@ -95,7 +114,7 @@
             return 0.0;
         }
         let granted = self.granted.sum(Duration::from_millis(window_ms), now);
-        granted as f64 - window_units as f64 / OWNERS as f64
+        granted as f64 - window_units as f64 * self.part / OWNERS as f64
     }
 
     fn fill(&mut self, now: Instant) {
@@ -107,11 +126,11 @@
     }
 
     fn rate_per_s(&self) -> f64 {
-        self.limit.rate_per_s.max(1) as f64 / OWNERS as f64
+        self.limit.rate_per_s.max(1) as f64 * self.part / OWNERS as f64
     }
 
     fn capacity(&self) -> f64 {
-        (self.limit.burst as f64 / OWNERS as f64).max(self.rate_per_s() * MIN_BURST_S)
+        (self.limit.burst as f64 * self.part / OWNERS as f64).max(self.rate_per_s() * MIN_BURST_S)
     }
 
     /// Returns what a request leaves to more urgent ones; a small one takes little from them, so that
--- a/src/decision/relay/quota/ledger.rs
+++ b/src/decision/relay/quota/ledger.rs
@@ -24,6 +24,9 @@
 /// Time without another node after which all nodes that start at once have joined.
 const JOIN_PERIOD: Duration = Duration::from_millis(200);
 
+/// Queries of other nodes, all of them young, from which all nodes count as started just now.
+const MIN_YOUNG_QUERIES: usize = 3;
+
 /// Maximum buckets, and workspaces whose owners are remembered.
 const MAX_BUCKETS: usize = 65_536;
 
@@ -37,6 +40,8 @@
     began_at: Instant,
     /// Whether a node has asked that ran before this one, so that there were owners before.
     has_older_nodes: bool,
+    /// Queries of other nodes that did not.
+    young_queries: usize,
     /// Earlier live nodes, each until when, as far as a takeover may still be under way.
     earlier_nodes: VecDeque<(Instant, Nodes)>,
     last_tick_at: Instant,
@@ -55,6 +60,7 @@
             started_at: now,
             began_at: now,
             has_older_nodes: false,
+            young_queries: 0,
             earlier_nodes: VecDeque::new(),
             last_tick_at: now,
             buckets: BTreeMap::new(),
@@ -66,14 +72,9 @@
     /// Sets the live nodes, this one included.
     pub fn set_nodes(&mut self, own: &InstanceId, live: Vec<PeerNode>, now: Instant) {
         self.own = own.clone();
-        let had_majority = self.nodes.has_majority();
         self.remove_settled(now);
         self.earlier_nodes.push_back((now, self.nodes.clone()));
         self.nodes.set(live, now);
-        if !had_majority && self.nodes.has_majority() {
-            // Nodes on the other side of the cut have granted meanwhile.
-            self.restart(now);
-        }
         self.owners.clear();
         let Self { own, nodes, buckets, .. } = self;
         buckets.retain(|workspace, _| nodes.is_owner(own, workspace));
@@ -110,12 +111,17 @@
         owners
     }
 
-    /// Answers a query.
+    /// Answers a query of another node.
+    pub fn answer_other(&mut self, query: &QuotaQuery, now: Instant) -> QuotaAnswer {
+        self.record_age(query.sender_age_ms, now);
+        self.answer(query, now)
+    }
+
+    /// Answers a query of this node.
     pub fn answer(&mut self, query: &QuotaQuery, now: Instant) -> QuotaAnswer {
         if now > self.last_tick_at + MAX_TICK_GAP {
             self.restart(now);
         }
-        self.record_age(query.sender_age_ms, now);
         let Some(bucket) = self.bucket(query, now) else { return QuotaAnswer::NotOwner };
         bucket.set_limit(query.limit, now);
         match bucket.take(query.units, query.priority, now) {
@@ -171,8 +177,13 @@
     /// Whether all nodes have started just now, so that nobody has granted before.
     fn is_start_of_site(&self, now: Instant) -> bool {
         let is_new = self.began_at == self.started_at && now < self.started_at + TAKEOVER_DELAY;
+        let others = self.nodes.live().saturating_sub(1);
+        let has_heard_others = self.young_queries >= MIN_YOUNG_QUERIES.min(others);
         let all = self.nodes_of_site(now);
-        is_new && !self.has_older_nodes && all.is_some_and(|all| 2 * self.nodes.live() > all)
+        is_new
+            && !self.has_older_nodes
+            && has_heard_others
+            && all.is_some_and(|all| 2 * self.nodes.live() > all)
     }
 
     /// Returns the number of nodes of the site, `None` while it is unknown: as many as have announced
@@ -190,6 +201,7 @@
     fn record_age(&mut self, age_ms: u32, now: Instant) {
         let own_age = now.saturating_duration_since(self.started_at);
         let is_older = Duration::from_millis(age_ms.into()) > own_age + MIN_AGE_DIFFERENCE;
+        self.young_queries += usize::from(!is_older);
         if is_older && !self.has_older_nodes {
             self.has_older_nodes = true;
             if now < self.started_at + TAKEOVER_DELAY {
@@ -217,9 +229,6 @@
 
     /// Returns the bucket of a quota that this node owns.
     fn bucket(&mut self, query: &QuotaQuery, now: Instant) -> Option<&mut Bucket> {
-        if !self.nodes.has_majority() {
-            return None;
-        }
         if !self.buckets.contains_key(&query.workspace) {
             let empty_at = self.owned_since(&query.workspace, now)?;
             if self.buckets.len() >= MAX_BUCKETS {
@@ -228,6 +237,9 @@
             let bucket = Bucket::new(query.limit, empty_at);
             self.buckets.insert(query.workspace.clone(), bucket);
         }
-        self.buckets.get_mut(&query.workspace)
+        let part = self.nodes.seen_fraction();
+        let bucket = self.buckets.get_mut(&query.workspace)?;
+        bucket.set_part(part, now);
+        Some(bucket)
     }
 }
--- a/src/decision/relay/quota/owners.rs
+++ b/src/decision/relay/quota/owners.rs
@@ -25,10 +25,10 @@
     /// Nodes that may own quotas.
     candidates: Vec<PeerNode>,
     live: usize,
-    /// Highest number of live nodes, of which more than half must be seen.
+    /// Highest number of live nodes.
     expected: usize,
-    /// Since when no more than half are seen, `None` if more are.
-    cut_since: Option<Instant>,
+    /// Since when fewer are seen, `None` if all are.
+    reduced_since: Option<Instant>,
 }
 
 impl Nodes {
@@ -40,20 +40,20 @@
         let are_large_enough = live.iter().filter(|node| is_large(node)).count() >= MIN_LARGE_NODES;
         self.candidates =
             live.into_iter().filter(|node| !are_large_enough || is_large(node)).collect();
-        match 2 * self.live > self.expected {
-            true => self.cut_since = None,
+        match self.live == self.expected {
+            true => self.reduced_since = None,
             false => {
-                self.cut_since.get_or_insert(now);
+                self.reduced_since.get_or_insert(now);
             }
         }
     }
 
     /// Takes nodes for gone that were not seen for long.
     pub(super) fn tick(&mut self, now: Instant) {
-        if self.cut_since.is_some_and(|since| now >= since + MAX_CUT_PERIOD) {
-            log::warn!("event=nodes_gone expected={} live={}", self.expected, self.live);
+        if self.reduced_since.is_some_and(|since| now >= since + MAX_CUT_PERIOD) {
+            log::info!("event=nodes_gone expected={} live={}", self.expected, self.live);
             self.expected = self.live;
-            self.cut_since = None;
+            self.reduced_since = None;
         }
     }
 
@@ -62,9 +62,10 @@
         self.live
     }
 
-    /// Whether this node sees more than half of the nodes, so that no others own the same quotas.
-    pub(super) fn has_majority(&self) -> bool {
-        self.cut_since.is_none()
+    /// Returns the part of the nodes that is seen. The owners on each side of a cut grant that part of
+    /// a quota, since those on the other side grant the rest.
+    pub(super) fn seen_fraction(&self) -> f64 {
+        self.live as f64 / self.expected.max(1) as f64
     }
 
     /// Returns the owners of a quota, best one first; the second one is in another availability zone
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -144,7 +144,7 @@
             }
         }
         Datagram::QuotaQuery { number, query } => {
-            let answer = context.quotas().answer(&query, now);
+            let answer = context.quotas().answer_other(&query, now);
             let QuotaQuery { workspace, units, .. } = query;
             send(context, &Datagram::QuotaAnswer { number, workspace, units, answer }, &[sender]);
         }
