fix(relay): a node that has started again counts once

Cause: after a kill and a start, a node is known by two ids until the first is taken for gone; counted by id, the highest number of nodes rose, and every quota fell for 30 s. Nodes are counted by address now.

--- a/src/decision/relay/quota/owners.rs
+++ b/src/decision/relay/quota/owners.rs
@@ -3,6 +3,8 @@
 use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{InstanceId, WorkspaceId};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -34,8 +36,10 @@
 impl Nodes {
     /// Sets the live nodes, this one included.
     pub(super) fn set(&mut self, live: Vec<PeerNode>, now: Instant) {
-        self.live = live.len();
-        self.expected = self.expected.max(live.len());
+        // A node that was killed and has started again is known by two ids for a moment.
+        let addresses: BTreeSet<SocketAddr> = live.iter().map(|node| node.address).collect();
+        self.live = addresses.len();
+        self.expected = self.expected.max(self.live);
         let is_large = |node: &PeerNode| node.processor_percent >= LARGE_PROCESSOR_PERCENT;
         let are_large_enough = live.iter().filter(|node| is_large(node)).count() >= MIN_LARGE_NODES;
         self.candidates =
--- a/tests/relay/quota.rs
+++ b/tests/relay/quota.rs
@@ -574,3 +574,36 @@
     assert!(used >= MIN_USED_FRACTION, "{used}");
     assert!(model.largest_window(0) <= allowed_units(LARGE));
 }
+
+/// Guards against nodes that count twice after they were killed and have started again, which would
+/// lower every quota for a while.
+#[test]
+fn nodes_that_have_started_again_do_not_lower_quotas() {
+    let start = Instant::now();
+    let peer = |node: usize, run: usize| PeerNode {
+        instance: format_smolstr!("n{node}-{run}"),
+        availability_zone: "z1".into(),
+        address: address(node),
+        processor_percent: 50,
+    };
+    let mut ledger = QuotaLedger::new(start);
+    let first: Vec<PeerNode> = (0..10).map(|node| peer(node, 0)).collect();
+    let both = first.iter().cloned().chain((1..10).map(|node| peer(node, 1))).collect();
+    let again = std::iter::once(peer(0, 0)).chain((1..10).map(|node| peer(node, 1))).collect();
+    let own = "n0-0".into();
+    ledger.set_nodes(&own, first, start);
+    ledger.set_nodes(&own, both, start);
+    ledger.set_nodes(&own, again, start);
+    let workspace = (0..100)
+        .map(|index| format_smolstr!("w{index}"))
+        .find(|workspace| ledger.owners(workspace).contains(&address(0)));
+    let query = QuotaQuery { workspace: workspace.unwrap(), ..query(9_000, 0) };
+    let ticks = (0..=5_000).step_by(TICK_MS as usize).map(|ms| start + Duration::from_millis(ms));
+    let last = ticks.inspect(|now| ledger.tick(*now)).last().unwrap();
+    assert_eq!(ledger.answer(&query, last), QuotaAnswer::Granted);
+    let QuotaAnswer::Denied { level, .. } = ledger.answer(&query, last) else {
+        panic!("granted beyond the quota");
+    };
+    // The owner's half of the burst is 9,000 units.
+    assert_eq!(level, 0);
+}
