feat(relay): log lines tell runs, hops and servers at the end of a request

Now answered and the new search_failed have runs, hops and what was tried, and forward_received the sender and what it hands over. Earlier builds do not send their name (empty).

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -4,7 +4,8 @@
 use super::request::RelayedRequest;
 use super::{RelayContext, quota, suspects};
 use crate::metrics::labels::ReasonLabels;
-use crate::types::{ServerId, SoftwareVersion};
+use crate::types::{InstanceId, ServerId, SoftwareVersion};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 /// Minimum remaining time for a resend.
@@ -20,6 +21,8 @@
     pub tried: Vec<ServerId>,
     /// Number of attempts in which the server may have run the request.
     pub possible_runs: u32,
+    /// Number of attempts by way of other nodes.
+    pub hops: u32,
     /// Software version that began the stream, at which alone it goes on; `None` before its first
     /// event.
     pub software: Option<SoftwareVersion>,
@@ -32,6 +35,12 @@
         self.possible_runs += 1;
     }
 
+    /// Records that the request was sent to another node, which hands it to a server.
+    pub fn begin_by_node(&mut self, node: &InstanceId) {
+        self.begin(node);
+        self.hops += 1;
+    }
+
     /// Records the outcome of an attempt: a server that certainly did not run the request does not
     /// count.
     pub fn end(&mut self, outcome: &AttemptOutcome) {
@@ -84,3 +93,9 @@
         is_allowed
     }
 }
+
+impl fmt::Display for Attempts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "runs={} hops={} tried={}", self.possible_runs, self.hops, self.tried.join(","))
+    }
+}
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -1,6 +1,7 @@
 //! Answers that are read completely before they are forwarded.
 
 use super::attempt::Answer;
+use super::attempts::Attempts;
 use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
 use super::{RelayContext, stream, suspects};
@@ -75,12 +76,17 @@
 
 impl BufferedAnswer {
     /// Returns the answer for the caller.
-    pub fn forward(self, context: &RelayContext, request: &RelayedRequest) -> Reply {
+    pub fn forward(
+        self,
+        context: &RelayContext,
+        request: &RelayedRequest,
+        attempts: &Attempts,
+    ) -> Reply {
         let Self { status, headers, body, server, framing } = self;
         let outcome = if status.is_success() { "complete" } else { "failed" };
         log::info!(
             "event=answered request={} route={} outcome={outcome} status={} server={server} \
-             framing={framing} age_ms={}",
+             framing={framing} {attempts} age_ms={}",
             request.id,
             request.route.name,
             status.as_u16(),
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -67,7 +67,13 @@
     last_event_id: Option<SmolStr>,
 ) -> ReceivedHead {
     let sent_at = Instant::now();
-    let body = message::encode(request, attempts, last_event_id, sent_at);
+    let body = message::encode(
+        request,
+        attempts,
+        &context.identity.record.instance,
+        last_event_id,
+        sent_at,
+    );
     let mut outgoing = Request::new(Full::new(body));
     *outgoing.method_mut() = http::Method::POST;
     *outgoing.uri_mut() = http::Uri::from_static(FORWARD_PATH);
--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -66,6 +66,13 @@
         (None, Refusal::new(RefusalReason::BodyIncomplete))
     })?;
     let id = forwarded.id.clone();
+    log::info!(
+        "event=forward_received request={id} route={} from={} runs={} max_attempts={}",
+        forwarded.route.name,
+        forwarded.sender,
+        forwarded.attempts.possible_runs,
+        forwarded.route.max_attempts
+    );
     RelayedRequest::forwarded(context, forwarded).map_err(|refusal| (Some(id), refusal))
 }
 
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -4,7 +4,7 @@
 use crate::decision::relay::{RetrySafety, Route};
 use crate::relay::attempts::Attempts;
 use crate::relay::request::RelayedRequest;
-use crate::types::{RequestId, RouteId, ServiceId, SoftwareVersion, WorkspaceId};
+use crate::types::{InstanceId, RequestId, RouteId, ServiceId, SoftwareVersion, WorkspaceId};
 use anyhow::{Context, ensure};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
@@ -68,6 +68,9 @@
     software: Option<SoftwareVersion>,
     /// Last event that the sender has forwarded of the stream.
     last_event_id: Option<SmolStr>,
+    /// Node that sends the request; earlier builds do not say.
+    #[serde(default)]
+    sender: InstanceId,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -123,12 +126,15 @@
     pub attempts: Attempts,
     /// Last event that the sender has forwarded of the stream.
     pub last_event_id: Option<SmolStr>,
+    /// Node that sent the request, empty if it is of an earlier build.
+    pub sender: InstanceId,
 }
 
-/// Encodes a request for another node.
+/// Encodes a request of `sender` for another node.
 pub fn encode(
     request: &RelayedRequest,
     attempts: &Attempts,
+    sender: &InstanceId,
     last_event_id: Option<SmolStr>,
     now: Instant,
 ) -> Bytes {
@@ -164,6 +170,7 @@
         possible_runs: attempts.possible_runs,
         software: attempts.software.clone(),
         last_event_id,
+        sender: sender.clone(),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&head, &mut encoded).expect("writing to a Vec cannot fail");
@@ -226,10 +233,11 @@
         deadline: now + period(head.remaining_ms),
         caller_deadline: now + period(head.caller_remaining_ms),
         attempts: Attempts {
-            tried: Vec::new(),
             possible_runs: head.possible_runs,
             software: head.software,
+            ..Attempts::default()
         },
         last_event_id: head.last_event_id,
+        sender: head.sender,
     })
 }
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -164,7 +164,7 @@
         }
         forward::log_forwarding(request, &node);
         let attempts = self.attempts.clone();
-        self.attempts.begin(&node.instance);
+        self.attempts.begin_by_node(&node.instance);
         self.pending.begin_by_node(context, request, node, attempts, None);
         self.failover.record_sent();
     }
@@ -219,7 +219,7 @@
                 let is_retryable = self.request.route.retry_safety.is_retryable();
                 if !answer.status.is_server_error() || !is_retryable {
                     self.pending.abandon(self.request);
-                    return Some(answer.forward(self.context, self.request));
+                    return Some(answer.forward(self.context, self.request, &self.attempts));
                 }
                 self.next_attempt = self.resend_if_retryable("server_error");
                 self.failure = Some(*answer);
@@ -251,11 +251,19 @@
     fn give_up(self, refusal: Refusal) -> Result<Reply, Refusal> {
         match self.failure {
             Some(failure) => {
-                let Self { mut pending, context, request, .. } = self;
+                let Self { mut pending, context, request, attempts, .. } = self;
                 pending.abandon(request);
-                Ok(failure.forward(context, request))
+                Ok(failure.forward(context, request, &attempts))
+            }
+            None => {
+                log::info!(
+                    "event=search_failed request={} reason={} {}",
+                    self.request.id,
+                    refusal.reason.name(),
+                    self.attempts
+                );
+                Err(refusal)
             }
-            None => Err(refusal),
         }
     }
 
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -188,7 +188,7 @@
             NextHop::Node(node) => {
                 forward::log_forwarding(request, &node);
                 let attempts = self.attempts.clone();
-                self.attempts.begin(&node.instance);
+                self.attempts.begin_by_node(&node.instance);
                 self.pending.begin_by_node(context, request, node, attempts, last_event_id);
             }
         }
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -366,7 +366,7 @@
         let answer = current.or_else(|| self.last_answer.clone());
         log::info!(
             "event=answered request={} route={} outcome={outcome} server={} framing={} \
-             first_ms={} bytes={} longest_pause_ms={} attempts={} age_ms={}",
+             first_ms={} bytes={} longest_pause_ms={} {} age_ms={}",
             self.request.id,
             self.request.route.name,
             answer.as_ref().map_or("none", |(server, _)| server.as_str()),
@@ -374,7 +374,7 @@
             self.first_answer_ms,
             self.forwarded_bytes,
             self.max_pause.as_millis(),
-            self.attempts.possible_runs,
+            self.attempts,
             self.request.age_ms()
         );
     }
