fix(relay): a request gets one run for each node that it is sent by way of

Cause: a node without links to the servers counted what it sent by way of another node as one run, and handed the route's whole number over; the other node tried several servers and told nobody how many. A bound on a sum, of which two places held a copy. Change: the sender owns the number of attempts and hands over one run a hop; the other node tries a second server only if the first certainly did not run the request, and tells which server it tried. A broken link, a silence or a lost answer counts as that run. The answer of a node names its server, so that a retry avoids it and a stream leaves a server that changes its weights. A node's 503 speaks of its own search alone. A slow call by way of a node is resent after two objectives, as a direct one. Earlier builds: one that receives the message is bound by its number of attempts; of one that sends it, this build takes a single run whatever it names. Both directions stay within the route.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts of a request so far, and the limits of further ones.
 
 use super::attempt::AttemptOutcome;
+use super::pending_attempts::EndedAttempt;
 use super::request::RelayedRequest;
 use super::{RelayContext, quota, suspects};
 use crate::metrics::labels::ReasonLabels;
@@ -17,9 +18,12 @@
 /// Attempts of a request so far.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
-    /// Servers that were tried, including unreachable ones.
+    /// Servers that were tried, including unreachable ones, and nodes by way of which the request
+    /// was sent, until they tell which server they tried.
     pub tried: Vec<ServerId>,
-    /// Number of attempts in which the server may have run the request.
+    /// Those of them that may have run the request, as far as this node knows.
+    pub ran_at: Vec<ServerId>,
+    /// Number of attempts in which the server may have run the request, over all nodes.
     pub possible_runs: u32,
     /// Number of attempts by way of other nodes.
     pub hops: u32,
@@ -32,23 +36,42 @@
     /// Records that the request was sent to a server, which may run it.
     pub fn begin(&mut self, server: &ServerId) {
         self.tried.push(server.clone());
+        self.ran_at.push(server.clone());
         self.possible_runs += 1;
     }
 
-    /// Records that the request was sent to another node, which hands it to a server.
+    /// Records that the request was sent to another node, which hands it to a server. Whatever
+    /// becomes of it there counts as one run, unless the node tells that no server ran it.
     pub fn begin_by_node(&mut self, node: &InstanceId) {
         self.begin(node);
         self.hops += 1;
     }
 
-    /// Records the outcome of an attempt: a server that certainly did not run the request does not
+    /// Records that `node` has sent the request to `server`. The node may take the request again.
+    fn record_server(&mut self, node: &InstanceId, server: &ServerId) {
+        for servers in [&mut self.tried, &mut self.ran_at] {
+            if let Some(entry) = servers.iter_mut().rev().find(|entry| *entry == node) {
+                *entry = server.clone();
+            }
+        }
+    }
+
+    /// Records the end of an attempt: a server that certainly did not run the request does not
     /// count.
-    pub fn end(&mut self, outcome: &AttemptOutcome) {
-        match outcome {
+    pub fn end(&mut self, ended: &EndedAttempt) {
+        match ended.outcome {
             AttemptOutcome::Streaming(_)
             | AttemptOutcome::Answered(_)
             | AttemptOutcome::Unknown(_) => {}
-            AttemptOutcome::NotRun(_) | AttemptOutcome::NotSent(_) => self.possible_runs -= 1,
+            AttemptOutcome::NotRun(_) | AttemptOutcome::NotSent(_) => {
+                self.possible_runs -= 1;
+                if let Some(index) = self.ran_at.iter().rposition(|ran| *ran == ended.server) {
+                    self.ran_at.remove(index);
+                }
+            }
+        }
+        if let Some(server) = &ended.server_of_node {
+            self.record_server(&ended.server, server);
         }
     }
 
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -34,6 +34,8 @@
     pub server: ServerId,
     /// Version of the server's software when the request was sent.
     pub software: SoftwareVersion,
+    /// Server that another node has sent the request to, if it has told.
+    server_of_node: Option<ServerId>,
     /// Service of the server, `None` if another node sends the request on.
     service: Option<ServiceId>,
     /// Number of the attempt.
@@ -79,6 +81,7 @@
             context,
             server,
             software: choice.software.clone(),
+            server_of_node: None,
             service: Some(service),
             attempt,
             load,
@@ -91,12 +94,18 @@
     }
 
     /// Begins an attempt by way of another node, which has chosen a server of a software version.
-    pub fn by_node(context: Arc<RelayContext>, node: &PeerNode, software: SoftwareVersion) -> Self {
+    pub fn by_node(
+        context: Arc<RelayContext>,
+        node: &PeerNode,
+        server_of_node: Option<ServerId>,
+        software: SoftwareVersion,
+    ) -> Self {
         let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
         Self {
             context,
             server: node.instance.clone(),
             software,
+            server_of_node,
             service: None,
             attempt,
             load: ServerLoad::default(),
@@ -108,6 +117,14 @@
         }
     }
 
+    /// Returns the server that runs the request, as far as it is known.
+    pub fn known_server(&self) -> Option<&ServerId> {
+        match self.service {
+            Some(_) => Some(&self.server),
+            None => self.server_of_node.as_ref(),
+        }
+    }
+
     /// Records that the server sent something. The first time, the prompt counts as prefilled.
     pub fn record_contact(&mut self) {
         if let Some(service) = &self.service {
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -1,6 +1,6 @@
 //! Sends requests by way of other nodes while this one has lost the servers of their service.
 
-use super::message::{self, ANSWERED, FORWARD_PATH, OUTCOME, REFUSED, SOFTWARE};
+use super::message::{self, ANSWERED, FORWARD_PATH, OUTCOME, REFUSED, SERVER, SOFTWARE};
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::PeerNode;
 use crate::relay::RelayContext;
@@ -9,9 +9,9 @@
 use crate::relay::attempts::Attempts;
 use crate::relay::in_flight::InFlightAttempt;
 use crate::relay::request::RelayedRequest;
-use crate::types::{Delivery, PeerError, SoftwareVersion, Step};
+use crate::types::{Delivery, PeerError, ServerId, SoftwareVersion, Step};
 use anyhow::anyhow;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderName, Request, StatusCode};
 use http_body_util::Full;
 use smol_str::SmolStr;
 use std::sync::Arc;
@@ -58,14 +58,29 @@
     );
 }
 
-/// Sends the request to another node and waits for the head of the answer.
+/// What has arrived of an answer by way of another node.
+pub struct ForwardedAnswer {
+    /// The head of the answer, or the outcome of the attempt.
+    pub received: ReceivedHead,
+    /// Server that the node last sent the request to, `None` if it has told none.
+    pub server: Option<ServerId>,
+}
+
+impl From<AttemptOutcome> for ForwardedAnswer {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self { received: ReceivedHead::None(outcome), server: None }
+    }
+}
+
+/// Sends the request to another node, which spends one run on it, and waits for the head of the
+/// answer.
 pub async fn send(
     context: &Arc<RelayContext>,
     request: &RelayedRequest,
     node: &PeerNode,
     attempts: &Attempts,
     last_event_id: Option<SmolStr>,
-) -> ReceivedHead {
+) -> ForwardedAnswer {
     let sent_at = Instant::now();
     let body = message::encode(
         request,
@@ -90,21 +105,24 @@
             );
             context.gateways().record_failure(&node.instance, Instant::now());
             let is_sent = error.delivery != Delivery::NotSent;
-            return ReceivedHead::None(match is_sent {
+            return ForwardedAnswer::from(match is_sent {
                 true => AttemptOutcome::Unknown(error),
                 false => AttemptOutcome::NotSent(error),
             });
         }
     };
-    match read_outcome(&mut exchange) {
+    let server = take_text(&mut exchange.headers, &SERVER);
+    let received = match read_outcome(&mut exchange) {
         Some(Outcome::Answered(software)) => {
             let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
             if let Some(fault) = find_signature_fault(request, exchange.status, &head) {
-                let error = anyhow!("{fault} (status {})", exchange.status);
-                return decode_failure(request, node, error);
+                decode_failure(request, node, anyhow!("{fault} (status {})", exchange.status))
+            } else {
+                let server = server.clone();
+                let in_flight =
+                    InFlightAttempt::by_node(Arc::clone(context), node, server, software);
+                ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
             }
-            let in_flight = InFlightAttempt::by_node(Arc::clone(context), node, software);
-            ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
         }
         Some(Outcome::Refused) => {
             log::info!(
@@ -125,7 +143,8 @@
             })
         }
         None => decode_failure(request, node, anyhow!("the answer lacks its outcome")),
-    }
+    };
+    ForwardedAnswer { received, server }
 }
 
 enum Outcome {
@@ -139,12 +158,16 @@
 fn read_outcome(exchange: &mut PooledExchange) -> Option<Outcome> {
     let headers: &mut HeaderMap = &mut exchange.headers;
     let outcome = headers.remove(OUTCOME)?;
-    let software = headers.remove(SOFTWARE);
+    let software = take_text(headers, &SOFTWARE).unwrap_or_default();
     if outcome == REFUSED {
         return Some(Outcome::Refused);
     }
-    let software = software.as_ref().and_then(|software| software.to_str().ok());
-    (outcome == ANSWERED).then(|| Outcome::Answered(SmolStr::new(software.unwrap_or_default())))
+    (outcome == ANSWERED).then_some(Outcome::Answered(software))
+}
+
+fn take_text(headers: &mut HeaderMap, name: &HeaderName) -> Option<SmolStr> {
+    let value = headers.remove(name)?;
+    value.to_str().ok().map(SmolStr::new)
 }
 
 fn decode_failure(request: &RelayedRequest, node: &PeerNode, error: anyhow::Error) -> ReceivedHead {
--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -1,11 +1,11 @@
 //! Sends on the requests of nodes that have lost their links to servers.
 
-use super::message::{self, ANSWERED, FORWARD_PATH, MAX_HEAD_BYTES, OUTCOME, REFUSED};
+use super::message::{self, ANSWERED, FORWARD_PATH, MAX_HEAD_BYTES, OUTCOME, REFUSED, SERVER};
 use crate::adapters::http_server::Reply;
 use crate::relay::RelayContext;
 use crate::relay::refusal::{Refusal, RefusalReason};
 use crate::relay::request::{self, RelayedRequest};
-use crate::relay::server_search::serve;
+use crate::relay::server_search::{SearchResult, serve_forwarded};
 use crate::relay::stream;
 use crate::types::RequestId;
 use anyhow::ensure;
@@ -22,18 +22,19 @@
 pub async fn handle(context: Arc<RelayContext>, request: Request<Incoming>) -> Reply {
     let _count = ForwardedCount::begin(&context);
     let received = receive(&context, request).await;
-    let (id, served) = match received {
+    let (id, result) = match received {
         Ok(request) => {
             let request = Arc::new(request);
-            let served = serve(&context, &request).await;
-            if served.is_err() {
+            let attempts = request.forwarded_attempts.clone().unwrap_or_default();
+            let result = serve_forwarded(&context, &request, attempts).await;
+            if result.served.is_err() {
                 stream::count_outcome(&context, &request, "refused");
             }
-            (Some(request.id.clone()), served)
+            (Some(request.id.clone()), result)
         }
-        Err((id, refusal)) => (id, Err(refusal)),
+        Err((id, refusal)) => (id, SearchResult { served: Err(refusal), server: None }),
     };
-    let (mut reply, outcome) = match served {
+    let (mut reply, outcome) = match result.served {
         Ok(reply) => (reply, ANSWERED),
         Err(refusal) => {
             log::info!(
@@ -46,6 +47,10 @@
         }
     };
     reply.headers_mut().insert(OUTCOME, outcome);
+    let server = result.server.and_then(|server| HeaderValue::from_str(&server).ok());
+    server.into_iter().for_each(|server| {
+        reply.headers_mut().insert(SERVER, server);
+    });
     reply
 }
 
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -4,7 +4,9 @@
 use crate::decision::relay::{RetrySafety, Route};
 use crate::relay::attempts::Attempts;
 use crate::relay::request::RelayedRequest;
-use crate::types::{InstanceId, RequestId, RouteId, ServiceId, SoftwareVersion, WorkspaceId};
+use crate::types::{
+    InstanceId, RequestId, RouteId, ServerId, ServiceId, SoftwareVersion, WorkspaceId,
+};
 use anyhow::{Context, ensure};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
@@ -22,6 +24,9 @@
 /// Header with the software version of the server that answers.
 pub const SOFTWARE: HeaderName = HeaderName::from_static("cot-software");
 
+/// Header with the server that the request was last sent to. Earlier builds do not send it.
+pub const SERVER: HeaderName = HeaderName::from_static("cot-server");
+
 /// Value of [`OUTCOME`]: the answer of a server.
 pub const ANSWERED: HeaderValue = HeaderValue::from_static("answered");
 
@@ -71,6 +76,9 @@
     /// Node that sends the request; earlier builds do not say.
     #[serde(default)]
     sender: InstanceId,
+    /// Servers that may have run the request; earlier builds do not say.
+    #[serde(default)]
+    ran_at: Vec<ServerId>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -130,7 +138,7 @@
     pub sender: InstanceId,
 }
 
-/// Encodes a request of `sender` for another node.
+/// Encodes a request of `sender` for another node, which may spend one run on it.
 pub fn encode(
     request: &RelayedRequest,
     attempts: &Attempts,
@@ -153,7 +161,7 @@
         latency_objective_ms: route.latency_objective_ms,
         max_event_gap_ms: route.max_event_gap_ms,
         priority: route.priority,
-        max_attempts: route.max_attempts,
+        max_attempts: attempts.possible_runs.saturating_add(1),
         service: request.service.clone(),
         workspace: request.workspace.as_ref().map(|workspace| ForwardedWorkspace {
             name: workspace.name.clone(),
@@ -171,6 +179,7 @@
         software: attempts.software.clone(),
         last_event_id,
         sender: sender.clone(),
+        ran_at: attempts.ran_at.clone(),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&head, &mut encoded).expect("writing to a Vec cannot fail");
@@ -208,7 +217,8 @@
         latency_objective_ms: head.latency_objective_ms.min(MAX_PERIOD_MS),
         max_event_gap_ms: head.max_event_gap_ms.min(MAX_PERIOD_MS),
         priority: head.priority,
-        max_attempts: head.max_attempts,
+        // Earlier builds hand over all that the route allows, and count one run.
+        max_attempts: head.max_attempts.min(head.possible_runs.saturating_add(1)),
         is_public: false,
         targets: Vec::new(),
     };
@@ -233,9 +243,11 @@
         deadline: now + period(head.remaining_ms),
         caller_deadline: now + period(head.caller_remaining_ms),
         attempts: Attempts {
+            tried: head.ran_at.clone(),
+            ran_at: head.ran_at,
             possible_runs: head.possible_runs,
             software: head.software,
-            ..Attempts::default()
+            hops: 0,
         },
         last_event_id: head.last_event_id,
         sender: head.sender,
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -3,7 +3,7 @@
 use super::RelayContext;
 use super::attempt::{self, AttemptOutcome};
 use super::attempts::Attempts;
-use super::peers::forward;
+use super::peers::forward::{self, ForwardedAnswer};
 use super::request::RelayedRequest;
 use crate::decision::relay::{Choice, Fleet, PeerNode};
 use crate::types::ServerId;
@@ -24,8 +24,8 @@
 /// stream.
 const SLOW_AFTER_OBJECTIVES: u32 = 2;
 
-/// Time after which another node that sends a request on counts as slow: it tries other servers
-/// itself before that.
+/// Time after which another node that sends a stream on counts as slow: whether the server is silent
+/// is not known here, and its prompt may take that long.
 const MAX_NODE_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Why an attempt is overdue.
@@ -40,12 +40,20 @@
 
 /// Attempt that has ended.
 pub struct EndedAttempt {
-    /// Server that the request was sent to.
+    /// Server or node that the request was sent to.
     pub server: ServerId,
+    /// Server that the node has sent it to, if it was a node and has told.
+    pub server_of_node: Option<ServerId>,
     /// Outcome.
     pub outcome: AttemptOutcome,
 }
 
+/// What an attempt ends with.
+struct AttemptEnd {
+    outcome: AttemptOutcome,
+    server_of_node: Option<ServerId>,
+}
+
 struct PendingAttempt {
     server: ServerId,
     /// Whether another node sends the request on.
@@ -54,7 +62,7 @@
     /// Whether the head of the answer has arrived.
     has_head: Arc<AtomicBool>,
     is_overdue: bool,
-    outcome: Pin<Box<dyn Future<Output = AttemptOutcome> + Send>>,
+    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
 }
 
 /// Attempts of one request whose servers have not begun a stream, or not answered completely,
@@ -77,10 +85,11 @@
         let (context, request) = (Arc::clone(context), Arc::clone(request));
         let has_head = Arc::new(AtomicBool::new(false));
         let shared = Arc::clone(&has_head);
-        let outcome = Box::pin(async move {
+        let end = Box::pin(async move {
             let received = attempt::send(&context, &request, &choice, last_event_id).await;
             shared.store(true, Ordering::Relaxed);
-            attempt::receive(&context, &request, received).await
+            let outcome = attempt::receive(&context, &request, received).await;
+            AttemptEnd { outcome, server_of_node: None }
         });
         let sent_at = Instant::now();
         self.attempts.push(PendingAttempt {
@@ -89,7 +98,7 @@
             sent_at,
             has_head,
             is_overdue: false,
-            outcome,
+            end,
         });
     }
 
@@ -106,10 +115,12 @@
         let (context, request) = (Arc::clone(context), Arc::clone(request));
         let has_head = Arc::new(AtomicBool::new(false));
         let shared = Arc::clone(&has_head);
-        let outcome = Box::pin(async move {
-            let received = forward::send(&context, &request, &node, &attempts, last_event_id).await;
+        let end = Box::pin(async move {
+            let ForwardedAnswer { received, server } =
+                forward::send(&context, &request, &node, &attempts, last_event_id).await;
             shared.store(true, Ordering::Relaxed);
-            attempt::receive(&context, &request, received).await
+            let outcome = attempt::receive(&context, &request, received).await;
+            AttemptEnd { outcome, server_of_node: server }
         });
         let sent_at = Instant::now();
         self.attempts.push(PendingAttempt {
@@ -118,7 +129,7 @@
             sent_at,
             has_head,
             is_overdue: false,
-            outcome,
+            end,
         });
     }
 
@@ -136,10 +147,10 @@
     pub async fn next_ended(&mut self) -> EndedAttempt {
         poll_fn(|cx| {
             for index in 0..self.attempts.len() {
-                let polled = self.attempts[index].outcome.as_mut().poll(cx);
-                if let Poll::Ready(outcome) = polled {
+                let polled = self.attempts[index].end.as_mut().poll(cx);
+                if let Poll::Ready(AttemptEnd { outcome, server_of_node }) = polled {
                     let server = self.attempts.remove(index).server;
-                    return Poll::Ready(EndedAttempt { server, outcome });
+                    return Poll::Ready(EndedAttempt { server, server_of_node, outcome });
                 }
             }
             Poll::Pending
@@ -191,15 +202,16 @@
     attempt: &PendingAttempt,
     now: Instant,
 ) -> Option<OverdueReason> {
-    if attempt.is_by_node {
-        let is_slow = now >= attempt.sent_at + MAX_NODE_SILENCE;
-        return is_slow.then_some(OverdueReason::Slow);
-    }
-    if fleet.server(&attempt.server).is_none_or(|server| server.is_silent(now)) {
+    let is_silent = || fleet.server(&attempt.server).is_none_or(|server| server.is_silent(now));
+    if !attempt.is_by_node && is_silent() {
         return Some(OverdueReason::Silent);
     }
+    let is_stream = request.route.retry_safety.is_stream();
     let objective = Duration::from_millis(request.route.latency_objective_ms.max(1));
-    let is_slow = !request.route.retry_safety.is_stream()
-        && now >= attempt.sent_at + objective * SLOW_AFTER_OBJECTIVES;
-    is_slow.then_some(OverdueReason::Slow)
+    let max_wait = match (is_stream, attempt.is_by_node) {
+        (true, false) => return None,
+        (true, true) => MAX_NODE_SILENCE,
+        (false, _) => objective * SLOW_AFTER_OBJECTIVES,
+    };
+    (now >= attempt.sent_at + max_wait).then_some(OverdueReason::Slow)
 }
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -5,7 +5,7 @@
 use super::attempts::{Attempts, MAX_TRIED_SERVERS};
 use super::buffered_answer::BufferedAnswer;
 use super::peers::forward;
-use super::pending_attempts::{PendingAttempts, SERVER_CHECK_PERIOD};
+use super::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
 use super::server_choice::{choose_server, choose_server_now, log_choice};
@@ -15,7 +15,7 @@
 use crate::decision::relay::{
     Failover, FailoverStep, GiveUpReason, NotTriedReason, PeerNode, UnavailableReason,
 };
-use crate::types::{Delivery, PeerError, Step};
+use crate::types::{Delivery, PeerError, ServerId, Step};
 use http::StatusCode;
 use smol_str::SmolStr;
 use std::mem;
@@ -29,57 +29,32 @@
 /// server has answered.
 const FAILURE_MARGIN: Duration = Duration::from_millis(100);
 
-/// Sends a request to servers until one answers, and returns that answer.
+/// What the search for a server that answers has led to.
+pub struct SearchResult {
+    /// The answer for the caller, or for the node that sent the request.
+    pub served: Result<Reply, Refusal>,
+    /// Server that the request was last sent to, if it was.
+    pub server: Option<ServerId>,
+}
+
+/// Sends the request of a caller to servers until one answers, and returns that answer.
 pub async fn serve(
     context: &Arc<RelayContext>,
     request: &Arc<RelayedRequest>,
 ) -> Result<Reply, Refusal> {
-    let now = Instant::now();
-    if !request.is_forwarded() {
-        context.resend_budget().count_first_attempt(&request.service, now);
-    }
-    let attempts = match &request.forwarded_attempts {
-        Some(attempts) => attempts.clone(),
-        None => {
-            let software = stream_origin::find_software(context, request).await?;
-            Attempts { software, ..Attempts::default() }
-        }
-    };
-    let mut search = ServerSearch {
-        context,
-        request,
-        attempts,
-        failed_connections: 0,
-        pending: PendingAttempts::default(),
-        failover: Failover::new(request.deadline, now),
-        next_attempt: NextAttempt::Free,
-        failure: None,
-        refusal: Refusal::new(RefusalReason::TimedOut),
-    };
-    loop {
-        let now = Instant::now();
-        let failure_deadline = search.failure_deadline();
-        if failure_deadline.is_some_and(|failure_deadline| now >= failure_deadline) {
-            return search.give_up(Refusal::new(RefusalReason::TimedOut));
-        }
-        match search.failover.step(search.may_try_another(now), now) {
-            FailoverStep::TryAnother => search.try_server().await,
-            FailoverStep::Wait { until } => {
-                let until =
-                    failure_deadline.map_or(until, |failure_deadline| until.min(failure_deadline));
-                if let Some(reply) = search.wait_for_answer(until).await {
-                    return Ok(reply);
-                }
-            }
-            FailoverStep::GiveUp(GiveUpReason::NoServer) => {
-                let refusal = search.final_refusal();
-                return search.give_up(refusal);
-            }
-            FailoverStep::GiveUp(GiveUpReason::DeadlinePassed) => {
-                return search.give_up(Refusal::new(RefusalReason::TimedOut));
-            }
-        }
-    }
+    context.resend_budget().count_first_attempt(&request.service, Instant::now());
+    let software = stream_origin::find_software(context, request).await?;
+    let attempts = Attempts { software, ..Attempts::default() };
+    ServerSearch::new(context, request, attempts).run().await.served
+}
+
+/// Sends the request of another node to a server, and to others only if it certainly did not run it.
+pub async fn serve_forwarded(
+    context: &Arc<RelayContext>,
+    request: &Arc<RelayedRequest>,
+    attempts: Attempts,
+) -> SearchResult {
+    ServerSearch::new(context, request, attempts).run().await
 }
 
 /// Whether a request may be sent to another server.
@@ -98,6 +73,10 @@
     context: &'a Arc<RelayContext>,
     request: &'a Arc<RelayedRequest>,
     attempts: Attempts,
+    /// Possible runs before this search, at the node that sent the request.
+    runs_before: u32,
+    /// Server that the request was last sent to by this node.
+    last_server: Option<ServerId>,
     pending: PendingAttempts,
     failover: Failover,
     /// Servers that could not be reached.
@@ -109,7 +88,52 @@
     refusal: Refusal,
 }
 
-impl ServerSearch<'_> {
+impl<'a> ServerSearch<'a> {
+    fn new(
+        context: &'a Arc<RelayContext>,
+        request: &'a Arc<RelayedRequest>,
+        attempts: Attempts,
+    ) -> Self {
+        Self {
+            context,
+            request,
+            runs_before: attempts.possible_runs,
+            attempts,
+            last_server: None,
+            failed_connections: 0,
+            pending: PendingAttempts::default(),
+            failover: Failover::new(request.deadline, Instant::now()),
+            next_attempt: NextAttempt::Free,
+            failure: None,
+            refusal: Refusal::new(RefusalReason::TimedOut),
+        }
+    }
+
+    async fn run(mut self) -> SearchResult {
+        let refusal = loop {
+            let now = Instant::now();
+            let failure_deadline = self.failure_deadline();
+            if failure_deadline.is_some_and(|failure_deadline| now >= failure_deadline) {
+                break Refusal::new(RefusalReason::TimedOut);
+            }
+            match self.failover.step(self.may_try_another(now), now) {
+                FailoverStep::TryAnother => self.try_server().await,
+                FailoverStep::Wait { until } => {
+                    let until = failure_deadline.map_or(until, |deadline| until.min(deadline));
+                    if let Some(reply) = self.wait_for_answer(until).await {
+                        return SearchResult { served: Ok(reply), server: self.last_server };
+                    }
+                }
+                FailoverStep::GiveUp(GiveUpReason::NoServer) => break self.final_refusal(),
+                FailoverStep::GiveUp(GiveUpReason::DeadlinePassed) => {
+                    break Refusal::new(RefusalReason::TimedOut);
+                }
+            }
+        };
+        let server = self.last_server.clone();
+        SearchResult { served: self.give_up(refusal), server }
+    }
+
     fn may_try_another(&self, now: Instant) -> bool {
         match self.next_attempt {
             NextAttempt::Free => self.attempts.tried.len() < MAX_TRIED_SERVERS,
@@ -149,6 +173,7 @@
         }
         log_choice(request, &choice);
         self.attempts.begin(&choice.server);
+        self.last_server = Some(choice.server.clone());
         let last_event_id = request.resume_after.clone();
         self.pending.begin(context, request, choice, last_event_id);
         self.failover.record_sent();
@@ -173,7 +198,7 @@
     async fn wait_for_answer(&mut self, until: Instant) -> Option<Reply> {
         let until = until.min(Instant::now() + SERVER_CHECK_PERIOD);
         if let Ok(ended) = timeout_at(until, self.pending.next_ended()).await {
-            return self.end_attempt(ended.outcome);
+            return self.end_attempt(ended);
         }
         if self.request.route.retry_safety.is_retryable()
             && self.pending.becomes_overdue(self.context, self.request)
@@ -185,10 +210,10 @@
     }
 
     /// Applies the outcome of an attempt; returns the answer for the caller if it was one.
-    fn end_attempt(&mut self, outcome: AttemptOutcome) -> Option<Reply> {
-        self.attempts.end(&outcome);
+    fn end_attempt(&mut self, ended: EndedAttempt) -> Option<Reply> {
+        self.attempts.end(&ended);
         let mut is_crash_checked = false;
-        match outcome {
+        match ended.outcome {
             AttemptOutcome::NotSent(error) => {
                 let is_free = error.delivery == Delivery::NotSent;
                 self.failed_connections += usize::from(error.step == Step::Connect);
@@ -238,10 +263,10 @@
     }
 
     /// Returns the refusal after all servers have failed. It does not promise that the request has
-    /// not run if a server may have run it.
+    /// not run if a server of this search may have run it.
     fn final_refusal(&self) -> Refusal {
         let promises_no_run = self.refusal.reason.status() == StatusCode::SERVICE_UNAVAILABLE;
-        if promises_no_run && self.attempts.possible_runs > 0 {
+        if promises_no_run && self.attempts.possible_runs > self.runs_before {
             return Refusal::new(RefusalReason::OutcomeUnknown);
         }
         self.refusal
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -8,6 +8,7 @@
 use crate::relay::in_flight::{self, CutStage};
 use crate::relay::peers::forward;
 use crate::relay::pending_attempts::EndedAttempt;
+use crate::relay::refusal::Refusal;
 use crate::relay::server_choice::{choose_server_now, log_choice};
 use crate::types::{DeadlinePassed, PeerError, PeerResult};
 use bytes::Bytes;
@@ -118,7 +119,8 @@
         }
         let has_begun = self.splitter.as_ref().is_some_and(|s| s.last_event_id().is_some());
         let fleet = self.context.fleet();
-        let server = self.answer.as_ref().and_then(|answer| fleet.server(&answer.in_flight.server));
+        let server = self.answer.as_ref().and_then(|answer| answer.in_flight.known_server());
+        let server = server.and_then(|server| fleet.server(server));
         has_begun && server.is_some_and(|server| server.is_evicted(now))
     }
 
@@ -126,8 +128,7 @@
     /// meanwhile, since the other one would repeat it.
     fn begin_move(&mut self, now: Instant) {
         self.next_move_at = Some(now + MOVE_RETRY_DELAY);
-        let chosen = choose_server_now(&self.context, &self.request, &self.attempts, now);
-        let next_hop = chosen.map(|choice| NextHop::Server(Box::new(choice)));
+        let next_hop = self.choose_next_hop(0, now);
         if next_hop.is_ok_and(|next_hop| self.resume_at(next_hop, "evicted")) {
             self.moving_until = Some(self.request.deadline.min(now + MAX_MOVE_PERIOD));
         }
@@ -149,13 +150,7 @@
             }
         }
         let now = Instant::now();
-        let gateway = forward::choose_gateway(&self.context, &self.request, &self.attempts, 1);
-        let next_hop = match gateway {
-            Some(node) => Ok(NextHop::Node(node)),
-            None => choose_server_now(&self.context, &self.request, &self.attempts, now)
-                .map(|choice| NextHop::Server(Box::new(choice))),
-        };
-        let Ok(next_hop) = next_hop else {
+        let Ok(next_hop) = self.choose_next_hop(1, now) else {
             self.failover.record_not_tried(NotTriedReason::Unavailable, now);
             return None;
         };
@@ -170,6 +165,16 @@
         None
     }
 
+    /// Returns where the stream is resumed; `failed` servers were found unreachable.
+    fn choose_next_hop(&self, failed: usize, now: Instant) -> Result<NextHop, Refusal> {
+        let Self { context, request, attempts, .. } = self;
+        match forward::choose_gateway(context, request, attempts, failed) {
+            Some(node) => Ok(NextHop::Node(node)),
+            None => choose_server_now(context, request, attempts, now)
+                .map(|choice| NextHop::Server(Box::new(choice))),
+        }
+    }
+
     /// Sends the request to the chosen server or node if the resend budget allows it; returns
     /// whether it does.
     fn resume_at(&mut self, next_hop: NextHop, reason: &str) -> bool {
@@ -224,8 +229,8 @@
 
     /// Applies the outcome of an attempt to resume the stream.
     pub(super) fn end_attempt(&mut self, ended: EndedAttempt) {
-        let EndedAttempt { server, outcome } = ended;
-        self.attempts.end(&outcome);
+        self.attempts.end(&ended);
+        let EndedAttempt { server, outcome, .. } = ended;
         let now = Instant::now();
         match outcome {
             AttemptOutcome::Streaming(answer) => {
