--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -127,7 +127,8 @@
             requests: 1,
             decode_heavy_requests: u32::from(prompt.is_decode_heavy()),
             pending_prefill: PendingPrefill::new(query.priority, plan.prefill_tokens),
-            memory_tokens: u64::from(prompt.unshared_tokens() + prompt.expected_output_tokens()),
+            memory_tokens: u64::from(prompt.unshared_tokens())
+                + u64::from(prompt.expected_output_tokens()),
         };
         build_choice(best, expected_ms, runner_up, Some(plan.choice), load)
     }
@@ -137,8 +138,8 @@
     fn decode_pool(&self, candidates: &[&Server], prompt: &Prompt, now: Instant) -> Vec<ServerId> {
         let concurrent_requests =
             self.decode_rate.tokens_per_s(now) * DECODE_POOL_MS_PER_TOKEN / 1_000.0;
-        let slots: u32 = candidates.iter().map(|server| server.entry.slots.max(1)).sum();
-        let slots_per_server = f64::from(slots) / candidates.len().max(1) as f64;
+        let slots: f64 = candidates.iter().map(|server| f64::from(server.entry.slots.max(1))).sum();
+        let slots_per_server = slots / candidates.len().max(1) as f64;
         let max_per_server =
             MAX_DECODE_HEAVY_PER_SERVER.min(slots_per_server * MAX_DECODE_HEAVY_SLOT_FRACTION);
         if slots_per_server < f64::from(MANY_SLOTS) {
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -101,7 +101,10 @@
                     self.apply_operator_record(record, value, source, now);
                 }
                 (RecordTopic::Operator, None) => {
-                    log::info!("event=operator_record_deleted key={} source={source}", record.key);
+                    log::info!(
+                        "event=operator_record_deleted key={} source={source}",
+                        record.key.escape_debug()
+                    );
                 }
                 (RecordTopic::Servers, Some(value)) => {
                     self.apply_server_record(record, value, source, now);
@@ -109,7 +112,7 @@
                 (RecordTopic::Servers, None) => {
                     log::info!(
                         "event=server_entry_gone server={} offset={} source={source}",
-                        record.key,
+                        record.key.escape_debug(),
                         log_position::offset(record.position)
                     );
                     self.context.fleet().remove_entry(&record.key, now);
@@ -157,7 +160,8 @@
             }
             Ok(OperatorRecord::Other) => {}
             Err(error) => log::warn!(
-                "event=operator_record_unreadable key={key} offset={offset} error=\"{error:#}\""
+                "event=operator_record_unreadable key={} offset={offset} error=\"{error:#}\"",
+                key.escape_debug()
             ),
         }
     }
@@ -216,8 +220,9 @@
             Ok(entry) => entry,
             Err(error) => {
                 log::warn!(
-                    "event=server_record_unreadable server={key} offset={offset} \
-                     error=\"{error:#}\""
+                    "event=server_record_unreadable server={} offset={offset} \
+                     error=\"{error:#}\"",
+                    key.escape_debug()
                 );
                 self.context.fleet().remove_entry(key, now);
                 return;
