fix(relay): a promise that a request has not run names the request

A refusal, a wish for a pause or a misdirection without an id, such as a second answer to an order or a report on the same connection, was believed, so that a running request was refused as not run, or sent to a second server. Change: without an id a promise counts only as the first answer of a connection; else the outcome is unknown. A node's refusal must name the request too.

--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -177,15 +177,21 @@
     NotRunReason::Full
 }
 
-/// Returns an error if the answer names another request: a second answer of the server to an earlier
-/// request on the connection. What it promises does not hold for this one, which may be running.
+/// Returns an error if the answer names another request, or if it promises that one has not run and
+/// names none, on a connection that carried others: a second answer of the server to what was sent
+/// before. What it promises does not hold for this request, which may be running.
 pub fn find_late_answer(
     request: &RelayedRequest,
     choice: &Choice,
     head: &AnswerHead,
+    is_new_connection: bool,
 ) -> Option<PeerError> {
-    let other = head.request_id.as_ref().filter(|id| **id != request.id)?;
-    let error = anyhow!("the answer belongs to request {other}");
+    let error = match &head.request_id {
+        Some(id) if *id == request.id => return None,
+        Some(other) => anyhow!("the answer belongs to request {other}"),
+        None if head.is_not_run && !is_new_connection => anyhow!("the refusal names no request"),
+        None => return None,
+    };
     Some(PeerError::new(Step::Decode, choice.server.clone(), Delivery::Unknown, error))
 }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -101,7 +101,7 @@
         reach::record_opened(context, &request.service);
     }
     let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
-    if let Some(error) = find_late_answer(request, choice, &head) {
+    if let Some(error) = find_late_answer(request, choice, &head, exchange.is_new_connection) {
         log::warn!("event=late_answer request={} {error}", request.id);
         in_flight.record_outcome(false, 0.0);
         return ReceivedHead::None(AttemptOutcome::Unknown(error));
@@ -113,10 +113,12 @@
     if head.is_not_run {
         let reason = record_not_run(context, request, choice, exchange.status, &head);
         log::info!(
-            "event=not_run request={} server={} status={} reason={reason} weights={} believed={}",
+            "event=not_run request={} server={} status={} reason={reason} has_id={} weights={} \
+             believed={}",
             request.id,
             choice.server,
             exchange.status.as_u16(),
+            head.request_id.is_some(),
             head.weights.unwrap_or_default(),
             choice.prompt.as_ref().map_or(0, |prompt| prompt.weights)
         );
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -131,7 +131,9 @@
                 node.instance,
                 exchange.status.as_u16()
             );
-            let is_not_run = exchange.status == StatusCode::SERVICE_UNAVAILABLE;
+            let head = context.ports.dialect.read_answer(exchange.status, &exchange.headers);
+            let is_of_request = head.request_id.as_ref() == Some(&request.id);
+            let is_not_run = is_of_request && exchange.status == StatusCode::SERVICE_UNAVAILABLE;
             let peer = node.instance.clone();
             ReceivedHead::None(match is_not_run {
                 true => AttemptOutcome::NotRun(NotRunReason::NodeRefused),
