fix(relay): an answer that does not go on with a stream ends the attempt

Cause: the splitter looks for the ends of events, not for what they are, and a candidate's head was not compared. Change: the status and the kind of content must be those that the caller was told; an event has a field of events; the first event of a resumed answer has a later id. Anything else ends the attempt as a failure of that server, and the current answer as well. A stream whose events have no ids is not resumed once some were sent.

--- a/src/decision/relay/event_position.rs
+++ b/src/decision/relay/event_position.rs
@@ -31,6 +31,17 @@
         last_end
     }
 
+    /// Returns the length of the first event in `data`, `None` if it does not end there. A blank line
+    /// before an event counts as one.
+    pub fn first_event_bytes(data: &[u8]) -> Option<usize> {
+        let mut position = Self::default();
+        let end = data.iter().position(|byte| {
+            position = position.after(*byte);
+            position == Self::BetweenEvents
+        })?;
+        Some(end + 1)
+    }
+
     /// Whether an event has begun and not ended.
     pub fn is_inside_event(self) -> bool {
         !matches!(self, Self::BetweenEvents | Self::AfterBlankLine)
--- a/src/decision/relay/event_splitter.rs
+++ b/src/decision/relay/event_splitter.rs
@@ -8,6 +8,12 @@
 /// Maximum bytes of one event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Names of the fields of an event. Others may stand beside them, but do not make an event.
+const EVENT_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// Mark that may precede a stream.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// The server sent an event that exceeds the limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EventTooLong;
@@ -21,10 +27,20 @@
     /// Whether the current answer has completed an event.
     has_event: bool,
     last_event_id: Option<SmolStr>,
+    /// Event after which the current answer must go on, `None` if it is not resumed.
+    resumed_after: Option<SmolStr>,
+    /// Whether the current answer has sent something else than events that go on with the stream.
+    has_foreign_text: bool,
 }
 
 impl EventSplitter {
-    /// Adds received bytes and returns the events that they complete.
+    /// Returns the splitter of an answer that goes on after an event.
+    pub fn resumed_after(event_id: Option<SmolStr>) -> Self {
+        Self { resumed_after: event_id, ..Self::default() }
+    }
+
+    /// Adds received bytes and returns the events that they complete, up to the first text that is
+    /// none.
     ///
     /// # Errors
     ///
@@ -35,14 +51,39 @@
             let is_within_limit = self.partial.len() <= MAX_EVENT_BYTES;
             return if is_within_limit { Ok(Bytes::new()) } else { Err(EventTooLong) };
         };
-        let complete = self.complete(data, end);
-        self.has_event |= has_field(&complete);
+        let mut complete = self.complete(data, end);
+        complete.truncate(self.check_events(&complete));
         if let Some(id) = last_id(&complete) {
             self.last_event_id = Some(id);
         }
         Ok(complete)
     }
 
+    /// Returns the length of the events that belong to the stream; the rest is foreign text.
+    fn check_events(&mut self, complete: &[u8]) -> usize {
+        let mut checked_bytes = 0;
+        while !self.has_foreign_text && checked_bytes < complete.len() {
+            let rest = &complete[checked_bytes..];
+            let event = &rest[..EventPosition::first_event_bytes(rest).unwrap_or(rest.len())];
+            let is_blank = !has_field(event);
+            if !is_blank && !(has_event_field(event) && self.goes_on_with(event)) {
+                self.has_foreign_text = true;
+                break;
+            }
+            self.has_event |= !is_blank;
+            checked_bytes += event.len();
+        }
+        checked_bytes
+    }
+
+    /// Whether an event may follow: the first one of a resumed answer must have a later id.
+    fn goes_on_with(&self, event: &[u8]) -> bool {
+        match &self.resumed_after {
+            Some(after) if !self.has_event => last_id(event).is_some_and(|id| is_later(&id, after)),
+            _ => true,
+        }
+    }
+
     /// Returns the incomplete event with the first `end` bytes of `data`, and keeps the others.
     fn complete(&mut self, mut data: Bytes, end: usize) -> Bytes {
         let remaining = data.split_off(end);
@@ -64,6 +105,14 @@
         self.partial.clear();
         self.position = EventPosition::default();
         self.has_event = false;
+        self.has_foreign_text = false;
+        self.resumed_after = self.last_event_id.clone().or(self.resumed_after.take());
+    }
+
+    /// Whether the current answer has sent something else than events that go on with the stream,
+    /// such as the text of an error.
+    pub fn has_foreign_text(&self) -> bool {
+        self.has_foreign_text
     }
 
     /// Whether the received bytes end inside an event.
@@ -91,6 +140,22 @@
     lines(events).any(|line| line.first().is_some_and(|byte| *byte != b':'))
 }
 
+/// Whether a line begins with the name of a field of an event.
+fn has_event_field(event: &[u8]) -> bool {
+    lines(event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event)).any(|line| {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or(line);
+        EVENT_FIELDS.contains(&name)
+    })
+}
+
+/// Whether an event id is later than another one. Ids that are no numbers only differ.
+fn is_later(id: &str, after: &str) -> bool {
+    match (id.parse::<u64>(), after.parse::<u64>()) {
+        (Ok(id), Ok(after)) => id > after,
+        _ => id != after,
+    }
+}
+
 /// Returns the value of the last `id` field.
 fn last_id(events: &[u8]) -> Option<SmolStr> {
     let values = lines(events).rev().filter_map(|line| line.strip_prefix(b"id:"));
--- a/src/relay/stream/candidate.rs
+++ b/src/relay/stream/candidate.rs
@@ -6,6 +6,7 @@
 use crate::types::PeerResult;
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
+use smol_str::SmolStr;
 
 /// What a candidate does after it has sent something.
 pub(super) enum CandidateStep {
@@ -27,8 +28,10 @@
 }
 
 impl Candidate {
-    pub(super) fn new(answer: Answer) -> Self {
-        Self { answer, splitter: EventSplitter::default(), received: BytesMut::new() }
+    /// Returns the answer of a server that was asked to go on after `last_event_id`.
+    pub(super) fn new(answer: Answer, last_event_id: Option<SmolStr>) -> Self {
+        let splitter = EventSplitter::resumed_after(last_event_id);
+        Self { answer, splitter, received: BytesMut::new() }
     }
 
     /// Handles what the server sent. Any data continues what is not an event stream.
@@ -56,7 +59,11 @@
             return CandidateStep::Continues(Some(data));
         }
         self.received.extend_from_slice(&data);
-        match self.splitter.push(data) {
+        let pushed = self.splitter.push(data);
+        if self.splitter.has_foreign_text() {
+            return CandidateStep::Failed(anyhow!("the answer does not go on with the stream"));
+        }
+        match pushed {
             Ok(events) if events.is_empty() => CandidateStep::Waits,
             Ok(_) => CandidateStep::Continues(Some(self.received.split().freeze())),
             Err(EventTooLong) => CandidateStep::Failed(anyhow!("the first event is too long")),
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -2,7 +2,7 @@
 //! broken off.
 
 use super::candidate::{Candidate, CandidateStep};
-use super::{RelayedStream, StreamEvent};
+use super::{RelayedStream, StreamEvent, is_event_stream};
 use crate::decision::relay::{Choice, EventSplitter, NotTriedReason, PeerNode};
 use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason};
 use crate::relay::in_flight::{self, CutStage};
@@ -12,6 +12,7 @@
 use crate::relay::server_choice::{choose_server_now, log_choice};
 use crate::types::{DeadlinePassed, PeerError, PeerResult};
 use bytes::Bytes;
+use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 use strum::Display;
 
@@ -58,8 +59,26 @@
         self.moving_until = None;
     }
 
+    /// Returns the event after which another server goes on, `None` if that is for the caller's
+    /// request to say.
+    fn last_event_id(&self) -> Option<SmolStr> {
+        let last = self.splitter.as_ref().and_then(|splitter| splitter.last_event_id().cloned());
+        last.or_else(|| self.request.resume_after.clone())
+    }
+
+    /// Whether the answer can go on with the stream, by its head.
+    fn is_alike(&self, answer: &Answer) -> bool {
+        let is_event_stream = is_event_stream(&answer.exchange.headers);
+        answer.exchange.status == self.status && is_event_stream == self.splitter.is_some()
+    }
+
+    /// Whether another server can go on: what was sent of the stream has an id.
+    fn is_continuable(&self) -> bool {
+        self.is_resumable && (self.last_data_at.is_none() || self.last_event_id().is_some())
+    }
+
     pub(super) fn may_resume(&self, now: Instant) -> bool {
-        self.is_resumable && self.attempts.allow_another(&self.context, &self.request, now)
+        self.is_continuable() && self.attempts.allow_another(&self.context, &self.request, now)
     }
 
     /// Handles what a candidate sent; returns all that it has sent if it becomes the current answer.
@@ -182,8 +201,7 @@
             return false;
         }
         let (context, request) = (&self.context, &self.request);
-        let last_event_id = self.splitter.as_ref().and_then(|s| s.last_event_id().cloned());
-        let last_event_id = last_event_id.or_else(|| request.resume_after.clone());
+        let last_event_id = self.last_event_id();
         match next_hop {
             NextHop::Server(choice) => {
                 log_choice(request, &choice);
@@ -233,10 +251,20 @@
         let EndedAttempt { server, outcome, .. } = ended;
         let now = Instant::now();
         match outcome {
-            AttemptOutcome::Streaming(answer) => {
-                self.candidates.push(Candidate::new(*answer));
+            AttemptOutcome::Streaming(answer) if self.is_alike(&answer) => {
+                self.candidates.push(Candidate::new(*answer, self.last_event_id()));
                 return self.failover.record_wait(now);
             }
+            AttemptOutcome::Streaming(answer) => {
+                answer.in_flight.record_outcome(false, 0.0);
+                log::info!(
+                    "event=candidate_failed request={} {} error=\"another kind of answer, status {}\"",
+                    self.request.id,
+                    answer.in_flight,
+                    answer.exchange.status.as_u16()
+                );
+                self.failover.record_failed_answer(now);
+            }
             AttemptOutcome::NotRun(NotRunReason::Full) => {
                 // It may be tried again: it has room once a request ends, and `choose` skips it
                 // until then.
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -28,9 +28,10 @@
 use futures_lite::future;
 use futures_lite::stream::unfold;
 use futures_util::future::select_all;
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -74,6 +75,8 @@
     moving_until: Option<Instant>,
     /// Whether the current silence of the server was recorded as a failure.
     is_silence_recorded: bool,
+    /// Status that the caller was told.
+    status: StatusCode,
     /// Splits the stream into whole events, `None` if the answer is not an event stream.
     splitter: Option<EventSplitter>,
     is_resumable: bool,
@@ -123,7 +126,8 @@
         pending,
         moving_until: None,
         is_silence_recorded: false,
-        splitter: is_event_stream.then(EventSplitter::default),
+        status,
+        splitter: is_event_stream.then(|| EventSplitter::resumed_after(resumed_after(request))),
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         last_answer: None,
         forwarded_bytes: 0,
@@ -147,6 +151,14 @@
     reply
 }
 
+/// Returns the event after which the first answer of a resumable stream goes on.
+fn resumed_after(request: &RelayedRequest) -> Option<SmolStr> {
+    if request.route.retry_safety != RetrySafety::ResumableStream {
+        return None;
+    }
+    request.resume_after.clone().or_else(|| request.head.last_event_id.clone())
+}
+
 /// Whether the answer declares events, or declares nothing.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let Some(content_type) = headers.get(header::CONTENT_TYPE) else { return true };
@@ -161,6 +173,9 @@
             self.failover.record_wait(Instant::now());
         }
         while !self.is_ended {
+            if let Some(fault) = self.find_foreign_text() {
+                self.interrupt(&fault);
+            }
             self.update_move();
             let now = Instant::now();
             let event = match self.failover.step(self.may_resume(now), now) {
@@ -282,6 +297,15 @@
         }
     }
 
+    /// Returns an error if the current server has sent something else than events.
+    fn find_foreign_text(&self) -> Option<PeerError> {
+        let answer = self.answer.as_ref()?;
+        self.splitter.as_ref().filter(|splitter| splitter.has_foreign_text())?;
+        let error = anyhow!("the answer does not go on with the stream");
+        let server = answer.in_flight.server.clone();
+        Some(PeerError::new(Step::Decode, server, Delivery::Unknown, error))
+    }
+
     /// Returns an error if the body that has just ended is not the whole stream. A server that
     /// crashes closes its connections, which ends a body that has neither a length nor chunks.
     fn find_truncation(&self) -> Option<PeerError> {
--- a/tests/relay/event_splitter.rs
+++ b/tests/relay/event_splitter.rs
@@ -67,3 +67,48 @@
     assert!(splitter.take_partial().is_empty());
     assert_eq!(splitter.last_event_id().unwrap(), "7");
 }
+
+/// Guards against the text of an error among the events of a stream.
+#[test]
+fn events_end_where_other_text_begins() {
+    let texts = [
+        "HTTP/1.1 500 Internal Server Error\r\nretry-after: 1\r\n\r\nfailed\r\n\r\n",
+        "{\"error\": \"failed\"}\n\n",
+        "<html>\n\n</html>\n\n",
+    ];
+    for text in texts {
+        for cut in 0..text.len() {
+            let mut splitter = EventSplitter::default();
+            let mut output = Vec::new();
+            for part in
+                ["\n: waiting\n\nid: 1\ndata: a\n\nretry: 5\n\n", &text[..cut], &text[cut..]]
+            {
+                let part = Bytes::copy_from_slice(part.as_bytes());
+                output.extend_from_slice(&splitter.push(part).unwrap());
+            }
+            assert_eq!(
+                output, b"\n: waiting\n\nid: 1\ndata: a\n\nretry: 5\n\n",
+                "{text:?} at {cut}"
+            );
+            assert!(splitter.has_foreign_text());
+            splitter.begin_answer();
+            assert!(!splitter.has_foreign_text());
+        }
+    }
+}
+
+/// Guards against an answer that repeats a stream, or says something else, instead of going on.
+#[test]
+fn a_resumed_answer_goes_on_with_a_later_event() {
+    let goes_on = |after: &str, text: &'static str| {
+        let mut splitter = EventSplitter::resumed_after(Some(after.into()));
+        splitter.push(Bytes::from_static(text.as_bytes())).unwrap();
+        !splitter.has_foreign_text()
+    };
+    assert!(goes_on("9", ": waiting\n\nversion: 3\nid: 10\ndata: a\n\ndata: without an id\n\n"));
+    assert!(goes_on("a", "id: b\ndata: a\n\n"));
+    assert!(!goes_on("9", "id: 9\ndata: a\n\n"));
+    assert!(!goes_on("9", "id: 1\ndata: a\n\n"));
+    assert!(!goes_on("a", "id: a\ndata: a\n\n"));
+    assert!(!goes_on("9", "event: error\ndata: failed\n\n"));
+}
