fix(relay): a stream that is cut keeps its head and what came before

Cause: the HTTP library takes all that a body has ready before it writes, and an error drops what it has taken. Evidence: an_error_behind_the_events_is_no_part_of_a_stream, where events and error arrive at once, failed with no head at all on the commit before. Change: an error is handed over a turn after the data, so that head and events are written first. Result: error_in_stream passes. events_before_a_break_reach_the_caller, with a broken chunk instead of text, passed before as well: there the library itself delivers the error a turn later.

--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -140,6 +140,11 @@
     };
     let frames = unfold(relayed, |mut relayed| async move {
         let data = relayed.next_data().await?;
+        if data.is_err() {
+            // The HTTP library writes the head and the events before it asks for the error, which
+            // closes the connection.
+            future::yield_now().await;
+        }
         Some((data.map(Frame::data), relayed))
     });
     let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
