--- a/src/decision/relay/event_splitter.rs
+++ b/src/decision/relay/event_splitter.rs
@@ -65,12 +65,13 @@
         while !self.has_foreign_text && checked_bytes < complete.len() {
             let rest = &complete[checked_bytes..];
             let event = &rest[..EventPosition::first_event_bytes(rest).unwrap_or(rest.len())];
-            let is_blank = !has_field(event);
-            if !is_blank && !(has_event_field(event) && self.goes_on_with(event)) {
-                self.has_foreign_text = true;
-                break;
+            if has_field(event) {
+                self.has_foreign_text = !has_event_field(event) || !self.goes_on_with(event);
+                if self.has_foreign_text {
+                    break;
+                }
+                self.has_event = true;
             }
-            self.has_event |= !is_blank;
             checked_bytes += event.len();
         }
         checked_bytes
