--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -23,10 +23,11 @@
     let _count = ForwardedCount::begin(&context);
     let received = receive(&context, request).await;
     let (id, result) = match received {
-        Ok(request) => {
+        Ok(ReceivedRequest { request, is_server_wanted }) => {
             let request = Arc::new(request);
             let attempts = request.forwarded_attempts.clone().unwrap_or_default();
-            let result = serve_forwarded(&context, &request, attempts).await;
+            let mut result = serve_forwarded(&context, &request, attempts).await;
+            result.server = result.server.filter(|_| is_server_wanted);
             if result.served.is_err() {
                 stream::count_outcome(&context, &request, "refused");
             }
@@ -54,12 +55,20 @@
     reply
 }
 
+/// Request of another node.
+struct ReceivedRequest {
+    request: RelayedRequest,
+    /// Whether the node takes the server out of the answer. Earlier builds, which do not send their
+    /// name, would pass it on to their callers.
+    is_server_wanted: bool,
+}
+
 type Rejection = (Option<RequestId>, Refusal);
 
 async fn receive(
     context: &Arc<RelayContext>,
     request: Request<Incoming>,
-) -> Result<RelayedRequest, Rejection> {
+) -> Result<ReceivedRequest, Rejection> {
     let deadline = Instant::now() + READ_TIMEOUT;
     let is_forward = request.uri().path() == FORWARD_PATH;
     let max_bytes = request::max_body_bytes(context) + MAX_HEAD_BYTES;
@@ -78,7 +87,11 @@
         forwarded.attempts.possible_runs,
         forwarded.route.max_attempts
     );
-    RelayedRequest::forwarded(context, forwarded).map_err(|refusal| (Some(id), refusal))
+    let is_server_wanted = !forwarded.sender.is_empty();
+    match RelayedRequest::forwarded(context, forwarded) {
+        Ok(request) => Ok(ReceivedRequest { request, is_server_wanted }),
+        Err(refusal) => Err((Some(id), refusal)),
+    }
 }
 
 fn ensure_forward(is_forward: bool) -> anyhow::Result<()> {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod crash_evidence;
 mod crash_evidence_model;
+mod earlier_messages;
 mod event_position;
 mod event_splitter;
 mod failover;
