--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -15,6 +15,7 @@
     if command == "server" {
         return server::run(server::Arguments::parse(words));
     }
+    site::end_processes_on_panic();
     let folder = words.next().unwrap_or_default();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_kept = match command.as_str() {
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -162,6 +162,7 @@
         self.record.line(&format!("server {id} crashes"));
         let _ = process.child.kill();
         let _ = process.child.wait();
+        forget(process.child.id());
         thread::sleep(down);
         process.arguments.software = software.to_owned();
         process.child = spawn_server(&process.arguments);
@@ -182,10 +183,7 @@
             .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
             .spawn();
-        node.child = Some(child.unwrap_or_else(|error| {
-            eprintln!("{NODE_PROGRAM}: {error}");
-            std::process::exit(2)
-        }));
+        node.child = Some(child.map(remember).expect("a node process"));
         node.state.is_running = true;
         node.state.disturbed_at = now();
         drop(node);
@@ -217,7 +215,7 @@
         {
             let mut node = self.nodes[index].lock().expect("no panic");
             node.state.is_running = false;
-            node.child = None;
+            node.child.take().iter().for_each(|child| forget(child.id()));
             // Not the first start of the whole system.
             let store = self.store.address;
             write_settings(&node.settings, index, &node.addresses, &self.seeds, store, false);
@@ -282,10 +280,36 @@
         .arg("server")
         .args(arguments.to_words())
         .stdin(Stdio::null())
+        .stdout(Stdio::null())
         .spawn()
+        .map(remember)
         .expect("a server process")
 }
 
+/// Processes that were started, to be killed if this program panics.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Makes a panic end all started processes, and this one as a case that could not run.
+pub fn end_processes_on_panic() {
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("{panic}");
+        if let Ok(started) = STARTED.try_lock() {
+            started.iter().for_each(|process| signal("KILL", *process));
+        }
+        std::process::exit(2);
+    }));
+}
+
+fn remember(child: Child) -> Child {
+    STARTED.lock().expect("no panic").push(child.id());
+    child
+}
+
+/// Forgets a process that has ended, since its id may be given to another one.
+fn forget(process: u32) {
+    STARTED.lock().expect("no panic").retain(|started| *started != process);
+}
+
 /// Sends a signal to a process that this program has started.
 pub fn signal(name: &str, process: u32) {
     let _ = Command::new("kill").arg(format!("-{name}")).arg(process.to_string()).status();
