--- a/review/standins/src/cases/callers.rs
+++ b/review/standins/src/cases/callers.rs
@@ -27,13 +27,17 @@
     pub fn has_begun(&self) -> bool {
         self.status == 200 && !self.events.is_empty()
     }
+
+    fn is_complete_stream(&self) -> bool {
+        self.status == 200 && self.is_complete
+    }
 }
 
-/// A stream: the attempt that began it, and the one that took it up if it broke.
+/// A stream: the attempt that began it, and those that took it up if it broke.
 #[derive(Clone, Debug)]
 pub struct Stream {
     pub first: Attempt,
-    pub taken_up: Option<Attempt>,
+    pub taken_up: Vec<Attempt>,
 }
 
 /// The platform's balancer: takes a node out after two misses, and in again after an answer.
@@ -149,14 +153,15 @@
     }
 }
 
-/// Starts callers within `spread`, each of which has one stream at a time until `is_over`. Returns
-/// their threads.
+/// Starts callers within `spread`, each of which has one stream at a time until `is_over`, and takes a
+/// broken one up after each of `retry_pauses`. Returns their threads.
 pub fn start(
     site: &Arc<Site>,
     balancer: &Arc<Balancer>,
     callers: usize,
     spread: Duration,
     contact: Duration,
+    retry_pauses: &'static [Duration],
     is_over: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<Vec<Stream>>> {
     let begin = |caller: usize| {
@@ -172,13 +177,25 @@
                 let node = balancer.choose(None);
                 let id = format!("c{caller}-{number}");
                 let first = attempt(&site, node, id.clone(), None, deadline, contact);
-                let last = first.events.last().map(|event| event.id);
-                let is_broken = first.status == 200 && !first.is_complete;
-                let taken_up = last.filter(|_| is_broken && Instant::now() < deadline).map(|last| {
-                    let node = balancer.choose(Some(first.node));
+                let mut taken_up: Vec<Attempt> = Vec::new();
+                for (retry, pause) in retry_pauses.iter().enumerate() {
+                    let latest = taken_up.last().unwrap_or(&first);
+                    let events = || taken_up.iter().rev().chain([&first]);
+                    let last = events().find_map(|attempt| attempt.events.last());
+                    let Some(last) =
+                        last.map(|event| event.id).filter(|_| !latest.is_complete_stream())
+                    else {
+                        break;
+                    };
+                    thread::sleep(*pause);
+                    if Instant::now() >= deadline {
+                        break;
+                    }
+                    let node = balancer.choose(Some(latest.node));
                     let resumed = Some((id.as_str(), last));
-                    attempt(&site, node, format!("{id}r"), resumed, deadline, contact)
-                });
+                    let id = format!("{id}r{}", retry + 1);
+                    taken_up.push(attempt(&site, node, id, resumed, deadline, contact));
+                }
                 if first.status != 200 {
                     thread::sleep(Duration::from_millis(300));
                 }
--- a/review/standins/src/cases/isolated_later.rs
+++ b/review/standins/src/cases/isolated_later.rs
@@ -57,7 +57,9 @@
     // The servers' lines: requests after the change that use what the isolated tenant made.
     let text = std::fs::read_to_string(folder.join("record.txt")).unwrap_or_default();
     let foreign = |line: &&str| {
-        line.contains(" request after-") && line.contains(" uses part ") && line.contains("maker=t1")
+        line.contains(" request after-")
+            && line.contains(" uses part ")
+            && line.contains("maker=t1")
     };
     let uses = if has_trouble { text.lines().filter(foreign).count() } else { 0 };
     let verdict = format!(
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! Cases: each returns whether the rule held.
 
+mod callers;
 pub mod isolated_later;
+pub mod kill_all;
 pub mod rolling_restart;
 pub mod same_id;
-mod callers;
--- a/review/standins/src/cases/rolling_restart.rs
+++ b/review/standins/src/cases/rolling_restart.rs
@@ -38,7 +38,8 @@
     let balancer = Balancer::start(&site);
     thread::sleep(Duration::from_secs(5));
     let is_over = Arc::new(AtomicBool::new(false));
-    let callers = callers::start(&site, &balancer, CALLERS, STREAM, CONTACT, &is_over);
+    let callers =
+        callers::start(&site, &balancer, CALLERS, STREAM, CONTACT, &[Duration::ZERO], &is_over);
     thread::sleep(STREAM + Duration::from_secs(2));
     let mut restarts = Vec::new();
     for index in 0..NODES {
@@ -59,11 +60,11 @@
 
 const TENANT: &str = r#"{"Name":"t1","ApiKeys":["key-1"],"Priority":1,"Isolated":false}"#;
 
-fn judge(site: &Site, streams: &[Stream]) -> bool {
+pub fn judge(site: &Site, streams: &[Stream]) -> bool {
     let new: Vec<_> = streams.iter().map(|s| &s.first).filter(|a| a.is_in_touch).collect();
     let begun = new.iter().filter(|attempt| attempt.has_begun()).count();
     let taken_up: Vec<_> =
-        streams.iter().filter_map(|s| s.taken_up.as_ref()).filter(|a| a.is_in_touch).collect();
+        streams.iter().flat_map(|s| &s.taken_up).filter(|a| a.is_in_touch).collect();
     let went_on = taken_up.iter().filter(|attempt| attempt.has_begun()).count();
     let share = |part: usize, all: usize| part as f64 / all.max(1) as f64;
     let (begin_share, go_on_share) = (share(begun, new.len()), share(went_on, taken_up.len()));
--- a/review/standins/src/cases/same_id.rs
+++ b/review/standins/src/cases/same_id.rs
@@ -37,7 +37,8 @@
     let balancer = Balancer::start(&site);
     thread::sleep(Duration::from_secs(5));
     let is_over = Arc::new(AtomicBool::new(false));
-    let callers = callers::start(&site, &balancer, CALLERS, STREAM, CONTACT, &is_over);
+    let callers =
+        callers::start(&site, &balancer, CALLERS, STREAM, CONTACT, &[Duration::ZERO], &is_over);
     thread::sleep(Duration::from_secs(6));
     if has_outage {
         site.record.line("the store is silent");
@@ -72,7 +73,7 @@
 }
 
 fn has_two_versions(stream: &Stream) -> bool {
-    let attempts = [Some(&stream.first), stream.taken_up.as_ref()];
-    let events = attempts.into_iter().flatten().flat_map(|attempt| &attempt.events);
+    let attempts = [&stream.first].into_iter().chain(&stream.taken_up);
+    let events = attempts.flat_map(|attempt| &attempt.events);
     events.map(|event| event.data.as_str()).collect::<BTreeSet<_>>().len() > 1
 }
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -182,8 +182,10 @@
         };
         let expected = request.header("coriandertide-expect-version");
         if expected.is_some_and(|expected| expected != version) {
-            let headers =
-                [("Coriandertide-Request-Id", id.to_owned()), ("Coriandertide-Weight-Versions", version)];
+            let headers = [
+                ("Coriandertide-Request-Id", id.to_owned()),
+                ("Coriandertide-Weight-Versions", version),
+            ];
             return respond(writer, 421, &headers, b"");
         }
         let Arguments { id: server, software, events, pause_ms, .. } = &self.arguments;
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -225,6 +225,29 @@
         self.start_node(index);
     }
 
+    /// Kills all nodes at once, and starts them again after `down`.
+    pub fn kill_nodes(&self, down: Duration) {
+        let mut nodes: Vec<_> =
+            self.nodes.iter().map(|node| node.lock().expect("no panic")).collect();
+        for node in &mut nodes {
+            let _ = node.child.as_mut().expect("a running node").kill();
+        }
+        for (index, node) in nodes.iter_mut().enumerate() {
+            let child = node.child.as_mut().expect("a running node");
+            let _ = child.wait();
+            forget(child.id());
+            node.child = None;
+            node.state.is_running = false;
+            node.state.disturbed_at = now();
+            let store = self.store.address;
+            write_settings(&node.settings, index, &node.addresses, &self.seeds, store, false);
+        }
+        drop(nodes);
+        self.record.line("all nodes were killed");
+        thread::sleep(down);
+        (0..self.nodes.len()).for_each(|index| self.start_node(index));
+    }
+
     pub fn node(&self, index: usize) -> NodeState {
         self.nodes[index].lock().expect("no panic").state
     }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -69,7 +69,9 @@
         }
         thread::sleep(Duration::from_millis(4));
         let (status, body) = answer(shared, &request);
-        if shared.is_silent.load(Ordering::SeqCst) || respond(&mut writer, status, &[], &body).is_err() {
+        if shared.is_silent.load(Ordering::SeqCst)
+            || respond(&mut writer, status, &[], &body).is_err()
+        {
             return;
         }
     }
