test(review): a killed server's streams end as complete

One server is killed once: 21 of 97 streams end in order before their last event. The stand-ins get answers without chunks; callers send distinct bodies.

--- a/review/standins/src/cases/callers.rs
+++ b/review/standins/src/cases/callers.rs
@@ -104,12 +104,15 @@
         ("Coriandertide-Deadline-Ms".to_owned(), remaining.as_millis().to_string()),
         ("Authorization".to_owned(), format!("Bearer {key}")),
     ];
+    let prompt_text = prompt.last().map(|(_, parts)| parts.clone()).unwrap_or_default();
     headers.extend(prompt);
     if let Some((first, last)) = resumed {
         headers.push(("Resumes".to_owned(), first.to_owned()));
         headers.push(("Last-Event-Id".to_owned(), last.to_string()));
     }
-    call(site.node(node).callers, "POST", "/chat/1", &headers, b"tell me", deadline)
+    // The body holds the prompt, so that no two are alike.
+    let body = format!("tell me {}", prompt_text);
+    call(site.node(node).callers, "POST", "/chat/1", &headers, body.as_bytes(), deadline)
 }
 
 fn attempt(
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -23,6 +23,9 @@
         "rolling-restart" => cases::rolling_restart::run(Path::new(&folder), has_trouble),
         "isolated-later" => cases::isolated_later::run(Path::new(&folder), has_trouble),
         "same-id" => cases::same_id::run(Path::new(&folder), has_trouble),
+        "server-killed" => cases::server_killed::run(Path::new(&folder), has_trouble),
+        "deadly" => cases::deadly::run(Path::new(&folder), has_trouble),
+        "names" => cases::names::run(Path::new(&folder), has_trouble),
         _ => {
             eprintln!("no case {command}");
             std::process::exit(2)
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -32,6 +32,8 @@
     pub pause_ms: u64,
     /// Whether the parts that requests make and use are recorded.
     pub records_parts: bool,
+    /// Whether answers have chunks; without them they end with their channel.
+    pub has_chunks: bool,
     pub record: String,
     pub start_unix_ms: u64,
 }
@@ -48,6 +50,7 @@
             format!("events={events}"),
             format!("pause_ms={pause_ms}"),
             format!("records_parts={}", self.records_parts),
+            format!("has_chunks={}", self.has_chunks),
             format!("record={record}"),
             format!("start_unix_ms={}", self.start_unix_ms),
         ]
@@ -67,6 +70,7 @@
             events: text("events").parse().expect("a number"),
             pause_ms: text("pause_ms").parse().expect("a number"),
             records_parts: text("records_parts") == "true",
+            has_chunks: text("has_chunks") != "false",
             record: text("record"),
             start_unix_ms: text("start_unix_ms").parse().expect("a number"),
         }
@@ -189,13 +193,24 @@
             return respond(writer, 421, &headers, b"");
         }
         let Arguments { id: server, software, events, pause_ms, .. } = &self.arguments;
+        let prompt = request.header("coriandertide-prompt-prefix").unwrap_or_default();
+        if prompt.contains("dead") {
+            self.record.line(&format!("server {server} runs {id} and crashes"));
+            // Crashes as it begins to write.
+            thread::sleep(Duration::from_millis(30));
+            std::process::exit(1);
+        }
         let after = request.header("last-event-id").unwrap_or("0");
         self.record.line(&format!("server {server} software={software} runs {id} after={after}"));
         if self.arguments.records_parts {
             self.read_parts(request, id);
         }
+        let framing = match self.arguments.has_chunks {
+            true => "Transfer-Encoding: chunked",
+            false => "Connection: close",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
              Coriandertide-Request-Id: {id}\r\nCoriandertide-Server-Stamp: stamp.{server}\r\n\
              Coriandertide-Weight-Versions: {version}\r\n\r\n"
         );
@@ -204,9 +219,18 @@
         for number in first..=*events {
             thread::sleep(Duration::from_millis(*pause_ms));
             let event = format!("id: {number}\ndata: {software}\n\n");
-            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            let bytes = match self.arguments.has_chunks {
+                true => format!("{:x}\r\n{event}\r\n", event.len()),
+                false => event,
+            };
+            writer.write_all(bytes.as_bytes())?;
+        }
+        self.record.line(&format!("server {server} ends {id} after its last event {events}"));
+        match self.arguments.has_chunks {
+            true => writer.write_all(b"0\r\n\r\n"),
+            // The end of the channel ends the answer.
+            false => Err(std::io::ErrorKind::ConnectionAborted.into()),
         }
-        writer.write_all(b"0\r\n\r\n")
     }
 
     /// Uses the cached parts of a prompt under the salt of the request, and caches the others.
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -128,6 +128,11 @@
         self.start_recording_server(id, software, events, pause_ms, false);
     }
 
+    /// Starts a server whose answers end with their channel.
+    pub fn start_unframed_server(&self, id: &str, events: u64, pause_ms: u64) {
+        self.start_process(id, "v1", events, pause_ms, false, false);
+    }
+
     /// Starts a server that records the parts of prompts if `records_parts`.
     pub fn start_recording_server(
         &self,
@@ -136,6 +141,18 @@
         events: u64,
         pause_ms: u64,
         records_parts: bool,
+    ) {
+        self.start_process(id, software, events, pause_ms, records_parts, true);
+    }
+
+    fn start_process(
+        &self,
+        id: &str,
+        software: &str,
+        events: u64,
+        pause_ms: u64,
+        records_parts: bool,
+        has_chunks: bool,
     ) {
         let arguments = server::Arguments {
             id: id.to_owned(),
@@ -146,6 +163,7 @@
             events,
             pause_ms,
             records_parts,
+            has_chunks,
             record: self.record_path.to_string_lossy().into_owned(),
             start_unix_ms: self.start_unix_ms,
         };
@@ -168,6 +186,32 @@
         process.child = spawn_server(&process.arguments);
     }
 
+    /// Starts servers again that have ended, `down` after their end, until `is_over`.
+    pub fn keep_servers(self: &Arc<Self>, down: Duration, is_over: Arc<std::sync::atomic::AtomicBool>) {
+        let site = Arc::clone(self);
+        thread::spawn(move || {
+            let mut ended: BTreeMap<String, Instant> = BTreeMap::new();
+            while !is_over.load(Ordering::SeqCst) {
+                let mut servers = site.servers.lock().expect("no panic");
+                for (id, process) in servers.iter_mut() {
+                    if process.child.try_wait().ok().flatten().is_none() {
+                        continue;
+                    }
+                    let at = *ended.entry(id.clone()).or_insert_with(|| {
+                        forget(process.child.id());
+                        now()
+                    });
+                    if now() >= at + down {
+                        process.child = spawn_server(&process.arguments);
+                        ended.remove(id);
+                    }
+                }
+                drop(servers);
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
+    }
+
     fn start_node(&self, index: usize) {
         let mut node = self.nodes[index].lock().expect("no panic");
         let log = std::fs::File::options()
