--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-standins/release/review-standins
 [ -x "$program" ] && [ -x target/release/coriandertide-platform ] || exit 2
-exec "$program" kill-all review/5
+exec "$program" rolling-restart review/5
