fix(relay): keep streams known while nodes are stopped in turn

Callers saw: in a rolling restart with servers of two software versions, the streams that stopping nodes cut were refused at all other nodes (LOST).

Cause: a stopping node left the membership at once, so that nobody asked it for the streams that it still carried for seconds, and it learned of no new node. The owners of a stream were told once, when it began; a later owner never was. With a stop each 1.3 s, no running node knew the streams.

Change: a member record states that its node is stopping. Such a node takes no duties, but keeps its links and answers queries until it has stopped. When the live nodes change, each node that knows a stream tells the nodes that have become its owners, at most 256 streams a tick.

--- a/src/decision/membership/messages.rs
+++ b/src/decision/membership/messages.rs
@@ -61,6 +61,14 @@
     /// Address that takes requests and datagrams of other nodes, `None` for a node that takes none.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub peer_address: Option<SocketAddr>,
+    /// Whether the node is stopping: it answers queries, but takes no duties any more. Earlier builds
+    /// do not know the field.
+    #[serde(rename = "e", default, skip_serializing_if = "is_false")]
+    pub is_stopping: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 /// Whether a member does not state its processor. Earlier builds do not know the field.
@@ -107,7 +115,9 @@
     },
     /// Timer tick.
     Tick,
-    /// This node is stopping gracefully.
+    /// This node is stopping: it takes no duties any more, and keeps its links.
+    Stop,
+    /// This node has stopped gracefully, and closes its links.
     Leave,
 }
 
--- a/src/decision/membership/mod.rs
+++ b/src/decision/membership/mod.rs
@@ -108,6 +108,7 @@
                 self.merge_records(Some(&peer), &records, now, &mut commands);
             }
             MembershipEvent::Tick => self.tick(now, &mut commands),
+            MembershipEvent::Stop => self.stop(&mut commands),
             MembershipEvent::Leave => self.leave(&mut commands),
         }
         commands
@@ -129,30 +130,38 @@
         let count = if self.links.is_empty() {
             self.seeds.len().max(1)
         } else {
-            self.members.live().count() + 1
+            self.live_members().count() + 1
         };
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Returns the members that are alive or suspect, this node excluded.
+    /// Returns the members that are alive or suspect and not stopping, this node excluded.
     pub fn live_members(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.live()
+        self.members.live().filter(|member| !member.is_stopping)
+    }
+
+    /// Returns the members that are stopping: they answer queries, and take no duties.
+    pub fn stopping_members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.live().filter(|member| member.is_stopping)
     }
 
     /// Whether there are too many live nodes for a link between every two of them.
     pub fn exceeds_full_mesh(&self) -> bool {
-        self.members.live().count() >= self.settings.max_full_mesh_nodes
+        self.live_members().count() >= self.settings.max_full_mesh_nodes
     }
 
     /// Returns the place of this node in the tree over all nodes, suspects excluded. In a full mesh
     /// all live members are its children.
     pub fn tree_place(&self) -> TreePlace {
         if !self.exceeds_full_mesh() {
-            let children = self.members.live().map(|member| member.instance.clone()).collect();
+            let children = self.live_members().map(|member| member.instance.clone()).collect();
             return TreePlace { parent: None, children };
         }
+        if self.local.is_stopping {
+            return TreePlace::default();
+        }
         let alive = |member: &&MemberRecord| member.status == MemberStatus::Alive;
-        let others: Vec<&MemberRecord> = self.members.records().filter(alive).collect();
+        let others: Vec<&MemberRecord> = self.live_members().filter(alive).collect();
         tree_place(&self.local, &others)
     }
 
@@ -348,12 +357,16 @@
         }
     }
 
-    /// Dials selected partners and the tree parent if there is no link, and closes surplus links.
+    /// Dials selected partners and the tree parent if there is no link, and closes surplus links. In
+    /// a partial mesh, stopping members keep the links that they dial themselves.
     fn update_links(&mut self, now: Instant, commands: &mut Vec<MembershipCommand>) {
-        let live: Vec<&MemberRecord> = self.members.live().collect();
+        let live: Vec<&MemberRecord> = self.live_members().collect();
         let MembershipSettings { max_full_mesh_nodes, partial_mesh_partners, .. } = self.settings;
-        let partners =
+        let mut partners =
             choose_partners(&self.local, &live, max_full_mesh_nodes, partial_mesh_partners);
+        if !self.exceeds_full_mesh() {
+            partners.extend(self.stopping_members());
+        }
         let parent = self.tree_place().parent;
         let is_parent = |member: &&&MemberRecord| parent.as_ref() == Some(&member.instance);
         let needed_peers: BTreeSet<InstanceId> =
@@ -412,6 +425,13 @@
         }
     }
 
+    /// Announces that this node is stopping.
+    fn stop(&mut self, commands: &mut Vec<MembershipCommand>) {
+        self.local.is_stopping = true;
+        self.local.version += 1;
+        self.flood(None, std::slice::from_ref(&self.local), commands);
+    }
+
     /// Announces that this node left and closes all links.
     fn leave(&mut self, commands: &mut Vec<MembershipCommand>) {
         self.local.status = MemberStatus::Left;
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -9,13 +9,17 @@
 //!
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
+//!
+//! When the live nodes change, each node that knows a stream tells those that have become its owners,
+//! so that it stays known while nodes are stopped and started in turn. A stopping node owns no streams
+//! any more, but answers for those that it knows until it has stopped.
 
 use super::version_records::ServiceVersion;
 use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{InstanceId, RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -108,6 +112,10 @@
     /// Origin, `None` if it is ambiguous.
     origin: Option<StreamOrigin>,
     expires_at: Instant,
+    /// Number of other nodes that are its owners: one less if this node is one of them.
+    other_owners: usize,
+    /// Hashes of the nodes that have been told of the stream.
+    told: Vec<u64>,
 }
 
 /// Origins of streams and versions of services, as known to a node.
@@ -124,8 +132,15 @@
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
     /// Other live nodes.
     nodes: Vec<PeerNode>,
+    /// Other nodes that are stopping.
+    stopping_nodes: Vec<PeerNode>,
+    /// Streams whose owners may have changed since they were told.
+    unchecked: VecDeque<StreamKey>,
 }
 
+/// Record for the nodes that have become owners of a stream.
+pub type OriginReplica = (OriginRecord, Vec<SocketAddr>);
+
 impl StreamOrigins {
     /// Returns the state of a node that starts now; `is_first_start` if the whole site starts for the
     /// first time.
@@ -137,12 +152,43 @@
             streams: HashMap::new(),
             versions: BTreeMap::new(),
             nodes: Vec::new(),
+            stopping_nodes: Vec::new(),
+            unchecked: VecDeque::new(),
         }
     }
 
-    /// Sets the other live nodes.
-    pub fn set_nodes(&mut self, nodes: Vec<PeerNode>) {
+    /// Sets the other live nodes, and those that are stopping.
+    pub fn set_nodes(&mut self, nodes: Vec<PeerNode>, stopping_nodes: Vec<PeerNode>) {
+        if self.nodes != nodes {
+            self.unchecked = self.streams.keys().copied().collect();
+        }
         self.nodes = nodes;
+        self.stopping_nodes = stopping_nodes;
+    }
+
+    /// Returns records for the nodes that have become owners of streams, of which it checks at most
+    /// `max_streams`; called again until it returns none, it covers all streams.
+    pub fn next_replicas(&mut self, max_streams: usize, now: Instant) -> Vec<OriginReplica> {
+        let checked = self.unchecked.len().min(max_streams);
+        let keys: Vec<StreamKey> = self.unchecked.drain(..checked).collect();
+        keys.into_iter().filter_map(|stream| self.replicate(stream, now)).collect()
+    }
+
+    /// Returns the record of a stream for its owners that have not been told, `None` if all have.
+    fn replicate(&mut self, stream: StreamKey, now: Instant) -> Option<OriginReplica> {
+        let known = self.streams.get(&stream).filter(|known| now < known.expires_at)?;
+        let origin = known.origin.clone()?;
+        let owners = ranked_nodes(&self.nodes, stream, known.other_owners);
+        let untold: Vec<&PeerNode> =
+            owners.into_iter().filter(|node| !known.told.contains(&node_hash(node))).collect();
+        if untold.is_empty() {
+            return None;
+        }
+        let record = origin_record(stream, origin, known.expires_at, now);
+        let addresses = untold.iter().map(|node| node.address).collect();
+        let hashes: Vec<u64> = untold.into_iter().map(node_hash).collect();
+        self.streams.get_mut(&stream)?.told.extend(hashes);
+        Some((record, addresses))
     }
 
     /// Records that a server of a service has a version; returns whether it is a new one.
@@ -213,14 +259,15 @@
     ) -> (OriginRecord, Vec<SocketAddr>) {
         let expires_at = expires_at.min(now + MAX_STREAM_LIFETIME);
         let record = origin_record(stream, origin.clone(), expires_at, now);
-        self.merge(stream, origin, expires_at, now);
-        (record, self.first_nodes(stream, OWNERS))
+        self.merge(stream, origin, expires_at, OWNERS, now);
+        let owners = ranked_nodes(&self.nodes, stream, OWNERS);
+        (record, owners.iter().map(|node| node.address).collect())
     }
 
     /// Records what another node says of a stream.
     pub fn receive(&mut self, record: OriginRecord, now: Instant) {
         let remaining = Duration::from_millis(record.remaining_ms).min(MAX_STREAM_LIFETIME);
-        self.merge(record.stream, record.origin, now + remaining, now);
+        self.merge(record.stream, record.origin, now + remaining, OWNERS - 1, now);
     }
 
     /// Returns what this node knows of a stream.
@@ -254,13 +301,14 @@
         now: Instant,
     ) -> OriginSearch {
         let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
-        let asked = self.first_nodes(stream.unwrap_or_default(), ASKED_NODES);
+        let nodes = self.nodes.iter().chain(&self.stopping_nodes);
+        let asked = ranked_nodes(nodes, stream.unwrap_or_default(), ASKED_NODES);
         OriginSearch {
             service: service.clone(),
             known,
             versions: self.possible_versions(service, now),
             is_complete: self.knows_all_versions(service, now),
-            unanswered: asked,
+            unanswered: asked.iter().map(|node| node.address).collect(),
             answers: 0,
             complete_answers: 0,
             has_contradiction: false,
@@ -291,6 +339,7 @@
         stream: StreamKey,
         origin: StreamOrigin,
         expires_at: Instant,
+        other_owners: usize,
         now: Instant,
     ) {
         if self.streams.len() >= MAX_STREAMS {
@@ -304,7 +353,11 @@
                 known.expires_at = known.expires_at.max(expires_at);
             }
             None => {
-                self.streams.insert(stream, KnownStream { origin: Some(origin), expires_at });
+                // The node where the stream began tells all of its owners.
+                let owners = ranked_nodes(&self.nodes, stream, other_owners);
+                let told = owners.into_iter().map(node_hash).collect();
+                let known = KnownStream { origin: Some(origin), expires_at, other_owners, told };
+                self.streams.insert(stream, known);
             }
         }
     }
@@ -319,33 +372,41 @@
             self.streams.remove(&stream);
         }
     }
+}
 
-    /// Returns the first `count` other nodes for a stream: the first ones of several availability
-    /// zones, then the others, by their hashes.
-    fn first_nodes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
-        let hash = |node: &PeerNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
-        let mut ranked: Vec<(Reverse<u64>, &PeerNode)> =
-            self.nodes.iter().map(|node| (Reverse(hash(node)), node)).collect();
-        if ranked.len() > RANKED_NODES {
-            ranked.select_nth_unstable_by_key(RANKED_NODES, |(hash, _)| *hash);
-            ranked.truncate(RANKED_NODES);
-        }
-        ranked.sort_by(|(left, a), (right, b)| (left, &a.instance).cmp(&(right, &b.instance)));
-        let mut chosen: Vec<&PeerNode> = Vec::with_capacity(count);
-        for (_, node) in &ranked {
-            let is_in_new_zone =
-                chosen.iter().all(|other| other.availability_zone != node.availability_zone);
-            if chosen.len() < OWNERS && is_in_new_zone {
-                chosen.push(node);
-            }
+fn node_hash(node: &PeerNode) -> u64 {
+    xxh3_64(node.instance.as_bytes())
+}
+
+/// Returns the first `count` of the nodes for a stream: the first ones of several availability zones,
+/// then the others, by their hashes.
+fn ranked_nodes<'a>(
+    nodes: impl IntoIterator<Item = &'a PeerNode>,
+    stream: StreamKey,
+    count: usize,
+) -> Vec<&'a PeerNode> {
+    let hash = |node: &PeerNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
+    let mut ranked: Vec<(Reverse<u64>, &PeerNode)> =
+        nodes.into_iter().map(|node| (Reverse(hash(node)), node)).collect();
+    if ranked.len() > RANKED_NODES {
+        ranked.select_nth_unstable_by_key(RANKED_NODES, |(hash, _)| *hash);
+        ranked.truncate(RANKED_NODES);
+    }
+    ranked.sort_by(|(left, a), (right, b)| (left, &a.instance).cmp(&(right, &b.instance)));
+    let mut chosen: Vec<&PeerNode> = Vec::with_capacity(count);
+    for (_, node) in &ranked {
+        let is_in_new_zone =
+            chosen.iter().all(|other| other.availability_zone != node.availability_zone);
+        if chosen.len() < OWNERS && is_in_new_zone {
+            chosen.push(node);
         }
-        for (_, node) in &ranked {
-            if chosen.len() < count && !chosen.contains(node) {
-                chosen.push(node);
-            }
+    }
+    for (_, node) in &ranked {
+        if chosen.len() < count && !chosen.contains(node) {
+            chosen.push(node);
         }
-        chosen.iter().map(|node| node.address).collect()
     }
+    chosen
 }
 
 fn origin_record(
--- a/src/links/handshake.rs
+++ b/src/links/handshake.rs
@@ -46,6 +46,7 @@
             status: MemberStatus::Alive,
             processor_percent: 0,
             peer_address: None,
+            is_stopping: false,
         };
         Self { key, record }
     }
@@ -126,7 +127,12 @@
     message.extend(challenge.nonce.to_le_bytes());
     message.extend(nonce.to_le_bytes());
     // Earlier builds leave these fields out of the proof.
-    let member = MemberRecord { processor_percent: 0, peer_address: None, ..member.clone() };
+    let member = MemberRecord {
+        processor_percent: 0,
+        peer_address: None,
+        is_stopping: false,
+        ..member.clone()
+    };
     ciborium::into_writer(&member, &mut message).expect("writing to a Vec cannot fail");
     hmac_sha256(key.as_bytes(), &message)
 }
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -163,6 +163,8 @@
         /// Whether the stored KV cache is lost.
         is_emptied: bool,
     },
-    /// The node is stopping.
+    /// The node is stopping; it still carries requests.
     NodeStopping,
+    /// The node carries no requests any more.
+    NodeStopped,
 }
--- a/src/relay/control/partner_links.rs
+++ b/src/relay/control/partner_links.rs
@@ -1,6 +1,7 @@
 //! Tasks that open, accept and run the partner links of a node.
 
 use super::RelayControlEvent;
+use crate::decision::membership::MemberStatus;
 use crate::links::{Identity, Link};
 use crate::relay::RelayContext;
 use smol::Timer;
@@ -29,8 +30,8 @@
         loop {
             match listener.accept().await {
                 // Other nodes still find the address in the store and dial it after this node left.
-                Ok(_) if context.is_stopping.load(Ordering::Acquire) => {
-                    log::debug!("event=link_refused reason=stopping");
+                Ok(_) if identity.borrow().record.status == MemberStatus::Left => {
+                    log::debug!("event=link_refused reason=left");
                 }
                 Ok((stream, _)) => {
                     let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -134,15 +134,12 @@
 
     /// Returns the other live nodes that take requests and datagrams.
     fn list_peer_nodes(&self) -> Vec<PeerNode> {
-        let node = |member: &MemberRecord| {
-            Some(PeerNode {
-                instance: member.instance.clone(),
-                availability_zone: member.availability_zone.clone(),
-                address: member.peer_address?,
-                processor_percent: member.processor_percent,
-            })
-        };
-        self.membership.live_members().filter_map(node).collect()
+        self.membership.live_members().filter_map(peer_node).collect()
+    }
+
+    /// Returns the stopping nodes, which still answer datagrams.
+    fn list_stopping_nodes(&self) -> Vec<PeerNode> {
+        self.membership.stopping_members().filter_map(peer_node).collect()
     }
 
     /// Whether a link to `peer` is open.
@@ -186,6 +183,16 @@
     }
 }
 
+/// Returns a member as others reach it, `None` if it takes neither requests nor datagrams.
+fn peer_node(member: &MemberRecord) -> Option<PeerNode> {
+    Some(PeerNode {
+        instance: member.instance.clone(),
+        availability_zone: member.availability_zone.clone(),
+        address: member.peer_address?,
+        processor_percent: member.processor_percent,
+    })
+}
+
 impl ControlState {
     /// Sends a message to all partners except `source`.
     pub(super) fn broadcast(&self, source: Option<&InstanceId>, message: &PartnerMessage) {
@@ -301,7 +308,13 @@
         self.advance_membership(MembershipEvent::DialFailed(address), now);
     }
 
-    /// Notifies partners that this node is leaving.
+    /// Notifies partners that this node is stopping and takes no duties any more. It keeps its links:
+    /// others ask it for the streams that it carries, and it learns of the nodes that take them over.
+    pub(super) fn announce_stop(&mut self, now: Instant) {
+        self.advance_membership(MembershipEvent::Stop, now);
+    }
+
+    /// Notifies partners that this node has stopped, and closes its links.
     pub(super) fn leave_partners(&mut self, now: Instant) {
         self.advance_membership(MembershipEvent::Leave, now);
     }
@@ -438,7 +451,8 @@
             self.context.fleet().brittle.set_nodes(me, &ids);
             let peers = self.partners.list_peer_nodes();
             self.context.gateways().set_nodes(me, peers.clone());
-            self.context.origins().set_nodes(peers.clone());
+            let stopping = self.partners.list_stopping_nodes();
+            self.context.origins().set_nodes(peers.clone(), stopping);
             let owners = peers.into_iter().chain([self.own_peer_node()]).collect();
             self.context.quotas().set_nodes(me, owners, Instant::now());
             self.partners.live = live;
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -11,6 +11,7 @@
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
 use crate::relay::peers::reach;
+use crate::relay::stream_origin;
 use crate::relay::suspension_detector::SuspensionDetector;
 use crate::types::{InstanceId, ModelId, ServiceId, StoreEra, WeightsRevision, log_position};
 use async_channel::Receiver;
@@ -223,7 +224,8 @@
             RelayControlEvent::KvStoreChanged { address, is_emptied } => {
                 self.apply_kv_store(address, is_emptied, now);
             }
-            RelayControlEvent::NodeStopping => self.leave_partners(now),
+            RelayControlEvent::NodeStopping => self.announce_stop(now),
+            RelayControlEvent::NodeStopped => self.leave_partners(now),
         }
     }
 
@@ -242,6 +244,7 @@
         self.observe_versions(now);
         self.context.quotas().tick(now);
         self.tick_version_records(now);
+        stream_origin::replicate_origins(&self.context, now);
         self.tick_reach(now);
         self.crash_checks.remove_expired(now);
         self.tick_partners(now);
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -48,6 +48,9 @@
 /// Period at which a draining node checks whether its connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time in which a node that has stopped tells its partners.
+const LEAVE_PERIOD: Duration = Duration::from_millis(50);
+
 /// A running relay node.
 pub struct RelayNode {
     context: Arc<RelayContext>,
@@ -170,6 +173,8 @@
             thread::sleep(DRAIN_POLL_PERIOD);
         }
         log::info!("event=stopped cut={}", self.drain_sender.receiver_count());
+        self.context.notify_control(RelayControlEvent::NodeStopped);
+        thread::sleep(LEAVE_PERIOD);
         self.kill();
     }
 
--- a/src/relay/stream_origin.rs
+++ b/src/relay/stream_origin.rs
@@ -21,6 +21,9 @@
 /// Time after which nodes that have not answered are asked again, since datagrams may be lost.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
 
+/// Maximum streams whose owners are checked in a tick.
+const MAX_REPLICATED_STREAMS: usize = 256;
+
 /// Time beyond the caller's for which the origin of its stream is kept.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -40,6 +43,7 @@
     let stream = request.head.resumes.as_ref().map(stream_key);
     let asked_at = Instant::now();
     let mut search = context.origins().search(stream, &request.service, asked_at);
+    let asked = search.unanswered().len();
     if !search.is_over() {
         ask_other_nodes(context, stream, request, &mut search).await;
     }
@@ -49,8 +53,8 @@
         None => ("unknown", None),
     };
     log::info!(
-        "event=stream_taken_up request={} stream={} after={} software={} source={source} answers={} \
-         waited_ms={}",
+        "event=stream_taken_up request={} stream={} after={} software={} source={source} asked={asked} \
+         answers={} waited_ms={}",
         request.id,
         request.head.resumes.as_deref().unwrap_or("none"),
         request.head.last_event_id.as_deref().unwrap_or("none"),
@@ -90,6 +94,18 @@
     }
 }
 
+/// Tells the nodes that have become owners of streams since the live nodes changed.
+pub fn replicate_origins(context: &RelayContext, now: Instant) {
+    let replicas = context.origins().next_replicas(MAX_REPLICATED_STREAMS, now);
+    if replicas.is_empty() {
+        return;
+    }
+    log::info!("event=stream_origins_replicated streams={}", replicas.len());
+    for (record, owners) in replicas {
+        queries::send(context, &Datagram::Origin(record), &owners);
+    }
+}
+
 /// Records where a resumable stream began, and tells its owners.
 pub fn record_origin(context: &RelayContext, request: &RelayedRequest, software: &SoftwareVersion) {
     let stream = request.head.resumes.as_ref().unwrap_or(&request.id);
--- a/tests/relay/earlier_messages.rs
+++ b/tests/relay/earlier_messages.rs
@@ -1,12 +1,14 @@
 //! Messages of nodes of an earlier build (e16e9d8), and what that build makes of today's.
 
 use ciborium::Value;
+use coriandertide::decision::membership::{MemberRecord, MemberStatus};
 use coriandertide::decision::relay::RecordTopic;
 use coriandertide::decision::relay::read_schedule::Confirmation;
 use coriandertide::links::message::{DecodedMessage, TopicDigest};
 use coriandertide::links::{Datagram, PartnerMessage};
 use coriandertide::relay::peers::message;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Instant;
 
 const KEY: &str = "a key of sixteen";
@@ -103,3 +105,35 @@
     datagram.extend_from_slice(&encoded);
     assert!(Datagram::decode(&datagram, KEY).is_err());
 }
+
+/// Member record as the earlier build reads it.
+#[derive(Debug, Deserialize, PartialEq)]
+struct EarlierMember {
+    i: String,
+    v: u64,
+    s: String,
+}
+
+/// Guards against a stopping node that nodes of an earlier build cannot read, and against taking theirs
+/// for stopping.
+#[test]
+fn a_stopping_member_is_a_live_one_to_an_earlier_build() {
+    let member = |is_stopping| MemberRecord {
+        instance: "n-1".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1)),
+        availability_zone: "zone-1".into(),
+        started_unix_ms: 5,
+        version: 2,
+        status: MemberStatus::Alive,
+        processor_percent: 0,
+        peer_address: None,
+        is_stopping,
+    };
+    let bytes_of_earlier_build = encode(&member(false));
+    let decoded: MemberRecord = ciborium::from_reader(bytes_of_earlier_build.as_slice()).unwrap();
+    assert!(!decoded.is_stopping);
+    let stopping = encode(&member(true));
+    assert_ne!(stopping, bytes_of_earlier_build);
+    let read: EarlierMember = ciborium::from_reader(stopping.as_slice()).unwrap();
+    assert_eq!(read, EarlierMember { i: "n-1".into(), v: 2, s: "alive".into() });
+}
--- a/tests/relay/loads.rs
+++ b/tests/relay/loads.rs
@@ -28,6 +28,7 @@
         status: MemberStatus::Alive,
         processor_percent: 0,
         peer_address: None,
+        is_stopping: false,
     };
     (0..nodes).map(member).collect()
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod record_requests;
 mod replica;
 mod resend;
+mod rolling_stops;
 mod rollout;
 mod server_limits;
 mod settings;
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -104,7 +104,7 @@
                 address: address(other),
                 processor_percent: 0,
             });
-            model.nodes[node].set_nodes(others.collect());
+            model.nodes[node].set_nodes(others.collect(), Vec::new());
             model.nodes[node].observe_version(&SERVICE, &OLD, start);
             let is_late = model.random.f64() < LATE_NODES;
             let lag_ms = model.random.u64(0..if is_late { MAX_LAG_MS } else { 150 });
@@ -255,7 +255,7 @@
     let mut origins = StreamOrigins::new(false, now);
     origins.observe_version(&SERVICE, &OLD, now);
     assert_eq!(origins.search(Some(1), &SERVICE, now).result(), None);
-    origins.set_nodes(vec![node(1), node(2)]);
+    origins.set_nodes(vec![node(1), node(2)], Vec::new());
     // A version of before the node's start may be known to others alone.
     let mut search = origins.search(Some(1), &SERVICE, now);
     assert_eq!((search.is_over(), search.result()), (false, None));
@@ -284,7 +284,7 @@
     let now = Instant::now();
     let after = |s| now + Duration::from_secs(s);
     let mut origins = StreamOrigins::new(true, now);
-    origins.set_nodes(vec![node(1)]);
+    origins.set_nodes(vec![node(1)], Vec::new());
     origins.observe_version(&SERVICE, &OLD, now);
     assert!(origins.observe_version(&SERVICE, &NEW, now));
     origins.observe_version(&SERVICE, &NEW, after(50));
@@ -308,7 +308,7 @@
         let mut nodes = vec![StreamOrigins::new(false, now); node_count];
         for (index, origins) in nodes.iter_mut().enumerate() {
             let others = (0..node_count).filter(|other| *other != index);
-            origins.set_nodes(others.map(node).collect());
+            origins.set_nodes(others.map(node).collect(), Vec::new());
             origins.observe_version(&SERVICE, &NEW, now);
         }
         let mut search = nodes[0].search(Some(1), &SERVICE, now);
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -152,7 +152,7 @@
         for index in 0..self.case.nodes {
             let mut origins = StreamOrigins::new(is_first_start, now);
             let others = (0..self.case.nodes).filter(|other| *other != index);
-            origins.set_nodes(others.map(peer).collect());
+            origins.set_nodes(others.map(peer).collect(), Vec::new());
             let records = VersionRecords::new(format_smolstr!("n{index}"), now);
             let is_late = self.random.u8(0..10) == 0;
             let lag_ms = self.random.u64(0..if is_late { 1_500 } else { 300 });
--- a/tests/together/links.rs
+++ b/tests/together/links.rs
@@ -23,6 +23,7 @@
         status: MemberStatus::Alive,
         processor_percent: 0,
         peer_address: None,
+        is_stopping: false,
     };
     Identity { key: key.into(), record }
 }
--- a/tests/together/membership.rs
+++ b/tests/together/membership.rs
@@ -132,3 +132,33 @@
         self.apply(node, MembershipEvent::Leave);
     }
 }
+
+/// Guards against nodes that cannot be asked for their streams, and do not learn who takes them over,
+/// from the moment at which they begin to stop.
+#[test]
+fn a_stopping_node_keeps_its_links_and_takes_no_duties() {
+    for nodes in [6, 36] {
+        let mut network = Network::new(nodes);
+        network.advance(30_000);
+        network.apply(0, MembershipEvent::Stop);
+        network.advance(3_000);
+        let stopping = network.nodes[0].as_ref().unwrap().local_record().instance.clone();
+        for node in network.nodes[1..].iter().flatten() {
+            assert!(node.live_members().all(|member| member.instance != stopping));
+            assert!(node.stopping_members().any(|member| member.instance == stopping));
+            assert_eq!(node.live_nodes() as usize, nodes - 1);
+        }
+        network.kill(1);
+        network.start_node(1);
+        network.advance(2_000);
+        let started = network.nodes[1].as_ref().unwrap().local_record().instance.clone();
+        let node = network.nodes[0].as_ref().unwrap();
+        assert!(node.live_members().any(|member| member.instance == started), "{nodes} nodes");
+        let node = network.nodes[1].as_ref().unwrap();
+        assert!(node.stopping_members().any(|member| member.instance == stopping));
+        network.leave(0);
+        network.advance(1_000);
+        let node = network.nodes[1].as_ref().unwrap();
+        assert_eq!(node.stopping_members().count(), 0, "{nodes} nodes");
+    }
+}
--- a/tests/together/network.rs
+++ b/tests/together/network.rs
@@ -81,6 +81,7 @@
             status: MemberStatus::Alive,
             processor_percent: 0,
             peer_address: None,
+            is_stopping: false,
         };
         self.nodes[index] = Some(MembershipState::new(record, MembershipSettings::default()));
         let seeds = (0..self.nodes.len()).map(address).collect();
