fix(relay): an end without framing counts only if the server outlives it

Callers saw: streams of a killed server, sent with neither a length nor chunks, ended as whole before their last event; short bodies of answers that are read whole came as 200 as well.

Cause: the kernel ends the connections of a killed process in order. Such an end counted as that of the answer; the check for a crash began afterwards.

Change: Answer::next_data believes such an end once the server, in the same incarnation, has answered a call sent after it. Streams, candidates that go on with a stream, and answers that are read whole all read through it. The check of crashes at an end, and its special case in the evidence, are gone: the proof says the same earlier.

--- a/src/ports/engine_control.rs
+++ b/src/ports/engine_control.rs
@@ -3,7 +3,7 @@
 
 use crate::decision::relay::register_lease::FencingNumber;
 use crate::decision::relay::rollout::{RunPolicy, WeightsOrderOutcome, WeightsReport};
-use crate::types::{InstanceId, ModelId, PeerResult, ServerId, WeightsRevision};
+use crate::types::{Incarnation, InstanceId, ModelId, PeerResult, ServerId, WeightsRevision};
 use async_trait::async_trait;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -39,6 +39,18 @@
 /// Control calls to model engines and the KV store.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
+    /// Returns the incarnation of the process that answers for a server, `None` if it does not tell.
+    ///
+    /// # Errors
+    ///
+    /// Nothing answers, or another server does.
+    async fn incarnation(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> PeerResult<Option<Incarnation>>;
+
     /// Returns the weights that a server has loaded.
     async fn weights_report(
         &self,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -7,6 +7,7 @@
 };
 use super::buffered_answer::{self, BufferedAnswer};
 use super::control::RelayControlEvent;
+use super::end_proof::{EndProof, prove_end};
 use super::in_flight::{CutStage, InFlightAttempt, request_crash_check};
 use super::peers::reach;
 use super::request::RelayedRequest;
@@ -15,8 +16,9 @@
 use crate::decision::relay::server::Server;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, Step};
+use crate::types::{Delivery, Incarnation, PeerError, PeerResult, Step};
 use anyhow::anyhow;
+use bytes::{Bytes, BytesMut};
 use http::Request;
 use http_body_util::Full;
 use smol_str::SmolStr;
@@ -68,6 +70,53 @@
     pub head: AnswerHead,
     /// The attempt, which counts towards the load of the server.
     pub in_flight: InFlightAttempt,
+    end_proof: Option<EndProof>,
+}
+
+impl Answer {
+    /// Returns an answer whose head has arrived.
+    pub fn new(exchange: PooledExchange, head: AnswerHead, in_flight: InFlightAttempt) -> Self {
+        Self { exchange, head, in_flight, end_proof: None }
+    }
+
+    /// Returns the next data of the body, `None` at its end. A body that ends with its connection is
+    /// complete only if its server has outlived it: the connections of a process that is killed end in
+    /// the same way.
+    ///
+    /// # Errors
+    ///
+    /// The connection was lost, the server was, or the deadline passed.
+    pub async fn next_data(&mut self, deadline: Instant) -> PeerResult<Option<Bytes>> {
+        if self.end_proof.is_none() {
+            let data = self.exchange.next_data(deadline).await?;
+            if data.is_some() || self.exchange.framing.proves_completeness() {
+                return Ok(data);
+            }
+        }
+        let in_flight = &self.in_flight;
+        let proof = self.end_proof.get_or_insert_with(|| prove_end(in_flight, deadline));
+        let proved = proof.await;
+        self.end_proof = None;
+        proved.map(|()| None)
+    }
+
+    /// Reads the whole body, at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// As [`next_data`](Self::next_data), or the body is too long.
+    pub async fn read_all(&mut self, max_bytes: usize, deadline: Instant) -> PeerResult<Bytes> {
+        let mut body = BytesMut::new();
+        while let Some(data) = self.next_data(deadline).await? {
+            if body.len() + data.len() > max_bytes {
+                let error = anyhow!("body exceeds {max_bytes} bytes");
+                let server = self.in_flight.server.clone();
+                return Err(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error));
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
 }
 
 /// Sends `request` to the chosen server and waits for the head of its answer.
@@ -140,7 +189,7 @@
         context.fleet().prefixes.add_stored(&prompt.keys, Instant::now());
         context.notify_control(RelayControlEvent::PrefixesStored);
     }
-    ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
+    ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
 }
 
 /// Takes the permits to send a request to a server that names a limit or is brittle; returns whether
@@ -185,7 +234,7 @@
     choice: &Choice,
     last_event_id: Option<SmolStr>,
     now: Instant,
-) -> Request<Full<bytes::Bytes>> {
+) -> Request<Full<Bytes>> {
     let remaining = request.deadline.saturating_duration_since(now);
     let workspace = request.workspace.as_ref();
     let prompt = choice.prompt.as_ref();
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -51,7 +51,7 @@
     request: &RelayedRequest,
     mut received: Answer,
 ) -> PeerResult<BufferedAnswer> {
-    let read = received.exchange.read_all(MAX_ANSWER_BYTES, request.deadline).await;
+    let read = received.read_all(MAX_ANSWER_BYTES, request.deadline).await;
     let body = read.inspect_err(|error| {
         received.in_flight.record_outcome(false, 0.0);
         if error.is_disconnect() {
@@ -59,10 +59,7 @@
         }
         log::info!("event=answer_broken request={} {} {error}", request.id, received.in_flight);
     })?;
-    let Answer { exchange, head, in_flight } = received;
-    if !exchange.framing.proves_completeness() {
-        in_flight::request_crash_check(request, &in_flight, CutStage::End);
-    }
+    let Answer { exchange, head, in_flight, .. } = received;
     let answer = BufferedAnswer {
         status: exchange.status,
         headers: exchange.headers.clone(),
@@ -94,7 +91,7 @@
         );
         context.metrics.observe_first_answer(&request.route.name, request.arrived_at);
         stream::count_outcome(context, request, outcome);
-        if status.is_success() && framing.proves_completeness() {
+        if status.is_success() {
             suspects::acquit(context, request);
         }
         let mut reply = Response::new(full_body(body));
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -3,7 +3,7 @@
 use super::state::ControlState;
 use super::{CutExchange, RelayControlEvent};
 use crate::adapters::deadline::timeout_at;
-use crate::decision::poison::{KeyStrike, Strike, SuspectKey, Treatment};
+use crate::decision::poison::{KeyStrike, Strike, Treatment};
 use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
 use crate::relay::peers::reach;
@@ -100,14 +100,7 @@
         if has_crashed {
             let (state, forget_at) = (CrashCheckState::Confirmed, now + CHECK_MEMORY);
             self.crash_checks.checks.insert(run, CrashCheck { state, forget_at });
-            return self.record_crash(&cuts, now);
-        }
-        let ended = cuts.iter().filter(|cut| cut.is_ended);
-        let keys: Vec<SuspectKey> =
-            ended.flat_map(|cut| cut.keys.iter().map(|ranked| ranked.key)).collect();
-        let cleared = self.context.crash_evidence().acquit(&keys, now);
-        if !cleared.is_empty() {
-            self.broadcast(None, &PartnerMessage::KeyStrikes(cleared));
+            self.record_crash(&cuts, now);
         }
     }
 
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -47,9 +47,6 @@
     pub fingerprint: Option<Fingerprint>,
     /// Keys of the request with the crashes that were known when it was sent.
     pub keys: Vec<RankedKey>,
-    /// Whether the answer ended in order with its connection, so that it is complete unless the
-    /// server crashed.
-    pub is_ended: bool,
 }
 
 /// Event that the control thread handles.
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -23,8 +23,6 @@
     Body,
     /// A stream had not ended.
     Stream,
-    /// The answer ended with its connection, which a crash may have ended as well.
-    End,
 }
 
 /// Attempt that counts towards the load of its server until dropped.
@@ -117,6 +115,26 @@
         }
     }
 
+    /// Returns the state of the node.
+    pub fn context(&self) -> &Arc<RelayContext> {
+        &self.context
+    }
+
+    /// Returns the address that the request was sent to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the incarnation of the server by its entry, `None` if the entry does not tell.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// Whether another node has sent the request on.
+    pub fn is_by_node(&self) -> bool {
+        self.service.is_none()
+    }
+
     /// Returns the server that runs the request, as far as it is known.
     pub fn known_server(&self) -> Option<&ServerId> {
         match self.service {
@@ -187,6 +205,5 @@
         // crashes are refused.
         fingerprint: (stage == CutStage::Head).then_some(request.fingerprint),
         keys: in_flight.suspect_keys.clone(),
-        is_ended: stage == CutStage::End,
     }));
 }
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -121,7 +121,7 @@
                 let server = server.clone();
                 let in_flight =
                     InFlightAttempt::by_node(Arc::clone(context), node, server, software);
-                ReceivedHead::Answer(Box::new(Answer { exchange, head, in_flight }))
+                ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
             }
         }
         Some(Outcome::Refused) => {
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -14,7 +14,6 @@
 use crate::relay::attempt::Answer;
 use crate::relay::attempts::Attempts;
 use crate::relay::buffered_answer::return_to_pool;
-use crate::relay::in_flight::{self, CutStage};
 use crate::relay::metrics::AnswerLabels;
 use crate::relay::peers::gateway::software_header;
 use crate::relay::peers::message::SOFTWARE;
@@ -228,9 +227,7 @@
         let read = answer.as_mut().filter(|_| moving_until.is_none());
         let received = async {
             match read {
-                Some(answer) => {
-                    StreamEvent::Received(answer.exchange.next_data(request.deadline).await)
-                }
+                Some(answer) => StreamEvent::Received(answer.next_data(request.deadline).await),
                 None => future::pending().await,
             }
         };
@@ -311,8 +308,7 @@
         Some(PeerError::new(Step::Decode, server, Delivery::Unknown, error))
     }
 
-    /// Returns an error if the body that has just ended is not the whole stream. A server that
-    /// crashes closes its connections, which ends a body that has neither a length nor chunks.
+    /// Returns an error if the body that has just ended is not the whole stream.
     fn find_truncation(&self) -> Option<PeerError> {
         let (answer, splitter) = (self.answer.as_ref()?, self.splitter.as_ref()?);
         let framing = answer.exchange.framing;
@@ -358,11 +354,7 @@
         self.abandon_others();
         if let Some(answer) = self.answer.take() {
             self.log_outcome("complete", Some(&answer));
-            if answer.exchange.framing.proves_completeness() {
-                suspects::acquit(&self.context, &self.request);
-            } else {
-                in_flight::request_crash_check(&self.request, &answer.in_flight, CutStage::End);
-            }
+            suspects::acquit(&self.context, &self.request);
             return_to_pool(&self.context, answer.exchange, &answer.head);
         }
         let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
@@ -414,9 +406,8 @@
     if candidates.is_empty() {
         return future::pending().await;
     }
-    let next = candidates
-        .iter_mut()
-        .map(|candidate| Box::pin(candidate.answer.exchange.next_data(deadline)));
+    let next =
+        candidates.iter_mut().map(|candidate| Box::pin(candidate.answer.next_data(deadline)));
     let (received, index, _others) = select_all(next).await;
     StreamEvent::Continued { index, received }
 }
