fix(relay): ask which process answers before a stream goes on at a server

Callers saw: streams with events of two software versions, when servers started again under their ids with newer software while the store was down.

Cause: the version of a server was taken from its entry, which is tied to the id and may be that of an earlier process.

Change: before a stream goes on at a server, and before one begins at a server that has cut or refused a connection since, the node asks the process for its start. A stream goes on at no other process than that of the entry; one that begins at an unlisted process goes on nowhere else.

With the question left out, both new tests of software_versions fail; with it they pass.

--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -118,6 +118,8 @@
     full_until: Option<Instant>,
     /// End of the pause that the server has asked this node for.
     paused_until: Option<Instant>,
+    /// Whether the process of the entry may have ended.
+    is_process_doubted: bool,
 }
 
 impl Server {
@@ -137,9 +139,25 @@
             evicted_until: None,
             full_until: None,
             paused_until: None,
+            is_process_doubted: false,
         }
     }
 
+    /// Whether the process of the entry may have ended, and another one may answer for the server.
+    pub fn is_process_doubted(&self) -> bool {
+        self.is_process_doubted
+    }
+
+    /// Records that the server has cut a connection, or refused one.
+    pub fn doubt_process(&mut self) {
+        self.is_process_doubted = true;
+    }
+
+    /// Records that the process of an incarnation has answered.
+    pub fn confirm_process(&mut self, incarnation: Incarnation) {
+        self.is_process_doubted &= incarnation != self.incarnation();
+    }
+
     /// Returns the incarnation of the server, 0 if its entry does not tell.
     pub fn incarnation(&self) -> Incarnation {
         self.entry.started_unix_ms.unwrap_or_default()
@@ -161,6 +179,7 @@
             self.health = Health::new(self.health.report_delay());
             self.reopen();
             self.paused_until = None;
+            self.is_process_doubted = false;
         }
         self.entry = entry;
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -12,20 +12,23 @@
 use super::peers::reach;
 use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::relay::Choice;
 use crate::decision::relay::server::Server;
+use crate::decision::relay::{Choice, RetrySafety};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, PeerResult, Step};
+use crate::types::{Delivery, Incarnation, PeerError, PeerResult, SoftwareVersion, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
 use http::Request;
 use http_body_util::Full;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use strum::Display;
 
+/// Time in which a server must tell which process it is.
+const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// The server began a stream.
@@ -126,6 +129,13 @@
     choice: &Choice,
     last_event_id: Option<SmolStr>,
 ) -> ReceivedHead {
+    let choice = &match check_process(context, request, choice, last_event_id.is_some()).await {
+        Ok(software) => Choice { software, ..choice.clone() },
+        Err(error) => {
+            log::info!("event=process_unknown request={} {error}", request.id);
+            return ReceivedHead::None(AttemptOutcome::NotSent(error));
+        }
+    };
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
     if !try_take_permits(context, request, choice, incarnation, sent_at) {
@@ -192,6 +202,62 @@
     ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
 }
 
+/// Returns the software version of the process that answers for the chosen server. Its entry may be
+/// that of an earlier process, so that the process is asked before a stream goes on there, and before
+/// one begins after a sign that the process may have ended.
+///
+/// # Errors
+///
+/// The process does not answer, or a stream cannot go on there since it is another one.
+async fn check_process(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+    goes_on: bool,
+) -> PeerResult<SoftwareVersion> {
+    let goes_on = goes_on || request.is_resumption();
+    let is_resumable = request.route.retry_safety == RetrySafety::ResumableStream;
+    if !is_resumable {
+        return Ok(choice.software.clone());
+    }
+    let replaced =
+        |error| PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error);
+    let (expected, is_doubted) = match context.fleet().server(&choice.server) {
+        Some(server) if server.entry.software == choice.software => {
+            (server.entry.started_unix_ms, server.is_process_doubted())
+        }
+        _ => return Err(replaced(anyhow!("the server's entry has changed"))),
+    };
+    let Some(expected) = expected.filter(|_| goes_on || is_doubted) else {
+        return Ok(choice.software.clone());
+    };
+    let deadline = request.deadline.min(Instant::now() + PROCESS_CHECK_TIMEOUT);
+    let engines = &context.ports.engines;
+    let found = engines.incarnation(&choice.server, choice.address, deadline).await;
+    let found = found.map_err(|error| {
+        suspend_server(context, choice);
+        PeerError { delivery: Delivery::NotSent, ..error }
+    })?;
+    let Some(found) = found.filter(|found| *found != expected) else {
+        if let Some(server) = context.fleet().server_mut(&choice.server) {
+            server.confirm_process(expected);
+        }
+        return Ok(choice.software.clone());
+    };
+    log::info!(
+        "event=process_replaced request={} server={} expected={expected} found={found}",
+        request.id,
+        choice.server
+    );
+    if goes_on {
+        return Err(replaced(anyhow!(
+            "the server started again, with an unknown software version"
+        )));
+    }
+    // Its entry has not arrived yet. A stream of it goes on nowhere else.
+    Ok(format_smolstr!("unlisted-{}-{found}", choice.server))
+}
+
 /// Takes the permits to send a request to a server that names a limit or is brittle; returns whether
 /// there were any.
 fn try_take_permits(
@@ -299,11 +365,10 @@
 pub fn suspend_server(context: &RelayContext, choice: &Choice) {
     context.pool.close_idle_connections(&choice.server);
     let now = Instant::now();
-    let Some(until) = context
-        .fleet()
-        .server_mut(&choice.server)
-        .map(|server| server.health.record_unreachable(now))
-    else {
+    let Some(until) = context.fleet().server_mut(&choice.server).map(|server| {
+        server.doubt_process();
+        server.health.record_unreachable(now)
+    }) else {
         return;
     };
     let for_ms = until.saturating_duration_since(now).as_millis();
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -193,6 +193,9 @@
 /// against the request and its prompt parts. A node that sends a request on checks by itself.
 pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
     let Some(service) = &in_flight.service else { return };
+    if let Some(server) = in_flight.context.fleet().server_mut(&in_flight.server) {
+        server.doubt_process();
+    }
     // A brittle server falls over for want of room, whatever it was answering.
     if in_flight.context.fleet().brittle.is_brittle(service, Instant::now()) {
         return;
