fix(relay): a node vouches for a version only by a confirmed server list

Callers saw: at machines that were cut off, streams of a new software version went on at the old one.

Cause: a node whose list of servers had once been complete took it for proof of a single version, however old it was.

Change: the list must have been confirmed since the caller came. The node reads it at once if that decides, and refuses the stream after 0.9 s; answers of other nodes tell the age of theirs.

With the confirmation left out, three tests of stream_origins fail; with it they pass.

--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -84,6 +84,8 @@
     answered_at: Option<Instant>,
     /// When a read of this node failed, `None` after a later answer.
     failed_at: Option<Instant>,
+    /// When a confirmation was last requested.
+    requested_at: Option<Instant>,
 }
 
 /// Read schedule of all topics.
@@ -161,6 +163,11 @@
         }
     }
 
+    /// Requests a confirmation of the view of a topic that is not older than `now`.
+    pub fn request(&mut self, topic: RecordTopic, now: Instant) {
+        self.topics.entry(topic).or_default().requested_at = Some(now);
+    }
+
     /// Returns the read that confirms the view of a topic.
     pub fn confirmation(&self, topic: RecordTopic) -> Option<Confirmation> {
         self.topics.get(&topic)?.confirmation
@@ -188,6 +195,12 @@
     pub fn next_read(&self, topic: RecordTopic, now: Instant) -> NextRead {
         let unknown = TopicSchedule::default();
         let schedule = self.topics.get(&topic).unwrap_or(&unknown);
+        let is_requested = schedule
+            .requested_at
+            .is_some_and(|at| schedule.confirmed_at.is_none_or(|known| known < at));
+        if is_requested {
+            return NextRead::Read { wait_until: now };
+        }
         let has_failed = schedule.failed_at.is_some_and(|at| now < at + FAILED_READ_BACKOFF);
         let (due_at, read_wait) = if schedule.rank < FOLLOWERS && !has_failed {
             (schedule.answered_at.map(|at| at + FOLLOWER_READ_GAP), FOLLOWER_READ_WAIT)
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -5,7 +5,8 @@
 //! the first ones for it by rendezvous hashing, in different availability zones. A node that a caller
 //! asks to resume a stream asks these nodes and some more. A stream that nobody knows goes on only if
 //! its service has had a single version, by the word of a node that knows all versions of the time in
-//! which the stream can have begun.
+//! which the stream can have begun. That node's list of servers must have been confirmed since the
+//! caller came: a node that was cut off or stood still does not know what has begun meanwhile.
 //!
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
@@ -41,9 +42,6 @@
 /// Maximum streams that are remembered.
 const MAX_STREAMS: usize = 65_536;
 
-/// Answers of other nodes that confirm that a service has had a single version.
-const CONFIRMING_ANSWERS: usize = 2;
-
 /// Maximum versions in an answer: two already show that a service has several.
 const MAX_ANSWERED_VERSIONS: usize = 4;
 
@@ -102,9 +100,14 @@
     /// many.
     #[serde(rename = "v")]
     pub versions: Vec<SoftwareVersion>,
-    /// Whether these are all such versions. Nodes of earlier builds do not say so.
+    /// Whether these are all such versions of which the node can know. Nodes of earlier builds do not
+    /// say so.
     #[serde(rename = "c", default)]
     pub is_complete: bool,
+    /// Milliseconds since the node's list of servers was known to be complete, `None` if it never was.
+    /// Nodes of earlier builds do not tell, so that they confirm nothing.
+    #[serde(rename = "a", default)]
+    pub servers_age_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -130,6 +133,8 @@
     streams: HashMap<StreamKey, KnownStream>,
     /// When a server of each version of a service was last seen.
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
+    /// When the list of servers was last known to be complete, `None` if it never was.
+    servers_confirmed_at: Option<Instant>,
     /// Other live nodes.
     nodes: Vec<PeerNode>,
     /// Other nodes that are stopping.
@@ -151,6 +156,7 @@
             recorded: BTreeSet::new(),
             streams: HashMap::new(),
             versions: BTreeMap::new(),
+            servers_confirmed_at: None,
             nodes: Vec::new(),
             stopping_nodes: Vec::new(),
             unchecked: VecDeque::new(),
@@ -203,6 +209,16 @@
         versions.insert(software.clone(), now).is_none()
     }
 
+    /// Records that the list of servers, whose versions have been observed, was complete at `at`.
+    pub fn confirm_servers(&mut self, at: Instant) {
+        self.servers_confirmed_at = self.servers_confirmed_at.max(Some(at));
+    }
+
+    /// Whether the list of servers was known to be complete at a moment since `since`.
+    fn has_confirmed_since(&self, since: Instant) -> bool {
+        self.servers_confirmed_at.is_some_and(|at| at >= since)
+    }
+
     /// Adds versions that the record store holds, of which some may have left before this node's start.
     pub fn add_recorded(&mut self, recorded: BTreeSet<ServiceVersion>) {
         self.recorded.extend(recorded);
@@ -289,7 +305,14 @@
         let mut versions = self.possible_versions(service, now);
         versions.truncate(MAX_ANSWERED_VERSIONS);
         let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
-        OriginAnswer { known, versions, is_complete: self.knows_all_versions(service, now) }
+        let servers_age = self.servers_confirmed_at.map(|at| now.saturating_duration_since(at));
+        OriginAnswer {
+            known,
+            versions,
+            is_complete: self.knows_all_versions(service, now),
+            servers_age_ms: servers_age
+                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        }
     }
 
     /// Returns the state of a search for the origin of a stream, `None` if the caller did not name
@@ -303,14 +326,16 @@
         let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
         let nodes = self.nodes.iter().chain(&self.stopping_nodes);
         let asked = ranked_nodes(nodes, stream.unwrap_or_default(), ASKED_NODES);
+        let knows_all_versions = self.knows_all_versions(service, now);
         OriginSearch {
+            began_at: now,
+            knows_all_versions,
             service: service.clone(),
             known,
             versions: self.possible_versions(service, now),
-            is_complete: self.knows_all_versions(service, now),
+            is_complete: knows_all_versions && self.has_confirmed_since(now),
             unanswered: asked.iter().map(|node| node.address).collect(),
             answers: 0,
-            complete_answers: 0,
             has_contradiction: false,
         }
     }
@@ -431,16 +456,18 @@
 /// Search for the origin of a stream.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
+    began_at: Instant,
+    /// Whether this node knows all versions once its list of servers is confirmed.
+    knows_all_versions: bool,
     service: ServiceId,
     known: KnownOrigin,
     /// Versions that the service may have had, by this node's knowledge and by the answers.
     versions: Vec<SoftwareVersion>,
-    /// Whether these are all, by the word of any node.
+    /// Whether these are all, by the word of any node whose list of servers was confirmed since the
+    /// search began.
     is_complete: bool,
     unanswered: Vec<SocketAddr>,
     answers: usize,
-    /// Answers of nodes that know all versions.
-    complete_answers: usize,
     /// Whether two nodes know different origins.
     has_contradiction: bool,
 }
@@ -456,20 +483,42 @@
         self.answers
     }
 
-    /// Adds the answer of the node at `address`; a second one of a node changes nothing.
-    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer) {
+    /// Looks again at what this node itself knows.
+    pub fn update(&mut self, origins: &StreamOrigins, stream: Option<StreamKey>, now: Instant) {
+        self.add_versions(origins.possible_versions(&self.service, now));
+        self.knows_all_versions = origins.knows_all_versions(&self.service, now);
+        self.is_complete |= self.knows_all_versions && origins.has_confirmed_since(self.began_at);
+        if let (KnownOrigin::Unknown, Some(stream)) = (&self.known, stream) {
+            self.known = origins.known(stream, now);
+        }
+    }
+
+    /// Whether a confirmation of this node's list of servers decides where the stream goes on.
+    pub fn needs_confirmation(&self) -> bool {
+        let may_be_only = self.known == KnownOrigin::Unknown && self.versions.len() == 1;
+        may_be_only && self.knows_all_versions && !self.is_complete
+    }
+
+    fn add_versions(&mut self, versions: Vec<SoftwareVersion>) {
+        for software in versions {
+            if !self.versions.contains(&software) {
+                self.versions.push(software);
+            }
+        }
+    }
+
+    /// Adds the answer of the node at `address`, which arrived at `now`; a second one of a node changes
+    /// nothing.
+    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer, now: Instant) {
         let Some(index) = self.unanswered.iter().position(|asked| *asked == address) else {
             return;
         };
         self.unanswered.swap_remove(index);
         self.answers += 1;
-        self.complete_answers += usize::from(answer.is_complete);
-        self.is_complete |= answer.is_complete;
-        for software in answer.versions {
-            if !self.versions.contains(&software) {
-                self.versions.push(software);
-            }
-        }
+        let age_ms = now.saturating_duration_since(self.began_at).as_millis();
+        let is_confirmed = answer.servers_age_ms.is_some_and(|ms| u128::from(ms) < age_ms);
+        self.is_complete |= answer.is_complete && is_confirmed;
+        self.add_versions(answer.versions);
         match (&self.known, answer.known) {
             (_, KnownOrigin::Unknown) => {}
             (KnownOrigin::Unknown, known) => self.known = known,
@@ -477,9 +526,9 @@
         }
     }
 
-    /// Returns whether more answers cannot change the result, or hardly ever.
+    /// Returns whether more answers cannot change the result.
     pub fn is_over(&self) -> bool {
-        let is_confirmed = self.versions.len() == 1 && self.complete_answers >= CONFIRMING_ANSWERS;
+        let is_confirmed = self.versions.len() == 1 && self.is_complete;
         self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_confirmed
     }
 
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -160,6 +160,8 @@
         /// Whether the stored KV cache is lost.
         is_emptied: bool,
     },
+    /// Whether the list of servers is complete must be known soon.
+    ServersQuestioned,
     /// The node is stopping; it still carries requests.
     NodeStopping,
     /// The node carries no requests any more.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -366,6 +366,7 @@
                 self.partners.send(peer, &PartnerMessage::RecordsRequest(request));
             }
         }
+        self.confirm_servers(now);
     }
 
     /// Applies a page of records and requests what is still missing.
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -6,7 +6,7 @@
 use super::{RelayControlEvent, follow, kv_store, partner_links};
 use crate::daemon::threads::catch_panic;
 use crate::decision::relay::streams::VersionRecords;
-use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
+use crate::decision::relay::{LoadExchange, ReadSchedule, RecordTopic, Replica, StoreLink};
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
@@ -177,11 +177,13 @@
                 self.observe_era(log_position::era(listing.end), now);
                 self.apply_listing(topic, listing, now);
                 self.read_schedule.borrow_mut().confirm(topic, requested_at, now);
+                self.confirm_servers(now);
             }
             RelayControlEvent::RecordsRead { topic, records, next_position, confirmed_at } => {
                 self.observe_era(log_position::era(next_position), now);
                 self.apply_records(topic, records, next_position, now);
                 self.read_schedule.borrow_mut().confirm(topic, confirmed_at.min(now), now);
+                self.confirm_servers(now);
             }
             RelayControlEvent::NodesAnnounced(nodes) => self.apply_announced(&nodes, now),
             RelayControlEvent::LinkOpened { link, peer, dialed, outgoing } => {
@@ -224,6 +226,9 @@
             RelayControlEvent::KvStoreChanged { address, is_emptied } => {
                 self.apply_kv_store(address, is_emptied, now);
             }
+            RelayControlEvent::ServersQuestioned => {
+                self.read_schedule.borrow_mut().request(RecordTopic::Servers, now);
+            }
             RelayControlEvent::NodeStopping => self.announce_stop(now),
             RelayControlEvent::NodeStopped => self.leave_partners(now),
         }
@@ -268,6 +273,14 @@
         self.context.peer_pool.close_expired(now);
     }
 
+    /// Records when the list of servers was last complete.
+    pub(super) fn confirm_servers(&self, now: Instant) {
+        let age = self.read_schedule.borrow().age(RecordTopic::Servers, now);
+        if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
+            self.context.origins().confirm_servers(at);
+        }
+    }
+
     /// Records which software versions still have servers.
     fn observe_versions(&mut self, now: Instant) {
         if now < self.next_observation_at {
--- a/src/relay/stream_origin.rs
+++ b/src/relay/stream_origin.rs
@@ -2,6 +2,7 @@
 //! streams began, and asks them.
 
 use super::RelayContext;
+use super::control::RelayControlEvent;
 use super::peers::queries;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
@@ -12,6 +13,7 @@
 use crate::links::Datagram;
 use crate::metrics::labels::ReasonLabels;
 use crate::types::SoftwareVersion;
+use smol::Timer;
 use std::time::{Duration, Instant};
 
 /// Time in which other nodes must answer: several round trips between availability zones, and the
@@ -21,6 +23,12 @@
 /// Time after which nodes that have not answered are asked again, since datagrams may be lost.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
 
+/// Time in which the list of servers must be confirmed: less than callers wait for a stream.
+const CONFIRMATION_PERIOD: Duration = Duration::from_millis(900);
+
+/// Period at which a search looks whether the list is confirmed.
+const CONFIRMATION_POLL_PERIOD: Duration = Duration::from_millis(20);
+
 /// Maximum streams whose owners are checked in a tick.
 const MAX_REPLICATED_STREAMS: usize = 256;
 
@@ -44,8 +52,10 @@
     let asked_at = Instant::now();
     let mut search = context.origins().search(stream, &request.service, asked_at);
     let asked = search.unanswered().len();
-    if !search.is_over() {
-        ask_other_nodes(context, stream, request, &mut search).await;
+    ask_other_nodes(context, stream, request, &mut search).await;
+    if search.needs_confirmation() {
+        let deadline = request.deadline.min(asked_at + CONFIRMATION_PERIOD);
+        await_confirmation(context, stream, &mut search, deadline).await;
     }
     let (source, software) = match search.result() {
         Some(FoundVersion::Known(software)) => ("known", Some(software)),
@@ -70,6 +80,21 @@
     }
 }
 
+/// Waits until the list of servers is confirmed, which shows whether a server of another version has
+/// appeared that can have begun the stream.
+async fn await_confirmation(
+    context: &RelayContext,
+    stream: Option<StreamKey>,
+    search: &mut OriginSearch,
+    deadline: Instant,
+) {
+    context.notify_control(RelayControlEvent::ServersQuestioned);
+    while search.needs_confirmation() && Instant::now() < deadline {
+        Timer::after(CONFIRMATION_POLL_PERIOD).await;
+        search.update(&context.origins(), stream, Instant::now());
+    }
+}
+
 async fn ask_other_nodes(
     context: &RelayContext,
     stream: Option<StreamKey>,
@@ -89,7 +114,7 @@
             else {
                 break;
             };
-            search.add_answer(address, answer);
+            search.add_answer(address, answer, Instant::now());
         }
     }
 }
--- a/tests/relay/rolling_stops.rs
+++ b/tests/relay/rolling_stops.rs
@@ -211,7 +211,8 @@
             for asked in search.unanswered().to_vec() {
                 let other = &self.nodes[usize::from(asked.port()) - 1_000];
                 if !matches!(other.phase, Phase::Down { .. }) {
-                    search.add_answer(asked, other.origins.answer(Some(key), &SERVICE, now));
+                    let answer = other.origins.answer(Some(key), &SERVICE, now);
+                    search.add_answer(asked, answer, now);
                 }
             }
             self.resumed.1 += 1;
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -188,6 +188,11 @@
         let alive: Vec<usize> = (0..self.nodes.len()).filter(|node| self.is_alive[*node]).collect();
         let Some(&node) = alive.get(self.random.usize(0..alive.len().max(1))) else { return };
         let key = self.streams[stream].key;
+        // Only a list that is complete is confirmed.
+        let join = self.start + Duration::from_millis(JOIN_MS);
+        if self.knows_new[node] || now < join {
+            self.nodes[node].confirm_servers(now);
+        }
         let mut search = self.nodes[node].search(Some(key), &SERVICE, now);
         for _ in 0..ROUNDS {
             let asked = search.unanswered().to_vec();
@@ -195,7 +200,11 @@
                 let other = usize::from(asked.port()) - 1_000;
                 let is_lost = self.random.f64() < LOSS * 2.0;
                 if self.is_alive[other] && !is_lost && !search.is_over() {
-                    search.add_answer(asked, self.nodes[other].answer(Some(key), &SERVICE, now));
+                    search.add_answer(
+                        asked,
+                        self.nodes[other].answer(Some(key), &SERVICE, now),
+                        now,
+                    );
                 }
             }
         }
@@ -250,6 +259,8 @@
     let origin = |software| StreamOrigin { service: SERVICE, software };
     let mut origins = StreamOrigins::new(true, now);
     origins.observe_version(&SERVICE, &OLD, now);
+    assert_eq!(origins.search(Some(1), &SERVICE, now).result(), None);
+    origins.confirm_servers(now);
     assert_eq!(origins.search(Some(1), &SERVICE, now).result(), Some(FoundVersion::Only(OLD)));
     // Without the first start of the site, a version may have left before the node's start.
     let mut origins = StreamOrigins::new(false, now);
@@ -259,10 +270,16 @@
     // A version of before the node's start may be known to others alone.
     let mut search = origins.search(Some(1), &SERVICE, now);
     assert_eq!((search.is_over(), search.result()), (false, None));
-    let answer = |known, versions| OriginAnswer { known, versions, is_complete: true };
-    search.add_answer(address(1), answer(KnownOrigin::Unknown, vec![OLD]));
+    let answer = |known, versions| OriginAnswer {
+        known,
+        versions,
+        is_complete: true,
+        servers_age_ms: Some(0),
+    };
+    let now = now + Duration::from_millis(1);
+    search.add_answer(address(1), answer(KnownOrigin::Unknown, vec![OLD]), now);
     assert_eq!(search.result(), Some(FoundVersion::Only(OLD)));
-    search.add_answer(address(2), answer(KnownOrigin::Unknown, vec![OLD, NEW]));
+    search.add_answer(address(2), answer(KnownOrigin::Unknown, vec![OLD, NEW]), now);
     assert_eq!((search.is_over(), search.result()), (true, None));
     // An id that was used twice has no version, a known one of another service neither.
     origins.begin(2, origin(OLD), later, now);
@@ -272,8 +289,8 @@
     assert_eq!(origins.search(Some(2), &SERVICE, now).result(), None);
     // Neither do nodes that contradict each other.
     let mut search = origins.search(Some(3), &SERVICE, now);
-    search.add_answer(address(1), answer(KnownOrigin::Origin(origin(OLD)), vec![OLD]));
-    search.add_answer(address(2), answer(KnownOrigin::Origin(origin(NEW)), vec![OLD]));
+    search.add_answer(address(1), answer(KnownOrigin::Origin(origin(OLD)), vec![OLD]), now);
+    search.add_answer(address(2), answer(KnownOrigin::Origin(origin(NEW)), vec![OLD]), now);
     assert_eq!(search.result(), None);
 }
 
@@ -314,8 +331,43 @@
         let mut search = nodes[0].search(Some(1), &SERVICE, now);
         for asked in search.unanswered().to_vec() {
             let other = usize::from(asked.port()) - 1_000;
-            search.add_answer(asked, nodes[other].answer(Some(1), &SERVICE, now));
+            search.add_answer(asked, nodes[other].answer(Some(1), &SERVICE, now), now);
         }
         assert_eq!(search.result(), None, "{node_count} nodes");
     }
 }
+
+/// Guards against a node that was cut off, or stood still, while servers of a second version joined, and
+/// takes its old list of servers for proof that there is one version.
+#[test]
+fn a_node_out_of_step_does_not_vouch_for_the_version_of_a_stream() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let mut origins = StreamOrigins::new(true, now);
+    origins.set_nodes(vec![node(1), node(2)], Vec::new());
+    origins.observe_version(&SERVICE, &OLD, now);
+    origins.confirm_servers(after(1_000));
+    let mut search = origins.search(Some(1), &SERVICE, after(3_000));
+    assert!(search.needs_confirmation());
+    // Another node that is out of step, and one of an earlier build, confirm nothing.
+    for (index, servers_age_ms) in [(1, Some(2_000)), (2, None)] {
+        let answer = OriginAnswer {
+            known: KnownOrigin::Unknown,
+            versions: vec![OLD],
+            is_complete: true,
+            servers_age_ms,
+        };
+        search.add_answer(address(index), answer, after(3_010));
+    }
+    assert_eq!(search.result(), None);
+    // Its list is confirmed, with the servers that joined meanwhile or without.
+    let mut same = origins.clone();
+    same.confirm_servers(after(3_100));
+    let mut confirmed = search.clone();
+    confirmed.update(&same, Some(1), after(3_100));
+    assert_eq!(confirmed.result(), Some(FoundVersion::Only(OLD)));
+    origins.observe_version(&SERVICE, &NEW, after(3_100));
+    origins.confirm_servers(after(3_100));
+    search.update(&origins, Some(1), after(3_100));
+    assert_eq!(search.result(), None);
+}
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -234,12 +234,19 @@
         let now = self.at(at_ms);
         let key = self.random.u64(..);
         let node = self.random.usize(0..self.case.nodes);
+        // The node reads the list of servers once more.
+        if self.case.is_store_up(at_ms) {
+            for software in self.case.versions(at_ms) {
+                self.nodes[node].origins.observe_version(&SERVICE, &software, now);
+            }
+            self.nodes[node].origins.confirm_servers(now);
+        }
         let mut search = self.nodes[node].origins.search(Some(key), &SERVICE, now);
         for asked in search.unanswered().to_vec() {
             let other = usize::from(asked.port()) - 1_000;
             if !search.is_over() && self.random.f64() >= LOSS {
-                search
-                    .add_answer(asked, self.nodes[other].origins.answer(Some(key), &SERVICE, now));
+                let answer = self.nodes[other].origins.answer(Some(key), &SERVICE, now);
+                search.add_answer(asked, answer, now);
             }
         }
         search.result().map(|found| match found {
