fix(relay): count the time for outdated weights from their successor's announcement

Callers saw: requests began on weights more than 8 s after newer ones were acknowledged (VERSION).

Cause: the bound counted from when the node heard of the newer weights, and a request that waited in a queue was expected to be gone since its caller leaves after two seconds.

Change: the time counts from when the node's view of the announcements was last complete. An attempt that has not begun 0.3 s before the bound is withdrawn, and another server is tried.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -208,8 +208,8 @@
     /// current, or were until recently.
     fn has_usable_weights(&self, server: &Server, model: &ModelId, begins_by: Instant) -> bool {
         let Some(revision) = server.weights.get(model) else { return false };
-        let since = self.targets.get(model).and_then(|target| target.outdated_since(*revision));
-        since.is_none_or(|since| begins_by < since + OUTDATED_WEIGHTS_DEADLINE)
+        let usable_until = self.weights_usable_until(model, *revision);
+        usable_until.is_none_or(|usable_until| begins_by < usable_until)
     }
 
     fn choose_plain(&self, candidates: &[&Server], now: Instant) -> Result<Choice, Unavailable> {
--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -25,33 +25,49 @@
 /// Time for which outdated servers are used if the age of the newer weights is unknown.
 const MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE: Duration = Duration::from_millis(2_500);
 
+/// Announced revision of the weights of a model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct AnnouncedRevision {
+    revision: WeightsRevision,
+    /// When this node learned of it.
+    learned_at: Instant,
+    /// When the last request must have begun on older weights.
+    usable_until: Instant,
+}
+
 /// Weights of a model that its servers should load.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WeightsTarget {
-    /// Announced revisions with the times at which this node learned of them, oldest first.
-    revisions: Vec<(WeightsRevision, Instant)>,
+    /// Announced revisions, oldest first.
+    revisions: Vec<AnnouncedRevision>,
 }
 
 impl WeightsTarget {
     /// Returns the newest revision, 0 if none was announced.
     pub fn revision(&self) -> WeightsRevision {
-        self.revisions.last().map_or(0, |(revision, _)| *revision)
+        self.revisions.last().map_or(0, |announced| announced.revision)
     }
 
     /// Returns since when a server that has loaded revision `loaded` is outdated, `None` if it is
     /// not.
     pub fn outdated_since(&self, loaded: WeightsRevision) -> Option<Instant> {
-        self.revisions
-            .iter()
-            .find(|(revision, _)| *revision > loaded)
-            .map(|(_, learned_at)| *learned_at)
+        self.first_after(loaded).map(|announced| announced.learned_at)
+    }
+
+    /// Returns when the last request must have begun on revision `loaded`, `None` if it is current.
+    pub fn usable_until(&self, loaded: WeightsRevision) -> Option<Instant> {
+        self.first_after(loaded).map(|announced| announced.usable_until)
     }
 
-    fn add(&mut self, revision: WeightsRevision, now: Instant) -> bool {
-        if revision <= self.revision() {
+    fn first_after(&self, loaded: WeightsRevision) -> Option<&AnnouncedRevision> {
+        self.revisions.iter().find(|announced| announced.revision > loaded)
+    }
+
+    fn add(&mut self, announced: AnnouncedRevision) -> bool {
+        if announced.revision <= self.revision() {
             return false;
         }
-        self.revisions.push((revision, now));
+        self.revisions.push(announced);
         if self.revisions.len() > MAX_REVISIONS {
             self.revisions.remove(0);
         }
@@ -221,10 +237,29 @@
         self.kv_capacity_tokens.insert(service, tokens);
     }
 
-    /// Records that `revision` of a model has just been announced; returns whether it is newer than
-    /// the known ones.
-    pub fn set_target(&mut self, model: ModelId, revision: WeightsRevision, now: Instant) -> bool {
-        self.targets.entry(model).or_default().add(revision, now)
+    /// Records that `revision` of a model was announced after `announced_after`, when the view of the
+    /// announcements was last complete; returns whether it is newer than the known ones. What is left
+    /// of the time for outdated servers counts from there: the news may have been on its way since.
+    pub fn set_target(
+        &mut self,
+        model: ModelId,
+        revision: WeightsRevision,
+        announced_after: Instant,
+        now: Instant,
+    ) -> bool {
+        let usable_until = (announced_after + OUTDATED_WEIGHTS_DEADLINE)
+            .max(now + MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE + MIN_CALLER_PATIENCE);
+        let announced = AnnouncedRevision { revision, learned_at: now, usable_until };
+        self.targets.entry(model).or_default().add(announced)
+    }
+
+    /// Returns when the last request must have begun on a revision of a model, `None` if it is current.
+    pub fn weights_usable_until(
+        &self,
+        model: &ModelId,
+        revision: WeightsRevision,
+    ) -> Option<Instant> {
+        self.targets.get(model)?.usable_until(revision)
     }
 
     /// Records a `revision` that was announced an unknown time ago, perhaps before `unknown_since`;
@@ -241,8 +276,10 @@
     ) -> bool {
         let allowance =
             OUTDATED_WEIGHTS_DEADLINE - MIN_CALLER_PATIENCE - MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE;
-        let announced_at = unknown_since.checked_sub(allowance).unwrap_or(unknown_since);
-        self.targets.entry(model).or_default().add(revision, announced_at)
+        let learned_at = unknown_since.checked_sub(allowance).unwrap_or(unknown_since);
+        let usable_until = learned_at + OUTDATED_WEIGHTS_DEADLINE;
+        let announced = AnnouncedRevision { revision, learned_at, usable_until };
+        self.targets.entry(model).or_default().add(announced)
     }
 
     /// Returns the weights that the servers should load, by model.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,7 +8,7 @@
 use super::buffered_answer::{self, BufferedAnswer};
 use super::control::RelayControlEvent;
 use super::end_proof::{EndProof, prove_end};
-use super::in_flight::{CutStage, InFlightAttempt, request_crash_check};
+use super::in_flight::{CutStage, InFlightAttempt, begins_by, choice_weights, request_crash_check};
 use super::peers::reach;
 use super::request::RelayedRequest;
 use crate::adapters::connection_pool::PooledExchange;
@@ -16,16 +16,21 @@
 use crate::decision::relay::{Choice, RetrySafety};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, PeerResult, SoftwareVersion, Step};
+use crate::types::{Delivery, Incarnation, PeerError, PeerResult, ServerId, SoftwareVersion, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
+use futures_lite::future::pending;
 use http::Request;
 use http_body_util::Full;
+use smol::Timer;
 use smol_str::{SmolStr, format_smolstr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use strum::Display;
 
+/// Period at which an attempt checks whether newer weights were announced.
+const OUTDATED_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time in which a server must tell which process it is.
 const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -275,6 +280,33 @@
         && fleet.brittle.try_take(service, server, in_flight, now)
 }
 
+/// Waits until the weights of the chosen server have been outdated for so long that no request may begin
+/// on them; never returns while they are current.
+pub async fn await_outdated(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    choice: &Choice,
+) -> ReceivedHead {
+    let Some(weights) = choice_weights(request, choice) else { return pending().await };
+    loop {
+        let now = Instant::now();
+        match begins_by(context, &weights) {
+            Some(begins_by) if now >= begins_by => break,
+            Some(begins_by) => Timer::at(begins_by).await,
+            None => Timer::after(OUTDATED_CHECK_PERIOD).await,
+        };
+    }
+    let error = outdated(&choice.server);
+    log::info!("event=attempt_outdated request={} weights={} {error}", request.id, weights.1);
+    ReceivedHead::None(AttemptOutcome::Unknown(error))
+}
+
+/// Returns the error of an attempt that has not begun on weights before these were outdated for too long.
+pub fn outdated(server: &ServerId) -> PeerError {
+    let error = anyhow!("the request has not begun, and the weights are outdated");
+    PeerError::new(Step::Refused, server.clone(), Delivery::Unknown, error)
+}
+
 /// Receives the rest of an answer unless it is a stream.
 pub async fn receive(
     context: &RelayContext,
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -140,20 +140,21 @@
                 self.apply_configuration(*configuration, offset, source);
             }
             Ok(OperatorRecord::Weights { model, revision }) => {
-                let was_known =
-                    self.read_schedule.borrow().age(RecordTopic::Operator, now).is_some();
-                let unknown_since = if was_known { now } else { self.started_at };
+                let age = self.read_schedule.borrow().age(RecordTopic::Operator, now);
+                let unknown_since = if age.is_some() { now } else { self.started_at };
+                let announced_after = age.and_then(|age| now.checked_sub(age)).unwrap_or(now);
                 let mut fleet = self.context.fleet();
                 let is_new_target = if source.is_age_unknown() {
                     fleet.set_target_of_unknown_age(model.clone(), revision, unknown_since)
                 } else {
-                    fleet.set_target(model.clone(), revision, now)
+                    fleet.set_target(model.clone(), revision, announced_after, now)
                 };
                 drop(fleet);
                 if is_new_target {
                     log::info!(
                         "event=weights_named model={model} revision={revision} offset={offset} \
-                         source={source}"
+                         source={source} view_age_ms={}",
+                        age.unwrap_or_default().as_millis()
                     );
                     self.targets.insert(model, revision);
                 }
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -7,12 +7,15 @@
 use crate::decision::poison::RankedKey;
 use crate::decision::relay::server::{PendingPrefill, ServerLoad};
 use crate::decision::relay::{Choice, PeerNode, Prompt};
-use crate::types::{Incarnation, ServerId, ServiceId, SoftwareVersion};
+use crate::types::{Incarnation, ModelId, ServerId, ServiceId, SoftwareVersion, WeightsRevision};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time in which a server takes notice that a request was withdrawn.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(300);
 
 /// How far an answer had come when its exchange was cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,6 +49,8 @@
     incarnation: Option<Incarnation>,
     /// Keys of the request with the crashes that were known when it was sent.
     suspect_keys: Vec<RankedKey>,
+    /// Model and weights on which the request is to begin, `None` for a plain call.
+    weights: Option<(ModelId, WeightsRevision)>,
 }
 
 impl InFlightAttempt {
@@ -88,6 +93,7 @@
             address: choice.address,
             incarnation,
             suspect_keys,
+            weights: choice_weights(request, choice),
         }
     }
 
@@ -112,9 +118,15 @@
             address: node.address,
             incarnation: None,
             suspect_keys: Vec::new(),
+            weights: None,
         }
     }
 
+    /// Returns when the server must have begun the request, `None` while its weights are current.
+    pub fn begins_by(&self) -> Option<Instant> {
+        begins_by(&self.context, self.weights.as_ref()?)
+    }
+
     /// Returns the state of the node.
     pub fn context(&self) -> &Arc<RelayContext> {
         &self.context
@@ -168,6 +180,22 @@
     }
 }
 
+/// Returns the model of a request and the weights of its server, `None` for a plain call.
+pub fn choice_weights(
+    request: &RelayedRequest,
+    choice: &Choice,
+) -> Option<(ModelId, WeightsRevision)> {
+    let prompt = request.head.prompt.as_ref()?;
+    Some((prompt.model.clone(), choice.prompt.as_ref()?.weights))
+}
+
+/// Returns when a request must have begun on weights, `None` while they are current.
+pub fn begins_by(context: &RelayContext, weights: &(ModelId, WeightsRevision)) -> Option<Instant> {
+    let (model, revision) = weights;
+    let usable_until = context.fleet().weights_usable_until(model, *revision)?;
+    Some(usable_until.checked_sub(WITHDRAWAL_TIME).unwrap_or(usable_until))
+}
+
 impl fmt::Display for InFlightAttempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { server, software, sent_at, suspect_keys, .. } = self;
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -7,6 +7,7 @@
 use super::request::RelayedRequest;
 use crate::decision::relay::{Choice, Fleet, PeerNode};
 use crate::types::ServerId;
+use futures_lite::FutureExt;
 use futures_lite::future::poll_fn;
 use smol_str::SmolStr;
 use std::future::Future;
@@ -86,7 +87,8 @@
         let has_head = Arc::new(AtomicBool::new(false));
         let shared = Arc::clone(&has_head);
         let end = Box::pin(async move {
-            let received = attempt::send(&context, &request, &choice, last_event_id).await;
+            let received = attempt::send(&context, &request, &choice, last_event_id);
+            let received = received.or(attempt::await_outdated(&context, &request, &choice)).await;
             shared.store(true, Ordering::Relaxed);
             let outcome = attempt::receive(&context, &request, received).await;
             AttemptEnd { outcome, server_of_node: None }
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -4,7 +4,7 @@
 use super::candidate::{Candidate, CandidateStep};
 use super::{RelayedStream, StreamEvent, is_event_stream};
 use crate::decision::relay::{Choice, EventSplitter, NotTriedReason, PeerNode};
-use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason};
+use crate::relay::attempt::{self, Answer, AttemptOutcome, NotRunReason};
 use crate::relay::in_flight::{self, CutStage};
 use crate::relay::peers::forward;
 use crate::relay::pending_attempts::EndedAttempt;
@@ -110,6 +110,26 @@
         None
     }
 
+    /// Drops the servers that were asked to go on with the stream and have not begun before their weights
+    /// were outdated for too long.
+    pub(super) fn drop_outdated_candidates(&mut self) {
+        let now = Instant::now();
+        let is_outdated = |candidate: &Candidate| {
+            candidate.answer.in_flight.begins_by().is_some_and(|begins_by| now >= begins_by)
+        };
+        while let Some(index) = self.candidates.iter().position(is_outdated) {
+            let Candidate { answer, .. } = self.candidates.swap_remove(index);
+            let error = attempt::outdated(&answer.in_flight.server);
+            log::info!(
+                "event=candidate_failed request={} {} error=\"{error}\"",
+                self.request.id,
+                answer.in_flight
+            );
+            self.failover.record_failed_answer(now);
+            self.record_failed_candidate(now);
+        }
+    }
+
     /// Records that the servers whose answers are still open are silent, or ends a failed move.
     pub(super) fn record_failed_candidate(&mut self, now: Instant) {
         if self.moving_until.is_some() && self.is_alone() {
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -11,7 +11,7 @@
 use crate::decision::relay::event_splitter::EventTooLong;
 use crate::decision::relay::{EventSplitter, Failover, FailoverStep, GiveUpReason, RetrySafety};
 use crate::relay::RelayContext;
-use crate::relay::attempt::Answer;
+use crate::relay::attempt::{self, Answer};
 use crate::relay::attempts::Attempts;
 use crate::relay::buffered_answer::return_to_pool;
 use crate::relay::metrics::AnswerLabels;
@@ -180,6 +180,10 @@
             if let Some(fault) = self.find_foreign_text() {
                 self.interrupt(&fault);
             }
+            if let Some(fault) = self.find_outdated() {
+                self.interrupt(&fault);
+            }
+            self.drop_outdated_candidates();
             self.update_move();
             let now = Instant::now();
             let event = match self.failover.step(self.may_resume(now), now) {
@@ -211,6 +215,14 @@
         None
     }
 
+    /// Returns an error if the server has not begun the stream, and may not begin it any more since its
+    /// weights are outdated.
+    fn find_outdated(&self) -> Option<PeerError> {
+        let answer = self.answer.as_ref().filter(|_| self.last_data_at.is_none())?;
+        let begins_by = answer.in_flight.begins_by()?;
+        (Instant::now() >= begins_by).then(|| attempt::outdated(&answer.in_flight.server))
+    }
+
     /// Whether only the current answer is open.
     fn is_alone(&self) -> bool {
         self.answer.is_some() && self.pending.is_empty() && self.candidates.is_empty()
@@ -218,10 +230,11 @@
 
     /// Waits for the next event; the current server goes first if several have happened.
     async fn next_event(&mut self, until: Instant) -> Option<StreamEvent> {
-        let Self { answer, candidates, pending, request, moving_until, .. } = self;
-        let until = match pending.is_empty() {
-            true => until,
-            false => until.min(Instant::now() + SERVER_CHECK_PERIOD),
+        let Self { answer, candidates, pending, request, moving_until, last_data_at, .. } = self;
+        let must_check = !pending.is_empty() || !candidates.is_empty() || last_data_at.is_none();
+        let until = match must_check {
+            true => until.min(Instant::now() + SERVER_CHECK_PERIOD),
+            false => until,
         };
         let until = moving_until.map_or(until, |moving_until| until.min(moving_until));
         let read = answer.as_mut().filter(|_| moving_until.is_none());
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -128,9 +128,9 @@
 fn outdated_weights_are_avoided_and_later_refused() {
     let now = Instant::now();
     let mut fleet = fleet(2, 1);
-    fleet.set_target(MODEL, 2, now);
+    fleet.set_target(MODEL, 2, now, now);
     // A later revision does not give more time to servers that are two revisions behind.
-    fleet.set_target(MODEL, 3, now + ms(4_000));
+    fleet.set_target(MODEL, 3, now + ms(4_000), now + ms(4_000));
     let prompt = long_prompt(7, 1);
     assert!(fleet.choose(query(&prompt), now + ms(5_000)).is_ok());
     let refused = fleet.choose(query(&prompt), now + ms(6_100)).unwrap_err();
@@ -151,6 +151,25 @@
     assert!(fleet.choose(query(&prompt), now + ms(2_600)).is_err());
 }
 
+/// Guards against requests that begin on outdated weights after the bound, which counts from the
+/// announcement, at a node that the news has reached late.
+#[test]
+fn the_time_for_outdated_weights_counts_from_the_announcement() {
+    let now = Instant::now();
+    for news_ms in [0, 300, 1_200, 3_000] {
+        let mut fleet = fleet(2, 1);
+        let learned_at = now + ms(news_ms);
+        fleet.set_target(MODEL, 2, now, learned_at);
+        let usable_until = fleet.weights_usable_until(&MODEL, 1).unwrap();
+        assert!(usable_until <= now + ms(8_000), "learned {news_ms} ms later");
+        assert_eq!(fleet.weights_usable_until(&MODEL, 2), None);
+    }
+    // A node without news for long may use outdated servers for the time of one that has just started.
+    let mut fleet = fleet(2, 1);
+    fleet.set_target(MODEL, 2, now, now + ms(60_000));
+    assert!(fleet.weights_usable_until(&MODEL, 1).unwrap() > now + ms(62_000));
+}
+
 /// A node that learns of newer weights a second after its start: it counts as running normally
 /// three seconds after its start, when it may have used outdated servers for too long.
 #[test]
@@ -397,7 +416,7 @@
 fn prompts_stay_at_their_homes_while_weights_are_replaced() {
     let now = Instant::now();
     let mut fleet = fleet(60, 1);
-    fleet.set_target(MODEL, 2, now);
+    fleet.set_target(MODEL, 2, now, now);
     for updated in ["s0", "s1", "s2"] {
         fleet.set_weights(&updated.into(), &MODEL, 2);
     }
@@ -430,7 +449,7 @@
 fn patient_callers_leave_outdated_weights_earlier() {
     let now = Instant::now();
     let mut fleet = fleet(12, 1);
-    fleet.set_target(MODEL, 2, now);
+    fleet.set_target(MODEL, 2, now, now);
     let prompt = long_prompt(4, 4);
     let is_served_with_gap = |objective_ms, gap_ms, after_ms| {
         let (latency_objective, max_event_gap) = (ms(objective_ms), ms(gap_ms));
