--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -240,6 +240,10 @@
         fleet.limits.remove_free(now);
         fleet.brittle.remove_expired(now);
         self.context.metrics.limited_servers.set(fleet.limits.len() as i64);
+        if !expired.is_empty() {
+            let servers = fleet.servers().count();
+            self.context.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
+        }
         drop(fleet);
         for server in expired {
             log::info!("event=server_gone server={server} reason=entry_not_back");
