fix(relay): refuse requests that are read too late in a planned stop

Callers saw: requests whose last bytes came late in a planned stop were passed on and then cut with no answer, also ones that may not be repeated (LOST).

Cause: connections in the middle of a request went on after the node had stopped accepting, and were closed at the limit.

Change: a request that is read completely after the accept period gets 503, not run; requests of other nodes too. Shortly before the limit, requests without an answer get 502.

Evidence: planned_stop with the checks left out: the late requests get no answer and those at the end are cut (two of three tests fail). With them all three pass.

--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -3,6 +3,7 @@
 use super::control::RelayControlEvent;
 use super::metrics::RelayMetrics;
 use super::peers::PeerQueries;
+use super::planned_stop::PlannedStop;
 use super::settings::RelaySettings;
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
@@ -48,6 +49,8 @@
     pub control_events: Sender<RelayControlEvent>,
     /// Whether the node is stopping.
     pub is_stopping: AtomicBool,
+    /// How far the stop is.
+    pub stop: PlannedStop,
     /// Whether the list of servers is known.
     pub has_server_list: AtomicBool,
     pub(super) fleet: Mutex<Fleet>,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,11 +1,12 @@
 //! Handling of one request: admission, the search for a server, and the answer or refusal.
 
-use super::refusal::Refusal;
+use super::refusal::{Refusal, RefusalReason};
 use super::request::{RelayedRequest, receive};
 use super::server_search::serve;
 use super::{RelayContext, quota, stream};
 use crate::adapters::http_server::Reply;
 use crate::types::RequestId;
+use futures_lite::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -18,6 +19,9 @@
     let head = context.ports.dialect.read_request(request.headers());
     let id = head.id.clone();
     let received = match receive(&context, request, head, arrived_at).await {
+        Ok(_) if !context.stop.takes_requests(Instant::now()) => {
+            Err(Refusal::stopping(Instant::now()))
+        }
         Ok(request) => quota::check(&context, request).await,
         Err(refusal) => Err(refusal),
     };
@@ -30,7 +34,11 @@
     };
     let mut unanswered =
         UnansweredRequest { context: &context, request: &request, is_answered: false };
-    let served = serve(&context, &request).await;
+    let stopped = async {
+        context.stop.requests_end().await;
+        Err(Refusal::new(RefusalReason::OutcomeUnknown))
+    };
+    let served = serve(&context, &request).or(stopped).await;
     unanswered.is_answered = true;
     match served {
         Ok(reply) => reply,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod peers;
 pub mod pending_attempts;
+pub mod planned_stop;
 pub mod quota;
 pub mod refusal;
 pub mod request;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -4,6 +4,7 @@
 use super::exchange;
 use super::metrics::RelayMetrics;
 use super::peers::{PeerQueries, listener, queries};
+use super::planned_stop::PlannedStop;
 use super::{RelayContext, RelayPorts, RelaySettings};
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::datagram_socket::DatagramSocket;
@@ -48,6 +49,9 @@
 /// Period at which a draining node checks whether its connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time before the end of a stop at which requests without an answer get their last one.
+const LAST_ANSWER_PERIOD: Duration = Duration::from_millis(200);
+
 /// Time in which a node that has stopped tells its partners.
 const LEAVE_PERIOD: Duration = Duration::from_millis(50);
 
@@ -158,26 +162,34 @@
         self.partner_address
     }
 
-    /// Stops gracefully: reports not ready, stops accepting connections `accept_ms` later, and
-    /// waits for running requests until `limit_ms`.
+    /// Stops gracefully: reports not ready, stops accepting connections and requests `accept_ms` later,
+    /// and waits for running requests until `limit_ms`.
     pub fn drain(self) {
         let limits = self.context.settings.stop;
         let started_at = Instant::now();
         log::info!("event=drain_started");
+        self.context.stop.begin(started_at + Duration::from_millis(limits.accept_ms));
         self.context.is_stopping.store(true, Ordering::Release);
         self.context.notify_control(RelayControlEvent::NodeStopping);
         thread::sleep(Duration::from_millis(limits.accept_ms));
         self.drain_sender.close();
         let deadline = started_at + Duration::from_millis(limits.limit_ms);
-        while self.drain_sender.receiver_count() > 0 && Instant::now() < deadline {
-            thread::sleep(DRAIN_POLL_PERIOD);
-        }
+        self.await_connections(deadline.checked_sub(LAST_ANSWER_PERIOD).unwrap_or(deadline));
+        self.context.stop.end_requests();
+        self.await_connections(deadline);
         log::info!("event=stopped cut={}", self.drain_sender.receiver_count());
         self.context.notify_control(RelayControlEvent::NodeStopped);
         thread::sleep(LEAVE_PERIOD);
         self.kill();
     }
 
+    /// Waits until all connections have ended, or the deadline.
+    fn await_connections(&self, deadline: Instant) {
+        while self.drain_sender.receiver_count() > 0 && Instant::now() < deadline {
+            thread::sleep(DRAIN_POLL_PERIOD);
+        }
+    }
+
     /// Stops at once and closes all connections.
     pub fn kill(self) {
         self.stop_sender.close();
@@ -234,6 +246,7 @@
         metrics,
         control_events,
         is_stopping: AtomicBool::new(false),
+        stop: PlannedStop::default(),
         has_server_list: AtomicBool::new(false),
         fleet: Mutex::new(Fleet::new(settings.availability_zone.clone())),
         resend_budget: Mutex::new(resend_budget),
--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -87,6 +87,10 @@
         forwarded.attempts.possible_runs,
         forwarded.route.max_attempts
     );
+    let now = Instant::now();
+    if !context.stop.takes_requests(now) {
+        return Err((Some(id), Refusal::stopping(now)));
+    }
     let is_server_wanted = !forwarded.sender.is_empty();
     match RelayedRequest::forwarded(context, forwarded) {
         Ok(request) => Ok(ReceivedRequest { request, is_server_wanted }),
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -41,6 +41,8 @@
     Poison,
     /// Requests with the same keys, or with ones that may have caused the same crashes, run first.
     Suspect,
+    /// The node is stopping, and could not serve the request before.
+    Stopping,
     /// No server can accept the request.
     Unavailable(UnavailableReason),
     /// The expected wait at the servers is too long.
@@ -75,6 +77,7 @@
             Self::Unconfigured
             | Self::QuotaUnknown
             | Self::Poison
+            | Self::Stopping
             | Self::Suspect
             | Self::Unavailable(_)
             | Self::Overloaded
@@ -124,6 +127,11 @@
         Self::with_retry(RefusalReason::Unconfigured, now + UNCONFIGURED_RETRY_DELAY)
     }
 
+    /// Returns the refusal of a node that is stopping; other nodes take the request at once.
+    pub fn stopping(now: Instant) -> Self {
+        Self::with_retry(RefusalReason::Stopping, now)
+    }
+
     /// Counts the refusal and returns the answer for the caller.
     pub fn reply(self, context: &RelayContext, request: Option<&RequestId>) -> Reply {
         let labels = ReasonLabels { reason: self.reason.name().to_owned() };
