fix(relay): shared cache gets another salt when a workspace becomes isolated

Cause: the salt of workspaces without isolation never changed.

Change: it depends on which workspaces are isolated, by the configuration that resolved the request, also where another node sends it on.

The new test of choose needs the group, which did not exist.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -7,6 +7,7 @@
 //! transfer of the prefix. Decode-heavy requests and long prompts go to different servers, since
 //! each prefill delays every token that the server generates.
 
+use super::configuration::CacheGroup;
 use super::fleet::Fleet;
 use super::prompt::{PrefixKey, Prompt};
 use super::server::{Server, ServerLoad};
@@ -129,6 +130,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Workspace of the request if it has cache isolation, `None` otherwise.
     pub isolated_workspace: Option<&'a str>,
+    /// Workspaces that share KV cache with that of the request, if it has no cache isolation.
+    pub cache_group: CacheGroup,
     /// Priority, 0 is the highest.
     pub priority: u8,
     /// Time within which the answer should begin.
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use strum::Display;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Longest period of a configuration that counts, in milliseconds; longer ones may be more than a
 /// clock can hold.
@@ -168,8 +169,12 @@
     keys: HashMap<SmolStr, Arc<Workspace>>,
     has_workspaces: bool,
     workspace_count: usize,
+    cache_group: CacheGroup,
 }
 
+/// Identifies the workspaces among which KV cache is shared; 0 if none is isolated.
+pub type CacheGroup = u64;
+
 /// Who sent a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Caller {
@@ -202,6 +207,11 @@
     pub fn set_workspaces(&mut self, workspaces: Vec<(Workspace, Vec<SmolStr>)>) {
         self.has_workspaces = true;
         self.workspace_count = workspaces.len();
+        let isolated = workspaces.iter().filter(|(workspace, _)| workspace.is_isolated);
+        let isolated: BTreeSet<&WorkspaceId> =
+            isolated.map(|(workspace, _)| &workspace.name).collect();
+        self.cache_group =
+            isolated.iter().fold(0, |seed, name| xxh3_64_with_seed(name.as_bytes(), seed));
         for (workspace, keys) in workspaces {
             let workspace = Arc::new(workspace);
             self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
@@ -240,6 +250,12 @@
         workspace.map_or(Caller::Unknown, |found| Caller::Workspace(Arc::clone(found)))
     }
 
+    /// Returns the group of the workspaces that are not isolated. It changes with each workspace that
+    /// becomes isolated, so that the others do not use what that one has left in the cache.
+    pub fn cache_group(&self) -> CacheGroup {
+        self.cache_group
+    }
+
     /// Returns the number of workspaces.
     pub fn workspace_count(&self) -> usize {
         self.workspace_count
--- a/src/decision/relay/engine_choice.rs
+++ b/src/decision/relay/engine_choice.rs
@@ -2,6 +2,7 @@
 //! save, and what that costs.
 
 use super::choose::{Choice, CostedServer, PromptChoice, ServerQuery, build_choice, two_cheapest};
+use super::configuration::CacheGroup;
 use super::fleet::Fleet;
 use super::prefill_rate::PrefillRate;
 use super::prompt::{MIN_STORED_TOKENS, PrefixKey, Prompt};
@@ -89,9 +90,9 @@
         query: ServerQuery<'_>,
         now: Instant,
     ) -> Choice {
-        let isolated_workspace = query.isolated_workspace;
+        let owner = CacheOwner::of(query);
         let pool = self.decode_pool(candidates, prompt, now);
-        let placement_key = self.placement_key(candidates, prompt, isolated_workspace, now);
+        let placement_key = self.placement_key(candidates, prompt, owner, now);
         let mut ranked: Vec<&Server> = candidates.to_vec();
         ranked.sort_by_key(|server| {
             let rank = rendezvous_hash(server.id_hash, placement_key);
@@ -107,7 +108,7 @@
             if is_last_round || ends_round && min_expected_ms < NEXT_ROUND_EXPECTED_MS {
                 break;
             }
-            let mut plan = self.plan_prompt(server, &ranked, prompt, isolated_workspace, rank, now);
+            let mut plan = self.plan_prompt(server, &ranked, prompt, owner, rank, now);
             let load = server.total_load(now);
             let expected_ms =
                 expect_first_token(server, load, &mut plan, query.priority, prefill_rate, now);
@@ -161,11 +162,11 @@
         &self,
         candidates: &[&Server],
         prompt: &Prompt,
-        isolated_workspace: Option<&str>,
+        owner: CacheOwner<'_>,
         now: Instant,
     ) -> PrefixKey {
         let newest = candidates.iter().filter_map(|server| server.weights.get(&prompt.model)).max();
-        let salt = cache_salt(prompt, newest.copied().unwrap_or_default(), isolated_workspace);
+        let salt = cache_salt(prompt, newest.copied().unwrap_or_default(), owner);
         let keys = prompt.shared_keys(&salt);
         let is_unstored = |(key, tokens): &(&PrefixKey, u32)| {
             *tokens >= MIN_STORED_TOKENS && !self.prefixes.is_stored(**key, now)
@@ -173,7 +174,7 @@
         let first_unstored = keys.iter().zip(prompt.shared_part_tokens()).find(is_unstored);
         let key = match first_unstored.filter(|_| self.kv_store.is_some()) {
             Some((key, _)) => Some(*key),
-            None => prompt.shared_keys(isolated_workspace.unwrap_or_default()).last().copied(),
+            None => prompt.shared_keys(owner.workspace().unwrap_or_default()).last().copied(),
         };
         key.unwrap_or_else(|| prompt.unshared_key())
     }
@@ -185,12 +186,12 @@
         server: &Server,
         ranked: &[&Server],
         prompt: &Prompt,
-        isolated_workspace: Option<&str>,
+        owner: CacheOwner<'_>,
         rank: usize,
         now: Instant,
     ) -> PromptPlan {
         let weights = server.weights.get(&prompt.model).copied().unwrap_or_default();
-        let cache_salt = cache_salt(prompt, weights, isolated_workspace);
+        let cache_salt = cache_salt(prompt, weights, owner);
         let keys = prompt.shared_keys(&cache_salt);
         let id = &server.entry.id;
         let is_cached = |key: &PrefixKey| self.prefixes.is_cached_on(*key, id, now);
@@ -404,16 +405,13 @@
     choice: PromptChoice,
 }
 
-/// Returns the salt of the cache keys, which differs between models, weights and workspaces with
-/// cache isolation.
-fn cache_salt(
-    prompt: &Prompt,
-    weights: WeightsRevision,
-    isolated_workspace: Option<&str>,
-) -> SmolStr {
-    match isolated_workspace {
-        Some(workspace) => format_smolstr!("{}/{weights}/{workspace}", prompt.model),
-        None => format_smolstr!("{}/{weights}", prompt.model),
+/// Returns the salt of the cache keys, which differs between models, weights, workspaces with cache
+/// isolation and groups of those without.
+fn cache_salt(prompt: &Prompt, weights: WeightsRevision, owner: CacheOwner<'_>) -> SmolStr {
+    match owner {
+        CacheOwner::Workspace(name) => format_smolstr!("{}/{weights}/{name}", prompt.model),
+        CacheOwner::Group(0) => format_smolstr!("{}/{weights}", prompt.model),
+        CacheOwner::Group(group) => format_smolstr!("{}/{weights}~{group:x}", prompt.model),
     }
 }
 
@@ -425,3 +423,25 @@
         (true, true) | (false, false) => 0.0,
     }
 }
+
+/// Whose cache a request uses.
+#[derive(Clone, Copy, Debug)]
+enum CacheOwner<'a> {
+    /// That of an isolated workspace alone.
+    Workspace(&'a str),
+    /// That of the workspaces of a group.
+    Group(CacheGroup),
+}
+
+impl<'a> CacheOwner<'a> {
+    fn of(query: ServerQuery<'a>) -> Self {
+        query.isolated_workspace.map_or(Self::Group(query.cache_group), Self::Workspace)
+    }
+
+    fn workspace(self) -> Option<&'a str> {
+        match self {
+            Self::Workspace(name) => Some(name),
+            Self::Group(_) => None,
+        }
+    }
+}
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -1,6 +1,6 @@
 //! Requests that one node sends on for another, as they are encoded between them.
 
-use crate::decision::relay::configuration::{MAX_PERIOD_MS, Workspace};
+use crate::decision::relay::configuration::{CacheGroup, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{RetrySafety, Route};
 use crate::relay::attempts::Attempts;
 use crate::relay::request::RelayedRequest;
@@ -79,6 +79,10 @@
     /// Servers that may have run the request; earlier builds do not say.
     #[serde(default)]
     ran_at: Vec<ServerId>,
+    /// Workspaces that share KV cache; earlier builds do not say, and share it among all that are not
+    /// isolated.
+    #[serde(default)]
+    cache_group: CacheGroup,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -114,6 +118,8 @@
     pub service: ServiceId,
     /// Workspace of the caller.
     pub workspace: Option<Arc<Workspace>>,
+    /// Workspaces that share KV cache with that one unless it is isolated.
+    pub cache_group: CacheGroup,
     /// Whether the caller's API key is removed before the request is sent to a server.
     pub strips_api_key: bool,
     /// Method.
@@ -180,6 +186,7 @@
         last_event_id,
         sender: sender.clone(),
         ran_at: attempts.ran_at.clone(),
+        cache_group: request.cache_group,
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&head, &mut encoded).expect("writing to a Vec cannot fail");
@@ -234,6 +241,7 @@
         route: Arc::new(route),
         service: head.service,
         workspace,
+        cache_group: head.cache_group,
         strips_api_key: head.strips_api_key,
         method: head.method.parse().context("step=decode method")?,
         uri: head.uri.parse().context("step=decode uri")?,
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -8,7 +8,7 @@
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
-use crate::decision::relay::configuration::{Caller, MAX_PERIOD_MS, Workspace};
+use crate::decision::relay::configuration::{CacheGroup, Caller, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{
     AdmissionRequest, Configuration, Prompt, RetrySafety, Route, ServerQuery,
 };
@@ -50,6 +50,8 @@
     pub service: ServiceId,
     /// Workspace of the caller, `None` if it is anonymous.
     pub workspace: Option<Arc<Workspace>>,
+    /// Workspaces that share KV cache with that one unless it is isolated.
+    pub cache_group: CacheGroup,
     /// Whether the caller's API key is removed before the request is sent to a server.
     pub strips_api_key: bool,
     /// Head of the request, as read by the dialect.
@@ -119,6 +121,7 @@
             service: forwarded.service,
             strips_api_key: forwarded.strips_api_key,
             workspace,
+            cache_group: forwarded.cache_group,
             head,
             method: forwarded.method,
             uri,
@@ -154,6 +157,7 @@
             service: &self.service,
             prompt: self.head.prompt.as_ref(),
             isolated_workspace: isolated.map(|workspace| workspace.name.as_str()),
+            cache_group: self.cache_group,
             priority: self.priority(),
             latency_objective: Duration::from_millis(self.route.latency_objective_ms),
             max_event_gap: Duration::from_millis(self.route.max_event_gap_ms),
@@ -210,6 +214,7 @@
         service,
         strips_api_key: configuration.has_workspaces(),
         workspace,
+        cache_group: configuration.cache_group(),
         head,
         method: parts.method,
         uri,
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -2,9 +2,10 @@
 //! outdated weights.
 
 use super::fixture::*;
+use coriandertide::decision::relay::configuration::Workspace;
 use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate, UpdateScope};
 use coriandertide::decision::relay::{
-    Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
+    Configuration, Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -124,6 +125,30 @@
     assert_eq!(salt(1, None), salts[0]);
 }
 
+/// Guards against workspaces that go on using what another one left in the cache before it became
+/// isolated.
+#[test]
+fn the_salt_of_shared_cache_changes_when_a_workspace_becomes_isolated() {
+    let prompt = long_prompt(7, 1);
+    let salt = |isolated: &[&str]| {
+        let mut configuration = Configuration::new(1, Vec::new(), BTreeMap::new());
+        let workspace = |name: &str| Workspace {
+            name: name.into(),
+            priority: None,
+            is_isolated: isolated.contains(&name),
+            quota: None,
+        };
+        let workspaces = ["a", "b", "c"].map(|name| (workspace(name), vec![name.into()]));
+        configuration.set_workspaces(workspaces.into());
+        let query = ServerQuery { cache_group: configuration.cache_group(), ..query(&prompt) };
+        fleet(2, 1).choose(query, Instant::now()).unwrap().prompt.unwrap().cache_salt
+    };
+    let salts = [salt(&[]), salt(&["a"]), salt(&["b"]), salt(&["a", "b"])];
+    let distinct: std::collections::BTreeSet<_> = salts.iter().collect();
+    assert_eq!(distinct.len(), salts.len(), "{salts:?}");
+    assert_eq!(salt(&["b", "a"]), salts[3]);
+}
+
 #[test]
 fn outdated_weights_are_avoided_and_later_refused() {
     let now = Instant::now();
