--- a/examples/capacity_slopes/membership.rs
+++ b/examples/capacity_slopes/membership.rs
@@ -57,6 +57,7 @@
         status: MemberStatus::Alive,
         processor_percent: 0,
         peer_address: None,
+        is_stopping: false,
     }
 }
 
