fix(relay): streams that begin at a doubted process are not delayed

A node asked the process of a server for its start before each stream that began there after a connection had been cut or refused, for up to 0.3 s.

Now such a stream begins at once, goes on nowhere else, and one call each half second asks the process beside it. A stream that goes on at a server waits for the answer as before.

--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -16,6 +16,9 @@
 /// two seconds.
 const MISSING_ENTRY_GRACE: Duration = Duration::from_millis(1_700);
 
+/// Period at which a server is asked whether the process of its entry still runs.
+const PROCESS_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time constant with which this node's recent requests stop indicating unreported ones of other
 /// nodes, which send their loads several times within it.
 const UNREPORTED_DECAY_PERIOD: Duration = Duration::from_millis(150);
@@ -118,8 +121,8 @@
     full_until: Option<Instant>,
     /// End of the pause that the server has asked this node for.
     paused_until: Option<Instant>,
-    /// Whether the process of the entry may have ended.
-    is_process_doubted: bool,
+    /// When the process of the entry, which may have ended, is next asked; `None` if it runs.
+    process_check_at: Option<Instant>,
 }
 
 impl Server {
@@ -139,23 +142,36 @@
             evicted_until: None,
             full_until: None,
             paused_until: None,
-            is_process_doubted: false,
+            process_check_at: None,
         }
     }
 
     /// Whether the process of the entry may have ended, and another one may answer for the server.
     pub fn is_process_doubted(&self) -> bool {
-        self.is_process_doubted
+        self.process_check_at.is_some()
     }
 
     /// Records that the server has cut a connection, or refused one.
-    pub fn doubt_process(&mut self) {
-        self.is_process_doubted = true;
+    pub fn doubt_process(&mut self, now: Instant) {
+        self.process_check_at.get_or_insert(now);
+    }
+
+    /// Whether the process must be asked now; the next time is [`PROCESS_CHECK_PERIOD`] later.
+    pub fn take_process_check(&mut self, now: Instant) -> bool {
+        let is_due = self.process_check_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.process_check_at = Some(now + PROCESS_CHECK_PERIOD);
+        }
+        is_due
     }
 
     /// Records that the process of an incarnation has answered.
-    pub fn confirm_process(&mut self, incarnation: Incarnation) {
-        self.is_process_doubted &= incarnation != self.incarnation();
+    pub fn confirm_process(&mut self, incarnation: Incarnation, now: Instant) {
+        if incarnation == self.incarnation() {
+            self.process_check_at = None;
+        } else {
+            self.doubt_process(now);
+        }
     }
 
     /// Returns the incarnation of the server, 0 if its entry does not tell.
@@ -179,7 +195,7 @@
             self.health = Health::new(self.health.report_delay());
             self.reopen();
             self.paused_until = None;
-            self.is_process_doubted = false;
+            self.process_check_at = None;
         }
         self.entry = entry;
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -24,6 +24,7 @@
 use http_body_util::Full;
 use smol::Timer;
 use smol_str::{SmolStr, format_smolstr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use strum::Display;
@@ -32,7 +33,7 @@
 const OUTDATED_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
 /// Time in which a server must tell which process it is.
-const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+pub const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
@@ -207,60 +208,94 @@
     ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
 }
 
-/// Returns the software version of the process that answers for the chosen server. Its entry may be
-/// that of an earlier process, so that the process is asked before a stream goes on there, and before
-/// one begins after a sign that the process may have ended.
+/// Returns the software version of the process that answers for the chosen server, whose entry may be
+/// that of an earlier process. The process is asked before a stream goes on there. A stream that begins
+/// there after a sign that the process may have ended is not delayed, but goes on nowhere else.
 ///
 /// # Errors
 ///
-/// The process does not answer, or a stream cannot go on there since it is another one.
+/// A stream cannot go on there: the process does not answer, or is another one.
 async fn check_process(
     context: &RelayContext,
     request: &RelayedRequest,
     choice: &Choice,
     goes_on: bool,
 ) -> PeerResult<SoftwareVersion> {
-    let goes_on = goes_on || request.is_resumption();
-    let is_resumable = request.route.retry_safety == RetrySafety::ResumableStream;
-    if !is_resumable {
+    if request.route.retry_safety != RetrySafety::ResumableStream {
         return Ok(choice.software.clone());
     }
-    let replaced =
+    let now = Instant::now();
+    let unusable =
         |error| PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error);
-    let (expected, is_doubted) = match context.fleet().server(&choice.server) {
-        Some(server) if server.entry.software == choice.software => {
-            (server.entry.started_unix_ms, server.is_process_doubted())
-        }
-        _ => return Err(replaced(anyhow!("the server's entry has changed"))),
-    };
-    let Some(expected) = expected.filter(|_| goes_on || is_doubted) else {
-        return Ok(choice.software.clone());
+    let Some(process) = entry_process(context, choice, now) else {
+        return Err(unusable(anyhow!("the server's entry has changed")));
     };
-    let deadline = request.deadline.min(Instant::now() + PROCESS_CHECK_TIMEOUT);
-    let engines = &context.ports.engines;
-    let found = engines.incarnation(&choice.server, choice.address, deadline).await;
-    let found = found.map_err(|error| {
-        suspend_server(context, choice);
-        PeerError { delivery: Delivery::NotSent, ..error }
-    })?;
-    let Some(found) = found.filter(|found| *found != expected) else {
-        if let Some(server) = context.fleet().server_mut(&choice.server) {
-            server.confirm_process(expected);
+    let Some(expected) = process.incarnation else { return Ok(choice.software.clone()) };
+    if goes_on || request.is_resumption() {
+        let deadline = request.deadline.min(now + PROCESS_CHECK_TIMEOUT);
+        return match ask_process(context, &choice.server, choice.address, deadline).await {
+            Ok(Some(found)) if found != expected => {
+                Err(unusable(anyhow!("the server started again: {found} instead of {expected}")))
+            }
+            Ok(_) => Ok(choice.software.clone()),
+            Err(error) => {
+                suspend_server(context, choice);
+                Err(unusable(error.into()))
+            }
+        };
+    }
+    if process.must_ask {
+        let (server, address) = (choice.server.clone(), choice.address);
+        context.notify_control(RelayControlEvent::ProcessDoubted { server, address });
+    }
+    if process.is_doubted {
+        return Ok(format_smolstr!("unverified-{}-{}", choice.server, request.id));
+    }
+    Ok(choice.software.clone())
+}
+
+/// Process of a server by its entry.
+struct EntryProcess {
+    incarnation: Option<Incarnation>,
+    /// Whether it may have ended.
+    is_doubted: bool,
+    /// Whether it is to be asked now.
+    must_ask: bool,
+}
+
+/// Returns the process of the chosen server, `None` if its entry has changed since.
+fn entry_process(context: &RelayContext, choice: &Choice, now: Instant) -> Option<EntryProcess> {
+    let mut fleet = context.fleet();
+    let server = fleet.server_mut(&choice.server)?;
+    (server.entry.software == choice.software).then(|| EntryProcess {
+        incarnation: server.entry.started_unix_ms,
+        is_doubted: server.is_process_doubted(),
+        must_ask: server.take_process_check(now),
+    })
+}
+
+/// Asks the process of a server for its start, and records it.
+///
+/// # Errors
+///
+/// The process does not answer.
+pub async fn ask_process(
+    context: &RelayContext,
+    server: &ServerId,
+    address: SocketAddr,
+    deadline: Instant,
+) -> PeerResult<Option<Incarnation>> {
+    let found = context.ports.engines.incarnation(server, address, deadline).await?;
+    if let Some(known) = context.fleet().server_mut(server) {
+        let expected = known.incarnation();
+        known.confirm_process(found.unwrap_or(expected), Instant::now());
+        if found.is_some_and(|found| found != expected) {
+            log::info!(
+                "event=process_replaced server={server} expected={expected} found={found:?}"
+            );
         }
-        return Ok(choice.software.clone());
-    };
-    log::info!(
-        "event=process_replaced request={} server={} expected={expected} found={found}",
-        request.id,
-        choice.server
-    );
-    if goes_on {
-        return Err(replaced(anyhow!(
-            "the server started again, with an unknown software version"
-        )));
     }
-    // Its entry has not arrived yet. A stream of it goes on nowhere else.
-    Ok(format_smolstr!("unlisted-{}-{found}", choice.server))
+    Ok(found)
 }
 
 /// Takes the permits to send a request to a server that names a limit or is brittle; returns whether
@@ -398,7 +433,7 @@
     context.pool.close_idle_connections(&choice.server);
     let now = Instant::now();
     let Some(until) = context.fleet().server_mut(&choice.server).map(|server| {
-        server.doubt_process();
+        server.doubt_process(now);
         server.health.record_unreachable(now)
     }) else {
         return;
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -160,6 +160,13 @@
         /// Whether the stored KV cache is lost.
         is_emptied: bool,
     },
+    /// The process of a server's entry may have ended.
+    ProcessDoubted {
+        /// Server.
+        server: ServerId,
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// Whether the list of servers is complete must be known soon.
     ServersQuestioned,
     /// The node is stopping; it still carries requests.
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -10,6 +10,7 @@
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
+use crate::relay::attempt::{PROCESS_CHECK_TIMEOUT, ask_process};
 use crate::relay::peers::reach;
 use crate::relay::stream_origin;
 use crate::relay::suspension_detector::SuspensionDetector;
@@ -226,6 +227,16 @@
             RelayControlEvent::KvStoreChanged { address, is_emptied } => {
                 self.apply_kv_store(address, is_emptied, now);
             }
+            RelayControlEvent::ProcessDoubted { server, address } => {
+                let context = Arc::clone(&self.context);
+                self.spawn(async move {
+                    let deadline = Instant::now() + PROCESS_CHECK_TIMEOUT;
+                    let asked = ask_process(&context, &server, address, deadline).await;
+                    if let Err(error) = asked {
+                        log::debug!("event=process_unknown server={server} {error}");
+                    }
+                });
+            }
             RelayControlEvent::ServersQuestioned => {
                 self.read_schedule.borrow_mut().request(RecordTopic::Servers, now);
             }
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -222,7 +222,7 @@
 pub fn request_crash_check(request: &RelayedRequest, in_flight: &InFlightAttempt, stage: CutStage) {
     let Some(service) = &in_flight.service else { return };
     if let Some(server) = in_flight.context.fleet().server_mut(&in_flight.server) {
-        server.doubt_process();
+        server.doubt_process(Instant::now());
     }
     // A brittle server falls over for want of room, whatever it was answering.
     if in_flight.context.fleet().brittle.is_brittle(service, Instant::now()) {
