fix(relay): unchecked streams go first when the live nodes change again

Each change began the check of all streams anew, 256 a tick, so that while nodes change in quick succession the same streams would be checked each time and others never.

--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -20,7 +20,7 @@
 use crate::types::{InstanceId, RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -166,14 +166,17 @@
     /// Sets the other live nodes, and those that are stopping.
     pub fn set_nodes(&mut self, nodes: Vec<PeerNode>, stopping_nodes: Vec<PeerNode>) {
         if self.nodes != nodes {
-            self.unchecked = self.streams.keys().copied().collect();
+            // Streams that are still unchecked go first, however often the nodes change.
+            let queued: HashSet<StreamKey> = self.unchecked.iter().copied().collect();
+            let others = self.streams.keys().filter(|stream| !queued.contains(stream));
+            self.unchecked.extend(others);
         }
         self.nodes = nodes;
         self.stopping_nodes = stopping_nodes;
     }
 
-    /// Returns records for the nodes that have become owners of streams, of which it checks at most
-    /// `max_streams`; called again until it returns none, it covers all streams.
+    /// Checks at most `max_streams` of the streams whose owners may have changed; returns records for
+    /// the nodes that have become owners.
     pub fn next_replicas(&mut self, max_streams: usize, now: Instant) -> Vec<OriginReplica> {
         let checked = self.unchecked.len().min(max_streams);
         let keys: Vec<StreamKey> = self.unchecked.drain(..checked).collect();
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -288,11 +288,10 @@
     let found = context.ports.engines.incarnation(server, address, deadline).await?;
     if let Some(known) = context.fleet().server_mut(server) {
         let expected = known.incarnation();
-        known.confirm_process(found.unwrap_or(expected), Instant::now());
-        if found.is_some_and(|found| found != expected) {
-            log::info!(
-                "event=process_replaced server={server} expected={expected} found={found:?}"
-            );
+        let found = found.unwrap_or(expected);
+        known.confirm_process(found, Instant::now());
+        if found != expected {
+            log::info!("event=process_replaced server={server} expected={expected} found={found}");
         }
     }
     Ok(found)
