fix(relay): a stream's version counts once its process has answered again

A stream that began at a server whose process was in doubt got a version of its own for good.

The call that asks the process runs beside the stream. If it has answered as the process of the entry by the first event, the version is that of the entry. Otherwise the stream breaks at once when its server does.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -16,14 +16,14 @@
 use crate::decision::relay::{Choice, RetrySafety};
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, PeerResult, ServerId, SoftwareVersion, Step};
+use crate::types::{Delivery, Incarnation, PeerError, PeerResult, ServerId, Step};
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
 use futures_lite::future::pending;
 use http::Request;
 use http_body_util::Full;
 use smol::Timer;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -135,8 +135,8 @@
     choice: &Choice,
     last_event_id: Option<SmolStr>,
 ) -> ReceivedHead {
-    let choice = &match check_process(context, request, choice, last_event_id.is_some()).await {
-        Ok(software) => Choice { software, ..choice.clone() },
+    let is_doubted = match check_process(context, request, choice, last_event_id.is_some()).await {
+        Ok(is_doubted) => is_doubted,
         Err(error) => {
             log::info!("event=process_unknown request={} {error}", request.id);
             return ReceivedHead::None(AttemptOutcome::NotSent(error));
@@ -147,7 +147,7 @@
     if !try_take_permits(context, request, choice, incarnation, sent_at) {
         return ReceivedHead::None(AttemptOutcome::NotSent(limit_reached(request, choice)));
     }
-    let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice);
+    let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice, is_doubted);
     let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
     let sent = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
     let exchange = match sent.await {
@@ -208,9 +208,9 @@
     ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
 }
 
-/// Returns the software version of the process that answers for the chosen server, whose entry may be
-/// that of an earlier process. The process is asked before a stream goes on there. A stream that begins
-/// there after a sign that the process may have ended is not delayed, but goes on nowhere else.
+/// Returns whether another process than that of its entry may answer for the chosen server. The process
+/// is asked before a stream goes on there. A stream that begins there after a sign that the process may
+/// have ended is not delayed; the process is asked beside it.
 ///
 /// # Errors
 ///
@@ -220,9 +220,9 @@
     request: &RelayedRequest,
     choice: &Choice,
     goes_on: bool,
-) -> PeerResult<SoftwareVersion> {
+) -> PeerResult<bool> {
     if request.route.retry_safety != RetrySafety::ResumableStream {
-        return Ok(choice.software.clone());
+        return Ok(false);
     }
     let now = Instant::now();
     let unusable =
@@ -230,14 +230,14 @@
     let Some(process) = entry_process(context, choice, now) else {
         return Err(unusable(anyhow!("the server's entry has changed")));
     };
-    let Some(expected) = process.incarnation else { return Ok(choice.software.clone()) };
+    let Some(expected) = process.incarnation else { return Ok(false) };
     if goes_on || request.is_resumption() {
         let deadline = request.deadline.min(now + PROCESS_CHECK_TIMEOUT);
         return match ask_process(context, &choice.server, choice.address, deadline).await {
             Ok(Some(found)) if found != expected => {
                 Err(unusable(anyhow!("the server started again: {found} instead of {expected}")))
             }
-            Ok(_) => Ok(choice.software.clone()),
+            Ok(_) => Ok(false),
             Err(error) => {
                 suspend_server(context, choice);
                 Err(unusable(error.into()))
@@ -248,10 +248,7 @@
         let (server, address) = (choice.server.clone(), choice.address);
         context.notify_control(RelayControlEvent::ProcessDoubted { server, address });
     }
-    if process.is_doubted {
-        return Ok(format_smolstr!("unverified-{}-{}", choice.server, request.id));
-    }
-    Ok(choice.software.clone())
+    Ok(process.is_doubted)
 }
 
 /// Process of a server by its entry.
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -51,11 +51,18 @@
     suspect_keys: Vec<RankedKey>,
     /// Model and weights on which the request is to begin, `None` for a plain call.
     weights: Option<(ModelId, WeightsRevision)>,
+    /// Whether another process than that of the server's entry may run the request.
+    is_process_doubted: bool,
 }
 
 impl InFlightAttempt {
     /// Begins an attempt at the chosen server.
-    pub fn new(context: Arc<RelayContext>, request: &RelayedRequest, choice: &Choice) -> Self {
+    pub fn new(
+        context: Arc<RelayContext>,
+        request: &RelayedRequest,
+        choice: &Choice,
+        is_process_doubted: bool,
+    ) -> Self {
         let attempt = context.next_number.fetch_add(1, Ordering::Relaxed);
         let (server, load) = (choice.server.clone(), choice.load);
         let now = Instant::now();
@@ -94,6 +101,7 @@
             incarnation,
             suspect_keys,
             weights: choice_weights(request, choice),
+            is_process_doubted,
         }
     }
 
@@ -119,9 +127,24 @@
             incarnation: None,
             suspect_keys: Vec::new(),
             weights: None,
+            is_process_doubted: false,
         }
     }
 
+    /// Returns the software version that runs the request, `None` while another process than that of the
+    /// server's entry may do so.
+    pub fn proven_software(&self) -> Option<SoftwareVersion> {
+        let fleet = self.context.fleet();
+        let is_confirmed = || {
+            // A process that answered later as that of the entry ran already.
+            let server = fleet.server(&self.server);
+            server.is_some_and(|server| {
+                !server.is_process_doubted() && Some(server.incarnation()) == self.incarnation
+            })
+        };
+        (!self.is_process_doubted || is_confirmed()).then(|| self.software.clone())
+    }
+
     /// Returns when the server must have begun the request, `None` while its weights are current.
     pub fn begins_by(&self) -> Option<Instant> {
         begins_by(&self.context, self.weights.as_ref()?)
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -30,7 +30,7 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -109,7 +109,8 @@
     let headers = end_to_end_headers(received.exchange.headers.clone());
     let is_event_stream = is_event_stream(&headers);
     let retry_safety = request.route.retry_safety;
-    let software = received.in_flight.software.clone();
+    let software = received.in_flight.proven_software();
+    let software = software.unwrap_or_else(|| format_smolstr!("unproven-{}", request.id));
     if request.is_forwarded() {
         // The node that sent the request binds its caller's stream to this version.
         attempts.software = Some(software.clone());
@@ -354,11 +355,17 @@
         let Some(answer) = self.answer.as_ref().filter(|_| self.last_data_at.is_none()) else {
             return;
         };
-        let software = &answer.in_flight.software;
+        let proven = answer.in_flight.proven_software();
+        let is_proven = proven.is_some();
+        let software = proven.unwrap_or_else(|| {
+            log::info!("event=software_unproven request={} {}", self.request.id, answer.in_flight);
+            format_smolstr!("unproven-{}", self.request.id)
+        });
         if self.is_resumable {
-            stream_origin::record_origin(&self.context, &self.request, software);
+            stream_origin::record_origin(&self.context, &self.request, &software);
         }
-        self.attempts.software = Some(software.clone());
+        self.is_resumable &= is_proven;
+        self.attempts.software = Some(software);
     }
 
     /// Ends a complete stream; returns the data after the last whole event, if any.
