--- a/src/decision/relay/server.rs
+++ b/src/decision/relay/server.rs
@@ -156,7 +156,7 @@
         self.process_check_at.get_or_insert(now);
     }
 
-    /// Whether the process must be asked now; the next time is [`PROCESS_CHECK_PERIOD`] later.
+    /// Whether the process must be asked now; it is not asked again for half a second.
     pub fn take_process_check(&mut self, now: Instant) -> bool {
         let is_due = self.process_check_at.is_some_and(|at| now >= at);
         if is_due {
