fix(relay): each run is authorized by the configuration in force

Callers saw: after a workspace became isolated, requests that had arrived before used parts of prompts across the wall at their later runs (WALL), in both directions. Runs for a key that was revoked meanwhile, or under the name of the workspace that held it before, went on as well.

Cause: the workspace and the group that shares cache were resolved at the arrival and used for every run: a retry, a second server beside a silent one, a stream that goes on, a run by way of another node. A permission taken at arrival and used later.

Change: Authorization, renewed by the newest configuration before each run and compared once more where every run is sent; it travels with its revision, so that the newer of two nodes decides.

--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -246,8 +246,12 @@
         if !self.has_workspaces || route.is_public {
             return Caller::Anonymous;
         }
-        let workspace = key.and_then(|key| self.keys.get(key));
-        workspace.map_or(Caller::Unknown, |found| Caller::Workspace(Arc::clone(found)))
+        self.workspace(key).map_or(Caller::Unknown, |found| Caller::Workspace(Arc::clone(found)))
+    }
+
+    /// Returns the workspace that holds `key`.
+    pub fn workspace(&self, key: Option<&str>) -> Option<&Arc<Workspace>> {
+        self.keys.get(key?)
     }
 
     /// Returns the group of the workspaces that are not isolated. It changes with each workspace that
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -3,6 +3,7 @@
 //! Everything here is deterministic: no sockets, no clock and no random source.
 
 pub mod admission;
+pub mod authorization;
 pub mod brittle;
 pub mod choose;
 pub mod configuration;
@@ -41,6 +42,7 @@
 pub mod streams;
 
 pub use admission::AdmissionRequest;
+pub use authorization::Authorization;
 pub use brittle::{BrittleNotice, BrittleServices, RejectionLimit};
 pub use choose::{Choice, ServerQuery, Unavailable, UnavailableReason};
 pub use configuration::{Configuration, RetrySafety, Route, Service};
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use super::in_flight::{CutStage, InFlightAttempt, begins_by, choice_weights, request_crash_check};
 use super::peers::reach;
 use super::request::RelayedRequest;
+use super::server_choice::PlannedRun;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::server::Server;
 use crate::decision::relay::{Choice, RetrySafety};
@@ -132,9 +133,10 @@
 pub async fn send(
     context: &Arc<RelayContext>,
     request: &RelayedRequest,
-    choice: &Choice,
+    run: &PlannedRun,
     last_event_id: Option<SmolStr>,
 ) -> ReceivedHead {
+    let choice = &run.choice;
     let is_doubted = match check_process(context, request, choice, last_event_id.is_some()).await {
         Ok(is_doubted) => is_doubted,
         Err(error) => {
@@ -142,13 +144,20 @@
             return ReceivedHead::None(AttemptOutcome::NotSent(error));
         }
     };
+    let current = request.authorize(context);
+    if !current.is_some_and(|current| run.authorization.covers(&current)) {
+        let error = anyhow!("the authorization has changed");
+        log::info!("event=run_unauthorized request={} server={}", request.id, choice.server);
+        let error = PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error);
+        return ReceivedHead::None(AttemptOutcome::NotSent(error));
+    }
     let sent_at = Instant::now();
     let incarnation = context.fleet().server(&choice.server).map_or(0, Server::incarnation);
     if !try_take_permits(context, request, choice, incarnation, sent_at) {
         return ReceivedHead::None(AttemptOutcome::NotSent(limit_reached(request, choice)));
     }
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice, is_doubted);
-    let outgoing = outgoing_request(context, request, choice, last_event_id, sent_at);
+    let outgoing = outgoing_request(context, request, run, last_event_id, sent_at);
     let sent = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
     let exchange = match sent.await {
         Ok(exchange) => exchange,
@@ -360,19 +369,20 @@
 fn outgoing_request(
     context: &RelayContext,
     request: &RelayedRequest,
-    choice: &Choice,
+    run: &PlannedRun,
     last_event_id: Option<SmolStr>,
     now: Instant,
 ) -> Request<Full<Bytes>> {
     let remaining = request.deadline.saturating_duration_since(now);
-    let workspace = request.workspace.as_ref();
+    let PlannedRun { choice, authorization } = run;
+    let workspace = authorization.workspace.as_ref();
     let prompt = choice.prompt.as_ref();
     let head = ForwardHead {
         server: choice.server.clone(),
         remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX).max(1),
         workspace: workspace.map(|workspace| workspace.name.clone()),
-        strips_api_key: request.strips_api_key,
-        priority: prompt.map(|_| request.priority()),
+        strips_api_key: authorization.strips_api_key,
+        priority: prompt.map(|_| request.priority(authorization)),
         weights: prompt.map(|prompt| prompt.weights),
         cache_salt: prompt.map(|prompt| prompt.cache_salt.clone()),
         fetch_from: prompt.and_then(|prompt| prompt.fetch_from),
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -2,7 +2,7 @@
 
 use super::message::{self, ANSWERED, FORWARD_PATH, OUTCOME, REFUSED, SERVER, SOFTWARE};
 use crate::adapters::connection_pool::PooledExchange;
-use crate::decision::relay::PeerNode;
+use crate::decision::relay::{Authorization, PeerNode};
 use crate::relay::RelayContext;
 use crate::relay::answer_head::find_signature_fault;
 use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason, ReceivedHead};
@@ -77,6 +77,7 @@
 pub async fn send(
     context: &Arc<RelayContext>,
     request: &RelayedRequest,
+    authorization: &Authorization,
     node: &PeerNode,
     attempts: &Attempts,
     last_event_id: Option<SmolStr>,
@@ -84,6 +85,7 @@
     let sent_at = Instant::now();
     let body = message::encode(
         request,
+        authorization,
         attempts,
         &context.identity.record.instance,
         last_event_id,
--- a/src/relay/peers/message.rs
+++ b/src/relay/peers/message.rs
@@ -1,7 +1,7 @@
 //! Requests that one node sends on for another, as they are encoded between them.
 
 use crate::decision::relay::configuration::{CacheGroup, MAX_PERIOD_MS, Workspace};
-use crate::decision::relay::{RetrySafety, Route};
+use crate::decision::relay::{Authorization, RetrySafety, Route};
 use crate::relay::attempts::Attempts;
 use crate::relay::request::RelayedRequest;
 use crate::types::{
@@ -83,6 +83,9 @@
     /// isolated.
     #[serde(default)]
     cache_group: CacheGroup,
+    /// Revision of the configuration that authorizes the run; earlier builds do not say.
+    #[serde(default)]
+    revision: u64,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -116,12 +119,8 @@
     pub route: Arc<Route>,
     /// Service that gets the request.
     pub service: ServiceId,
-    /// Workspace of the caller.
-    pub workspace: Option<Arc<Workspace>>,
-    /// Workspaces that share KV cache with that one unless it is isolated.
-    pub cache_group: CacheGroup,
-    /// Whether the caller's API key is removed before the request is sent to a server.
-    pub strips_api_key: bool,
+    /// Authorization by the configuration of the sender.
+    pub authorization: Authorization,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -147,6 +146,7 @@
 /// Encodes a request of `sender` for another node, which may spend one run on it.
 pub fn encode(
     request: &RelayedRequest,
+    authorization: &Authorization,
     attempts: &Attempts,
     sender: &InstanceId,
     last_event_id: Option<SmolStr>,
@@ -169,12 +169,12 @@
         priority: route.priority,
         max_attempts: attempts.possible_runs.saturating_add(1),
         service: request.service.clone(),
-        workspace: request.workspace.as_ref().map(|workspace| ForwardedWorkspace {
+        workspace: authorization.workspace.as_ref().map(|workspace| ForwardedWorkspace {
             name: workspace.name.clone(),
             priority: workspace.priority,
             is_isolated: workspace.is_isolated,
         }),
-        strips_api_key: request.strips_api_key,
+        strips_api_key: authorization.strips_api_key,
         method: request.method.as_str().to_owned(),
         uri: request.uri.to_string(),
         headers: request.headers.iter().map(header).collect(),
@@ -186,7 +186,8 @@
         last_event_id,
         sender: sender.clone(),
         ran_at: attempts.ran_at.clone(),
-        cache_group: request.cache_group,
+        cache_group: authorization.cache_group,
+        revision: authorization.revision,
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&head, &mut encoded).expect("writing to a Vec cannot fail");
@@ -240,9 +241,12 @@
         id: head.id,
         route: Arc::new(route),
         service: head.service,
-        workspace,
-        cache_group: head.cache_group,
-        strips_api_key: head.strips_api_key,
+        authorization: Authorization {
+            revision: head.revision,
+            workspace,
+            cache_group: head.cache_group,
+            strips_api_key: head.strips_api_key,
+        },
         method: head.method.parse().context("step=decode method")?,
         uri: head.uri.parse().context("step=decode uri")?,
         headers,
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -5,7 +5,8 @@
 use super::attempts::Attempts;
 use super::peers::forward::{self, ForwardedAnswer};
 use super::request::RelayedRequest;
-use crate::decision::relay::{Choice, Fleet, PeerNode};
+use super::server_choice::PlannedRun;
+use crate::decision::relay::{Authorization, Fleet, PeerNode};
 use crate::types::ServerId;
 use futures_lite::FutureExt;
 use futures_lite::future::poll_fn;
@@ -79,16 +80,17 @@
         &mut self,
         context: &Arc<RelayContext>,
         request: &Arc<RelayedRequest>,
-        choice: Choice,
+        run: PlannedRun,
         last_event_id: Option<SmolStr>,
     ) {
-        let server = choice.server.clone();
+        let server = run.choice.server.clone();
         let (context, request) = (Arc::clone(context), Arc::clone(request));
         let has_head = Arc::new(AtomicBool::new(false));
         let shared = Arc::clone(&has_head);
         let end = Box::pin(async move {
-            let received = attempt::send(&context, &request, &choice, last_event_id);
-            let received = received.or(attempt::await_outdated(&context, &request, &choice)).await;
+            let received = attempt::send(&context, &request, &run, last_event_id);
+            let outdated = attempt::await_outdated(&context, &request, &run.choice);
+            let received = received.or(outdated).await;
             shared.store(true, Ordering::Relaxed);
             let outcome = attempt::receive(&context, &request, received).await;
             AttemptEnd { outcome, server_of_node: None }
@@ -109,6 +111,7 @@
         &mut self,
         context: &Arc<RelayContext>,
         request: &Arc<RelayedRequest>,
+        authorization: Authorization,
         node: PeerNode,
         attempts: Attempts,
         last_event_id: Option<SmolStr>,
@@ -119,7 +122,8 @@
         let shared = Arc::clone(&has_head);
         let end = Box::pin(async move {
             let ForwardedAnswer { received, server } =
-                forward::send(&context, &request, &node, &attempts, last_event_id).await;
+                forward::send(&context, &request, &authorization, &node, &attempts, last_event_id)
+                    .await;
             shared.store(true, Ordering::Relaxed);
             let outcome = attempt::receive(&context, &request, received).await;
             AttemptEnd { outcome, server_of_node: server }
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -62,7 +62,7 @@
     context: &RelayContext,
     mut request: RelayedRequest,
 ) -> Result<RelayedRequest, Refusal> {
-    let Some(workspace) = request.workspace.clone() else { return Ok(request) };
+    let Some(workspace) = request.authorization.workspace.clone() else { return Ok(request) };
     let Some(quota) = workspace.quota else { return Ok(request) };
     let prompt = request.head.prompt.as_ref();
     let usage = prompt.map(|prompt| (prompt.prompt_tokens, prompt.max_output_tokens));
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -8,9 +8,9 @@
 use super::suspects::{self, Probe, SuspectKeys};
 use crate::adapters::deadline::timeout_at;
 use crate::decision::poison::{Fingerprint, Suspicion};
-use crate::decision::relay::configuration::{CacheGroup, Caller, MAX_PERIOD_MS, Workspace};
+use crate::decision::relay::configuration::{Caller, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{
-    AdmissionRequest, Configuration, Prompt, RetrySafety, Route, ServerQuery,
+    AdmissionRequest, Authorization, Configuration, Prompt, RetrySafety, Route, ServerQuery,
 };
 use crate::ports::RequestHead;
 use crate::types::{RequestId, ServiceId};
@@ -48,12 +48,8 @@
     pub route: Arc<Route>,
     /// Service of the route that gets the request.
     pub service: ServiceId,
-    /// Workspace of the caller, `None` if it is anonymous.
-    pub workspace: Option<Arc<Workspace>>,
-    /// Workspaces that share KV cache with that one unless it is isolated.
-    pub cache_group: CacheGroup,
-    /// Whether the caller's API key is removed before the request is sent to a server.
-    pub strips_api_key: bool,
+    /// Authorization when the request arrived. Runs use [`RelayedRequest::authorize`].
+    pub authorization: Authorization,
     /// Head of the request, as read by the dialect.
     pub head: RequestHead,
     /// Method.
@@ -85,9 +81,28 @@
 }
 
 impl RelayedRequest {
+    /// Returns the authorization for a run that is sent now, `None` if the caller's key was revoked.
+    pub fn authorize(&self, context: &RelayContext) -> Option<Authorization> {
+        match context.configuration.load().as_ref() {
+            Some(newest) => self.authorization.renew(newest, self.head.api_key.as_deref()),
+            None => Some(self.authorization.clone()),
+        }
+    }
+
+    /// Returns the refusal of a request whose key was revoked since it arrived.
+    pub fn revoked(&self) -> Refusal {
+        log::info!("event=key_revoked request={} age_ms={}", self.id, self.age_ms());
+        Refusal::new(match self.is_forwarded() {
+            // The node that sent the request answers its caller.
+            true => RefusalReason::NotRun,
+            false => RefusalReason::UnknownKey,
+        })
+    }
+
     /// Returns the priority at the servers; 0 is the highest.
-    pub fn priority(&self) -> u8 {
-        let workspace_priority = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+    pub fn priority(&self, authorization: &Authorization) -> u8 {
+        let workspace = authorization.workspace.as_ref();
+        let workspace_priority = workspace.and_then(|workspace| workspace.priority);
         self.admission(false, self.arrived_at)
             .server_priority(workspace_priority.unwrap_or(self.route.priority))
     }
@@ -109,9 +124,9 @@
         context: &Arc<RelayContext>,
         forwarded: ForwardedRequest,
     ) -> Result<Self, Refusal> {
-        let ForwardedRequest { id, workspace, uri, headers, body, .. } = forwarded;
+        let ForwardedRequest { id, authorization, uri, headers, body, .. } = forwarded;
         let head = context.ports.dialect.read_request(&headers);
-        let fingerprint = fingerprint(workspace.as_deref(), &uri, &body);
+        let fingerprint = fingerprint(authorization.workspace.as_deref(), &uri, &body);
         check_poison(context, fingerprint)?;
         let suspect_keys = SuspectKeys::new(head.prompt.as_ref(), fingerprint);
         let probe = suspects::admit(context, &id, &suspect_keys)?;
@@ -119,9 +134,7 @@
             id,
             route: forwarded.route,
             service: forwarded.service,
-            strips_api_key: forwarded.strips_api_key,
-            workspace,
-            cache_group: forwarded.cache_group,
+            authorization,
             head,
             method: forwarded.method,
             uri,
@@ -151,14 +164,17 @@
     }
 
     /// Returns the query that selects the server of the next attempt.
-    pub fn server_query<'a>(&'a self, attempts: &'a Attempts) -> ServerQuery<'a> {
-        let isolated = self.workspace.as_ref().filter(|workspace| workspace.is_isolated);
+    pub fn server_query<'a>(
+        &'a self,
+        attempts: &'a Attempts,
+        authorization: &'a Authorization,
+    ) -> ServerQuery<'a> {
         ServerQuery {
             service: &self.service,
             prompt: self.head.prompt.as_ref(),
-            isolated_workspace: isolated.map(|workspace| workspace.name.as_str()),
-            cache_group: self.cache_group,
-            priority: self.priority(),
+            isolated_workspace: authorization.isolated_workspace(),
+            cache_group: authorization.cache_group,
+            priority: self.priority(authorization),
             latency_objective: Duration::from_millis(self.route.latency_objective_ms),
             max_event_gap: Duration::from_millis(self.route.max_event_gap_ms),
             software: attempts.software.as_ref(),
@@ -212,9 +228,12 @@
         id,
         route,
         service,
-        strips_api_key: configuration.has_workspaces(),
-        workspace,
-        cache_group: configuration.cache_group(),
+        authorization: Authorization {
+            revision: configuration.revision,
+            workspace,
+            cache_group: configuration.cache_group(),
+            strips_api_key: configuration.has_workspaces(),
+        },
         head,
         method: parts.method,
         uri,
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -4,7 +4,7 @@
 use super::attempts::Attempts;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
-use crate::decision::relay::{Choice, Prompt, Unavailable, UnavailableReason};
+use crate::decision::relay::{Authorization, Choice, Prompt, Unavailable, UnavailableReason};
 use smol::Timer;
 use std::time::{Duration, Instant};
 
@@ -17,13 +17,22 @@
 /// Time between two attempts to choose a server while all are closed.
 const CHOICE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
+/// Server for the next attempt, and what the request was allowed when it was chosen.
+#[derive(Clone, Debug)]
+pub struct PlannedRun {
+    /// The chosen server.
+    pub choice: Choice,
+    /// Authorization by which it was chosen.
+    pub authorization: Authorization,
+}
+
 /// Returns the server for the next attempt. Waits a short time if all servers are closed, or take no
 /// more requests for that time.
 pub async fn choose_server(
     context: &RelayContext,
     request: &RelayedRequest,
     attempts: &Attempts,
-) -> Result<Choice, Refusal> {
+) -> Result<PlannedRun, Refusal> {
     let objective = Duration::from_millis(request.route.latency_objective_ms);
     let max_wait = match attempts.software {
         Some(_) => MAX_RESUMPTION_WAIT,
@@ -59,13 +68,14 @@
     request: &RelayedRequest,
     attempts: &Attempts,
     now: Instant,
-) -> Result<Choice, Refusal> {
-    let chosen = context.fleet().choose(request.server_query(attempts), now);
+) -> Result<PlannedRun, Refusal> {
+    let Some(authorization) = request.authorize(context) else { return Err(request.revoked()) };
+    let chosen = context.fleet().choose(request.server_query(attempts, &authorization), now);
     match chosen {
         Ok(choice) => {
             let has_started = attempts.possible_runs > 0 || attempts.software.is_some();
             check_overload(request, &choice, has_started, now)?;
-            Ok(choice)
+            Ok(PlannedRun { choice, authorization })
         }
         Err(Unavailable { reason, retry_at }) => {
             Err(Refusal::with_retry(RefusalReason::Unavailable(reason), retry_at))
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -154,8 +154,8 @@
             true => choose_server(context, request, &self.attempts).await,
             false => choose_server_now(context, request, &self.attempts, Instant::now()),
         };
-        let choice = match chosen {
-            Ok(choice) => choice,
+        let run = match chosen {
+            Ok(run) => run,
             Err(refusal) => {
                 if is_out_of_reach(refusal.reason)
                     && let Some(node) = forward::find_gateway(context, request, &self.attempts)
@@ -171,17 +171,21 @@
         {
             return self.failover.record_not_tried(NotTriedReason::Budget, Instant::now());
         }
-        log_choice(request, &choice);
-        self.attempts.begin(&choice.server);
-        self.last_server = Some(choice.server.clone());
+        log_choice(request, &run.choice);
+        self.attempts.begin(&run.choice.server);
+        self.last_server = Some(run.choice.server.clone());
         let last_event_id = request.resume_after.clone();
-        self.pending.begin(context, request, choice, last_event_id);
+        self.pending.begin(context, request, run, last_event_id);
         self.failover.record_sent();
     }
 
     /// Sends the request by way of another node, if the budget allows it.
     fn try_node(&mut self, node: PeerNode) {
         let (context, request) = (self.context, self.request);
+        let Some(authorization) = request.authorize(context) else {
+            self.refusal = request.revoked();
+            return self.failover.record_not_tried(NotTriedReason::Unavailable, Instant::now());
+        };
         if let NextAttempt::Resend(reason) = &self.next_attempt
             && !self.attempts.try_resend(context, request, reason)
         {
@@ -190,7 +194,7 @@
         forward::log_forwarding(request, &node);
         let attempts = self.attempts.clone();
         self.attempts.begin_by_node(&node.instance);
-        self.pending.begin_by_node(context, request, node, attempts, None);
+        self.pending.begin_by_node(context, request, authorization, node, attempts, None);
         self.failover.record_sent();
     }
 
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -3,13 +3,13 @@
 
 use super::candidate::{Candidate, CandidateStep};
 use super::{RelayedStream, StreamEvent, is_event_stream};
-use crate::decision::relay::{Choice, EventSplitter, NotTriedReason, PeerNode};
+use crate::decision::relay::{Authorization, EventSplitter, NotTriedReason, PeerNode};
 use crate::relay::attempt::{self, Answer, AttemptOutcome, NotRunReason};
 use crate::relay::in_flight::{self, CutStage};
 use crate::relay::peers::forward;
 use crate::relay::pending_attempts::EndedAttempt;
 use crate::relay::refusal::Refusal;
-use crate::relay::server_choice::{choose_server_now, log_choice};
+use crate::relay::server_choice::{PlannedRun, choose_server_now, log_choice};
 use crate::types::{DeadlinePassed, PeerError, PeerResult};
 use bytes::Bytes;
 use smol_str::SmolStr;
@@ -30,9 +30,9 @@
 /// Where a stream is resumed.
 enum NextHop {
     /// At a server.
-    Server(Box<Choice>),
+    Server(Box<PlannedRun>),
     /// By way of another node.
-    Node(PeerNode),
+    Node(PeerNode, Authorization),
 }
 
 /// Why the answer of a server was cut.
@@ -208,9 +208,12 @@
     fn choose_next_hop(&self, failed: usize, now: Instant) -> Result<NextHop, Refusal> {
         let Self { context, request, attempts, .. } = self;
         match forward::choose_gateway(context, request, attempts, failed) {
-            Some(node) => Ok(NextHop::Node(node)),
+            Some(node) => match request.authorize(context) {
+                Some(authorization) => Ok(NextHop::Node(node, authorization)),
+                None => Err(request.revoked()),
+            },
             None => choose_server_now(context, request, attempts, now)
-                .map(|choice| NextHop::Server(Box::new(choice))),
+                .map(|run| NextHop::Server(Box::new(run))),
         }
     }
 
@@ -223,16 +226,24 @@
         let (context, request) = (&self.context, &self.request);
         let last_event_id = self.last_event_id();
         match next_hop {
-            NextHop::Server(choice) => {
-                log_choice(request, &choice);
-                self.attempts.begin(&choice.server);
-                self.pending.begin(context, request, *choice, last_event_id);
+            NextHop::Server(run) => {
+                log_choice(request, &run.choice);
+                self.attempts.begin(&run.choice.server);
+                self.pending.begin(context, request, *run, last_event_id);
             }
-            NextHop::Node(node) => {
+            NextHop::Node(node, authorization) => {
                 forward::log_forwarding(request, &node);
                 let attempts = self.attempts.clone();
                 self.attempts.begin_by_node(&node.instance);
-                self.pending.begin_by_node(context, request, node, attempts, last_event_id);
+                let pending = &mut self.pending;
+                pending.begin_by_node(
+                    context,
+                    request,
+                    authorization,
+                    node,
+                    attempts,
+                    last_event_id,
+                );
             }
         }
         self.failover.record_sent();
--- a/tests/relay/earlier_messages.rs
+++ b/tests/relay/earlier_messages.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Guards against the cache of a workspace that has become isolated at the sender's, an earlier build,
+/// which does not tell its configuration: the receiver asks its own.
+#[test]
+fn a_request_of_an_earlier_build_is_authorized_by_the_receiver() {
+    let bytes = forwarded_by_earlier_build(2, 0);
+    let request = message::decode(bytes.into(), Instant::now()).unwrap();
+    assert_eq!((request.authorization.revision, request.authorization.cache_group), (0, 0));
+}
+
 /// Digest of a topic as the earlier build knows it.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 struct EarlierDigest {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step must fail the test")]
 
 mod admission;
+mod authorization;
 mod brittle;
 mod choose;
 mod configuration;
