fix(relay): the time for outdated weights never counts from hearing

Cause: news that took over 4.5 s gave outdated servers 4.5 s more from the moment of hearing, and so did each new listing; the time of a suspension, which the monotonic clock does not count, did not count either.

Evidence: the tests of choose and read_schedule need the new interface. By reading of: set_target took the later of the true bound and now + 4.5 s, which the old test asserted for news of a minute ("usable > now + 62 s"). That assertion is replaced: without a failed read of the store the bound is held for news of 4.6, 6 and 12 s as well; with one, the former value holds, since the rule counts in one stretch without trouble of the store.

Change: AnnouncementPeriod holds the last complete view and the last failure of the store; a suspension ages views and shortens the time that is left.

--- a/src/decision/relay/fleet.rs
+++ b/src/decision/relay/fleet.rs
@@ -35,6 +35,26 @@
     usable_until: Instant,
 }
 
+/// When weights may have been announced, as far as a node that has learned of them can tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnnouncementPeriod {
+    /// When the view of the announcements was last complete.
+    pub announced_after: Instant,
+    /// When the record store last failed a read of this node.
+    pub store_failed_at: Option<Instant>,
+}
+
+impl AnnouncementPeriod {
+    /// Returns when the last request must have begun on older weights. The bound does not count across a
+    /// failure of the store, after which outdated servers are used as after a start.
+    fn usable_until(self) -> Instant {
+        let until = self.announced_after + OUTDATED_WEIGHTS_DEADLINE;
+        let failed_at = self.store_failed_at.filter(|at| *at > self.announced_after);
+        let allowance = MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE + MIN_CALLER_PATIENCE;
+        failed_at.map_or(until, |failed_at| until.max(failed_at + allowance))
+    }
+}
+
 /// Weights of a model that its servers should load.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WeightsTarget {
@@ -59,6 +79,13 @@
         self.first_after(loaded).map(|announced| announced.usable_until)
     }
 
+    fn record_suspension(&mut self, gap: Duration) {
+        for announced in &mut self.revisions {
+            announced.usable_until =
+                announced.usable_until.checked_sub(gap).unwrap_or(announced.usable_until);
+        }
+    }
+
     fn first_after(&self, loaded: WeightsRevision) -> Option<&AnnouncedRevision> {
         self.revisions.iter().find(|announced| announced.revision > loaded)
     }
@@ -237,22 +264,39 @@
         self.kv_capacity_tokens.insert(service, tokens);
     }
 
-    /// Records that `revision` of a model was announced after `announced_after`, when the view of the
-    /// announcements was last complete; returns whether it is newer than the known ones. What is left
-    /// of the time for outdated servers counts from there: the news may have been on its way since.
+    /// Records that `revision` of a model was announced in `period`; returns whether it is newer than the
+    /// known ones. What is left of the time for outdated servers counts from the begin of that period: the
+    /// news may have been on its way since.
     pub fn set_target(
         &mut self,
         model: ModelId,
         revision: WeightsRevision,
-        announced_after: Instant,
+        period: AnnouncementPeriod,
         now: Instant,
     ) -> bool {
-        let usable_until = (announced_after + OUTDATED_WEIGHTS_DEADLINE)
-            .max(now + MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE + MIN_CALLER_PATIENCE);
+        let usable_until = period.usable_until();
         let announced = AnnouncedRevision { revision, learned_at: now, usable_until };
         self.targets.entry(model).or_default().add(announced)
     }
 
+    /// Shortens the use of outdated weights by the time for which the machine was suspended, which the
+    /// monotonic clock does not count.
+    pub fn record_suspension(&mut self, gap: Duration) {
+        for target in self.targets.values_mut() {
+            target.record_suspension(gap);
+        }
+    }
+
+    /// Returns the model and weights of a server that are outdated first, `None` if it has none.
+    pub fn first_outdated_weights(&self, id: &ServerId) -> Option<(ModelId, WeightsRevision)> {
+        let weights = self.servers.get(id)?.weights.iter();
+        let first = weights.min_by_key(|(model, revision)| {
+            let usable_until = self.weights_usable_until(model, **revision);
+            (usable_until.is_none(), usable_until)
+        });
+        first.map(|(model, revision)| (model.clone(), *revision))
+    }
+
     /// Returns when the last request must have begun on a revision of a model, `None` if it is current.
     pub fn weights_usable_until(
         &self,
@@ -267,17 +311,20 @@
     ///
     /// Outdated servers are used for a short time after `unknown_since` only, since they may have
     /// been outdated for long. A node that has just started must count from its start: it may have
-    /// learned of the weights late.
+    /// learned of the weights late. A node whose view was complete before knows the `period`.
     pub fn set_target_of_unknown_age(
         &mut self,
         model: ModelId,
         revision: WeightsRevision,
         unknown_since: Instant,
+        period: Option<AnnouncementPeriod>,
     ) -> bool {
         let allowance =
             OUTDATED_WEIGHTS_DEADLINE - MIN_CALLER_PATIENCE - MAX_OUTDATED_PERIOD_AT_UNKNOWN_AGE;
         let learned_at = unknown_since.checked_sub(allowance).unwrap_or(unknown_since);
         let usable_until = learned_at + OUTDATED_WEIGHTS_DEADLINE;
+        let usable_until =
+            period.map_or(usable_until, |period| usable_until.min(period.usable_until()));
         let announced = AnnouncedRevision { revision, learned_at, usable_until };
         self.targets.entry(model).or_default().add(announced)
     }
--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -84,6 +84,8 @@
     answered_at: Option<Instant>,
     /// When a read of this node failed, `None` after a later answer.
     failed_at: Option<Instant>,
+    /// When a read of this node last failed.
+    last_failed_at: Option<Instant>,
     /// When a confirmation was last requested.
     requested_at: Option<Instant>,
 }
@@ -182,7 +184,22 @@
 
     /// Records that a read failed.
     pub fn record_failure(&mut self, topic: RecordTopic, now: Instant) {
-        self.topics.entry(topic).or_default().failed_at = Some(now);
+        let schedule = self.topics.entry(topic).or_default();
+        schedule.failed_at = Some(now);
+        schedule.last_failed_at = Some(now);
+    }
+
+    /// Returns when the store last failed a read of this node.
+    pub fn last_failed_at(&self, topic: RecordTopic) -> Option<Instant> {
+        self.topics.get(&topic)?.last_failed_at
+    }
+
+    /// Records that the machine was suspended for `gap`, which the monotonic clock does not count: all
+    /// views are older than they look.
+    pub fn record_suspension(&mut self, gap: Duration) {
+        for schedule in self.topics.values_mut() {
+            schedule.confirmed_at = schedule.confirmed_at.and_then(|at| at.checked_sub(gap));
+        }
     }
 
     /// Returns the time since the view of a topic was complete, `None` if it never was.
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -4,6 +4,7 @@
 use super::state::ControlState;
 use crate::adapters::http_server::ListenerLimits;
 use crate::decision::relay::configuration::{CallerLimits, MAX_PERIOD_MS};
+use crate::decision::relay::fleet::AnnouncementPeriod;
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::{Configuration, KeyedRecord, RecordTopic};
 use crate::ports::OperatorRecord;
@@ -140,14 +141,23 @@
                 self.apply_configuration(*configuration, offset, source);
             }
             Ok(OperatorRecord::Weights { model, revision }) => {
-                let age = self.read_schedule.borrow().age(RecordTopic::Operator, now);
-                let unknown_since = if age.is_some() { now } else { self.started_at };
-                let announced_after = age.and_then(|age| now.checked_sub(age)).unwrap_or(now);
+                let schedule = self.read_schedule.borrow();
+                let age = schedule.age(RecordTopic::Operator, now);
+                let period = age.and_then(|age| now.checked_sub(age)).map(|announced_after| {
+                    let store_failed_at = schedule.last_failed_at(RecordTopic::Operator);
+                    AnnouncementPeriod { announced_after, store_failed_at }
+                });
+                drop(schedule);
                 let mut fleet = self.context.fleet();
-                let is_new_target = if source.is_age_unknown() {
-                    fleet.set_target_of_unknown_age(model.clone(), revision, unknown_since)
-                } else {
-                    fleet.set_target(model.clone(), revision, announced_after, now)
+                let is_new_target = match period {
+                    Some(period) if !source.is_age_unknown() => {
+                        fleet.set_target(model.clone(), revision, period, now)
+                    }
+                    period => {
+                        let unknown_since = if period.is_some() { now } else { self.started_at };
+                        let model = model.clone();
+                        fleet.set_target_of_unknown_age(model, revision, unknown_since, period)
+                    }
                 };
                 drop(fleet);
                 if is_new_target {
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -330,11 +330,14 @@
         }
     }
 
-    /// Drops the lease if the machine was suspended, since its deadline may have passed meanwhile.
+    /// Drops the lease if the machine was suspended, since its deadline may have passed meanwhile, and
+    /// ages what the monotonic clock has kept young.
     fn handle_suspension(&mut self) {
         let Some(gap) = self.suspension_detector.take_suspension() else { return };
         log::warn!("event=suspended gap_ms={}", gap.as_millis());
         self.rollout.drop_lease();
+        self.read_schedule.borrow_mut().record_suspension(gap);
+        self.context.fleet().record_suspension(gap);
         self.context.quotas().restart(Instant::now());
     }
 }
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -3,6 +3,7 @@
 
 use super::fixture::*;
 use coriandertide::decision::relay::configuration::Workspace;
+use coriandertide::decision::relay::fleet::AnnouncementPeriod;
 use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate, UpdateScope};
 use coriandertide::decision::relay::{
     Configuration, Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
@@ -149,13 +150,18 @@
     assert_eq!(salt(&["b", "a"]), salts[3]);
 }
 
+/// The store has failed no read since the view was complete.
+fn announced_after(announced_after: Instant) -> AnnouncementPeriod {
+    AnnouncementPeriod { announced_after, store_failed_at: None }
+}
+
 #[test]
 fn outdated_weights_are_avoided_and_later_refused() {
     let now = Instant::now();
     let mut fleet = fleet(2, 1);
-    fleet.set_target(MODEL, 2, now, now);
+    fleet.set_target(MODEL, 2, announced_after(now), now);
     // A later revision does not give more time to servers that are two revisions behind.
-    fleet.set_target(MODEL, 3, now + ms(4_000), now + ms(4_000));
+    fleet.set_target(MODEL, 3, announced_after(now + ms(4_000)), now + ms(4_000));
     let prompt = long_prompt(7, 1);
     assert!(fleet.choose(query(&prompt), now + ms(5_000)).is_ok());
     let refused = fleet.choose(query(&prompt), now + ms(6_100)).unwrap_err();
@@ -170,7 +176,7 @@
 fn weights_of_unknown_age_shorten_the_use_of_outdated_ones() {
     let now = Instant::now() + ms(10_000);
     let mut fleet = fleet(2, 1);
-    fleet.set_target_of_unknown_age(MODEL, 2, now);
+    fleet.set_target_of_unknown_age(MODEL, 2, now, None);
     let prompt = long_prompt(7, 1);
     assert!(fleet.choose(query(&prompt), now + ms(2_400)).is_ok());
     assert!(fleet.choose(query(&prompt), now + ms(2_600)).is_err());
@@ -181,18 +187,57 @@
 #[test]
 fn the_time_for_outdated_weights_counts_from_the_announcement() {
     let now = Instant::now();
-    for news_ms in [0, 300, 1_200, 3_000] {
+    for news_ms in [0, 300, 1_200, 3_000, 4_600, 6_000, 12_000] {
         let mut fleet = fleet(2, 1);
         let learned_at = now + ms(news_ms);
-        fleet.set_target(MODEL, 2, now, learned_at);
+        fleet.set_target(MODEL, 2, announced_after(now), learned_at);
         let usable_until = fleet.weights_usable_until(&MODEL, 1).unwrap();
         assert!(usable_until <= now + ms(8_000), "learned {news_ms} ms later");
         assert_eq!(fleet.weights_usable_until(&MODEL, 2), None);
     }
-    // A node without news for long may use outdated servers for the time of one that has just started.
+}
+
+/// Guards against refusals of all requests by a node whose reads the store has failed for long: it may
+/// use outdated servers for the time of one that has just started. A failure before the view was complete
+/// tells nothing.
+#[test]
+fn a_node_that_the_store_has_failed_may_use_outdated_weights_for_a_while() {
+    let now = Instant::now();
+    let learned_at = now + ms(60_000);
+    let usable_until = |store_failed_at| {
+        let mut fleet = fleet(2, 1);
+        let period = AnnouncementPeriod { announced_after: now, store_failed_at };
+        fleet.set_target(MODEL, 2, period, learned_at);
+        fleet.weights_usable_until(&MODEL, 1).unwrap()
+    };
+    assert_eq!(usable_until(Some(learned_at)), learned_at + ms(4_500));
+    assert_eq!(usable_until(Some(now + ms(3_000))), now + ms(8_000));
+    assert_eq!(usable_until(now.checked_sub(ms(1))), now + ms(8_000));
+}
+
+/// Guards against a longer use of outdated weights by a node that lists the announcements anew, though
+/// its view was complete shortly before they were made.
+#[test]
+fn weights_that_a_node_lists_anew_count_from_its_last_complete_view() {
+    let now = Instant::now() + ms(10_000);
+    for news_ms in [0, 2_000, 6_000] {
+        let mut fleet = fleet(2, 1);
+        let learned_at = now + ms(news_ms);
+        let period = Some(announced_after(now));
+        fleet.set_target_of_unknown_age(MODEL, 2, learned_at, period);
+        let usable_until = fleet.weights_usable_until(&MODEL, 1).unwrap();
+        assert!(usable_until <= now + ms(8_000), "learned {news_ms} ms later");
+    }
+}
+
+/// Guards against the use of outdated weights after the bound at a node whose machine was suspended.
+#[test]
+fn a_suspension_counts_towards_the_use_of_outdated_weights() {
+    let now = Instant::now() + ms(10_000);
     let mut fleet = fleet(2, 1);
-    fleet.set_target(MODEL, 2, now, now + ms(60_000));
-    assert!(fleet.weights_usable_until(&MODEL, 1).unwrap() > now + ms(62_000));
+    fleet.set_target(MODEL, 2, announced_after(now), now);
+    fleet.record_suspension(ms(3_000));
+    assert_eq!(fleet.weights_usable_until(&MODEL, 1), Some(now + ms(5_000)));
 }
 
 /// A node that learns of newer weights a second after its start: it counts as running normally
@@ -202,7 +247,7 @@
     let started_at = Instant::now() + ms(10_000);
     let mut fleet = fleet(2, 1);
     let learned_at = started_at + ms(1_000);
-    fleet.set_target_of_unknown_age(MODEL, 2, started_at);
+    fleet.set_target_of_unknown_age(MODEL, 2, started_at, None);
     let prompt = long_prompt(7, 1);
     assert!(fleet.choose(query(&prompt), learned_at + ms(1_400)).is_ok());
     assert!(fleet.choose(query(&prompt), learned_at + ms(1_900)).is_err());
@@ -441,7 +486,7 @@
 fn prompts_stay_at_their_homes_while_weights_are_replaced() {
     let now = Instant::now();
     let mut fleet = fleet(60, 1);
-    fleet.set_target(MODEL, 2, now, now);
+    fleet.set_target(MODEL, 2, announced_after(now), now);
     for updated in ["s0", "s1", "s2"] {
         fleet.set_weights(&updated.into(), &MODEL, 2);
     }
@@ -474,7 +519,7 @@
 fn patient_callers_leave_outdated_weights_earlier() {
     let now = Instant::now();
     let mut fleet = fleet(12, 1);
-    fleet.set_target(MODEL, 2, now, now);
+    fleet.set_target(MODEL, 2, announced_after(now), now);
     let prompt = long_prompt(4, 4);
     let is_served_with_gap = |objective_ms, gap_ms, after_ms| {
         let (latency_objective, max_event_gap) = (ms(objective_ms), ms(gap_ms));
--- a/tests/relay/read_schedule.rs
+++ b/tests/relay/read_schedule.rs
@@ -207,3 +207,16 @@
         }
     }
 }
+
+/// Guards against a view that looks young after its machine was suspended, so that news count from too
+/// late a moment, and the topic is not read.
+#[test]
+fn a_suspension_ages_the_views() {
+    let now = Instant::now() + ms(60_000);
+    let mut schedule = schedules(12).pop().unwrap();
+    schedule.confirm(TOPIC, now, now);
+    schedule.record_answer(TOPIC, now);
+    schedule.record_suspension(ms(5_000));
+    assert_eq!(schedule.age(TOPIC, now), Some(ms(5_000)));
+    assert!(matches!(schedule.next_read(TOPIC, now + ms(200)), NextRead::Read { .. }));
+}
