fix(relay): outdated servers are told by when a run must begin

Cause: a request that waited at an outdated server was withdrawn by closing its connection. Requests without token counts, which count as having no prompt, were neither kept from outdated servers nor withdrawn.

Change: the deadline of a run at an outdated server is the end of the time for its weights; a run without a prompt is held to all models of its server.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -178,13 +178,16 @@
             }
         }
         retain_preferred_if_any(&mut candidates, |server| !server.is_entry_missing());
-        if let Some(prompt) = query.prompt {
-            let begins_by = now + query.caller_patience();
-            candidates.retain(|server| self.has_usable_weights(server, &prompt.model, begins_by));
-            if candidates.is_empty() {
-                let retry_at = now + NO_SERVER_RETRY_DELAY;
-                return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
+        let begins_by = now + query.caller_patience();
+        candidates.retain(|server| match query.prompt {
+            Some(prompt) => self.has_usable_weights(server, &prompt.model, begins_by),
+            None => {
+                server.weights.keys().all(|model| self.has_usable_weights(server, model, begins_by))
             }
+        });
+        if candidates.is_empty() {
+            let retry_at = now + NO_SERVER_RETRY_DELAY;
+            return Err(unavailable(UnavailableReason::OutdatedWeights, retry_at));
         }
         retain_available(&mut candidates, |server| server.paused_until(now))
             .map_err(|until| unavailable(UnavailableReason::Paused, until))?;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -33,6 +33,10 @@
 /// Period at which an attempt checks whether newer weights were announced.
 const OUTDATED_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time by which a request may reach its server later than the withdrawal allows for: a connection is opened
+/// after the server's deadline was worked out.
+const CONNECTION_OPEN_TIME: Duration = Duration::from_millis(200);
+
 /// Time in which a server must tell which process it is.
 pub const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -327,7 +331,7 @@
     request: &RelayedRequest,
     choice: &Choice,
 ) -> ReceivedHead {
-    let Some(weights) = choice_weights(request, choice) else { return pending().await };
+    let Some(weights) = choice_weights(context, request, choice) else { return pending().await };
     loop {
         let now = Instant::now();
         match begins_by(context, &weights) {
@@ -341,6 +345,15 @@
     ReceivedHead::None(AttemptOutcome::Unknown(error))
 }
 
+/// Returns until when the server may work on a run. One that may not begin later, since the weights are
+/// outdated, is told so: not every server notices that a waiting request was withdrawn.
+fn run_deadline(context: &RelayContext, request: &RelayedRequest, choice: &Choice) -> Instant {
+    let weights = choice_weights(context, request, choice);
+    let begins_by = weights.and_then(|weights| begins_by(context, &weights));
+    let begins_by = begins_by.and_then(|begins_by| begins_by.checked_sub(CONNECTION_OPEN_TIME));
+    begins_by.map_or(request.deadline, |begins_by| begins_by.min(request.deadline))
+}
+
 /// Returns the error of an attempt that has not begun on weights before these were outdated for too long.
 pub fn outdated(server: &ServerId) -> PeerError {
     let error = anyhow!("the request has not begun, and the weights are outdated");
@@ -373,8 +386,8 @@
     last_event_id: Option<SmolStr>,
     now: Instant,
 ) -> Request<Full<Bytes>> {
-    let remaining = request.deadline.saturating_duration_since(now);
     let PlannedRun { choice, authorization } = run;
+    let remaining = run_deadline(context, request, choice).saturating_duration_since(now);
     let workspace = authorization.workspace.as_ref();
     let prompt = choice.prompt.as_ref();
     let head = ForwardHead {
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -49,7 +49,7 @@
     incarnation: Option<Incarnation>,
     /// Keys of the request with the crashes that were known when it was sent.
     suspect_keys: Vec<RankedKey>,
-    /// Model and weights on which the request is to begin, `None` for a plain call.
+    /// Model and weights on which the request is to begin, `None` at a server without weights.
     weights: Option<(ModelId, WeightsRevision)>,
     /// Whether another process than that of the server's entry may run the request.
     is_process_doubted: bool,
@@ -67,6 +67,7 @@
         let (server, load) = (choice.server.clone(), choice.load);
         let now = Instant::now();
         let suspect_keys = context.crash_evidence().ranked(request.suspect_keys.all(), now);
+        let weights = choice_weights(&context, request, choice);
         let mut fleet = context.fleet();
         let incarnation = fleet.server(&server).and_then(|server| server.entry.started_unix_ms);
         fleet.begin_request(&server, attempt, load, now);
@@ -100,7 +101,7 @@
             address: choice.address,
             incarnation,
             suspect_keys,
-            weights: choice_weights(request, choice),
+            weights,
             is_process_doubted,
         }
     }
@@ -203,13 +204,17 @@
     }
 }
 
-/// Returns the model of a request and the weights of its server, `None` for a plain call.
+/// Returns the model of a request and the weights of its server, `None` at a server without weights. A
+/// request without a prompt may need any of the server's models.
 pub fn choice_weights(
+    context: &RelayContext,
     request: &RelayedRequest,
     choice: &Choice,
 ) -> Option<(ModelId, WeightsRevision)> {
-    let prompt = request.head.prompt.as_ref()?;
-    Some((prompt.model.clone(), choice.prompt.as_ref()?.weights))
+    if let Some((prompt, planned)) = request.head.prompt.as_ref().zip(choice.prompt.as_ref()) {
+        return Some((prompt.model.clone(), planned.weights));
+    }
+    context.fleet().first_outdated_weights(&choice.server)
 }
 
 /// Returns when a request must have begun on weights, `None` while they are current.
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -240,6 +240,22 @@
     assert_eq!(fleet.weights_usable_until(&MODEL, 1), Some(now + ms(5_000)));
 }
 
+/// Guards against calls without a prompt that begin on outdated weights after the bound.
+#[test]
+fn calls_without_a_prompt_are_kept_from_outdated_weights() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1);
+    fleet.set_target(MODEL, 2, announced_after(now), now);
+    let prompt = long_prompt(7, 1);
+    let plain = ServerQuery { prompt: None, ..query(&prompt) };
+    assert!(fleet.choose(plain, now + ms(5_000)).is_ok());
+    let refused = fleet.choose(plain, now + ms(6_100)).unwrap_err();
+    assert_eq!(refused.reason, UnavailableReason::OutdatedWeights);
+    fleet.set_weights(&"s1".into(), &MODEL, 2);
+    assert_eq!(fleet.choose(plain, now + ms(6_100)).unwrap().server, "s1");
+    assert_eq!(fleet.first_outdated_weights(&"s0".into()), Some((MODEL, 1)));
+}
+
 /// A node that learns of newer weights a second after its start: it counts as running normally
 /// three seconds after its start, when it may have used outdated servers for too long.
 #[test]
