fix(quota): time goes on while the machine is suspended

Cause: the ledger's time was that of the monotonic clock, which stands still.

Change: quotas use a clock that counts suspensions in, so that the ledger's own check for a pause of a second holds at each query.

Evidence: a_query_right_after_a_suspension_finds_no_old_level; with the monotonic clock the same query is granted (the ledger sees 10 ms pass).

--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -12,6 +12,7 @@
 use crate::decision::relay::{Configuration, Fleet, Gateways, Reach, ResendBudget, StreamOrigins};
 use crate::links::Identity;
 use crate::ports::{CoordinationStore, Dialect, EngineControl};
+use crate::relay::suspension_detector::BootClock;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -59,6 +60,8 @@
     pub(super) crash_evidence: Mutex<CrashEvidence>,
     pub(super) origins: Mutex<StreamOrigins>,
     pub(super) quotas: Mutex<QuotaLedger>,
+    /// Clock of the quotas: what is granted before a suspension must not be granted once more after it.
+    pub quota_clock: BootClock,
     /// Queries between nodes.
     pub(super) peer_queries: PeerQueries,
     /// Connections to other nodes, by way of which requests are sent.
--- a/src/relay/control/partners.rs
+++ b/src/relay/control/partners.rs
@@ -455,7 +455,7 @@
             let stopping = self.partners.list_stopping_nodes();
             self.context.origins().set_nodes(peers.clone(), stopping);
             let owners = peers.into_iter().chain([self.own_peer_node()]).collect();
-            self.context.quotas().set_nodes(me, owners, Instant::now());
+            self.context.quotas().set_nodes(me, owners, self.context.quota_clock.now());
             self.partners.live = live;
             let place = self.partners.membership.tree_place();
             let is_tree = self.partners.membership.exceeds_full_mesh();
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -262,7 +262,7 @@
         }
         self.context.pool.close_expired(now);
         self.observe_versions(now);
-        self.context.quotas().tick(now);
+        self.context.quotas().tick(self.context.quota_clock.now());
         self.tick_version_records(now);
         stream_origin::replicate_origins(&self.context, now);
         self.tick_reach(now);
@@ -338,6 +338,6 @@
         self.rollout.drop_lease();
         self.read_schedule.borrow_mut().record_suspension(gap);
         self.context.fleet().record_suspension(gap);
-        self.context.quotas().restart(Instant::now());
+        self.context.quotas().restart(self.context.quota_clock.now());
     }
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -15,6 +15,7 @@
 use crate::decision::relay::{Fleet, Gateways, ResendBudget, StreamOrigins};
 use crate::links::Identity;
 use crate::metrics::encode;
+use crate::relay::suspension_detector::BootClock;
 use crate::traffic::reply::text_reply;
 use crate::types::InstanceId;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -254,6 +255,7 @@
         crash_evidence: Mutex::new(CrashEvidence::default()),
         origins: Mutex::new(StreamOrigins::new(settings.is_first_start, started_at)),
         quotas: Mutex::new(QuotaLedger::new(started_at)),
+        quota_clock: BootClock::new(),
         peer_queries,
         peer_pool: pools.peers,
         identity,
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -144,7 +144,7 @@
             }
         }
         Datagram::QuotaQuery { number, query } => {
-            let answer = context.quotas().answer_other(&query, now);
+            let answer = context.quotas().answer_other(&query, context.quota_clock.now());
             let QuotaQuery { workspace, units, .. } = query;
             send(context, &Datagram::QuotaAnswer { number, workspace, units, answer }, &[sender]);
         }
@@ -154,7 +154,9 @@
                 quota::give_back(context, sender, workspace, units);
             }
         }
-        Datagram::QuotaCorrection(correction) => context.quotas().correct(&correction, now),
+        Datagram::QuotaCorrection(correction) => {
+            context.quotas().correct(&correction, context.quota_clock.now());
+        }
         Datagram::ReachQuery(services) => {
             let answer = reach::answer(context, services, now);
             send(context, &Datagram::ReachAnswer(answer), &[sender]);
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -155,7 +155,7 @@
         let owner = unanswered[asked % unanswered.len()];
         asked += 1;
         let received = if owner == context.peer_queries.address() {
-            Some((owner, context.quotas().answer(query, Instant::now())))
+            Some((owner, context.quotas().answer(query, context.quota_clock.now())))
         } else {
             queries::send(context, &datagram, &[owner]);
             let ask_again_at = deadline.min(Instant::now() + ASK_AGAIN_DELAY);
@@ -214,7 +214,7 @@
 
 fn correct(context: &RelayContext, owner: SocketAddr, correction: QuotaCorrection) {
     if owner == context.peer_queries.address() {
-        context.quotas().correct(&correction, Instant::now());
+        context.quotas().correct(&correction, context.quota_clock.now());
     } else {
         queries::send(context, &Datagram::QuotaCorrection(correction), &[owner]);
     }
--- a/src/relay/suspension_detector.rs
+++ b/src/relay/suspension_detector.rs
@@ -1,8 +1,8 @@
-//! Detects that the machine was suspended. The monotonic clock stops meanwhile, so deadlines
-//! measured with it would expire too late.
+//! Suspensions of the machine. The monotonic clock stops meanwhile, so deadlines measured with it
+//! expire too late: suspensions are detected, or counted in.
 
 use rustix::time::{ClockId, clock_gettime};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Minimum growth of the clocks' difference that counts as a suspension.
 const MIN_SUSPENSION: Duration = Duration::from_millis(300);
@@ -35,6 +35,42 @@
     }
 }
 
+/// Clock that goes on while the machine is suspended, as moments of the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    /// Lead of the boot-time clock at the creation.
+    lead_at_start: Duration,
+}
+
+impl BootClock {
+    /// Returns a clock that agrees with the monotonic clock until the next suspension.
+    pub fn new() -> Self {
+        Self { lead_at_start: clock_offset() }
+    }
+
+    /// Returns the current moment.
+    pub fn now(&self) -> Instant {
+        self.at(Instant::now(), clock_offset())
+    }
+
+    /// Returns the moment at which the monotonic clock shows `monotonic`, and the boot-time clock leads
+    /// it by `lead`.
+    pub fn at(&self, monotonic: Instant, lead: Duration) -> Instant {
+        monotonic + lead.saturating_sub(self.lead_at_start)
+    }
+
+    /// Returns the lead of the boot-time clock at the creation.
+    pub fn lead_at_start(&self) -> Duration {
+        self.lead_at_start
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Returns the lead of the boot-time clock over the monotonic clock.
 fn clock_offset() -> Duration {
     read_clock(ClockId::Boottime).saturating_sub(read_clock(ClockId::Monotonic))
--- a/tests/relay/quota.rs
+++ b/tests/relay/quota.rs
@@ -6,6 +6,7 @@
     ALL_SEEN_PERMILLE, Quota, QuotaAnswer, QuotaCorrection, QuotaLedger, QuotaLimit, QuotaQuery,
     QuotaUnit, QuotaWindow,
 };
+use coriandertide::relay::suspension_detector::BootClock;
 use coriandertide::types::WorkspaceId;
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
@@ -602,6 +603,24 @@
     }
 }
 
+/// Guards against an owner that grants once more from the level of before a suspension, since no tick has
+/// noticed it yet.
+#[test]
+fn a_query_right_after_a_suspension_finds_no_old_level() {
+    let (start, clock) = (Instant::now(), BootClock::new());
+    let at = |ms, suspended_ms| {
+        let lead = clock.lead_at_start() + Duration::from_millis(suspended_ms);
+        clock.at(start + Duration::from_millis(ms), lead)
+    };
+    let mut model = Model::new(1, LARGE, 1);
+    let peer = model.peer(0);
+    let ledger = &mut model.nodes[0].ledger;
+    ledger.set_nodes(&peer.instance.clone(), vec![peer], at(0, 0));
+    (0..=5_000).step_by(TICK_MS as usize).for_each(|ms| ledger.tick(at(ms, 0)));
+    assert_eq!(ledger.answer(&query(10, 0), at(5_010, 0)), QuotaAnswer::Granted);
+    assert_eq!(ledger.answer(&query(10, 0), at(5_020, 3_000)), QuotaAnswer::NotOwner);
+}
+
 /// Guards against nodes that count twice after they were killed and have started again, which would
 /// lower every quota for a while.
 #[test]
