--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -147,15 +147,6 @@
         });
     }
 
-    /// Whether an idle connection to the server is open.
-    pub fn has_idle(&self, server: &ServerId, address: SocketAddr) -> bool {
-        let now = Instant::now();
-        let is_open =
-            |idle: &IdleConnection| now < idle.usable_until && !idle.connection.sender.is_closed();
-        let key = (server.clone(), address);
-        self.lock().get(&key).is_some_and(|idle| idle.iter().any(is_open))
-    }
-
     /// Closes the idle connections to a server.
     pub fn close_idle_connections(&self, server: &ServerId) {
         self.lock().retain(|(id, _), _| id != server);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -273,15 +273,10 @@
     must_ask: bool,
 }
 
-/// Returns the process of the chosen server, `None` if its entry has changed since. A process to which
-/// this node has no connection may have been replaced without a sign.
+/// Returns the process of the chosen server, `None` if its entry has changed since.
 fn entry_process(context: &RelayContext, choice: &Choice, now: Instant) -> Option<EntryProcess> {
-    let has_idle_connection = context.pool.has_idle(&choice.server, choice.address);
     let mut fleet = context.fleet();
     let server = fleet.server_mut(&choice.server)?;
-    if !has_idle_connection && server.local_load.requests == 0 {
-        server.doubt_process(now);
-    }
     (server.entry.software == choice.software).then(|| EntryProcess {
         incarnation: server.entry.started_unix_ms,
         is_doubted: server.is_process_doubted(),
