refactor(relay): one way to authorize a run, one to add an attempt

No change of behaviour. Authorization::new serves the arrival, a renewal and the tests; authorize returns the refusal of a revoked key, which two callers put together; attempts at servers and by way of nodes differ in their future alone; the reported part of the nodes is read in one place.

--- a/src/decision/relay/authorization.rs
+++ b/src/decision/relay/authorization.rs
@@ -4,6 +4,7 @@
 //! configuration in force when it is sent.
 
 use super::configuration::{CacheGroup, Configuration, Workspace};
+use crate::types::WorkspaceId;
 use std::sync::Arc;
 
 /// Authorization of a request by one revision of the configuration.
@@ -20,6 +21,16 @@
 }
 
 impl Authorization {
+    /// Returns the authorization of a caller by `configuration`.
+    pub fn new(configuration: &Configuration, workspace: Option<Arc<Workspace>>) -> Self {
+        Self {
+            revision: configuration.revision,
+            workspace,
+            cache_group: configuration.cache_group(),
+            strips_api_key: configuration.has_workspaces(),
+        }
+    }
+
     /// Returns the authorization by `configuration` if that is newer, `None` if the caller's key was
     /// revoked.
     pub fn renew(&self, configuration: &Configuration, api_key: Option<&str>) -> Option<Self> {
@@ -35,12 +46,9 @@
                 None => return None,
             },
         };
-        Some(Self {
-            revision: configuration.revision,
-            workspace,
-            cache_group: configuration.cache_group(),
-            strips_api_key: self.strips_api_key || configuration.has_workspaces(),
-        })
+        let mut renewed = Self::new(configuration, workspace);
+        renewed.strips_api_key |= self.strips_api_key;
+        Some(renewed)
     }
 
     /// Returns the name of the workspace if it has cache isolation.
@@ -51,12 +59,14 @@
 
     /// Whether a run that was planned with this authorization may be sent with `current`.
     pub fn covers(&self, current: &Self) -> bool {
-        let name = |authorization: &Self| {
-            authorization.workspace.as_ref().map(|workspace| workspace.name.clone())
-        };
-        name(self) == name(current)
-            && self.isolated_workspace() == current.isolated_workspace()
-            && self.cache_group == current.cache_group
-            && self.strips_api_key == current.strips_api_key
+        let same_caller = self.workspace_name() == current.workspace_name();
+        let same_cache = self.isolated_workspace() == current.isolated_workspace()
+            && self.cache_group == current.cache_group;
+        same_caller && same_cache && self.strips_api_key == current.strips_api_key
+    }
+
+    /// Returns the name of the workspace, `None` if the caller is anonymous.
+    pub fn workspace_name(&self) -> Option<&WorkspaceId> {
+        self.workspace.as_ref().map(|workspace| &workspace.name)
     }
 }
--- a/src/decision/relay/quota/ledger.rs
+++ b/src/decision/relay/quota/ledger.rs
@@ -217,17 +217,21 @@
 
     /// Records which part of the nodes another node sees.
     fn record_part(&mut self, permille: u16, now: Instant) {
-        let reported = self.reported_part.filter(|(_, until)| now < *until);
-        if permille < ALL_SEEN_PERMILLE && reported.is_none_or(|(lowest, _)| permille <= lowest) {
+        if permille < ALL_SEEN_PERMILLE && permille <= self.reported_permille(now) {
             self.reported_part = Some((permille.max(1), now + REPORTED_CUT_PERIOD));
         }
     }
 
+    /// Returns the smallest part of the nodes that another one sees, by what was reported lately.
+    fn reported_permille(&self, now: Instant) -> u16 {
+        let reported = self.reported_part.filter(|(_, until)| now < *until);
+        reported.map_or(ALL_SEEN_PERMILLE, |(permille, _)| permille)
+    }
+
     /// Returns the part of a quota that the owners on this side of a cut grant.
     fn granted_part(&self, now: Instant) -> f64 {
-        let reported = self.reported_part.filter(|(_, until)| now < *until);
-        let reported = reported.map_or(ALL_SEEN_PERMILLE, |(permille, _)| permille);
-        self.nodes.seen_fraction().min(f64::from(reported) / f64::from(ALL_SEEN_PERMILLE))
+        let reported = f64::from(self.reported_permille(now)) / f64::from(ALL_SEEN_PERMILLE);
+        self.nodes.seen_fraction().min(reported)
     }
 
     /// Whether this node has owned a quota for long enough, so that no other one grants from it.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -148,8 +148,7 @@
             return ReceivedHead::None(AttemptOutcome::NotSent(error));
         }
     };
-    let current = request.authorize(context);
-    if !current.is_some_and(|current| run.authorization.covers(&current)) {
+    if !request.authorize(context).is_ok_and(|current| run.authorization.covers(&current)) {
         let error = anyhow!("the authorization has changed");
         log::info!("event=run_unauthorized request={} server={}", request.id, choice.server);
         let error = PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error);
@@ -388,12 +387,11 @@
 ) -> Request<Full<Bytes>> {
     let PlannedRun { choice, authorization } = run;
     let remaining = run_deadline(context, request, choice).saturating_duration_since(now);
-    let workspace = authorization.workspace.as_ref();
     let prompt = choice.prompt.as_ref();
     let head = ForwardHead {
         server: choice.server.clone(),
         remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX).max(1),
-        workspace: workspace.map(|workspace| workspace.name.clone()),
+        workspace: authorization.workspace_name().cloned(),
         strips_api_key: authorization.strips_api_key,
         priority: prompt.map(|_| request.priority(authorization)),
         weights: prompt.map(|prompt| prompt.weights),
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -64,9 +64,12 @@
     /// Whether the head of the answer has arrived.
     has_head: Arc<AtomicBool>,
     is_overdue: bool,
-    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
+    end: AttemptFuture,
 }
 
+/// Attempt that is under way.
+type AttemptFuture = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+
 /// Attempts of one request whose servers have not begun a stream, or not answered completely,
 /// oldest first. Dropping an attempt closes its connection.
 #[derive(Default)]
@@ -83,26 +86,16 @@
         run: PlannedRun,
         last_event_id: Option<SmolStr>,
     ) {
-        let server = run.choice.server.clone();
         let (context, request) = (Arc::clone(context), Arc::clone(request));
-        let has_head = Arc::new(AtomicBool::new(false));
-        let shared = Arc::clone(&has_head);
-        let end = Box::pin(async move {
-            let received = attempt::send(&context, &request, &run, last_event_id);
-            let outdated = attempt::await_outdated(&context, &request, &run.choice);
-            let received = received.or(outdated).await;
-            shared.store(true, Ordering::Relaxed);
-            let outcome = attempt::receive(&context, &request, received).await;
-            AttemptEnd { outcome, server_of_node: None }
-        });
-        let sent_at = Instant::now();
-        self.attempts.push(PendingAttempt {
-            server,
-            is_by_node: false,
-            sent_at,
-            has_head,
-            is_overdue: false,
-            end,
+        self.push(run.choice.server.clone(), false, |has_head| {
+            Box::pin(async move {
+                let received = attempt::send(&context, &request, &run, last_event_id);
+                let outdated = attempt::await_outdated(&context, &request, &run.choice);
+                let received = received.or(outdated).await;
+                has_head.store(true, Ordering::Relaxed);
+                let outcome = attempt::receive(&context, &request, received).await;
+                AttemptEnd { outcome, server_of_node: None }
+            })
         });
     }
 
@@ -116,27 +109,38 @@
         attempts: Attempts,
         last_event_id: Option<SmolStr>,
     ) {
-        let server = node.instance.clone();
         let (context, request) = (Arc::clone(context), Arc::clone(request));
-        let has_head = Arc::new(AtomicBool::new(false));
-        let shared = Arc::clone(&has_head);
-        let end = Box::pin(async move {
-            let ForwardedAnswer { received, server } =
-                forward::send(&context, &request, &authorization, &node, &attempts, last_event_id)
-                    .await;
-            shared.store(true, Ordering::Relaxed);
-            let outcome = attempt::receive(&context, &request, received).await;
-            AttemptEnd { outcome, server_of_node: server }
+        self.push(node.instance.clone(), true, |has_head| {
+            Box::pin(async move {
+                let sent = forward::send(
+                    &context,
+                    &request,
+                    &authorization,
+                    &node,
+                    &attempts,
+                    last_event_id,
+                );
+                let ForwardedAnswer { received, server } = sent.await;
+                has_head.store(true, Ordering::Relaxed);
+                let outcome = attempt::receive(&context, &request, received).await;
+                AttemptEnd { outcome, server_of_node: server }
+            })
         });
+    }
+
+    /// Adds an attempt, whose future is told where to record that the head of the answer has arrived.
+    fn push(
+        &mut self,
+        server: ServerId,
+        is_by_node: bool,
+        begin: impl FnOnce(Arc<AtomicBool>) -> AttemptFuture,
+    ) {
+        let has_head = Arc::new(AtomicBool::new(false));
+        let end = begin(Arc::clone(&has_head));
         let sent_at = Instant::now();
-        self.attempts.push(PendingAttempt {
-            server,
-            is_by_node: true,
-            sent_at,
-            has_head,
-            is_overdue: false,
-            end,
-        });
+        let is_overdue = false;
+        let attempt = PendingAttempt { server, is_by_node, sent_at, has_head, is_overdue, end };
+        self.attempts.push(attempt);
     }
 
     /// Returns the number of attempts.
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -81,21 +81,21 @@
 }
 
 impl RelayedRequest {
-    /// Returns the authorization for a run that is sent now, `None` if the caller's key was revoked.
-    pub fn authorize(&self, context: &RelayContext) -> Option<Authorization> {
-        match context.configuration.load().as_ref() {
-            Some(newest) => self.authorization.renew(newest, self.head.api_key.as_deref()),
-            None => Some(self.authorization.clone()),
-        }
-    }
-
-    /// Returns the refusal of a request whose key was revoked since it arrived.
-    pub fn revoked(&self) -> Refusal {
-        log::info!("event=key_revoked request={} age_ms={}", self.id, self.age_ms());
-        Refusal::new(match self.is_forwarded() {
-            // The node that sent the request answers its caller.
-            true => RefusalReason::NotRun,
-            false => RefusalReason::UnknownKey,
+    /// Returns the authorization for a run that is sent now.
+    ///
+    /// # Errors
+    ///
+    /// The caller's key was revoked since the request arrived.
+    pub fn authorize(&self, context: &RelayContext) -> Result<Authorization, Refusal> {
+        let newest = context.configuration.load();
+        let Some(newest) = newest.as_ref() else { return Ok(self.authorization.clone()) };
+        self.authorization.renew(newest, self.head.api_key.as_deref()).ok_or_else(|| {
+            log::info!("event=key_revoked request={} age_ms={}", self.id, self.age_ms());
+            Refusal::new(match self.is_forwarded() {
+                // The node that sent the request answers its caller.
+                true => RefusalReason::NotRun,
+                false => RefusalReason::UnknownKey,
+            })
         })
     }
 
@@ -228,12 +228,7 @@
         id,
         route,
         service,
-        authorization: Authorization {
-            revision: configuration.revision,
-            workspace,
-            cache_group: configuration.cache_group(),
-            strips_api_key: configuration.has_workspaces(),
-        },
+        authorization: Authorization::new(&configuration, workspace),
         head,
         method: parts.method,
         uri,
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -69,7 +69,7 @@
     attempts: &Attempts,
     now: Instant,
 ) -> Result<PlannedRun, Refusal> {
-    let Some(authorization) = request.authorize(context) else { return Err(request.revoked()) };
+    let authorization = request.authorize(context)?;
     let chosen = context.fleet().choose(request.server_query(attempts, &authorization), now);
     match chosen {
         Ok(choice) => {
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -182,9 +182,12 @@
     /// Sends the request by way of another node, if the budget allows it.
     fn try_node(&mut self, node: PeerNode) {
         let (context, request) = (self.context, self.request);
-        let Some(authorization) = request.authorize(context) else {
-            self.refusal = request.revoked();
-            return self.failover.record_not_tried(NotTriedReason::Unavailable, Instant::now());
+        let authorization = match request.authorize(context) {
+            Ok(authorization) => authorization,
+            Err(refusal) => {
+                self.refusal = refusal;
+                return self.failover.record_not_tried(NotTriedReason::Unavailable, Instant::now());
+            }
         };
         if let NextAttempt::Resend(reason) = &self.next_attempt
             && !self.attempts.try_resend(context, request, reason)
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -208,10 +208,7 @@
     fn choose_next_hop(&self, failed: usize, now: Instant) -> Result<NextHop, Refusal> {
         let Self { context, request, attempts, .. } = self;
         match forward::choose_gateway(context, request, attempts, failed) {
-            Some(node) => match request.authorize(context) {
-                Some(authorization) => Ok(NextHop::Node(node, authorization)),
-                None => Err(request.revoked()),
-            },
+            Some(node) => Ok(NextHop::Node(node, request.authorize(context)?)),
             None => choose_server_now(context, request, attempts, now)
                 .map(|run| NextHop::Server(Box::new(run))),
         }
--- a/src/relay/suspension_detector.rs
+++ b/src/relay/suspension_detector.rs
@@ -45,7 +45,12 @@
 impl BootClock {
     /// Returns a clock that agrees with the monotonic clock until the next suspension.
     pub fn new() -> Self {
-        Self { lead_at_start: clock_offset() }
+        Self::with_lead(clock_offset())
+    }
+
+    /// Returns a clock that is created while the boot-time clock leads the monotonic one by `lead`.
+    pub fn with_lead(lead: Duration) -> Self {
+        Self { lead_at_start: lead }
     }
 
     /// Returns the current moment.
@@ -58,11 +63,6 @@
     pub fn at(&self, monotonic: Instant, lead: Duration) -> Instant {
         monotonic + lead.saturating_sub(self.lead_at_start)
     }
-
-    /// Returns the lead of the boot-time clock at the creation.
-    pub fn lead_at_start(&self) -> Duration {
-        self.lead_at_start
-    }
 }
 
 impl Default for BootClock {
--- a/tests/relay/authorization.rs
+++ b/tests/relay/authorization.rs
@@ -24,12 +24,7 @@
 
 /// Returns the authorization of a request that arrived with `key`.
 fn arrival(configuration: &Configuration, key: &str) -> Authorization {
-    Authorization {
-        revision: configuration.revision,
-        workspace: configuration.workspace(Some(key)).map(Arc::clone),
-        cache_group: configuration.cache_group(),
-        strips_api_key: configuration.has_workspaces(),
-    }
+    Authorization::new(configuration, configuration.workspace(Some(key)).map(Arc::clone))
 }
 
 /// Guards against a run that uses the cache which its workspace could use when the request arrived.
--- a/tests/relay/quota.rs
+++ b/tests/relay/quota.rs
@@ -607,10 +607,10 @@
 /// noticed it yet.
 #[test]
 fn a_query_right_after_a_suspension_finds_no_old_level() {
-    let (start, clock) = (Instant::now(), BootClock::new());
+    let (start, clock) = (Instant::now(), BootClock::with_lead(Duration::ZERO));
     let at = |ms, suspended_ms| {
-        let lead = clock.lead_at_start() + Duration::from_millis(suspended_ms);
-        clock.at(start + Duration::from_millis(ms), lead)
+        let suspended = Duration::from_millis(suspended_ms);
+        clock.at(start + Duration::from_millis(ms), suspended)
     };
     let mut model = Model::new(1, LARGE, 1);
     let peer = model.peer(0);
