refactor(relay): the module of an attempt has one job

No change of behaviour. attempt.rs sends a request and reads the head of its answer; what it brings is in answer.rs, the check of a server's process in process_check.rs, and all that concerns outdated weights, half of which stood in in_flight.rs, in outdated_weights.rs. The weights of an attempt are looked up once for its deadline and its load instead of twice.

--- a/src/relay/answer_head.rs
+++ b/src/relay/answer_head.rs
@@ -1,7 +1,8 @@
 //! What the head of an answer tells about its server.
 
 use super::RelayContext;
-use super::attempt::{NotRunReason, suspend_server};
+use super::answer::NotRunReason;
+use super::attempt::suspend_server;
 use super::control::{RelayControlEvent, log_brittle, log_limit};
 use super::request::RelayedRequest;
 use crate::decision::leaving::LeavingNotice;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,137 +1,31 @@
 //! One attempt of a request: sends it to a server and receives the head of the answer.
 
 use super::RelayContext;
+use super::answer::{Answer, AttemptOutcome, ReceivedHead};
 use super::answer_head::{
     find_answer_fault, find_late_answer, heed_server, is_misdirected, learn_prefill_rate,
     record_not_run, update_weights,
 };
-use super::buffered_answer::{self, BufferedAnswer};
+use super::buffered_answer;
 use super::control::RelayControlEvent;
-use super::end_proof::{EndProof, prove_end};
-use super::in_flight::{CutStage, InFlightAttempt, begins_by, choice_weights, request_crash_check};
+use super::in_flight::{CutStage, InFlightAttempt, request_crash_check};
+use super::outdated_weights::work_deadline;
 use super::peers::reach;
+use super::process_check::check_process;
 use super::request::RelayedRequest;
 use super::server_choice::PlannedRun;
-use crate::adapters::connection_pool::PooledExchange;
+use crate::decision::relay::Choice;
 use crate::decision::relay::server::Server;
-use crate::decision::relay::{Choice, RetrySafety};
 use crate::metrics::labels::ReasonLabels;
-use crate::ports::{AnswerHead, ForwardHead};
-use crate::types::{Delivery, Incarnation, PeerError, PeerResult, ServerId, Step};
+use crate::ports::ForwardHead;
+use crate::types::{Delivery, Incarnation, PeerError, Step};
 use anyhow::anyhow;
-use bytes::{Bytes, BytesMut};
-use futures_lite::future::pending;
+use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use smol::Timer;
 use smol_str::SmolStr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use strum::Display;
-
-/// Period at which an attempt checks whether newer weights were announced.
-const OUTDATED_CHECK_PERIOD: Duration = Duration::from_millis(500);
-
-/// Time by which a request may reach its server later than the withdrawal allows for: a connection is opened
-/// after the server's deadline was worked out.
-const CONNECTION_OPEN_TIME: Duration = Duration::from_millis(200);
-
-/// Time in which a server must tell which process it is.
-pub const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Outcome of an attempt.
-pub enum AttemptOutcome {
-    /// The server began a stream.
-    Streaming(Box<Answer>),
-    /// The server answered completely, possibly with a failure.
-    Answered(Box<BufferedAnswer>),
-    /// The server did not run the request and never will.
-    NotRun(NotRunReason),
-    /// The request did not reach the server.
-    NotSent(PeerError),
-    /// The server may have run the request.
-    Unknown(PeerError),
-}
-
-/// Why a server did not run a request.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum NotRunReason {
-    /// The server was full or was replacing its weights.
-    Full,
-    /// Another server listens at the address.
-    Misdirected,
-    /// The server has loaded other weights.
-    OtherWeights,
-    /// Another node, by way of which the request was sent, has refused it.
-    NodeRefused,
-}
-
-/// What has arrived of an answer.
-pub enum ReceivedHead {
-    /// Its head.
-    Answer(Box<Answer>),
-    /// Nothing; the attempt has ended.
-    None(AttemptOutcome),
-}
-
-/// Answer whose head has arrived.
-pub struct Answer {
-    /// Exchange from which the body can be read.
-    pub exchange: PooledExchange,
-    /// Head of the answer, as read by the dialect.
-    pub head: AnswerHead,
-    /// The attempt, which counts towards the load of the server.
-    pub in_flight: InFlightAttempt,
-    end_proof: Option<EndProof>,
-}
-
-impl Answer {
-    /// Returns an answer whose head has arrived.
-    pub fn new(exchange: PooledExchange, head: AnswerHead, in_flight: InFlightAttempt) -> Self {
-        Self { exchange, head, in_flight, end_proof: None }
-    }
-
-    /// Returns the next data of the body, `None` at its end. A body that ends with its connection is
-    /// complete only if its server has outlived it: the connections of a process that is killed end in
-    /// the same way.
-    ///
-    /// # Errors
-    ///
-    /// The connection was lost, the server was, or the deadline passed.
-    pub async fn next_data(&mut self, deadline: Instant) -> PeerResult<Option<Bytes>> {
-        if self.end_proof.is_none() {
-            let data = self.exchange.next_data(deadline).await?;
-            if data.is_some() || self.exchange.framing.proves_completeness() {
-                return Ok(data);
-            }
-        }
-        let in_flight = &self.in_flight;
-        let proof = self.end_proof.get_or_insert_with(|| prove_end(in_flight, deadline));
-        let proved = proof.await;
-        self.end_proof = None;
-        proved.map(|()| None)
-    }
-
-    /// Reads the whole body, at most `max_bytes`.
-    ///
-    /// # Errors
-    ///
-    /// As [`next_data`](Self::next_data), or the body is too long.
-    pub async fn read_all(&mut self, max_bytes: usize, deadline: Instant) -> PeerResult<Bytes> {
-        let mut body = BytesMut::new();
-        while let Some(data) = self.next_data(deadline).await? {
-            if body.len() + data.len() > max_bytes {
-                let error = anyhow!("body exceeds {max_bytes} bytes");
-                let server = self.in_flight.server.clone();
-                return Err(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error));
-            }
-            body.extend_from_slice(&data);
-        }
-        Ok(body.freeze())
-    }
-}
 
 /// Sends `request` to the chosen server and waits for the head of its answer.
 pub async fn send(
@@ -160,7 +54,9 @@
         return ReceivedHead::None(AttemptOutcome::NotSent(limit_reached(request, choice)));
     }
     let mut in_flight = InFlightAttempt::new(Arc::clone(context), request, choice, is_doubted);
-    let outgoing = outgoing_request(context, request, run, last_event_id, sent_at);
+    let deadline = work_deadline(request, in_flight.begins_by());
+    let remaining = deadline.saturating_duration_since(sent_at);
+    let outgoing = outgoing_request(context, request, run, last_event_id, remaining);
     let sent = context.pool.send(&choice.server, choice.address, outgoing, request.deadline);
     let exchange = match sent.await {
         Ok(exchange) => exchange,
@@ -220,92 +116,6 @@
     ReceivedHead::Answer(Box::new(Answer::new(exchange, head, in_flight)))
 }
 
-/// Returns whether another process than that of its entry may answer for the chosen server. The process
-/// is asked before a stream goes on there. A stream that begins there after a sign that the process may
-/// have ended is not delayed; the process is asked beside it.
-///
-/// # Errors
-///
-/// A stream cannot go on there: the process does not answer, or is another one.
-async fn check_process(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-    goes_on: bool,
-) -> PeerResult<bool> {
-    if request.route.retry_safety != RetrySafety::ResumableStream {
-        return Ok(false);
-    }
-    let now = Instant::now();
-    let unusable =
-        |error| PeerError::new(Step::Send, choice.server.clone(), Delivery::NotSent, error);
-    let Some(process) = entry_process(context, choice, now) else {
-        return Err(unusable(anyhow!("the server's entry has changed")));
-    };
-    let Some(expected) = process.incarnation else { return Ok(false) };
-    if goes_on || request.is_resumption() {
-        let deadline = request.deadline.min(now + PROCESS_CHECK_TIMEOUT);
-        return match ask_process(context, &choice.server, choice.address, deadline).await {
-            Ok(Some(found)) if found != expected => {
-                Err(unusable(anyhow!("the server started again: {found} instead of {expected}")))
-            }
-            Ok(_) => Ok(false),
-            Err(error) => {
-                suspend_server(context, choice);
-                Err(unusable(error.into()))
-            }
-        };
-    }
-    if process.must_ask {
-        let (server, address) = (choice.server.clone(), choice.address);
-        context.notify_control(RelayControlEvent::ProcessDoubted { server, address });
-    }
-    Ok(process.is_doubted)
-}
-
-/// Process of a server by its entry.
-struct EntryProcess {
-    incarnation: Option<Incarnation>,
-    /// Whether it may have ended.
-    is_doubted: bool,
-    /// Whether it is to be asked now.
-    must_ask: bool,
-}
-
-/// Returns the process of the chosen server, `None` if its entry has changed since.
-fn entry_process(context: &RelayContext, choice: &Choice, now: Instant) -> Option<EntryProcess> {
-    let mut fleet = context.fleet();
-    let server = fleet.server_mut(&choice.server)?;
-    (server.entry.software == choice.software).then(|| EntryProcess {
-        incarnation: server.entry.started_unix_ms,
-        is_doubted: server.is_process_doubted(),
-        must_ask: server.take_process_check(now),
-    })
-}
-
-/// Asks the process of a server for its start, and records it.
-///
-/// # Errors
-///
-/// The process does not answer.
-pub async fn ask_process(
-    context: &RelayContext,
-    server: &ServerId,
-    address: SocketAddr,
-    deadline: Instant,
-) -> PeerResult<Option<Incarnation>> {
-    let found = context.ports.engines.incarnation(server, address, deadline).await?;
-    if let Some(known) = context.fleet().server_mut(server) {
-        let expected = known.incarnation();
-        let found = found.unwrap_or(expected);
-        known.confirm_process(found, Instant::now());
-        if found != expected {
-            log::info!("event=process_replaced server={server} expected={expected} found={found}");
-        }
-    }
-    Ok(found)
-}
-
 /// Takes the permits to send a request to a server that names a limit or is brittle; returns whether
 /// there were any.
 fn try_take_permits(
@@ -323,42 +133,6 @@
         && fleet.brittle.try_take(service, server, in_flight, now)
 }
 
-/// Waits until the weights of the chosen server have been outdated for so long that no request may begin
-/// on them; never returns while they are current.
-pub async fn await_outdated(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-) -> ReceivedHead {
-    let Some(weights) = choice_weights(context, request, choice) else { return pending().await };
-    loop {
-        let now = Instant::now();
-        match begins_by(context, &weights) {
-            Some(begins_by) if now >= begins_by => break,
-            Some(begins_by) => Timer::at(begins_by).await,
-            None => Timer::after(OUTDATED_CHECK_PERIOD).await,
-        };
-    }
-    let error = outdated(&choice.server);
-    log::info!("event=attempt_outdated request={} weights={} {error}", request.id, weights.1);
-    ReceivedHead::None(AttemptOutcome::Unknown(error))
-}
-
-/// Returns until when the server may work on a run. One that may not begin later, since the weights are
-/// outdated, is told so: not every server notices that a waiting request was withdrawn.
-fn run_deadline(context: &RelayContext, request: &RelayedRequest, choice: &Choice) -> Instant {
-    let weights = choice_weights(context, request, choice);
-    let begins_by = weights.and_then(|weights| begins_by(context, &weights));
-    let begins_by = begins_by.and_then(|begins_by| begins_by.checked_sub(CONNECTION_OPEN_TIME));
-    begins_by.map_or(request.deadline, |begins_by| begins_by.min(request.deadline))
-}
-
-/// Returns the error of an attempt that has not begun on weights before these were outdated for too long.
-pub fn outdated(server: &ServerId) -> PeerError {
-    let error = anyhow!("the request has not begun, and the weights are outdated");
-    PeerError::new(Step::Refused, server.clone(), Delivery::Unknown, error)
-}
-
 /// Receives the rest of an answer unless it is a stream.
 pub async fn receive(
     context: &RelayContext,
@@ -383,10 +157,9 @@
     request: &RelayedRequest,
     run: &PlannedRun,
     last_event_id: Option<SmolStr>,
-    now: Instant,
+    remaining: Duration,
 ) -> Request<Full<Bytes>> {
     let PlannedRun { choice, authorization } = run;
-    let remaining = run_deadline(context, request, choice).saturating_duration_since(now);
     let prompt = choice.prompt.as_ref();
     let head = ForwardHead {
         server: choice.server.clone(),
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts of a request so far, and the limits of further ones.
 
-use super::attempt::AttemptOutcome;
+use super::answer::AttemptOutcome;
 use super::pending_attempts::EndedAttempt;
 use super::request::RelayedRequest;
 use super::{RelayContext, quota, suspects};
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -1,6 +1,6 @@
 //! Answers that are read completely before they are forwarded.
 
-use super::attempt::Answer;
+use super::answer::Answer;
 use super::attempts::Attempts;
 use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -10,8 +10,8 @@
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
-use crate::relay::attempt::{PROCESS_CHECK_TIMEOUT, ask_process};
 use crate::relay::peers::reach;
+use crate::relay::process_check::{PROCESS_CHECK_TIMEOUT, ask_process};
 use crate::relay::stream_origin;
 use crate::relay::suspension_detector::SuspensionDetector;
 use crate::types::{InstanceId, ModelId, ServiceId, StoreEra, WeightsRevision, log_position};
--- a/src/relay/in_flight.rs
+++ b/src/relay/in_flight.rs
@@ -2,6 +2,7 @@
 
 use super::RelayContext;
 use super::control::{CutExchange, RelayControlEvent};
+use super::outdated_weights::{begins_by, choice_weights};
 use super::request::RelayedRequest;
 use super::suspects::KeyList;
 use crate::decision::poison::RankedKey;
@@ -12,10 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
-
-/// Time in which a server takes notice that a request was withdrawn.
-const WITHDRAWAL_TIME: Duration = Duration::from_millis(300);
+use std::time::Instant;
 
 /// How far an answer had come when its exchange was cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -204,26 +202,6 @@
     }
 }
 
-/// Returns the model of a request and the weights of its server, `None` at a server without weights. A
-/// request without a prompt may need any of the server's models.
-pub fn choice_weights(
-    context: &RelayContext,
-    request: &RelayedRequest,
-    choice: &Choice,
-) -> Option<(ModelId, WeightsRevision)> {
-    if let Some((prompt, planned)) = request.head.prompt.as_ref().zip(choice.prompt.as_ref()) {
-        return Some((prompt.model.clone(), planned.weights));
-    }
-    context.fleet().first_outdated_weights(&choice.server)
-}
-
-/// Returns when a request must have begun on weights, `None` while they are current.
-pub fn begins_by(context: &RelayContext, weights: &(ModelId, WeightsRevision)) -> Option<Instant> {
-    let (model, revision) = weights;
-    let usable_until = context.fleet().weights_usable_until(model, *revision)?;
-    Some(usable_until.checked_sub(WITHDRAWAL_TIME).unwrap_or(usable_until))
-}
-
 impl fmt::Display for InFlightAttempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { server, software, sent_at, suspect_keys, .. } = self;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! One thread runs all traffic and never waits for the control thread, which follows the records of
 //! the site's store, exchanges records and loads with partners, and coordinates weight rollouts.
 
+pub mod answer;
 pub mod answer_head;
 pub mod attempt;
 pub mod attempts;
@@ -15,9 +16,11 @@
 pub mod in_flight;
 pub mod metrics;
 pub mod node;
+pub mod outdated_weights;
 pub mod peers;
 pub mod pending_attempts;
 pub mod planned_stop;
+pub mod process_check;
 pub mod quota;
 pub mod refusal;
 pub mod request;
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -4,8 +4,8 @@
 use crate::adapters::connection_pool::PooledExchange;
 use crate::decision::relay::{Authorization, PeerNode};
 use crate::relay::RelayContext;
+use crate::relay::answer::{Answer, AttemptOutcome, NotRunReason, ReceivedHead};
 use crate::relay::answer_head::find_signature_fault;
-use crate::relay::attempt::{Answer, AttemptOutcome, NotRunReason, ReceivedHead};
 use crate::relay::attempts::Attempts;
 use crate::relay::in_flight::InFlightAttempt;
 use crate::relay::request::RelayedRequest;
--- a/src/relay/pending_attempts.rs
+++ b/src/relay/pending_attempts.rs
@@ -1,8 +1,10 @@
 //! Attempts of one request whose servers have not begun a stream, or not answered completely.
 
 use super::RelayContext;
-use super::attempt::{self, AttemptOutcome};
+use super::answer::AttemptOutcome;
+use super::attempt;
 use super::attempts::Attempts;
+use super::outdated_weights;
 use super::peers::forward::{self, ForwardedAnswer};
 use super::request::RelayedRequest;
 use super::server_choice::PlannedRun;
@@ -90,7 +92,7 @@
         self.push(run.choice.server.clone(), false, |has_head| {
             Box::pin(async move {
                 let received = attempt::send(&context, &request, &run, last_event_id);
-                let outdated = attempt::await_outdated(&context, &request, &run.choice);
+                let outdated = outdated_weights::await_outdated(&context, &request, &run.choice);
                 let received = received.or(outdated).await;
                 has_head.store(true, Ordering::Relaxed);
                 let outcome = attempt::receive(&context, &request, received).await;
--- a/src/relay/server_search.rs
+++ b/src/relay/server_search.rs
@@ -1,7 +1,7 @@
 //! Search for a server that answers a request: attempts one after the other, or beside each other
 //! while servers are silent.
 
-use super::attempt::AttemptOutcome;
+use super::answer::AttemptOutcome;
 use super::attempts::{Attempts, MAX_TRIED_SERVERS};
 use super::buffered_answer::BufferedAnswer;
 use super::peers::forward;
--- a/src/relay/stream/candidate.rs
+++ b/src/relay/stream/candidate.rs
@@ -2,7 +2,7 @@
 
 use crate::decision::relay::EventSplitter;
 use crate::decision::relay::event_splitter::EventTooLong;
-use crate::relay::attempt::Answer;
+use crate::relay::answer::Answer;
 use crate::types::PeerResult;
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -4,8 +4,9 @@
 use super::candidate::{Candidate, CandidateStep};
 use super::{RelayedStream, StreamEvent, is_event_stream};
 use crate::decision::relay::{Authorization, EventSplitter, NotTriedReason, PeerNode};
-use crate::relay::attempt::{self, Answer, AttemptOutcome, NotRunReason};
+use crate::relay::answer::{Answer, AttemptOutcome, NotRunReason};
 use crate::relay::in_flight::{self, CutStage};
+use crate::relay::outdated_weights;
 use crate::relay::peers::forward;
 use crate::relay::pending_attempts::EndedAttempt;
 use crate::relay::refusal::Refusal;
@@ -119,7 +120,7 @@
         };
         while let Some(index) = self.candidates.iter().position(is_outdated) {
             let Candidate { answer, .. } = self.candidates.swap_remove(index);
-            let error = attempt::outdated(&answer.in_flight.server);
+            let error = outdated_weights::outdated(&answer.in_flight.server);
             log::info!(
                 "event=candidate_failed request={} {} error=\"{error}\"",
                 self.request.id,
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -11,10 +11,11 @@
 use crate::decision::relay::event_splitter::EventTooLong;
 use crate::decision::relay::{EventSplitter, Failover, FailoverStep, GiveUpReason, RetrySafety};
 use crate::relay::RelayContext;
-use crate::relay::attempt::{self, Answer};
+use crate::relay::answer::Answer;
 use crate::relay::attempts::Attempts;
 use crate::relay::buffered_answer::return_to_pool;
 use crate::relay::metrics::AnswerLabels;
+use crate::relay::outdated_weights;
 use crate::relay::peers::gateway::software_header;
 use crate::relay::peers::message::SOFTWARE;
 use crate::relay::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
@@ -221,7 +222,7 @@
     fn find_outdated(&self) -> Option<PeerError> {
         let answer = self.answer.as_ref().filter(|_| self.last_data_at.is_none())?;
         let begins_by = answer.in_flight.begins_by()?;
-        (Instant::now() >= begins_by).then(|| attempt::outdated(&answer.in_flight.server))
+        (Instant::now() >= begins_by).then(|| outdated_weights::outdated(&answer.in_flight.server))
     }
 
     /// Whether only the current answer is open.
