refactor(streams): messages, search and owners of stream origins are modules of their own

No change of behaviour. A search begins empty and looks at its node's knowledge by the same update that it uses later, where it had a second copy of it.

--- a/src/decision/relay/streams/mod.rs
+++ b/src/decision/relay/streams/mod.rs
@@ -1,9 +1,16 @@
 //! Streams that their callers resume: which software version each one goes on at, decided from what
 //! this node and others have seen of its begin, and from the versions that the record store keeps.
 
+pub mod origin_messages;
+pub mod origin_search;
 pub mod origins;
+mod owners;
 pub mod version_records;
 
+pub use origin_messages::{
+    KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin, stream_key,
+};
+pub use origin_search::{FoundVersion, OriginSearch};
 pub use origins::StreamOrigins;
 pub use version_records::{
     ServiceVersion, VersionCall, VersionListing, VersionOutcome, VersionRecords,
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -15,101 +15,27 @@
 //! so that it stays known while nodes are stopped and started in turn. A stopping node owns no streams
 //! any more, but answers for those that it knows until it has stopped.
 
+use super::origin_messages::{KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin};
+use super::origin_search::OriginSearch;
+use super::owners::{ASKED_NODES, OWNERS, node_hash, ranked_nodes};
 use super::version_records::ServiceVersion;
 use crate::decision::relay::peer_node::PeerNode;
-use crate::types::{InstanceId, RequestId, ServiceId, SoftwareVersion};
-use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
+use crate::types::{InstanceId, ServiceId, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Longest time for which a caller resumes a stream; a version is remembered that long after its last
 /// server was seen.
 pub const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Other nodes that are told of a stream.
-const OWNERS: usize = 3;
-
-/// Other nodes that are asked for a stream; more than its owners, since the nodes may disagree for a
-/// moment on which are live.
-const ASKED_NODES: usize = 8;
-
-/// Nodes with the highest hashes for a stream, among which its owners and those that are asked are.
-const RANKED_NODES: usize = 2 * ASKED_NODES;
-
 /// Maximum streams that are remembered.
 const MAX_STREAMS: usize = 65_536;
 
 /// Maximum versions in an answer: two already show that a service has several.
 const MAX_ANSWERED_VERSIONS: usize = 4;
 
-/// Hash of the request id of the attempt that brought the first event of a stream.
-pub type StreamKey = u64;
-
-/// Returns the key of the stream whose first event the attempt `request` brought.
-pub fn stream_key(request: &RequestId) -> StreamKey {
-    xxh3_64(request.as_bytes())
-}
-
-/// Where a stream began.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StreamOrigin {
-    /// Service of the server.
-    #[serde(rename = "s")]
-    pub service: ServiceId,
-    /// Software version of the server.
-    #[serde(rename = "v")]
-    pub software: SoftwareVersion,
-}
-
-/// Record of the origin of a stream, sent to its owners.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct OriginRecord {
-    /// Stream.
-    #[serde(rename = "k")]
-    pub stream: StreamKey,
-    /// Origin.
-    #[serde(rename = "o")]
-    pub origin: StreamOrigin,
-    /// Milliseconds for which it may be resumed.
-    #[serde(rename = "r")]
-    pub remaining_ms: u64,
-}
-
-/// What a node knows of a stream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum KnownOrigin {
-    /// Nothing.
-    Unknown,
-    /// Two streams of different origins have the same id.
-    Ambiguous,
-    /// Its origin.
-    Origin(StreamOrigin),
-}
-
-/// Answer of a node that was asked for a stream.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct OriginAnswer {
-    /// What it knows of the stream.
-    #[serde(rename = "o")]
-    pub known: KnownOrigin,
-    /// Versions that the service may have had within [`MAX_STREAM_LIFETIME`]; some of them if there are
-    /// many.
-    #[serde(rename = "v")]
-    pub versions: Vec<SoftwareVersion>,
-    /// Whether these are all such versions of which the node can know. Nodes of earlier builds do not
-    /// say so.
-    #[serde(rename = "c", default)]
-    pub is_complete: bool,
-    /// Milliseconds since the node's list of servers was known to be complete, `None` if it never was.
-    /// Nodes of earlier builds do not tell, so that they confirm nothing.
-    #[serde(rename = "a", default)]
-    pub servers_age_ms: Option<u64>,
-}
-
 #[derive(Clone, Debug)]
 struct KnownStream {
     /// Origin, `None` if it is ambiguous.
@@ -193,7 +119,7 @@
         if untold.is_empty() {
             return None;
         }
-        let record = origin_record(stream, origin, known.expires_at, now);
+        let record = OriginRecord::new(stream, origin, known.expires_at, now);
         let addresses = untold.iter().map(|node| node.address).collect();
         let hashes: Vec<u64> = untold.into_iter().map(node_hash).collect();
         self.streams.get_mut(&stream)?.told.extend(hashes);
@@ -218,7 +144,7 @@
     }
 
     /// Whether the list of servers was known to be complete at a moment since `since`.
-    fn has_confirmed_since(&self, since: Instant) -> bool {
+    pub(super) fn has_confirmed_since(&self, since: Instant) -> bool {
         self.servers_confirmed_at.is_some_and(|at| at >= since)
     }
 
@@ -243,7 +169,11 @@
 
     /// Returns the versions that the service may have had within [`MAX_STREAM_LIFETIME`], as far as
     /// this node knows.
-    fn possible_versions(&self, service: &ServiceId, now: Instant) -> Vec<SoftwareVersion> {
+    pub(super) fn possible_versions(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> Vec<SoftwareVersion> {
         let mut versions = self.versions(service, now);
         if self.has_observed_long(now) {
             return versions;
@@ -257,7 +187,7 @@
     }
 
     /// Whether these are all versions that the service may have had.
-    fn knows_all_versions(&self, service: &ServiceId, now: Instant) -> bool {
+    pub(super) fn knows_all_versions(&self, service: &ServiceId, now: Instant) -> bool {
         self.is_first_start
             || self.has_observed_long(now)
             || self.recorded.iter().any(|recorded| recorded.service == *service)
@@ -277,7 +207,7 @@
         now: Instant,
     ) -> (OriginRecord, Vec<SocketAddr>) {
         let expires_at = expires_at.min(now + MAX_STREAM_LIFETIME);
-        let record = origin_record(stream, origin.clone(), expires_at, now);
+        let record = OriginRecord::new(stream, origin.clone(), expires_at, now);
         self.merge(stream, origin, expires_at, OWNERS, now);
         let owners = ranked_nodes(&self.nodes, stream, OWNERS);
         (record, owners.iter().map(|node| node.address).collect())
@@ -326,21 +256,12 @@
         service: &ServiceId,
         now: Instant,
     ) -> OriginSearch {
-        let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
         let nodes = self.nodes.iter().chain(&self.stopping_nodes);
         let asked = ranked_nodes(nodes, stream.unwrap_or_default(), ASKED_NODES);
-        let knows_all_versions = self.knows_all_versions(service, now);
-        OriginSearch {
-            began_at: now,
-            knows_all_versions,
-            service: service.clone(),
-            known,
-            versions: self.possible_versions(service, now),
-            is_complete: knows_all_versions && self.has_confirmed_since(now),
-            unanswered: asked.iter().map(|node| node.address).collect(),
-            answers: 0,
-            has_contradiction: false,
-        }
+        let unanswered = asked.iter().map(|node| node.address).collect();
+        let mut search = OriginSearch::new(service.clone(), unanswered, now);
+        search.update(self, stream, now);
+        search
     }
 
     /// Forgets expired streams and versions.
@@ -401,152 +322,3 @@
         }
     }
 }
-
-fn node_hash(node: &PeerNode) -> u64 {
-    xxh3_64(node.instance.as_bytes())
-}
-
-/// Returns the first `count` of the nodes for a stream: the first ones of several availability zones,
-/// then the others, by their hashes.
-fn ranked_nodes<'a>(
-    nodes: impl IntoIterator<Item = &'a PeerNode>,
-    stream: StreamKey,
-    count: usize,
-) -> Vec<&'a PeerNode> {
-    let hash = |node: &PeerNode| xxh3_64_with_seed(node.instance.as_bytes(), stream);
-    let mut ranked: Vec<(Reverse<u64>, &PeerNode)> =
-        nodes.into_iter().map(|node| (Reverse(hash(node)), node)).collect();
-    if ranked.len() > RANKED_NODES {
-        ranked.select_nth_unstable_by_key(RANKED_NODES, |(hash, _)| *hash);
-        ranked.truncate(RANKED_NODES);
-    }
-    ranked.sort_by(|(left, a), (right, b)| (left, &a.instance).cmp(&(right, &b.instance)));
-    let mut chosen: Vec<&PeerNode> = Vec::with_capacity(count);
-    for (_, node) in &ranked {
-        let is_in_new_zone =
-            chosen.iter().all(|other| other.availability_zone != node.availability_zone);
-        if chosen.len() < OWNERS && is_in_new_zone {
-            chosen.push(node);
-        }
-    }
-    for (_, node) in &ranked {
-        if chosen.len() < count && !chosen.contains(node) {
-            chosen.push(node);
-        }
-    }
-    chosen
-}
-
-fn origin_record(
-    stream: StreamKey,
-    origin: StreamOrigin,
-    expires_at: Instant,
-    now: Instant,
-) -> OriginRecord {
-    let remaining = expires_at.saturating_duration_since(now).as_millis();
-    OriginRecord { stream, origin, remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX) }
-}
-
-/// How the version of a stream was found.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FoundVersion {
-    /// A node knows the stream.
-    Known(SoftwareVersion),
-    /// Nobody knows it, and the service has had no other version.
-    Only(SoftwareVersion),
-}
-
-/// Search for the origin of a stream.
-#[derive(Clone, Debug)]
-pub struct OriginSearch {
-    began_at: Instant,
-    /// Whether this node knows all versions once its list of servers is confirmed.
-    knows_all_versions: bool,
-    service: ServiceId,
-    known: KnownOrigin,
-    /// Versions that the service may have had, by this node's knowledge and by the answers.
-    versions: Vec<SoftwareVersion>,
-    /// Whether these are all, by the word of any node whose list of servers was confirmed since the
-    /// search began.
-    is_complete: bool,
-    unanswered: Vec<SocketAddr>,
-    answers: usize,
-    /// Whether two nodes know different origins.
-    has_contradiction: bool,
-}
-
-impl OriginSearch {
-    /// Returns the nodes that have not answered.
-    pub fn unanswered(&self) -> &[SocketAddr] {
-        &self.unanswered
-    }
-
-    /// Returns the number of answers.
-    pub fn answers(&self) -> usize {
-        self.answers
-    }
-
-    /// Looks again at what this node itself knows.
-    pub fn update(&mut self, origins: &StreamOrigins, stream: Option<StreamKey>, now: Instant) {
-        self.add_versions(origins.possible_versions(&self.service, now));
-        self.knows_all_versions = origins.knows_all_versions(&self.service, now);
-        self.is_complete |= self.knows_all_versions && origins.has_confirmed_since(self.began_at);
-        if let (KnownOrigin::Unknown, Some(stream)) = (&self.known, stream) {
-            self.known = origins.known(stream, now);
-        }
-    }
-
-    /// Whether a confirmation of this node's list of servers decides where the stream goes on.
-    pub fn needs_confirmation(&self) -> bool {
-        let may_be_only = self.known == KnownOrigin::Unknown && self.versions.len() == 1;
-        may_be_only && self.knows_all_versions && !self.is_complete
-    }
-
-    fn add_versions(&mut self, versions: Vec<SoftwareVersion>) {
-        for software in versions {
-            if !self.versions.contains(&software) {
-                self.versions.push(software);
-            }
-        }
-    }
-
-    /// Adds the answer of the node at `address`, which arrived at `now`; a second one of a node changes
-    /// nothing.
-    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer, now: Instant) {
-        let Some(index) = self.unanswered.iter().position(|asked| *asked == address) else {
-            return;
-        };
-        self.unanswered.swap_remove(index);
-        self.answers += 1;
-        let age_ms = now.saturating_duration_since(self.began_at).as_millis();
-        let is_confirmed = answer.servers_age_ms.is_some_and(|ms| u128::from(ms) < age_ms);
-        self.is_complete |= answer.is_complete && is_confirmed;
-        self.add_versions(answer.versions);
-        match (&self.known, answer.known) {
-            (_, KnownOrigin::Unknown) => {}
-            (KnownOrigin::Unknown, known) => self.known = known,
-            (known, other) => self.has_contradiction |= *known != other,
-        }
-    }
-
-    /// Returns whether more answers cannot change the result.
-    pub fn is_over(&self) -> bool {
-        let is_confirmed = self.versions.len() == 1 && self.is_complete;
-        self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_confirmed
-    }
-
-    /// Returns the version at which the stream goes on, `None` if that is not certain.
-    pub fn result(&self) -> Option<FoundVersion> {
-        match &self.known {
-            _ if self.has_contradiction => None,
-            KnownOrigin::Ambiguous => None,
-            KnownOrigin::Origin(origin) if origin.service != self.service => None,
-            KnownOrigin::Origin(origin) => Some(FoundVersion::Known(origin.software.clone())),
-            KnownOrigin::Unknown if !self.is_complete => None,
-            KnownOrigin::Unknown => match self.versions.as_slice() {
-                [only] => Some(FoundVersion::Only(only.clone())),
-                _ => None,
-            },
-        }
-    }
-}
--- a/src/links/datagram.rs
+++ b/src/links/datagram.rs
@@ -4,7 +4,7 @@
 use super::handshake::hmac_sha256;
 use crate::decision::relay::gateways::ReachAnswer;
 use crate::decision::relay::quota::{QuotaAnswer, QuotaCorrection, QuotaQuery};
-use crate::decision::relay::streams::origins::{OriginAnswer, OriginRecord, StreamKey};
+use crate::decision::relay::streams::{OriginAnswer, OriginRecord, StreamKey};
 use crate::types::{ServiceId, WorkspaceId};
 use anyhow::{Context, ensure};
 use bytes::Bytes;
--- a/src/relay/outdated_weights.rs
+++ b/src/relay/outdated_weights.rs
@@ -40,8 +40,8 @@
     Some(usable_until.checked_sub(WITHDRAWAL_TIME).unwrap_or(usable_until))
 }
 
-/// Returns until when a server may work on a request that must have begun at `begins_by`, if that is soon
-/// enough to matter. The server is told: not every one notices that a waiting request was withdrawn.
+/// Returns until when a server may work on a request. One that must have begun at `begins_by` ends there:
+/// not every server notices that a waiting request was withdrawn.
 pub fn work_deadline(request: &RelayedRequest, begins_by: Option<Instant>) -> Instant {
     let begins_by = begins_by.and_then(|begins_by| begins_by.checked_sub(CONNECTION_OPEN_TIME));
     begins_by.map_or(request.deadline, |begins_by| begins_by.min(request.deadline))
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -4,7 +4,7 @@
 use crate::adapters::datagram_socket::DatagramSocket;
 use crate::daemon::threads::catch_panic;
 use crate::decision::relay::quota::{QuotaAnswer, QuotaQuery};
-use crate::decision::relay::streams::origins::OriginAnswer;
+use crate::decision::relay::streams::OriginAnswer;
 use crate::links::Datagram;
 use crate::links::datagram::MAX_DATAGRAM_BYTES;
 use crate::relay::{RelayContext, quota};
--- a/src/relay/stream_origin.rs
+++ b/src/relay/stream_origin.rs
@@ -7,7 +7,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
 use crate::adapters::deadline::timeout_at;
-use crate::decision::relay::streams::origins::{
+use crate::decision::relay::streams::{
     FoundVersion, OriginSearch, StreamKey, StreamOrigin, stream_key,
 };
 use crate::links::Datagram;
--- a/tests/relay/rolling_stops.rs
+++ b/tests/relay/rolling_stops.rs
@@ -1,7 +1,7 @@
 //! Origins of streams while nodes are stopped and started in turn and servers of two software versions
 //! serve, at 6, 68 and 295 nodes.
 
-use coriandertide::decision::relay::streams::origins::{
+use coriandertide::decision::relay::streams::{
     FoundVersion, OriginRecord, StreamKey, StreamOrigin, stream_key,
 };
 use coriandertide::decision::relay::{PeerNode, StreamOrigins};
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -1,7 +1,7 @@
 //! Origins of streams at 6, 68 and 295 nodes: streams of killed nodes are resumed at other nodes
 //! while a second software version joins, datagrams are lost, and nodes learn of it late.
 
-use coriandertide::decision::relay::streams::origins::{
+use coriandertide::decision::relay::streams::{
     FoundVersion, KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin,
 };
 use coriandertide::decision::relay::{PeerNode, StreamOrigins};
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -3,9 +3,9 @@
 //! record store are lost or fail, and the store is restored from a copy.
 
 use coriandertide::decision::relay::PeerNode;
-use coriandertide::decision::relay::streams::origins::FoundVersion;
 use coriandertide::decision::relay::streams::{
-    ServiceVersion, StreamOrigins, VersionCall, VersionListing, VersionOutcome, VersionRecords,
+    FoundVersion, ServiceVersion, StreamOrigins, VersionCall, VersionListing, VersionOutcome,
+    VersionRecords,
 };
 use coriandertide::types::{ServiceId, SoftwareVersion};
 use smol_str::{SmolStr, format_smolstr};
