--- a/src/decision/relay/streams/origin_messages.rs
+++ b/src/decision/relay/streams/origin_messages.rs
@@ -56,7 +56,8 @@
     /// What it knows of the stream.
     #[serde(rename = "o")]
     pub known: KnownOrigin,
-    /// Versions that the service may have had within [`MAX_STREAM_LIFETIME`]; some of them if there are
+    /// Versions that the service may have had within
+    /// [`MAX_STREAM_LIFETIME`](super::origins::MAX_STREAM_LIFETIME); some of them if there are
     /// many.
     #[serde(rename = "v")]
     pub versions: Vec<SoftwareVersion>,
