test(relay): failing test of large configurations that are in force too late

The test spreads configurations of 1, 30 and 280 KB among 6, 58 and 295 nodes over links of 10 Mb/s, half of them taken by callers, with changes 3 s apart. It uses the replica, the requests and the choice of partners as they are; ticks, links and decoding are modelled by hand.

On this code a record of 280 KB takes 1.9 s at 6 nodes and is not in force on all of 58 or 295 nodes after 3 s; a change of one route costs 0.84, 18.3 and 84 MB between nodes. The bounds are those of the issue: 1.5 s, 2 s at 295 nodes, a tenth of whole copies.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -29,6 +29,7 @@
 mod reach;
 mod read_schedule;
 mod record_requests;
+mod record_spread;
 mod replica;
 mod resend;
 mod rolling_stops;
