fix(records): a change of a large configuration costs about the size of the change

Cause: nodes sent each other the whole record, 0.27 MB for 1,400 routes, over links of 10 Mb/s that callers use too, and asked another partner after 0.2 s, before a copy could have arrived. The news of a record waited for the next tick and for its decoding at each node on the way. Class: bulk handled by the timing of a small message.

Change: a request names the large records that the node has; the answer is compressed as a whole with these as the dictionary (zstd), and checked by a hash. Replaced records are kept for that, 4 and 1 MB at most. Answers to partners that lack the same are compressed once. Records of operators are announced at once, before they are put in force. A node that has known for 0.4 s that it lacks records reads them from the store itself.

Other builds: earlier nodes skip the list of bases and answer with plain records; their requests name no bases and get plain records (earlier_messages).

--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -11,7 +11,7 @@
 //! it first arrived: nodes that pass it on and back would otherwise keep it young for ever.
 
 use super::RecordTopic;
-use crate::types::InstanceId;
+use crate::types::{InstanceId, LogPosition};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -43,6 +43,10 @@
 /// Time that a digest is taken to travel between two nodes.
 const DIGEST_TRANSIT: Duration = Duration::from_millis(150);
 
+/// Time after which a node that knows of newer records, and has not got them from partners, reads them
+/// itself: the link of the store carries many times what that of a node does.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time after which a reader that has confirmed nothing is forgotten.
 const READER_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -88,6 +92,8 @@
     last_failed_at: Option<Instant>,
     /// When a confirmation was last requested.
     requested_at: Option<Instant>,
+    /// Position below which a partner knew more than this node, and when that became known.
+    newer: Option<(LogPosition, Instant)>,
 }
 
 /// Read schedule of all topics.
@@ -170,6 +176,31 @@
         self.topics.entry(topic).or_default().requested_at = Some(now);
     }
 
+    /// Records that a partner knows a topic below `position`, which is more than this node knows;
+    /// returns whether that is news.
+    pub fn observe_newer(
+        &mut self,
+        topic: RecordTopic,
+        position: LogPosition,
+        now: Instant,
+    ) -> bool {
+        let newer = &mut self.topics.entry(topic).or_default().newer;
+        let is_news = newer.is_none();
+        newer.get_or_insert((position, now));
+        is_news
+    }
+
+    /// Records that this node knows a topic below `known`.
+    pub fn catch_up(&mut self, topic: RecordTopic, known: Option<LogPosition>) {
+        let newer = &mut self.topics.entry(topic).or_default().newer;
+        newer.take_if(|(position, _)| known >= Some(*position));
+    }
+
+    /// Returns since when this node knows that it lacks records of a topic, `None` if it lacks none.
+    pub fn behind_since(&self, topic: RecordTopic) -> Option<Instant> {
+        Some(self.topics.get(&topic)?.newer?.1)
+    }
+
     /// Returns the read that confirms the view of a topic.
     pub fn confirmation(&self, topic: RecordTopic) -> Option<Confirmation> {
         self.topics.get(&topic)?.confirmation
@@ -215,10 +246,11 @@
         let is_requested = schedule
             .requested_at
             .is_some_and(|at| schedule.confirmed_at.is_none_or(|known| known < at));
-        if is_requested {
+        let fetch_at = schedule.newer.map(|(_, since)| since + FETCH_TIMEOUT);
+        let has_failed = schedule.failed_at.is_some_and(|at| now < at + FAILED_READ_BACKOFF);
+        if is_requested || fetch_at.is_some_and(|at| now >= at) && !has_failed {
             return NextRead::Read { wait_until: now };
         }
-        let has_failed = schedule.failed_at.is_some_and(|at| now < at + FAILED_READ_BACKOFF);
         let (due_at, read_wait) = if schedule.rank < FOLLOWERS && !has_failed {
             (schedule.answered_at.map(|at| at + FOLLOWER_READ_GAP), FOLLOWER_READ_WAIT)
         } else {
--- a/src/decision/relay/record_requests.rs
+++ b/src/decision/relay/record_requests.rs
@@ -5,7 +5,7 @@
 //! meanwhile is requested after that.
 
 use super::RecordTopic;
-use super::replica::{RecordsRequest, TopicDelta};
+use super::replica::{RecordsRequest, Replica, TopicDelta};
 use crate::types::{InstanceId, LogPosition};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -36,6 +36,8 @@
     /// Position below which this node knew all records at its last request, `None` before the
     /// first listing.
     last_known: Option<LogPosition>,
+    /// Whether packed records could not be read, so that the next ones must do without bases.
+    needs_whole: bool,
 }
 
 /// Requests for all topics.
@@ -75,6 +77,7 @@
         now: Instant,
     ) -> Option<RecordsRequest> {
         let requests = self.topics.entry(delta.topic).or_default();
+        requests.needs_whole = false;
         let is_answer = |pending: &&mut PendingRequest| {
             pending.peer == *peer && pending.request.after == delta.after
         };
@@ -115,6 +118,22 @@
         Some((peer, request))
     }
 
+    /// Returns the request with the bases that the partner may use.
+    pub fn with_bases(&self, mut request: RecordsRequest, replica: &Replica) -> RecordsRequest {
+        let requests = self.topics.get(&request.topic);
+        let needs_whole = requests.is_some_and(|requests| requests.needs_whole);
+        let bases = if needs_whole { Vec::new() } else { replica.bases(request.topic) };
+        request.bases = Some(bases);
+        request
+    }
+
+    /// Drops the request under way, whose answer could not be read; the next one names no bases.
+    pub fn reject(&mut self, topic: RecordTopic) {
+        let requests = self.topics.entry(topic).or_default();
+        requests.pending = None;
+        requests.needs_whole = true;
+    }
+
     /// Forgets the requests to a partner whose link has ended.
     pub fn remove_peer(&mut self, peer: &InstanceId) {
         for requests in self.topics.values_mut() {
@@ -132,7 +151,8 @@
         known_below: Option<LogPosition>,
         now: Instant,
     ) -> RecordsRequest {
-        let request = RecordsRequest { topic, known_below, after: None, is_paged: true };
+        let request =
+            RecordsRequest { topic, known_below, after: None, is_paged: true, bases: None };
         self.last_known = known_below;
         self.pending = Some(PendingRequest {
             peer: peer.clone(),
--- a/src/decision/relay/replica.rs
+++ b/src/decision/relay/replica.rs
@@ -2,11 +2,12 @@
 //! from partners. Of two records with the same key the one with the higher position is valid,
 //! whatever the order of arrival. Positions of a restored store follow all earlier ones.
 
+use super::record_packing::PackedRecords;
 use crate::types::{LogPosition, log_position};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -54,6 +55,10 @@
     fn size_bytes(&self) -> usize {
         RECORD_OVERHEAD_BYTES + self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
     }
+
+    fn is_base(&self) -> bool {
+        self.value.as_ref().is_some_and(|value| value.len() >= MIN_BASE_BYTES)
+    }
 }
 
 /// Newest records of a topic, as listed by the store.
@@ -71,12 +76,40 @@
     records: BTreeMap<SmolStr, KeyedRecord>,
     /// Position below which the newest record of every key is known, `None` before the first listing.
     known_below: Option<LogPosition>,
+    /// Large records that were replaced, newest first.
+    replaced: VecDeque<KeyedRecord>,
+}
+
+impl TopicReplica {
+    /// Keeps a replaced record if it may serve as a base for a later one.
+    fn keep_replaced(&mut self, record: KeyedRecord) {
+        if !record.is_base() {
+            return;
+        }
+        self.replaced.push_front(record);
+        let mut kept_bytes = 0;
+        self.replaced.retain(|record| {
+            kept_bytes += record.size_bytes();
+            kept_bytes <= MAX_REPLACED_BYTES
+        });
+        self.replaced.truncate(MAX_REPLACED_RECORDS);
+    }
 }
 
 /// Position from which a delta is complete if it is one of several messages; earlier builds send
 /// these one after the other.
 const PART_FROM: LogPosition = LogPosition::MAX;
 
+/// Size of a value from which it serves as a base for later versions of it.
+const MIN_BASE_BYTES: usize = 2 * 1024;
+
+/// Maximum number of bases that a request names.
+const MAX_BASES: usize = 8;
+
+/// Maximum number and bytes of replaced records that are kept for partners that have no later ones.
+const MAX_REPLACED_RECORDS: usize = 4;
+const MAX_REPLACED_BYTES: usize = 1024 * 1024;
+
 /// Approximate encoded size of a record without its key and value.
 const RECORD_OVERHEAD_BYTES: usize = 64;
 
@@ -94,6 +127,10 @@
     /// Whether the sender asks for further pages; earlier builds do not.
     #[serde(default)]
     pub is_paged: bool,
+    /// Positions of large records that the sender has, `None` if it cannot read packed records, as
+    /// earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bases: Option<Vec<LogPosition>>,
 }
 
 /// Records of a topic that one node sends to another.
@@ -113,6 +150,9 @@
     /// Whether further pages follow on request.
     #[serde(default)]
     pub has_more: bool,
+    /// The records in compressed form, if the request allows it; `records` is empty then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub packed: Option<PackedRecords>,
 }
 
 impl TopicDelta {
@@ -140,7 +180,9 @@
         if known.is_some_and(|known| known.position >= record.position) {
             return false;
         }
-        topic.records.insert(record.key.clone(), record.clone());
+        if let Some(replaced) = topic.records.insert(record.key.clone(), record.clone()) {
+            topic.keep_replaced(replaced);
+        }
         true
     }
 
@@ -214,7 +256,8 @@
     /// Returns the records that a partner requests, in pages of about `max_bytes` that are ordered
     /// by key; `None` before the first listing.
     pub fn delta(&self, request: &RecordsRequest, max_bytes: usize) -> Option<TopicDelta> {
-        let RecordsRequest { topic, known_below: from, after, is_paged } = request.clone();
+        let RecordsRequest { topic, known_below: from, after, is_paged, bases: _ } =
+            request.clone();
         let known_below = self.known_below(topic)?;
         let known = self.topics.get(&topic)?;
         let start = after.as_ref().map_or(Bound::Unbounded, Bound::Excluded);
@@ -234,7 +277,24 @@
         records.sort_by_key(|record| record.position);
         let has_more = remaining.peek().is_some();
         let from = if has_more && !is_paged { Some(PART_FROM) } else { from };
-        Some(TopicDelta { topic, from, known_below, records, after, has_more })
+        Some(TopicDelta { topic, from, known_below, records, after, has_more, packed: None })
+    }
+
+    /// Returns the positions of the records that a partner may use as bases for what this node lacks.
+    pub fn bases(&self, topic: RecordTopic) -> Vec<LogPosition> {
+        let records = self.topics.get(&topic).into_iter().flat_map(|topic| topic.records.values());
+        records
+            .filter(|record| record.is_base())
+            .take(MAX_BASES)
+            .map(|base| base.position)
+            .collect()
+    }
+
+    /// Returns the value of the large record at a position, also if it was replaced lately.
+    pub fn value_at(&self, topic: RecordTopic, position: LogPosition) -> Option<&Bytes> {
+        let topic = self.topics.get(&topic)?;
+        let mut known = topic.records.values().chain(&topic.replaced);
+        known.find(|record| record.position == position)?.value.as_ref()
     }
 
     fn raise_known_below(&mut self, topic: RecordTopic, known_below: LogPosition) {
--- a/src/relay/control/partners/mod.rs
+++ b/src/relay/control/partners/mod.rs
@@ -8,7 +8,7 @@
 use crate::decision::membership::{
     MemberRecord, MembershipEvent, MembershipSettings, MembershipState,
 };
-use crate::decision::relay::RecordRequests;
+use crate::decision::relay::{RecordPacker, RecordRequests};
 use crate::links::connection::ReceivedMessage;
 use crate::links::message::MessageKind;
 use crate::links::{Identity, LinkEnd, LinkHandle, LinkTable, PartnerMessage, SendOutcome};
@@ -57,6 +57,7 @@
     /// Whether records changed since the last digest.
     has_new_records: bool,
     record_requests: RecordRequests,
+    record_packer: RecordPacker,
 }
 
 impl Partners {
@@ -91,6 +92,7 @@
             next_digest_at: now,
             has_new_records: false,
             record_requests: RecordRequests::default(),
+            record_packer: RecordPacker::default(),
         }
     }
 
@@ -223,7 +225,9 @@
             PartnerMessage::Brittle(notices) => self.receive_brittle(&peer, &notices, now),
             PartnerMessage::Topics(digests) => self.apply_digests(&peer, &digests, now),
             PartnerMessage::RecordsRequest(request) => self.send_records(&peer, &request),
-            PartnerMessage::Records(delta) => self.receive_records(&peer, *delta, now),
+            PartnerMessage::Records(delta) => {
+                self.receive_records(&peer, *delta, received.bytes, now);
+            }
             PartnerMessage::RelayLoad(load) => self.apply_load(&peer, &load, now),
             PartnerMessage::Rollout(notice) => self.receive_rollout_notice(&peer, notice, now),
             other => log::debug!("event=message_ignored peer={peer} kind={}", other.kind()),
@@ -248,10 +252,9 @@
     pub(super) fn tick_partners(&mut self, now: Instant) {
         self.advance_membership(MembershipEvent::Tick, now);
         self.partners.traffic.borrow_mut().log_if_due(now);
-        let is_digest_due = std::mem::take(&mut self.partners.has_new_records);
-        if is_digest_due || now >= self.partners.next_digest_at {
-            self.partners.next_digest_at = now + DIGEST_PERIOD;
-            self.broadcast(None, &PartnerMessage::Topics(self.topic_digests(now)));
+        let has_new_records = std::mem::take(&mut self.partners.has_new_records);
+        if has_new_records || now >= self.partners.next_digest_at {
+            self.send_digests(now);
         }
     }
 }
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -67,6 +67,7 @@
         };
         let updates = self.replica.apply_listing(topic, listing);
         self.apply_updates(&updates, &source, now);
+        self.read_schedule.borrow_mut().catch_up(topic, self.replica.known_below(topic));
         self.mark_servers_listed();
     }
 
@@ -80,6 +81,7 @@
     ) {
         let updates = self.replica.apply_records(topic, records, next_position);
         self.apply_updates(&updates, &RecordSource::Store, now);
+        self.read_schedule.borrow_mut().catch_up(topic, self.replica.known_below(topic));
     }
 
     /// Marks the list of servers as known once the replica has it.
@@ -96,6 +98,8 @@
         source: &RecordSource,
         now: Instant,
     ) {
+        let Some(topic) = updates.first().map(|record| record.topic) else { return };
+        self.announce_records(topic, now);
         for record in updates {
             match (record.topic, &record.value) {
                 (RecordTopic::Operator, Some(value)) => {
@@ -120,11 +124,8 @@
                 }
             }
         }
-        if !updates.is_empty() {
-            self.schedule_digest();
-            let servers = self.context.fleet().servers().count();
-            self.context.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
-        }
+        let servers = self.context.fleet().servers().count();
+        self.context.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
 
     fn apply_operator_record(
@@ -139,6 +140,14 @@
         match self.context.ports.dialect.read_operator_record(key, value) {
             Ok(OperatorRecord::Configuration(configuration)) => {
                 self.apply_configuration(*configuration, offset, source);
+                let heard_at = self.read_schedule.borrow().behind_since(RecordTopic::Operator);
+                log::info!(
+                    "event=configuration_applied offset={offset} bytes={} decode_ms={} \
+                     announced_ms={}",
+                    value.len(),
+                    now.elapsed().as_millis(),
+                    heard_at.map_or(0, |at| at.elapsed().as_millis())
+                );
             }
             Ok(OperatorRecord::Weights { model, revision }) => {
                 let schedule = self.read_schedule.borrow();
--- a/tests/relay/earlier_messages.rs
+++ b/tests/relay/earlier_messages.rs
@@ -2,8 +2,11 @@
 
 use ciborium::Value;
 use coriandertide::decision::membership::{MemberRecord, MemberStatus};
-use coriandertide::decision::relay::RecordTopic;
 use coriandertide::decision::relay::read_schedule::Confirmation;
+use coriandertide::decision::relay::replica::{RecordsRequest, TopicListing};
+use coriandertide::decision::relay::{
+    KeyedRecord, RecordPacker, RecordTopic, Replica, record_packing,
+};
 use coriandertide::links::message::{DecodedMessage, TopicDigest};
 use coriandertide::links::{Datagram, PartnerMessage};
 use coriandertide::relay::peers::message;
@@ -146,3 +149,100 @@
     let read: EarlierMember = ciborium::from_reader(stopping.as_slice()).unwrap();
     assert_eq!(read, EarlierMember { i: "n-1".into(), v: 2, s: "alive".into() });
 }
+
+/// Delta as the earlier build (38af5ce) reads it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierDelta {
+    topic: RecordTopic,
+    from: Option<u64>,
+    known_below: u64,
+    records: Vec<KeyedRecord>,
+    #[serde(default)]
+    after: Option<String>,
+    #[serde(default)]
+    has_more: bool,
+}
+
+/// Request as the earlier build sends and reads it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierRequest {
+    topic: RecordTopic,
+    known_below: Option<u64>,
+    #[serde(default)]
+    after: Option<String>,
+    #[serde(default)]
+    is_paged: bool,
+}
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum EarlierRecordMessage {
+    RecordsRequest(EarlierRequest),
+    Records(EarlierDelta),
+}
+
+/// Guards against packed records for a node of an earlier build, which would take the delta for empty and
+/// complete.
+#[test]
+fn a_node_of_an_earlier_build_gets_records_that_are_not_packed() {
+    let topic = RecordTopic::Operator;
+    let value = Some("x".repeat(20_000).into());
+    let record = KeyedRecord { topic, key: "config".into(), position: 4, value };
+    let mut replica = Replica::default();
+    replica.apply_listing(topic, TopicListing { records: vec![record.clone()], end: 5 });
+    let request = EarlierRequest { topic, known_below: Some(3), after: None, is_paged: true };
+    let encoded = encode(&EarlierRecordMessage::RecordsRequest(request));
+    let Ok(DecodedMessage::Known(PartnerMessage::RecordsRequest(request))) =
+        PartnerMessage::decode(&encoded)
+    else {
+        panic!("the request is not understood");
+    };
+    let mut delta = replica.delta(&request, usize::MAX).unwrap();
+    RecordPacker::default().pack(&mut delta, &request, &replica);
+    let sent = PartnerMessage::Records(Box::new(delta)).encode();
+    let read: EarlierRecordMessage = ciborium::from_reader(sent.as_ref()).unwrap();
+    let expected = EarlierDelta {
+        topic,
+        from: Some(3),
+        known_below: 5,
+        records: vec![record],
+        after: None,
+        has_more: false,
+    };
+    assert_eq!(read, EarlierRecordMessage::Records(expected));
+}
+
+/// Guards against a request that a node of an earlier build cannot read, and against its answer, which
+/// is not packed.
+#[test]
+fn a_node_of_an_earlier_build_answers_a_request_that_names_bases() {
+    let topic = RecordTopic::Operator;
+    let request = RecordsRequest {
+        topic,
+        known_below: Some(3),
+        after: None,
+        is_paged: true,
+        bases: Some(vec![2]),
+    };
+    let sent = PartnerMessage::RecordsRequest(request).encode();
+    let read: EarlierRecordMessage = ciborium::from_reader(sent.as_ref()).unwrap();
+    let expected = EarlierRequest { topic, known_below: Some(3), after: None, is_paged: true };
+    assert_eq!(read, EarlierRecordMessage::RecordsRequest(expected));
+    let records = vec![KeyedRecord { topic, key: "config".into(), position: 4, value: None }];
+    let answer = EarlierDelta {
+        topic,
+        from: Some(3),
+        known_below: 5,
+        records: records.clone(),
+        after: None,
+        has_more: false,
+    };
+    let encoded = encode(&EarlierRecordMessage::Records(answer));
+    let Ok(DecodedMessage::Known(PartnerMessage::Records(mut delta))) =
+        PartnerMessage::decode(&encoded)
+    else {
+        panic!("the answer is not understood");
+    };
+    record_packing::unpack(&mut delta, &Replica::default()).unwrap();
+    assert_eq!(delta.records, records);
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -140,6 +140,6 @@
     topic: RecordTopic,
     known_below: Option<LogPosition>,
 ) -> Option<TopicDelta> {
-    let request = RecordsRequest { topic, known_below, after: None, is_paged: true };
+    let request = RecordsRequest { topic, known_below, after: None, is_paged: true, bases: None };
     replica.delta(&request, usize::MAX)
 }
--- a/tests/relay/record_spread.rs
+++ b/tests/relay/record_spread.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use coriandertide::decision::membership::{MemberRecord, MemberStatus, choose_partners};
 use coriandertide::decision::relay::replica::{RecordsRequest, TopicDelta, TopicListing};
-use coriandertide::decision::relay::{KeyedRecord, RecordRequests, RecordTopic, Replica};
+use coriandertide::decision::relay::{
+    KeyedRecord, RecordPacker, RecordRequests, RecordTopic, Replica, record_packing,
+};
 use coriandertide::links::PartnerMessage;
 use smol_str::{SmolStr, format_smolstr};
 use std::cmp::Reverse;
@@ -97,8 +99,8 @@
 struct Node {
     replica: Replica,
     requests: RecordRequests,
+    packer: RecordPacker,
     partners: Vec<usize>,
-    has_new_records: bool,
     next_digest_at: Instant,
     /// When what is queued on the link of the node has been sent, and received.
     sent_at: Instant,
@@ -126,7 +128,7 @@
 }
 
 impl Nodes {
-    fn new(count: usize, routes: u64, start: Instant) -> Self {
+    fn new(count: usize, first_routes: u64, routes: u64, start: Instant) -> Self {
         let members: Vec<MemberRecord> = (0..count).map(member).collect();
         let mut partners: Vec<Vec<usize>> = vec![Vec::new(); count];
         for (node, local) in members.iter().enumerate() {
@@ -142,12 +144,15 @@
         }
         let nodes = partners.into_iter().map(|partners| {
             let mut replica = Replica::default();
-            replica.apply_listing(TOPIC, TopicListing { records: vec![record(0, routes)], end: 1 });
+            replica.apply_listing(
+                TOPIC,
+                TopicListing { records: vec![record(0, first_routes)], end: 1 },
+            );
             Node {
                 replica,
                 requests: RecordRequests::default(),
+                packer: RecordPacker::default(),
                 partners,
-                has_new_records: false,
                 next_digest_at: start,
                 sent_at: start,
                 received_at: start,
@@ -192,9 +197,14 @@
         self.send(from, to, bytes, now, event);
     }
 
+    fn send_request(&mut self, from: usize, to: usize, request: RecordsRequest, now: Instant) {
+        let Node { replica, requests, .. } = &self.nodes[from];
+        let request = requests.with_bases(request, replica);
+        self.send_message(from, to, PartnerMessage::RecordsRequest(request), now);
+    }
+
     fn send_digests(&mut self, node: usize, now: Instant) {
         const DIGEST_BYTES: usize = 150;
-        self.nodes[node].has_new_records = false;
         self.nodes[node].next_digest_at = now + DIGEST_PERIOD;
         let known_below = self.nodes[node].replica.known_below(TOPIC).unwrap();
         for to in self.nodes[node].partners.clone() {
@@ -207,7 +217,7 @@
         if updates.is_empty() {
             return;
         }
-        self.announce_records(node, now);
+        self.send_digests(node, now);
         for update in updates {
             let bytes = update.value.as_ref().map_or(0, Bytes::len) as u64;
             self.nodes[node].idle_at = self.nodes[node].idle_at.max(now)
@@ -217,11 +227,6 @@
         }
     }
 
-    /// Lets partners know of new records with the next tick.
-    fn announce_records(&mut self, node: usize, _now: Instant) {
-        self.nodes[node].has_new_records = true;
-    }
-
     fn handle(&mut self, node: usize, event: Event, now: Instant) {
         match event {
             Event::Read { version } => {
@@ -238,17 +243,20 @@
                 let peer = name(from);
                 let request = requests.announce(&peer, TOPIC, known_below, known, now);
                 if let Some(request) = request {
-                    self.send_message(node, from, PartnerMessage::RecordsRequest(request), now);
+                    self.send_request(node, from, request, now);
                 }
             }
             Event::Request { from, request } => {
-                if let Some(delta) = self.nodes[node].replica.delta(&request, PAGE_BYTES) {
+                let Node { replica, packer, .. } = &mut self.nodes[node];
+                if let Some(mut delta) = replica.delta(&request, PAGE_BYTES) {
+                    packer.pack(&mut delta, &request, replica);
                     let message = PartnerMessage::Records(Box::new(delta));
                     self.send_message(node, from, message, now);
                 }
             }
             Event::Records { from, mut delta } => {
                 let Node { replica, requests, .. } = &mut self.nodes[node];
+                record_packing::unpack(&mut delta, replica).unwrap();
                 let next_page = requests.receive(&name(from), &mut delta, now);
                 let updates = replica.apply_delta(*delta);
                 let known = replica.known_below(TOPIC);
@@ -257,11 +265,11 @@
                 self.apply(node, &updates, now);
                 if let Some((peer, request)) = next {
                     let to = peer.trim_start_matches("node-").parse().unwrap();
-                    self.send_message(node, to, PartnerMessage::RecordsRequest(request), now);
+                    self.send_request(node, to, request, now);
                 }
             }
             Event::Tick => {
-                if self.nodes[node].has_new_records || now >= self.nodes[node].next_digest_at {
+                if now >= self.nodes[node].next_digest_at {
                     self.send_digests(node, now);
                 }
                 self.schedule(now + TICK, node, Event::Tick);
@@ -291,11 +299,12 @@
     format_smolstr!("node-{node}")
 }
 
-/// Confirms `changes` configurations, each of which the followers read from the store.
-fn spread(count: usize, routes: u64, changes: u64) -> Spread {
+/// Confirms `changes` configurations, each of which the followers read from the store. Nodes begin with
+/// one of `first_routes`.
+fn spread(count: usize, first_routes: u64, routes: u64, changes: u64) -> Spread {
     let start = Instant::now();
     let mut random = fastrand::Rng::with_seed(count as u64 + routes);
-    let mut nodes = Nodes::new(count, routes, start);
+    let mut nodes = Nodes::new(count, first_routes, routes, start);
     for node in 0..count {
         let at = start + TICK.mul_f64(random.f64());
         nodes.schedule(at, node, Event::Tick);
@@ -339,18 +348,29 @@
 fn large_configurations_are_in_force_in_time() {
     for (nodes, bound_ms) in [(6, 1_500), (58, 1_500), (295, 2_000)] {
         for routes in SIZES {
-            let spread = spread(nodes, routes, 5);
+            let spread = spread(nodes, routes, routes, 5);
+            println!("{nodes} nodes, {routes} routes: {spread:?}");
             assert!(spread.longest <= ms(bound_ms), "{nodes} nodes, {routes} routes: {spread:?}");
         }
     }
 }
 
+/// Guards against many new routes, of which the nodes have no earlier version, that are served too late.
+#[test]
+fn many_new_routes_are_in_force_in_time() {
+    for (nodes, bound_ms) in [(6, 1_500), (58, 1_500), (295, 2_000)] {
+        let spread = spread(nodes, SIZES[0], SIZES[2], 1);
+        println!("{nodes} nodes: {spread:?}");
+        assert!(spread.longest <= ms(bound_ms), "{nodes} nodes: {spread:?}");
+    }
+}
+
 /// Guards against a change of one route that costs a copy of the whole configuration for each node.
 #[test]
 fn a_change_costs_a_tenth_of_the_copies_of_a_configuration() {
     for nodes in [6, 58, 295] {
         let copies = configuration(SIZES[2], 1).len() * nodes;
-        let bytes = spread(nodes, SIZES[2], 5).bytes_per_change;
+        let bytes = spread(nodes, SIZES[2], SIZES[2], 5).bytes_per_change;
         assert!(bytes <= copies / 10, "{nodes} nodes: {bytes} bytes, {copies} in copies");
     }
 }
--- a/tests/relay/replica.rs
+++ b/tests/relay/replica.rs
@@ -5,7 +5,9 @@
 use super::proptest_config;
 use bytes::Bytes;
 use coriandertide::decision::relay::replica::TopicListing;
-use coriandertide::decision::relay::{KeyedRecord, RecordTopic, Replica};
+use coriandertide::decision::relay::{
+    KeyedRecord, RecordPacker, RecordRequests, RecordTopic, Replica, record_packing,
+};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -105,3 +107,44 @@
     assert_eq!(partner.apply_delta(delta).len(), 1);
     assert_eq!(partner.known_below(TOPIC), None);
 }
+
+/// Guards against a node that takes other bytes for a record, or stops following, where the base of a
+/// packed record is unknown or its bytes are damaged.
+#[test]
+fn packed_records_without_their_base_are_requested_whole() {
+    let topic = RecordTopic::Operator;
+    let text = |version: u64| Some(Bytes::from(format!("{version}{}", "route ".repeat(2_000))));
+    let record =
+        |position| KeyedRecord { topic, key: "config".into(), position, value: text(position) };
+    let listed = |position| {
+        let mut replica = Replica::default();
+        replica.apply_listing(
+            topic,
+            TopicListing { records: vec![record(position)], end: position + 1 },
+        );
+        replica
+    };
+    let (mut sender, receiver) = (listed(3), listed(3));
+    sender.apply_records(topic, vec![record(4)], 5);
+    let mut requests = RecordRequests::default();
+    let now = std::time::Instant::now();
+    let peer = "n0".into();
+    let mut request = || {
+        let request = requests.announce(&peer, topic, 5, Some(4), now).unwrap();
+        let request = requests.with_bases(request, &receiver);
+        requests.reject(topic);
+        let mut delta = sender.delta(&request, usize::MAX).unwrap();
+        RecordPacker::default().pack(&mut delta, &request, &sender);
+        delta
+    };
+    let with_base = request();
+    assert_eq!(with_base.packed.as_ref().unwrap().bases, [3]);
+    let mut damaged = with_base.clone();
+    damaged.packed.as_mut().unwrap().hash ^= 1;
+    assert!(record_packing::unpack(&mut damaged, &receiver).is_err());
+    assert!(record_packing::unpack(&mut with_base.clone(), &Replica::default()).is_err());
+    let mut whole = request();
+    assert!(whole.packed.as_ref().unwrap().bases.is_empty());
+    record_packing::unpack(&mut whole, &Replica::default()).unwrap();
+    assert_eq!(whole.records, [record(4)]);
+}
