fix(store): a read goes on while its record arrives, and tells whether the topic goes on

Cause: the time of a read counted from its request, one second in all. A page of 1 MB takes longer on half of a link of 10 Mb/s; the read broke off in the middle, began anew, and the node read as a follower no more for 2 s. Besides, a page that is not the last (the store sends 1 MB at most) confirmed the view as complete: the node relied on it for 1.9 s before it read on.

A page tells the end of the topic; one that is not the last confirms nothing and is followed by the next read at once. records_read logs records, bytes, positions and time.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -277,6 +277,34 @@
         Ok(body.freeze())
     }
 
+    /// Reads the whole body, at most `max_bytes`, for as long as data arrives within `max_gap` of each
+    /// other, and until `deadline` at most.
+    ///
+    /// # Errors
+    ///
+    /// The connection was lost, the body is too long, or it stopped; the error tells how many bytes had
+    /// arrived.
+    pub async fn read_all_in_progress(
+        &mut self,
+        max_bytes: usize,
+        max_gap: Duration,
+        deadline: Instant,
+    ) -> PeerResult<Bytes> {
+        let mut body = BytesMut::new();
+        loop {
+            let next_deadline = deadline.min(Instant::now() + max_gap);
+            let data = self.next_data(next_deadline).await.map_err(|mut error| {
+                error.source = error.source.context(format!("after {} bytes", body.len()));
+                error
+            })?;
+            let Some(data) = data else { return Ok(body.freeze()) };
+            if body.len() + data.len() > max_bytes {
+                return Err(self.body_error(anyhow!("body exceeds {max_bytes} bytes")));
+            }
+            body.extend_from_slice(&data);
+        }
+    }
+
     fn body_error(&self, error: anyhow::Error) -> PeerError {
         PeerError::new(Step::ReadBody, self.key.0.clone(), Delivery::Unknown, error)
     }
--- a/src/ports/coordination_store.rs
+++ b/src/ports/coordination_store.rs
@@ -20,6 +20,9 @@
         records: Vec<KeyedRecord>,
         /// Position of the next poll.
         next_position: LogPosition,
+        /// Position after the last record of the topic when the store answered. It is beyond
+        /// `next_position` if the records do not fit into one page.
+        end: LogPosition,
     },
     /// Some of the records have expired; the topic must be listed again.
     Expired,
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -8,6 +8,7 @@
 use crate::ports::{AnnouncedNode, RecordPage};
 use crate::relay::RelayContext;
 use crate::types::{LogPosition, PeerError, PeerResult, StoreEra, log_position};
+use bytes::Bytes;
 use smol::Timer;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -88,9 +89,12 @@
         RecordTopic::Operator => "follow_operator",
         RecordTopic::Servers => "follow_servers",
     });
-    let mut from = None;
+    let mut position = ReadPosition::Unknown;
     loop {
-        let next = schedule.borrow().next_read(topic, Instant::now());
+        let next = match position {
+            ReadPosition::InTopic(_) => NextRead::Read { wait_until: Instant::now() },
+            _ => schedule.borrow().next_read(topic, Instant::now()),
+        };
         let wait_until = match next {
             NextRead::Read { wait_until } => wait_until,
             NextRead::Wait(until) => {
@@ -98,13 +102,15 @@
                 continue;
             }
         };
-        let result = match from {
-            None => list_topic(&context, topic).await.map(Some),
-            Some(from) => read_topic(&context, topic, from, wait_until).await,
+        let result = match position {
+            ReadPosition::Unknown => list_topic(&context, topic).await,
+            ReadPosition::InTopic(from) | ReadPosition::AtEnd(from) => {
+                read_topic(&context, topic, from, wait_until).await
+            }
         };
         match result {
             Ok(next) => {
-                from = next;
+                position = next;
                 schedule.borrow_mut().record_answer(topic, Instant::now());
                 backoff.record_success();
             }
@@ -116,43 +122,67 @@
     }
 }
 
-async fn list_topic(context: &RelayContext, topic: RecordTopic) -> PeerResult<LogPosition> {
+/// Position from which a topic is read on.
+#[derive(Clone, Copy, Debug)]
+enum ReadPosition {
+    /// None; the topic must be listed.
+    Unknown,
+    /// The topic has later records, which are read at once.
+    InTopic(LogPosition),
+    /// The topic had no later records.
+    AtEnd(LogPosition),
+}
+
+async fn list_topic(context: &RelayContext, topic: RecordTopic) -> PeerResult<ReadPosition> {
     count_call(context, "list");
     let requested_at = Instant::now();
     let listing = context.ports.store.list(topic).await?;
     let end = listing.end;
     send_event(context, RelayControlEvent::TopicListed { topic, listing, requested_at }).await;
-    Ok(end)
+    Ok(ReadPosition::AtEnd(end))
 }
 
-/// Reads records from `from` on; returns the next position, `None` if the topic must be listed
-/// again.
+/// Reads records from `from` on; returns the next position.
 async fn read_topic(
     context: &RelayContext,
     topic: RecordTopic,
     from: LogPosition,
     wait_until: Instant,
-) -> PeerResult<Option<LogPosition>> {
+) -> PeerResult<ReadPosition> {
     count_call(context, "read");
     let requested_at = Instant::now();
     match context.ports.store.poll(topic, from, wait_until).await? {
         RecordPage::Expired => {
             let offset = log_position::offset(from);
             log::info!("event=records_expired topic={topic} offset={offset}");
-            Ok(None)
+            Ok(ReadPosition::Unknown)
         }
         RecordPage::Restored => {
             let era = log_position::era(from);
             log::warn!("event=records_restored topic={topic} known_era={era}");
-            Ok(None)
+            Ok(ReadPosition::Unknown)
         }
-        RecordPage::Records { records, next_position } => {
+        RecordPage::Records { records, next_position, end } => {
+            let is_last = next_position >= end;
+            if topic == RecordTopic::Operator && !records.is_empty() {
+                log::info!(
+                    "event=records_read topic={topic} records={} bytes={} next={next_position} \
+                     end={end} read_ms={}",
+                    records.len(),
+                    records.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum::<usize>(),
+                    requested_at.elapsed().as_millis()
+                );
+            }
             // Without records the store has waited until `wait_until`.
             let confirmed_at = if records.is_empty() { wait_until } else { requested_at };
+            let confirmed_at = is_last.then_some(confirmed_at);
             let event =
                 RelayControlEvent::RecordsRead { topic, records, next_position, confirmed_at };
             send_event(context, event).await;
-            Ok(Some(next_position))
+            Ok(match is_last {
+                true => ReadPosition::AtEnd(next_position),
+                false => ReadPosition::InTopic(next_position),
+            })
         }
     }
 }
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -69,8 +69,8 @@
         records: Vec<KeyedRecord>,
         /// Position of the next record.
         next_position: LogPosition,
-        /// Time at which the store had no later records.
-        confirmed_at: Instant,
+        /// Time at which the store had no later records, `None` if it has some.
+        confirmed_at: Option<Instant>,
     },
     /// Announced nodes were read from the store.
     NodesAnnounced(Vec<AnnouncedNode>),
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -183,8 +183,10 @@
             RelayControlEvent::RecordsRead { topic, records, next_position, confirmed_at } => {
                 self.observe_era(log_position::era(next_position), now);
                 self.apply_records(topic, records, next_position, now);
-                self.read_schedule.borrow_mut().confirm(topic, confirmed_at.min(now), now);
-                self.confirm_servers(now);
+                if let Some(confirmed_at) = confirmed_at {
+                    self.read_schedule.borrow_mut().confirm(topic, confirmed_at.min(now), now);
+                    self.confirm_servers(now);
+                }
             }
             RelayControlEvent::NodesAnnounced(nodes) => self.apply_announced(&nodes, now),
             RelayControlEvent::LinkOpened { link, peer, dialed, outgoing } => {
