fix(relay): a node that knows that its configuration is outdated does not decide by it

How soon a node gets a record rests on links and partners; that it lacks one it learns from a digest of some hundred bytes.

Where the store says that there are no newer records, or where nobody is heard, it goes on with what it has.

Weighed: sending such requests by way of a node that has the version.

--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -14,6 +14,7 @@
 use crate::types::{InstanceId, LogPosition};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -47,6 +48,13 @@
 /// itself: the link of the store carries many times what that of a node does.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which a node that knows of newer records decides by those that it has. With the way of the
+/// news it ends before the records must be in force.
+const MAX_LAG: Duration = Duration::from_millis(1_000);
+
+/// Time after which a node that no partner has told of newer records goes on with those that it has.
+const EVIDENCE_LIFETIME: Duration = Duration::from_millis(1_000);
+
 /// Time after which a reader that has confirmed nothing is forgotten.
 const READER_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -92,8 +100,18 @@
     last_failed_at: Option<Instant>,
     /// When a confirmation was last requested.
     requested_at: Option<Instant>,
-    /// Position below which a partner knew more than this node, and when that became known.
-    newer: Option<(LogPosition, Instant)>,
+    /// What partners know and this node lacks.
+    newer: Option<NewerRecords>,
+}
+
+/// Records that partners know and this node lacks.
+#[derive(Clone, Copy, Debug)]
+struct NewerRecords {
+    /// Position below which a partner knew more when this node first heard of it.
+    position: LogPosition,
+    since: Instant,
+    /// When a partner last told so.
+    told_at: Instant,
 }
 
 /// Read schedule of all topics.
@@ -152,6 +170,8 @@
         let schedule = self.topics.entry(topic).or_default();
         schedule.add_read(read, now);
         schedule.confirm(at, Some(read));
+        // The store knows of all records, also where a partner has told of others.
+        schedule.newer.take_if(|newer| at >= newer.since);
     }
 
     /// Records that by a partner's digest, which has just arrived, the view was complete `age` before
@@ -186,19 +206,26 @@
     ) -> bool {
         let newer = &mut self.topics.entry(topic).or_default().newer;
         let is_news = newer.is_none();
-        newer.get_or_insert((position, now));
+        newer.get_or_insert(NewerRecords { position, since: now, told_at: now }).told_at = now;
         is_news
     }
 
     /// Records that this node knows a topic below `known`.
     pub fn catch_up(&mut self, topic: RecordTopic, known: Option<LogPosition>) {
         let newer = &mut self.topics.entry(topic).or_default().newer;
-        newer.take_if(|(position, _)| known >= Some(*position));
+        newer.take_if(|newer| known >= Some(newer.position));
     }
 
     /// Returns since when this node knows that it lacks records of a topic, `None` if it lacks none.
     pub fn behind_since(&self, topic: RecordTopic) -> Option<Instant> {
-        Some(self.topics.get(&topic)?.newer?.1)
+        Some(self.topics.get(&topic)?.newer?.since)
+    }
+
+    /// Returns when this node must not decide by the records that it has, `None` if it lacks none that it
+    /// knows of. A node that hears neither from the store nor from partners goes on with what it has.
+    pub fn outdated_period(&self, topic: RecordTopic) -> Option<Range<Instant>> {
+        let newer = self.topics.get(&topic)?.newer?;
+        Some(newer.since + MAX_LAG..newer.told_at + EVIDENCE_LIFETIME)
     }
 
     /// Returns the read that confirms the view of a topic.
@@ -246,7 +273,7 @@
         let is_requested = schedule
             .requested_at
             .is_some_and(|at| schedule.confirmed_at.is_none_or(|known| known < at));
-        let fetch_at = schedule.newer.map(|(_, since)| since + FETCH_TIMEOUT);
+        let fetch_at = schedule.newer.map(|newer| newer.since + FETCH_TIMEOUT);
         let has_failed = schedule.failed_at.is_some_and(|at| now < at + FAILED_READ_BACKOFF);
         if is_requested || fetch_at.is_some_and(|at| now >= at) && !has_failed {
             return NextRead::Read { wait_until: now };
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -15,6 +15,7 @@
 use crate::relay::suspension_detector::BootClock;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -40,6 +41,8 @@
     pub ports: RelayPorts,
     /// Configuration in force, `None` until one is known.
     pub configuration: ArcSwapOption<Configuration>,
+    /// When this node must not decide by the configuration in force, since it lacks a newer one.
+    pub outdated_period: ArcSwapOption<Range<Instant>>,
     /// Limits of the callers' listener, replaced by each configuration that sets limits.
     pub caller_limits: Arc<ArcSwap<ListenerLimits>>,
     /// Connections to servers and to the record store.
--- a/src/relay/control/partners/record_exchange.rs
+++ b/src/relay/control/partners/record_exchange.rs
@@ -80,6 +80,7 @@
             }
         }
         self.confirm_servers(now);
+        self.publish_outdated_period();
     }
 
     fn request_records(&self, peer: &InstanceId, request: RecordsRequest) {
@@ -129,7 +130,7 @@
         self.apply_updates(&updates, &source, now);
         self.mark_servers_listed();
         let known = self.replica.known_below(topic);
-        self.read_schedule.borrow_mut().catch_up(topic, known);
+        self.catch_up(topic);
         let next = next_page.map(|request| (peer.clone(), request));
         let next = next.or_else(|| self.partners.record_requests.next(topic, known, now));
         if let Some((peer, request)) = next {
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -67,7 +67,7 @@
         };
         let updates = self.replica.apply_listing(topic, listing);
         self.apply_updates(&updates, &source, now);
-        self.read_schedule.borrow_mut().catch_up(topic, self.replica.known_below(topic));
+        self.catch_up(topic);
         self.mark_servers_listed();
     }
 
@@ -81,7 +81,22 @@
     ) {
         let updates = self.replica.apply_records(topic, records, next_position);
         self.apply_updates(&updates, &RecordSource::Store, now);
-        self.read_schedule.borrow_mut().catch_up(topic, self.replica.known_below(topic));
+        self.catch_up(topic);
+    }
+
+    /// Records how far this node knows a topic, after its records were put in force.
+    pub(super) fn catch_up(&self, topic: RecordTopic) {
+        let known = self.replica.known_below(topic);
+        self.read_schedule.borrow_mut().catch_up(topic, known);
+        self.publish_outdated_period();
+    }
+
+    /// Lets the traffic thread know whether the configuration in force is outdated.
+    pub(super) fn publish_outdated_period(&self) {
+        let period = self.read_schedule.borrow().outdated_period(RecordTopic::Operator);
+        if period.is_some() || self.context.outdated_period.load().is_some() {
+            self.context.outdated_period.store(period.map(Arc::new));
+        }
     }
 
     /// Marks the list of servers as known once the replica has it.
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -179,6 +179,7 @@
                 self.apply_listing(topic, listing, now);
                 self.read_schedule.borrow_mut().confirm(topic, requested_at, now);
                 self.confirm_servers(now);
+                self.publish_outdated_period();
             }
             RelayControlEvent::RecordsRead { topic, records, next_position, confirmed_at } => {
                 self.observe_era(log_position::era(next_position), now);
@@ -186,6 +187,7 @@
                 if let Some(confirmed_at) = confirmed_at {
                     self.read_schedule.borrow_mut().confirm(topic, confirmed_at.min(now), now);
                     self.confirm_servers(now);
+                    self.publish_outdated_period();
                 }
             }
             RelayControlEvent::NodesAnnounced(nodes) => self.apply_announced(&nodes, now),
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -242,6 +242,7 @@
     RelayContext {
         started_at,
         configuration: ArcSwapOption::empty(),
+        outdated_period: ArcSwapOption::empty(),
         caller_limits: Arc::new(ArcSwap::from_pointee(DEFAULT_CALLER_LIMITS)),
         pool: pools.servers,
         metrics,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -27,6 +27,9 @@
 pub enum RefusalReason {
     /// No configuration or no list of servers is known yet.
     Unconfigured,
+    /// The node lacks a newer configuration that it knows of.
+    #[strum(serialize = "outdated_configuration")]
+    Outdated,
     /// No route matches.
     NoRoute,
     /// The API key belongs to no workspace.
@@ -75,6 +78,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverQuota | Self::QuotaTooSmall => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
+            | Self::Outdated
             | Self::QuotaUnknown
             | Self::Poison
             | Self::Stopping
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -2,6 +2,7 @@
 
 use super::RelayContext;
 use super::attempts::Attempts;
+use super::outdated_configuration::wait_until_current;
 use super::peers::message::ForwardedRequest;
 use super::quota::QuotaGrant;
 use super::refusal::{Refusal, RefusalReason};
@@ -200,6 +201,7 @@
     head: RequestHead,
     arrived_at: Instant,
 ) -> Result<RelayedRequest, Refusal> {
+    wait_until_current(context, arrived_at).await?;
     let configuration = context.configuration.load_full();
     let Some(configuration) =
         configuration.filter(|_| context.has_server_list.load(Ordering::Acquire))
--- a/tests/relay/read_schedule.rs
+++ b/tests/relay/read_schedule.rs
@@ -220,3 +220,37 @@
     assert_eq!(schedule.age(TOPIC, now), Some(ms(5_000)));
     assert!(matches!(schedule.next_read(TOPIC, now + ms(200)), NextRead::Read { .. }));
 }
+
+/// Guards against a node that decides by old records though partners tell it that there are newer ones,
+/// and against one that stops deciding though it cannot hear of any.
+#[test]
+fn a_node_that_knows_that_it_is_behind_does_not_decide_by_old_records() {
+    let start = Instant::now();
+    let mut schedule = schedules(58).pop().unwrap();
+    schedule.confirm(TOPIC, start, start);
+    let is_outdated = |schedule: &ReadSchedule, after_ms| {
+        schedule.outdated_period(TOPIC).is_some_and(|p| p.contains(&(start + ms(after_ms))))
+    };
+    assert!(!is_outdated(&schedule, 0));
+    assert!(schedule.observe_newer(TOPIC, 9, start + ms(100)));
+    assert!(!is_outdated(&schedule, 500));
+    // It reads the store itself if no partner delivers.
+    assert!(matches!(schedule.next_read(TOPIC, start + ms(450)), NextRead::Wait(_)));
+    assert!(matches!(schedule.next_read(TOPIC, start + ms(500)), NextRead::Read { .. }));
+    for told_ms in (200..=1_400).step_by(300) {
+        assert!(!schedule.observe_newer(TOPIC, 12, start + ms(told_ms)));
+    }
+    assert!(is_outdated(&schedule, 1_200));
+    // The partner is not heard any more.
+    assert!(!is_outdated(&schedule, 2_500));
+    // What it first heard of has arrived; the records after that are news again.
+    schedule.catch_up(TOPIC, Some(8));
+    assert!(is_outdated(&schedule, 1_200));
+    schedule.catch_up(TOPIC, Some(9));
+    assert!(!is_outdated(&schedule, 1_200));
+    schedule.observe_newer(TOPIC, 12, start + ms(1_500));
+    assert_eq!(schedule.behind_since(TOPIC), Some(start + ms(1_500)));
+    // The store holds no newer records, whatever partners say.
+    schedule.confirm(TOPIC, start + ms(1_600), start + ms(1_700));
+    assert_eq!(schedule.behind_since(TOPIC), None);
+}
