fix(relay): one budget for the memory of all requests and answers that a node holds

Cause: each answer, event and body has a limit, their sum had none. Class: what many hold at once needs a limit for their sum.

Change: answers that are read as a whole, unfinished events, candidates of a stream, bodies of callers and of other nodes draw on one budget, a sixth of the node's memory (setting memory_mb, from the platform's limits). A buffer without room is not read on, so that its sender waits. Where nothing gets on, the largest that its sender has not filled for 0.3 s is given up as its state allows; a caller's body gets 503 (no_room). The first 32 KB of each buffer do not count, so that sound requests go on. Complete answers are delivered. Heads stay below these 32 KB by their own limit.

Weighed: passing large answers through, which takes their second attempt; a reservation by the announced length, which a faulty server could claim without sending.

Metrics relay_buffered_bytes, relay_given_up_buffers; event=buffer_given_up.

--- a/src/decision/relay/event_splitter.rs
+++ b/src/decision/relay/event_splitter.rs
@@ -96,6 +96,11 @@
         data
     }
 
+    /// Returns the memory of the bytes received after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        if self.partial.is_empty() { 0 } else { self.partial.capacity() }
+    }
+
     /// Takes the bytes received after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,13 +1,16 @@
 //! What an attempt brings: the answer of a server, or why there is none.
 
 use super::buffered_answer::BufferedAnswer;
+use super::buffers::{BufferedBody, Buffers, Room};
 use super::end_proof::{EndProof, prove_end};
 use super::in_flight::InFlightAttempt;
 use crate::adapters::connection_pool::PooledExchange;
 use crate::ports::AnswerHead;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
 use anyhow::anyhow;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use std::sync::Arc;
 use std::time::Instant;
 use strum::Display;
 
@@ -85,21 +88,55 @@
         proved.map(|()| None)
     }
 
-    /// Reads the whole body, at most `max_bytes`.
+    /// Returns the next data of the body, `None` at its end, once there is room for it beside the
+    /// `kept_bytes` of the buffer that it is added to.
     ///
     /// # Errors
     ///
-    /// As [`next_data`](Self::next_data), or the body is too long.
-    pub async fn read_all(&mut self, max_bytes: usize, deadline: Instant) -> PeerResult<Bytes> {
-        let mut body = BytesMut::new();
-        while let Some(data) = self.next_data(deadline).await? {
+    /// As [`next_data`](Self::next_data), or there is no room.
+    pub async fn next_data_within(
+        &mut self,
+        room: &mut Room,
+        kept_bytes: usize,
+        deadline: Instant,
+    ) -> PeerResult<Option<Bytes>> {
+        let reserved = room.reserve_read(kept_bytes, deadline).await;
+        reserved.map_err(|error| self.body_error(error))?;
+        let given_up = async { Err(room.given_up().await) };
+        let received = async { Ok(self.next_data(deadline).await) };
+        let received = received.or(given_up).await;
+        let data = received.map_err(|error| self.body_error(error))??;
+        room.record_progress(data.as_ref().map_or(0, Bytes::len));
+        Ok(data)
+    }
+
+    /// Reads the whole body, at most `max_bytes`, within the budget of `buffers`.
+    ///
+    /// # Errors
+    ///
+    /// As [`next_data`](Self::next_data), or the body is too long, or there is no room for it.
+    pub async fn read_all(
+        &mut self,
+        max_bytes: usize,
+        deadline: Instant,
+        buffers: &Arc<Buffers>,
+    ) -> PeerResult<(Bytes, Room)> {
+        let mut body = BufferedBody::new(buffers);
+        loop {
+            let given_up = async { Err(body.room().given_up().await) };
+            let received = async { Ok(self.next_data(deadline).await) };
+            let received = received.or(given_up).await.map_err(|error| self.body_error(error))?;
+            let Some(data) = received? else { return Ok(body.finish()) };
             if body.len() + data.len() > max_bytes {
-                let error = anyhow!("body exceeds {max_bytes} bytes");
-                let server = self.in_flight.server.clone();
-                return Err(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error));
+                return Err(self.body_error(anyhow!("body exceeds {max_bytes} bytes")));
             }
-            body.extend_from_slice(&data);
+            body.extend(&data, deadline).await.map_err(|error| self.body_error(error))?;
         }
-        Ok(body.freeze())
+    }
+
+    /// Returns an error in the body of the answer.
+    pub fn body_error(&self, error: impl Into<anyhow::Error>) -> PeerError {
+        let server = self.in_flight.server.clone();
+        PeerError::new(Step::ReadBody, server, Delivery::Unknown, error.into())
     }
 }
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -2,6 +2,7 @@
 
 use super::answer::Answer;
 use super::attempts::Attempts;
+use super::buffers::{Room, RoomyBody};
 use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
 use super::{RelayContext, stream, suspects};
@@ -13,6 +14,7 @@
 use crate::types::{PeerResult, ServerId};
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
 use std::time::{Duration, Instant};
 
 /// Maximum size of a buffered answer.
@@ -31,12 +33,13 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Complete answer of a server.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct BufferedAnswer {
     /// Status.
     pub status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    room: Room,
     server: ServerId,
     framing: Framing,
 }
@@ -51,8 +54,8 @@
     request: &RelayedRequest,
     mut received: Answer,
 ) -> PeerResult<BufferedAnswer> {
-    let read = received.read_all(MAX_ANSWER_BYTES, request.deadline).await;
-    let body = read.inspect_err(|error| {
+    let read = received.read_all(MAX_ANSWER_BYTES, request.deadline, &context.buffers).await;
+    let (body, room) = read.inspect_err(|error| {
         received.in_flight.record_outcome(false, 0.0);
         if error.is_disconnect() {
             in_flight::request_crash_check(request, &received.in_flight, CutStage::Body);
@@ -64,6 +67,7 @@
         status: exchange.status,
         headers: exchange.headers.clone(),
         body,
+        room,
         server: in_flight.server.clone(),
         framing: exchange.framing,
     };
@@ -79,7 +83,7 @@
         request: &RelayedRequest,
         attempts: &Attempts,
     ) -> Reply {
-        let Self { status, headers, body, server, framing } = self;
+        let Self { status, headers, body, room, server, framing } = self;
         let outcome = if status.is_success() { "complete" } else { "failed" };
         log::info!(
             "event=answered request={} route={} outcome={outcome} status={} server={server} \
@@ -94,7 +98,7 @@
         if status.is_success() {
             suspects::acquit(context, request);
         }
-        let mut reply = Response::new(full_body(body));
+        let mut reply = Response::new(RoomyBody::new(full_body(body), room).boxed_unsync());
         *reply.status_mut() = status;
         *reply.headers_mut() = end_to_end_headers(headers);
         reply
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -1,5 +1,6 @@
 //! State shared by the threads of a relay node.
 
+use super::buffers::Buffers;
 use super::control::RelayControlEvent;
 use super::metrics::RelayMetrics;
 use super::peers::PeerQueries;
@@ -47,6 +48,8 @@
     pub caller_limits: Arc<ArcSwap<ListenerLimits>>,
     /// Connections to servers and to the record store.
     pub pool: Arc<ConnectionPool>,
+    /// Memory of all requests and answers that the node holds.
+    pub buffers: Arc<Buffers>,
     /// Metrics.
     pub metrics: RelayMetrics,
     /// Queue of events for the control thread.
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a relay node, which runs on threads of its own.
 
+use super::buffers::Buffers;
 use super::control::{self, ControlDependencies, RelayControlEvent};
 use super::exchange;
 use super::metrics::RelayMetrics;
@@ -245,6 +246,11 @@
         outdated_period: ArcSwapOption::empty(),
         caller_limits: Arc::new(ArcSwap::from_pointee(DEFAULT_CALLER_LIMITS)),
         pool: pools.servers,
+        buffers: Buffers::new(
+            settings.memory_bytes,
+            metrics.buffered_bytes.clone(),
+            metrics.given_up_buffers.clone(),
+        ),
         metrics,
         control_events,
         is_stopping: AtomicBool::new(false),
--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -72,8 +72,8 @@
     let deadline = Instant::now() + READ_TIMEOUT;
     let is_forward = request.uri().path() == FORWARD_PATH;
     let max_bytes = request::max_body_bytes(context) + MAX_HEAD_BYTES;
-    let body = request::read_body(request.into_body(), max_bytes, deadline).await;
-    let body = body.map_err(|refusal| (None, refusal))?;
+    let body = request::read_body(context, request.into_body(), max_bytes, deadline).await;
+    let (body, room) = body.map_err(|refusal| (None, refusal))?;
     let decoded = ensure_forward(is_forward).and_then(|()| message::decode(body, Instant::now()));
     let forwarded = decoded.map_err(|error| {
         log::warn!("event=forwarded_request_unreadable error=\"{error:#}\"");
@@ -92,7 +92,7 @@
         return Err((Some(id), Refusal::stopping(now)));
     }
     let is_server_wanted = !forwarded.sender.is_empty();
-    match RelayedRequest::forwarded(context, forwarded) {
+    match RelayedRequest::forwarded(context, forwarded, room) {
         Ok(request) => Ok(ReceivedRequest { request, is_server_wanted }),
         Err(refusal) => Err((Some(id), refusal)),
     }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -40,6 +40,8 @@
     BodyTooLarge,
     /// The body did not arrive completely.
     BodyIncomplete,
+    /// The node has no memory for the body.
+    NoRoom,
     /// Servers crashed while they ran the request, often enough to refuse it.
     Poison,
     /// Requests with the same keys, or with ones that may have caused the same crashes, run first.
@@ -79,6 +81,7 @@
             Self::OverQuota | Self::QuotaTooSmall => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
             | Self::Outdated
+            | Self::NoRoom
             | Self::QuotaUnknown
             | Self::Poison
             | Self::Stopping
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -2,6 +2,7 @@
 
 use super::RelayContext;
 use super::attempts::Attempts;
+use super::buffers::{BufferedBody, Room};
 use super::outdated_configuration::wait_until_current;
 use super::peers::message::ForwardedRequest;
 use super::quota::QuotaGrant;
@@ -14,8 +15,9 @@
     AdmissionRequest, Authorization, Configuration, Prompt, RetrySafety, Route, ServerQuery,
 };
 use crate::ports::RequestHead;
-use crate::types::{RequestId, ServiceId};
-use bytes::{Bytes, BytesMut};
+use crate::types::{NoRoom, RequestId, ServiceId};
+use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -28,6 +30,9 @@
 /// Maximum body size if the configuration sets none.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Time after which a caller whose body found no room may return.
+const NO_ROOM_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -61,6 +66,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Room of the body.
+    pub room: Room,
     /// When the head arrived.
     pub arrived_at: Instant,
     /// When the answer must be complete.
@@ -124,6 +131,7 @@
     pub fn forwarded(
         context: &Arc<RelayContext>,
         forwarded: ForwardedRequest,
+        room: Room,
     ) -> Result<Self, Refusal> {
         let ForwardedRequest { id, authorization, uri, headers, body, .. } = forwarded;
         let head = context.ports.dialect.read_request(&headers);
@@ -141,6 +149,7 @@
             uri,
             headers,
             body,
+            room,
             arrived_at: forwarded.arrived_at,
             deadline: forwarded.deadline,
             caller_deadline: forwarded.caller_deadline,
@@ -220,7 +229,7 @@
     let caller_deadline = arrived_at + Duration::from_millis(caller_timeout_ms);
     let max_bytes = max_body_bytes(context);
     let (parts, body) = request.into_parts();
-    let body = read_body(body, max_bytes, deadline).await?;
+    let (body, room) = read_body(context, body, max_bytes, deadline).await?;
     let uri = parts.uri.path_and_query().map_or(parts.uri.clone(), |path| path.clone().into());
     let fingerprint = fingerprint(workspace.as_deref(), &uri, &body);
     check_poison(context, fingerprint)?;
@@ -236,6 +245,7 @@
         uri,
         headers: end_to_end_headers(parts.headers),
         body,
+        room,
         arrived_at,
         deadline,
         caller_deadline,
@@ -274,31 +284,39 @@
     limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes)
 }
 
-/// Reads a body of at most `max_bytes`.
+/// Reads a body of at most `max_bytes`, within the budget of the node.
 pub async fn read_body(
+    context: &RelayContext,
     mut body: Incoming,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let mut whole = BytesMut::new();
+) -> Result<(Bytes, Room), Refusal> {
+    let mut whole = BufferedBody::new(&context.buffers);
     loop {
-        let frame = match timeout_at(deadline, body.frame()).await {
+        let given_up = async { Err(whole.room().given_up().await) };
+        let received = async { Ok(body.frame().await) };
+        let frame = match timeout_at(deadline, received.or(given_up)).await {
             Err(_) => return Err(Refusal::new(RefusalReason::TimedOut)),
-            Ok(None) => return Ok(whole.freeze()),
-            Ok(Some(Err(error))) => {
+            Ok(Err(NoRoom)) => return Err(no_room()),
+            Ok(Ok(None)) => return Ok(whole.finish()),
+            Ok(Ok(Some(Err(error)))) => {
                 log::debug!("event=request_body_broken error=\"{error}\"");
                 return Err(Refusal::new(RefusalReason::BodyIncomplete));
             }
-            Ok(Some(Ok(frame))) => frame,
+            Ok(Ok(Some(Ok(frame)))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
         if whole.len() + data.len() > max_bytes {
             return Err(Refusal::new(RefusalReason::BodyTooLarge));
         }
-        whole.extend_from_slice(&data);
+        whole.extend(&data, deadline).await.map_err(|NoRoom| no_room())?;
     }
 }
 
+fn no_room() -> Refusal {
+    Refusal::with_retry(RefusalReason::NoRoom, Instant::now() + NO_ROOM_RETRY_DELAY)
+}
+
 fn fingerprint(workspace: Option<&Workspace>, uri: &Uri, body: &[u8]) -> Fingerprint {
     let seed = workspace.map_or(0, |workspace| xxh3_64(workspace.name.as_bytes()));
     let path = uri.path_and_query().map_or("", |path| path.as_str());
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -12,6 +12,15 @@
 /// Largest number of cores that the settings accept.
 const MAX_PROCESSOR_CORES: f64 = 1_024.0;
 
+/// Largest memory that the settings accept, in megabytes.
+const MAX_MEMORY_MB: f64 = 1_048_576.0;
+
+/// Bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+/// Memory of a node whose settings do not tell.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+
 /// Settings of a relay node as read from a file.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(default)]
@@ -34,6 +43,8 @@
     pub stop: StopSettings,
     /// Cores that the process may use, in part or whole; 0 if unknown.
     pub processor_cores: f64,
+    /// Megabytes that the process may use, 0 if unknown.
+    pub memory_mb: f64,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub first_start: bool,
     /// How quotas of workspaces are judged.
@@ -129,6 +140,8 @@
     pub stop: StopSettings,
     /// Percent of a core that the process may use, 0 if unknown.
     pub processor_percent: u32,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub is_first_start: bool,
     /// How quotas of workspaces are judged.
@@ -165,6 +178,11 @@
             "processor_cores",
             "must be from 0 to 1024",
         );
+        faults.require(
+            (0.0..=MAX_MEMORY_MB).contains(&raw.memory_mb),
+            "memory_mb",
+            "must be from 0 to 1048576",
+        );
         faults.require(raw.rollout_lease_ms > 0, "rollout_lease_ms", "must be above 0");
         let RawResendSettings { ratio, slack, window_s } = raw.resend;
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
@@ -193,6 +211,10 @@
             rollout_lease_ms: raw.rollout_lease_ms,
             stop: raw.stop,
             processor_percent: (raw.processor_cores * 100.0).round() as u32,
+            memory_bytes: match raw.memory_mb > 0.0 {
+                true => (raw.memory_mb * BYTES_PER_MB) as usize,
+                false => DEFAULT_MEMORY_BYTES,
+            },
             is_first_start: raw.first_start,
             quota_window,
         };
--- a/src/relay/stream/candidate.rs
+++ b/src/relay/stream/candidate.rs
@@ -3,10 +3,12 @@
 use crate::decision::relay::EventSplitter;
 use crate::decision::relay::event_splitter::EventTooLong;
 use crate::relay::answer::Answer;
+use crate::relay::buffers::Room;
 use crate::types::PeerResult;
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
+use std::time::Instant;
 
 /// What a candidate does after it has sent something.
 pub(super) enum CandidateStep {
@@ -25,13 +27,21 @@
     splitter: EventSplitter,
     /// All that has arrived.
     received: BytesMut,
+    /// Room of what has arrived.
+    room: Room,
 }
 
 impl Candidate {
     /// Returns the answer of a server that was asked to go on after `last_event_id`.
-    pub(super) fn new(answer: Answer, last_event_id: Option<SmolStr>) -> Self {
+    pub(super) fn new(answer: Answer, last_event_id: Option<SmolStr>, room: Room) -> Self {
         let splitter = EventSplitter::resumed_after(last_event_id);
-        Self { answer, splitter, received: BytesMut::new() }
+        Self { answer, splitter, received: BytesMut::new(), room }
+    }
+
+    /// Returns the next data of the answer, `None` at its end.
+    pub(super) async fn next_data(&mut self, deadline: Instant) -> PeerResult<Option<Bytes>> {
+        let kept_bytes = self.received.capacity() + self.splitter.partial_bytes();
+        self.answer.next_data_within(&mut self.room, kept_bytes, deadline).await
     }
 
     /// Handles what the server sent. Any data continues what is not an event stream.
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -281,7 +281,8 @@
         let now = Instant::now();
         match outcome {
             AttemptOutcome::Streaming(answer) if self.is_alike(&answer) => {
-                self.candidates.push(Candidate::new(*answer, self.last_event_id()));
+                let room = self.context.buffers.open();
+                self.candidates.push(Candidate::new(*answer, self.last_event_id(), room));
                 return self.failover.record_wait(now);
             }
             AttemptOutcome::Streaming(answer) => {
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -14,6 +14,7 @@
 use crate::relay::answer::Answer;
 use crate::relay::attempts::Attempts;
 use crate::relay::buffered_answer::return_to_pool;
+use crate::relay::buffers::Room;
 use crate::relay::metrics::AnswerLabels;
 use crate::relay::outdated_weights;
 use crate::relay::peers::gateway::software_header;
@@ -79,6 +80,8 @@
     status: StatusCode,
     /// Splits the stream into whole events, `None` if the answer is not an event stream.
     splitter: Option<EventSplitter>,
+    /// Room of the event that the splitter keeps until it is whole.
+    room: Room,
     is_resumable: bool,
     /// Server and framing of the last answer that was interrupted.
     last_answer: Option<(ServerId, Framing)>,
@@ -129,6 +132,7 @@
         is_silence_recorded: false,
         status,
         splitter: is_event_stream.then(|| EventSplitter::resumed_after(resumed_after(request))),
+        room: context.buffers.open(),
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         last_answer: None,
         forwarded_bytes: 0,
@@ -233,6 +237,8 @@
     /// Waits for the next event; the current server goes first if several have happened.
     async fn next_event(&mut self, until: Instant) -> Option<StreamEvent> {
         let Self { answer, candidates, pending, request, moving_until, last_data_at, .. } = self;
+        let (room, splitter) = (&mut self.room, &self.splitter);
+        let kept_bytes = splitter.as_ref().map_or(0, EventSplitter::partial_bytes);
         let must_check = !pending.is_empty() || !candidates.is_empty() || last_data_at.is_none();
         let until = match must_check {
             true => until.min(Instant::now() + SERVER_CHECK_PERIOD),
@@ -242,7 +248,10 @@
         let read = answer.as_mut().filter(|_| moving_until.is_none());
         let received = async {
             match read {
-                Some(answer) => StreamEvent::Received(answer.next_data(request.deadline).await),
+                Some(answer) => {
+                    let data = answer.next_data_within(room, kept_bytes, request.deadline).await;
+                    StreamEvent::Received(data)
+                }
                 None => future::pending().await,
             }
         };
@@ -427,8 +436,7 @@
     if candidates.is_empty() {
         return future::pending().await;
     }
-    let next =
-        candidates.iter_mut().map(|candidate| Box::pin(candidate.answer.next_data(deadline)));
+    let next = candidates.iter_mut().map(|candidate| Box::pin(candidate.next_data(deadline)));
     let (received, index, _others) = select_all(next).await;
     StreamEvent::Continued { index, received }
 }
--- a/src/types/error.rs
+++ b/src/types/error.rs
@@ -16,6 +16,18 @@
 
 impl std::error::Error for DeadlinePassed {}
 
+/// Error for bytes for which the node has no memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NoRoom;
+
+impl fmt::Display for NoRoom {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no memory for more")
+    }
+}
+
+impl std::error::Error for NoRoom {}
+
 /// Result of an exchange with a peer.
 pub type PeerResult<T> = Result<T, PeerError>;
 
@@ -76,7 +88,8 @@
     /// Whether reading the response failed before the deadline, usually because the connection was
     /// lost.
     pub fn is_disconnect(&self) -> bool {
-        matches!(self.step, Step::ReadHead | Step::ReadBody) && !self.source.is::<DeadlinePassed>()
+        let is_own_end = self.source.is::<DeadlinePassed>() || self.source.is::<NoRoom>();
+        matches!(self.step, Step::ReadHead | Step::ReadBody) && !is_own_end
     }
 
     /// Whether the connection was refused because nothing listens at the peer's address.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -6,7 +6,7 @@
 pub mod log_position;
 pub mod priority;
 
-pub use error::{DeadlinePassed, Delivery, PeerError, PeerResult, Step};
+pub use error::{DeadlinePassed, Delivery, NoRoom, PeerError, PeerResult, Step};
 pub use faults::{Fault, Faults};
 pub use ids::*;
 pub use log_position::{LogPosition, StoreEra};
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod authorization;
 mod brittle;
+mod buffer_budget;
 mod choose;
 mod configuration;
 mod crash_evidence;
