perf(records): the nodes with the most processor time follow the topics

The hash of the id decided who reads.

Change: followers are ranked by processor time, then by the hash.

read_schedule::the_nodes_with_the_most_processor_time_follow_the_topics; the other tests of the schedule, whose nodes are equal, are unchanged.

--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -13,6 +13,7 @@
 use super::RecordTopic;
 use crate::types::{InstanceId, LogPosition};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::{Duration, Instant};
@@ -69,6 +70,15 @@
     pub number: u64,
 }
 
+/// Live node that may follow a topic.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reader {
+    /// Id of the run.
+    pub instance: InstanceId,
+    /// Percent of a core that it may use, 0 if unknown.
+    pub processor_percent: u32,
+}
+
 /// What a node does next about a topic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextRead {
@@ -146,14 +156,19 @@
 }
 
 impl ReadSchedule {
-    /// Sets the live nodes, including this one, and ranks the followers of each topic.
-    pub fn set_nodes(&mut self, me: &InstanceId, live: &[InstanceId], topics: &[RecordTopic]) {
+    /// Sets the live nodes, including this one, and ranks the followers of each topic: the nodes with the
+    /// most processor time, whose links are the widest as well, read large records sooner.
+    pub fn set_nodes(&mut self, me: &InstanceId, live: &[Reader], topics: &[RecordTopic]) {
         self.reader = xxh3_64(me.as_bytes());
         for topic in topics {
             let seed = *topic as u64;
-            let position = |node: &InstanceId| xxh3_64_with_seed(node.as_bytes(), seed);
-            let own_position = position(me);
-            let rank = live.iter().filter(|node| position(node) < own_position).count();
+            let position = |node: &Reader| {
+                let hash = xxh3_64_with_seed(node.instance.as_bytes(), seed);
+                (Reverse(node.processor_percent), hash)
+            };
+            let own_position = live.iter().find(|node| node.instance == *me).map(position);
+            let is_before = |node: &&Reader| own_position.is_some_and(|own| position(node) < own);
+            let rank = live.iter().filter(is_before).count();
             self.topics.entry(*topic).or_default().rank = rank;
         }
     }
--- a/src/relay/control/partners/membership.rs
+++ b/src/relay/control/partners/membership.rs
@@ -2,6 +2,7 @@
 
 use super::{LiveNode, Partners};
 use crate::decision::membership::{MemberRecord, MembershipCommand, MembershipEvent};
+use crate::decision::relay::read_schedule::Reader;
 use crate::decision::relay::{PeerNode, RecordTopic};
 use crate::links::PartnerMessage;
 use crate::ports::AnnouncedNode;
@@ -137,7 +138,12 @@
             let topics: Vec<RecordTopic> = RecordTopic::iter().collect();
             let me = &self.partners.membership.local_record().instance;
             let ids: Vec<InstanceId> = live.iter().map(|node| node.instance.clone()).collect();
-            self.read_schedule.borrow_mut().set_nodes(me, &ids, &topics);
+            let reader = |node: &LiveNode| Reader {
+                instance: node.instance.clone(),
+                processor_percent: node.processor_percent,
+            };
+            let readers: Vec<Reader> = live.iter().map(reader).collect();
+            self.read_schedule.borrow_mut().set_nodes(me, &readers, &topics);
             self.context.crash_evidence().set_nodes(me, &ids);
             self.context.fleet().limits.set_nodes(me, &ids, Instant::now());
             self.context.fleet().brittle.set_nodes(me, &ids);
--- a/tests/relay/read_schedule.rs
+++ b/tests/relay/read_schedule.rs
@@ -2,7 +2,7 @@
 //! records without partners.
 
 use super::fixture::ms;
-use coriandertide::decision::relay::read_schedule::Confirmation;
+use coriandertide::decision::relay::read_schedule::{Confirmation, Reader};
 use coriandertide::decision::relay::{NextRead, ReadSchedule, RecordTopic};
 use smol_str::{SmolStr, format_smolstr};
 use std::time::{Duration, Instant};
@@ -17,12 +17,17 @@
     (0..nodes).map(|node| format_smolstr!("node-{node}")).collect()
 }
 
+fn readers(ids: &[SmolStr]) -> Vec<Reader> {
+    let reader = |id: &SmolStr| Reader { instance: id.clone(), processor_percent: 0 };
+    ids.iter().map(reader).collect()
+}
+
 fn schedules(nodes: usize) -> Vec<ReadSchedule> {
     let ids = ids(nodes);
     ids.iter()
         .map(|me| {
             let mut schedule = ReadSchedule::default();
-            schedule.set_nodes(me, &ids, &TOPICS);
+            schedule.set_nodes(me, &readers(&ids), &TOPICS);
             schedule
         })
         .collect()
@@ -112,7 +117,7 @@
     let now = Instant::now();
     let mut schedule = ReadSchedule::default();
     let me = SmolStr::from("me");
-    schedule.set_nodes(&me, std::slice::from_ref(&me), &TOPICS);
+    schedule.set_nodes(&me, &readers(std::slice::from_ref(&me)), &TOPICS);
     schedule.record_failure(TOPIC, now);
     schedule.confirm(TOPIC, now, now);
     assert!(matches!(schedule.next_read(TOPIC, now + ms(100)), NextRead::Wait(_)));
@@ -190,7 +195,7 @@
         let ids = ids(nodes);
         let position = |node: usize| {
             let mut schedule = ReadSchedule::default();
-            schedule.set_nodes(&ids[node], &ids, &TOPICS);
+            schedule.set_nodes(&ids[node], &readers(&ids), &TOPICS);
             schedule.rank(TOPIC)
         };
         let ranks: Vec<usize> = (0..nodes).map(position).collect();
@@ -254,3 +259,25 @@
     schedule.confirm(TOPIC, start + ms(1_600), start + ms(1_700));
     assert_eq!(schedule.behind_since(TOPIC), None);
 }
+
+/// Guards against large records that reach all nodes by way of those with the narrowest links.
+#[test]
+fn the_nodes_with_the_most_processor_time_follow_the_topics() {
+    let ids = ids(58);
+    let mut readers = readers(&ids);
+    readers.iter_mut().for_each(|reader| reader.processor_percent = 12);
+    for large in [7, 19, 31, 40] {
+        readers[large].processor_percent = 50;
+    }
+    let rank = |node: usize| {
+        let mut schedule = ReadSchedule::default();
+        schedule.set_nodes(&ids[node], &readers, &TOPICS);
+        schedule.rank(TOPIC)
+    };
+    let mut large_ranks = [7, 19, 31, 40].map(rank);
+    large_ranks.sort();
+    assert_eq!(large_ranks, [0, 1, 2, 3]);
+    let mut ranks: Vec<usize> = (0..58).map(rank).collect();
+    ranks.sort();
+    assert_eq!(ranks, (0..58).collect::<Vec<_>>());
+}
