fix(records): packed answers are reused by what they hold, not by what was asked

Packed records were kept by request and position. A page that another partner sends replaces records without raising the position, so that the pages of a later answer may be cut elsewhere: the page that was kept lacked records, and the new answer called it the last. Class: an end taken for whole.

Change: they are kept by the hash of the encoded records and their bases.

replica::answers_to_the_same_request_are_packed_by_what_they_hold failed before: one of two records, counted as all.

--- a/src/decision/relay/record_packing.rs
+++ b/src/decision/relay/record_packing.rs
@@ -4,7 +4,7 @@
 //! serve as the dictionary, so that a change of a large record costs about the size of the change.
 
 use super::RecordTopic;
-use super::replica::{KeyedRecord, RecordsRequest, Replica, TopicDelta};
+use super::replica::{RecordsRequest, Replica, TopicDelta};
 use crate::types::LogPosition;
 use anyhow::{Context, ensure};
 use bytes::Bytes;
@@ -49,64 +49,53 @@
     }
 }
 
-/// What determines the packed records of a delta.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct PackingKey {
-    request: RecordsRequest,
-    known_below: LogPosition,
-}
-
 /// Packs deltas; partners that lack the same records get the same bytes.
 #[derive(Clone, Debug, Default)]
 pub struct RecordPacker {
-    recent: VecDeque<(PackingKey, PackedRecords)>,
+    recent: VecDeque<PackedRecords>,
 }
 
 impl RecordPacker {
     /// Packs the records of the answer to `request`, if the partner can read that and it is shorter.
     pub fn pack(&mut self, delta: &mut TopicDelta, request: &RecordsRequest, replica: &Replica) {
         let Some(offered) = &request.bases else { return };
-        let key = PackingKey { request: request.clone(), known_below: delta.known_below };
-        let recent = self.recent.iter().find(|(known, _)| *known == key);
+        let mut encoded = Vec::new();
+        ciborium::into_writer(&delta.records, &mut encoded).expect("writing to a Vec cannot fail");
+        if encoded.len() < MIN_PACKED_BYTES {
+            return;
+        }
+        let topic = delta.topic;
+        let is_known = |position: &&LogPosition| replica.value_at(topic, **position).is_some();
+        let bases: Vec<LogPosition> = offered.iter().filter(is_known).copied().collect();
+        let hash = xxh3_64(&encoded);
+        let recent = self.recent.iter().find(|known| known.hash == hash && known.bases == bases);
         let packed = match recent {
-            Some((_, packed)) => Some(packed.clone()),
-            None => compress(&delta.records, delta.topic, offered, replica),
+            Some(packed) => packed.clone(),
+            None => match compress(&encoded, dictionary(topic, &bases, replica)) {
+                Ok(compressed) => {
+                    let length_bytes = encoded.len() as u64;
+                    let packed = PackedRecords { bases, length_bytes, hash, compressed };
+                    self.recent.truncate(MAX_RECENT - 1);
+                    self.recent.push_front(packed.clone());
+                    packed
+                }
+                Err(error) => {
+                    log::warn!("event=records_not_packed topic={topic} error=\"{error:#}\"");
+                    return;
+                }
+            },
         };
-        let Some(packed) = packed else { return };
-        if recent.is_none() {
-            self.recent.truncate(MAX_RECENT - 1);
-            self.recent.push_front((key, packed.clone()));
+        if packed.compressed.len() < encoded.len() {
+            delta.records.clear();
+            delta.packed = Some(packed);
         }
-        delta.records.clear();
-        delta.packed = Some(packed);
     }
 }
 
-fn compress(
-    records: &[KeyedRecord],
-    topic: RecordTopic,
-    offered: &[LogPosition],
-    replica: &Replica,
-) -> Option<PackedRecords> {
-    let mut encoded = Vec::new();
-    ciborium::into_writer(records, &mut encoded).expect("writing to a Vec cannot fail");
-    if encoded.len() < MIN_PACKED_BYTES {
-        return None;
-    }
-    let is_known = |position: &&LogPosition| replica.value_at(topic, **position).is_some();
-    let bases: Vec<LogPosition> = offered.iter().filter(is_known).copied().collect();
-    let dictionary = dictionary(topic, &bases, replica)?;
-    let compressor = zstd::bulk::Compressor::with_dictionary(COMPRESSION_LEVEL, &dictionary);
-    let compressed = compressor.and_then(|mut compressor| compressor.compress(&encoded));
-    let compressed = compressed
-        .inspect_err(|error| log::warn!("event=records_not_packed topic={topic} error=\"{error}\""))
-        .ok()?;
-    (compressed.len() < encoded.len()).then(|| PackedRecords {
-        bases,
-        length_bytes: encoded.len() as u64,
-        hash: xxh3_64(&encoded),
-        compressed: compressed.into(),
-    })
+fn compress(encoded: &[u8], dictionary: Option<Vec<u8>>) -> anyhow::Result<Bytes> {
+    let dictionary = dictionary.context("step=pack unknown base")?;
+    let mut compressor = zstd::bulk::Compressor::with_dictionary(COMPRESSION_LEVEL, &dictionary)?;
+    Ok(compressor.compress(encoded)?.into())
 }
 
 /// Returns the values of the records at `bases`, `None` if one of them is not known.
--- a/tests/relay/replica.rs
+++ b/tests/relay/replica.rs
@@ -4,7 +4,7 @@
 use super::fixture::whole_delta;
 use super::proptest_config;
 use bytes::Bytes;
-use coriandertide::decision::relay::replica::TopicListing;
+use coriandertide::decision::relay::replica::{RecordsRequest, TopicDelta, TopicListing};
 use coriandertide::decision::relay::{
     KeyedRecord, RecordPacker, RecordRequests, RecordTopic, Replica, record_packing,
 };
@@ -148,3 +148,46 @@
     record_packing::unpack(&mut whole, &Replica::default()).unwrap();
     assert_eq!(whole.records, [record(4)]);
 }
+
+/// Guards against packed records of an earlier answer that are sent for a later one: a page that lacks
+/// records would count as the last.
+#[test]
+fn answers_to_the_same_request_are_packed_by_what_they_hold() {
+    let topic = RecordTopic::Operator;
+    let record = |key: &str, position, repeats| KeyedRecord {
+        topic,
+        key: key.into(),
+        position,
+        value: Some(Bytes::from(key.repeat(repeats))),
+    };
+    let mut replica = Replica::default();
+    let records = vec![record("a", 1, 3_000), record("b", 2, 3_000)];
+    replica.apply_listing(topic, TopicListing { records, end: 3 });
+    let request = RecordsRequest {
+        topic,
+        known_below: None,
+        after: None,
+        is_paged: true,
+        bases: Some(Vec::new()),
+    };
+    let mut packer = RecordPacker::default();
+    let mut answer = |replica: &Replica| {
+        let mut delta = replica.delta(&request, 4_000).unwrap();
+        packer.pack(&mut delta, &request, replica);
+        record_packing::unpack(&mut delta, &Replica::default()).unwrap();
+        (delta.records.len(), delta.has_more)
+    };
+    assert_eq!(answer(&replica), (1, true));
+    // A page of another partner replaces the first record, and all fit into one page.
+    let page = TopicDelta {
+        topic,
+        from: Some(3),
+        known_below: 5,
+        records: vec![record("a", 4, 500)],
+        after: None,
+        has_more: true,
+        packed: None,
+    };
+    replica.apply_delta(page);
+    assert_eq!(answer(&replica), (2, false));
+}
