fix(rollout): each service keeps half of its servers open

Callers got 503 until a rollout had ended: all servers of a service were closed at once.

Cause: the rollout of a model may close two fifths of its servers, four at least and half at most, and counted the servers of all services. In the site of the test two services hold the model: 7 servers, of which m-1 to m-4 were closed, the whole of one service. Which ones were closed hung on the order of servers with the same number of requests.

Ruled out: load (a run by itself decides by that order alone).

Change: the share that may be closed is counted for each service; how many may load at once still for the model, since loading slows down by the sum. One service behaves as before.

each_service_keeps_half_of_its_servers_open: 4 and 3 servers of two services closed with the services counted together, 2 and 2 now.

--- a/src/decision/relay/rollout.rs
+++ b/src/decision/relay/rollout.rs
@@ -1,14 +1,14 @@
 //! Rollout of new weights: updates the servers of a model to the newest revision in batches.
 //!
 //! A server is closed to new requests on all nodes, ordered to load the weights once its requests
-//! have ended, and reopened when its report shows the new weights. At most a fraction of the
-//! servers is closed at once. The others serve the traffic, preferably those that have been
-//! updated.
+//! have ended, and reopened when its report shows the new weights. At most a fraction of each
+//! service's servers is closed at once. The others serve the traffic, preferably those that have
+//! been updated.
 
 pub use super::rollout_messages::{
     RolloutCommand, RolloutServer, RolloutSettings, RunPolicy, WeightsOrderOutcome, WeightsReport,
 };
-use crate::types::{ModelId, ServerId, WeightsRevision};
+use crate::types::{ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -345,18 +345,34 @@
         }
     }
 
-    /// Closes more outdated servers, those with the fewest requests first, so that as many drain as
-    /// load.
+    /// Closes more outdated servers of each service, so that as many drain as load.
     fn close_outdated_servers(
         &mut self,
         servers: &[RolloutServer],
         now: Instant,
         commands: &mut Vec<RolloutCommand>,
+    ) {
+        let mut services: BTreeMap<&ServiceId, Vec<&RolloutServer>> = BTreeMap::new();
+        for server in servers {
+            services.entry(&server.service).or_default().push(server);
+        }
+        for servers in services.values() {
+            self.close_outdated_of_service(servers, now, commands);
+        }
+    }
+
+    /// Closes more outdated servers of one service, those with the fewest requests first.
+    fn close_outdated_of_service(
+        &mut self,
+        servers: &[&RolloutServer],
+        now: Instant,
+        commands: &mut Vec<RolloutCommand>,
     ) {
         let half = servers.len().div_ceil(2);
         let by_fraction = (servers.len() as f64 * self.settings.closed_fraction) as usize;
         let max_closed = by_fraction.max(2 * self.settings.min_loading).min(half).max(1);
-        let busy = self.steps.values().filter(|step| match step {
+        let steps = servers.iter().filter_map(|server| self.steps.get(&server.id));
+        let busy = steps.filter(|step| match step {
             Step::Loading { change, .. } | Step::Confirming { change, .. } => {
                 change.loaded_at.is_none_or(|at| now < at)
             }
@@ -366,6 +382,7 @@
         let capacity = max_closed.saturating_sub(busy.count());
         let mut outdated: Vec<&RolloutServer> = servers
             .iter()
+            .copied()
             .filter(|server| server.revision < self.revision)
             .filter(|server| !self.steps.contains_key(&server.id))
             .collect();
--- a/src/decision/relay/rollout_messages.rs
+++ b/src/decision/relay/rollout_messages.rs
@@ -1,6 +1,6 @@
 //! Settings, reports and commands of a weight rollout.
 
-use crate::types::{ModelId, ServerId, WeightsRevision};
+use crate::types::{ModelId, ServerId, ServiceId, WeightsRevision};
 use std::collections::BTreeMap;
 use std::time::Instant;
 use strum::Display;
@@ -10,10 +10,10 @@
 pub struct RolloutSettings {
     /// Fraction of the servers that may load at once without slowing each other.
     pub loading_fraction: f64,
-    /// Maximum fraction of the servers that are closed at once, including those that load.
+    /// Maximum fraction of a service's servers that are closed at once, including those that load.
     pub closed_fraction: f64,
-    /// Servers that may load at once even if `loading_fraction` allows fewer; twice as many may be
-    /// closed, up to half of all.
+    /// Servers that may load at once even if `loading_fraction` allows fewer; twice as many of a
+    /// service may be closed, up to half of all.
     pub min_loading: usize,
     /// Milliseconds that a server takes to load weights while few others load.
     pub load_ms: u64,
@@ -77,6 +77,8 @@
 pub struct RolloutServer {
     /// Id of the server.
     pub id: ServerId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
     /// Revision of the weights that it is believed to have loaded.
     pub revision: WeightsRevision,
     /// Requests of all nodes that have not ended.
--- a/src/relay/control/rollout/mod.rs
+++ b/src/relay/control/rollout/mod.rs
@@ -175,6 +175,7 @@
                 let revision = *server.weights.get(model)?;
                 Some(RolloutServer {
                     id: server.entry.id.clone(),
+                    service: server.entry.service.clone(),
                     revision,
                     requests: server.total_load(now).requests,
                     outdated_since: target.and_then(|target| target.outdated_since(revision)),
--- a/tests/relay/rollout.rs
+++ b/tests/relay/rollout.rs
@@ -6,7 +6,7 @@
     Rollout, RolloutCommand, RolloutServer, RolloutSettings, RunPolicy, WeightsOrderOutcome,
     WeightsReport,
 };
-use coriandertide::types::ServerId;
+use coriandertide::types::{ServerId, ServiceId};
 use smol_str::format_smolstr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
 /// Simulated server; it loads once its requests have ended.
 #[derive(Clone, Debug)]
 struct SimulatedServer {
+    service: ServiceId,
     revision: u64,
     accepted_orders: u64,
     runs_end_at: Instant,
@@ -33,6 +34,8 @@
     servers: BTreeMap<ServerId, SimulatedServer>,
     closed: BTreeSet<ServerId>,
     max_closed: usize,
+    /// Most servers of a service that were closed at once.
+    max_closed_of_service: BTreeMap<ServiceId, usize>,
     believed: BTreeMap<ServerId, u64>,
     ordered: u32,
     lose_every: Option<u32>,
@@ -42,6 +45,7 @@
 impl Simulation {
     fn new(count: u16, start: Instant) -> Self {
         let server = SimulatedServer {
+            service: "models".into(),
             revision: 1,
             accepted_orders: 0,
             runs_end_at: start,
@@ -60,6 +64,7 @@
             servers,
             closed: BTreeSet::new(),
             max_closed: 0,
+            max_closed_of_service: BTreeMap::new(),
             ordered: 0,
             lose_every: None,
             keep_orders: 0,
@@ -103,12 +108,21 @@
             server.history.push(state);
         }
         self.max_closed = self.max_closed.max(self.closed.len());
+        let mut closed = BTreeMap::<ServiceId, usize>::new();
+        for id in &self.closed {
+            *closed.entry(self.servers[id].service.clone()).or_default() += 1;
+        }
+        for (service, closed) in closed {
+            let most = self.max_closed_of_service.entry(service).or_default();
+            *most = closed.max(*most);
+        }
     }
 
     fn view(&self, revision: u64, now: Instant) -> Vec<RolloutServer> {
         let live = self.servers.iter().filter(|(_, server)| !server.is_unresponsive);
         live.map(|(id, server)| RolloutServer {
             id: id.clone(),
+            service: server.service.clone(),
             revision: self.believed[id],
             requests: u32::from(now < server.runs_end_at),
             outdated_since: (self.believed[id] < revision).then_some(self.start),
@@ -223,6 +237,20 @@
     assert!(simulation.run(&mut rollout(), 2, ms(4_000)).is_some());
 }
 
+/// Guards against a service all of whose servers are closed at once, since the servers of another service
+/// with the same model count as the open ones.
+#[test]
+fn each_service_keeps_half_of_its_servers_open() {
+    let mut simulation = Simulation::new(7, Instant::now());
+    for index in 4..7 {
+        let server = simulation.servers.get_mut(&format_smolstr!("s{index}")).unwrap();
+        server.service = "other".into();
+    }
+    assert!(simulation.run(&mut rollout(), 2, ms(8_000)).is_some());
+    let expected = [("models".into(), 2), ("other".into(), 2)];
+    assert_eq!(simulation.max_closed_of_service, expected.into());
+}
+
 #[test]
 fn no_open_server_loads() {
     let mut simulation = Simulation::new(12, Instant::now());
