fix(relay): complete answers keep their room until their callers have taken them

A caller that does not read a complete answer cost a node the memory of the answer, without a limit for the sum: 60 answers of 3.9 MB made a small node grow by 241 MB, where it has 88 in all; the requests of all its other callers would end with it.

Cause: the budget of buffers counted a complete answer until its body was dropped. The HTTP library takes a body of one piece at once, copies it, and drops it, so that the room came back before a byte was read.

Change: a connection is given 32 KB at a time, and asks for more once less than a head's size is left; the room goes back with the last piece. Events of streams go out in such pieces too, and stay counted until the next read. Where others wait for room, the largest complete answer of which its caller took nothing for 2 s is given up: its bytes are dropped at once, and the connection ends before the answer's end. Complete bodies of requests are never given up.

--- a/src/decision/relay/buffer_budget.rs
+++ b/src/decision/relay/buffer_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! A buffer that finds no room waits. What its bytes come from is not read meanwhile, so that the sender
 //! waits as well. Where nothing gets on, the largest buffer without progress is given up. Small buffers
-//! always have room, so that faulty servers do not keep sound requests from being served.
+//! always have room, so that faulty servers do not keep sound requests from being served. A complete
+//! answer is given up only if its caller reads nothing of it while others wait.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -16,6 +17,9 @@
 /// Time without progress after which a buffer may be given up for others.
 const STALL_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which a complete answer of which its caller reads nothing may be given up for others.
+const UNREAD_TIME: Duration = Duration::from_millis(2_000);
+
 /// Number of a buffer.
 pub type BufferId = u64;
 
@@ -43,8 +47,10 @@
     Filling,
     /// There is no room for more.
     Waiting,
-    /// All has arrived; a caller reads it.
+    /// All has arrived.
     Complete,
+    /// All has arrived, and a caller reads it.
+    Sending,
     /// It was given up, and holds its bytes until it is closed.
     GivenUp,
 }
@@ -96,7 +102,7 @@
         Growth::Granted
     }
 
-    /// Records that bytes of a buffer have arrived.
+    /// Records that bytes of a buffer have arrived, or that its caller has taken them.
     pub fn record_progress(&mut self, id: BufferId, bytes: usize, now: Instant) {
         let Some(buffer) = self.buffers.get_mut(&id) else { return };
         buffer.new_bytes += bytes;
@@ -112,23 +118,36 @@
         }
     }
 
+    /// Records that a caller begins to read a complete buffer.
+    pub fn begin_sending(&mut self, id: BufferId, now: Instant) {
+        if let Some(buffer) = self.buffers.get_mut(&id) {
+            (buffer.state, buffer.progressed_at) = (BufferState::Sending, now);
+        }
+    }
+
     /// Returns the buffer to give up so that others get on: the largest that its sender does not fill, or
-    /// else the largest that waits. `None` if one is being given up already, or all have made progress
-    /// lately.
+    /// else the largest that its caller does not read, or else the largest that waits. `None` if one is
+    /// being given up already, or all have made progress lately.
     pub fn give_up_one(&mut self, now: Instant) -> Option<BufferId> {
         if self.buffers.values().any(|buffer| buffer.state == BufferState::GivenUp) {
             return None;
         }
         let id = self
-            .largest_stalled(BufferState::Filling, now)
-            .or_else(|| self.largest_stalled(BufferState::Waiting, now))?;
+            .largest_stalled(BufferState::Filling, STALL_TIME, now)
+            .or_else(|| self.largest_stalled(BufferState::Sending, UNREAD_TIME, now))
+            .or_else(|| self.largest_stalled(BufferState::Waiting, STALL_TIME, now))?;
         self.buffers.get_mut(&id)?.state = BufferState::GivenUp;
         Some(id)
     }
 
-    fn largest_stalled(&self, state: BufferState, now: Instant) -> Option<BufferId> {
+    fn largest_stalled(
+        &self,
+        state: BufferState,
+        stall_time: Duration,
+        now: Instant,
+    ) -> Option<BufferId> {
         let stalled = self.buffers.iter().filter(|(_, buffer)| {
-            buffer.state == state && now >= buffer.progressed_at + STALL_TIME
+            buffer.state == state && now >= buffer.progressed_at + stall_time
         });
         stalled.max_by_key(|(_, buffer)| buffer.bytes).map(|(id, _)| *id)
     }
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -2,7 +2,7 @@
 
 use super::answer::Answer;
 use super::attempts::Attempts;
-use super::buffers::{Room, RoomyBody};
+use super::buffers::{Room, UnreadBody};
 use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
 use super::{RelayContext, stream, suspects};
@@ -10,7 +10,6 @@
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::Reply;
 use crate::ports::AnswerHead;
-use crate::traffic::reply::full_body;
 use crate::types::{PeerResult, ServerId};
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
@@ -98,7 +97,7 @@
         if status.is_success() {
             suspects::acquit(context, request);
         }
-        let mut reply = Response::new(RoomyBody::new(full_body(body), room).boxed_unsync());
+        let mut reply = Response::new(UnreadBody::new(body, room).boxed_unsync());
         *reply.status_mut() = status;
         *reply.headers_mut() = end_to_end_headers(headers);
         reply
--- a/src/relay/buffers.rs
+++ b/src/relay/buffers.rs
@@ -1,6 +1,6 @@
 //! Buffers of requests and answers, which draw on one budget of the node.
 
-use crate::adapters::http_server::{BodyAborted, ReplyBody};
+use crate::adapters::http_server::BodyAborted;
 use crate::decision::relay::buffer_budget::{BufferBudget, BufferId, Growth, UNCOUNTED_BYTES};
 use crate::types::NoRoom;
 use async_channel::{Receiver, Sender};
@@ -29,6 +29,9 @@
 /// Bytes that may arrive after a buffer has asked for room.
 const READ_BYTES: usize = 64 * 1024;
 
+/// Maximum bytes of a large answer or event that a connection is given at once.
+const PIECE_BYTES: usize = UNCOUNTED_BYTES;
+
 /// Budget of the buffers of a node.
 #[derive(Debug)]
 pub struct Buffers {
@@ -42,6 +45,17 @@
     budget: BufferBudget,
     /// Closed when the buffer is given up.
     open: HashMap<BufferId, Sender<Infallible>>,
+    /// Complete answers of which their callers have not taken all.
+    unread: HashMap<BufferId, Arc<Mutex<Unread>>>,
+}
+
+/// What a caller has not taken of a complete answer.
+#[derive(Debug)]
+enum Unread {
+    /// The bytes that are left.
+    Bytes(Bytes),
+    /// They were given up.
+    GivenUp,
 }
 
 /// Room of one buffer; dropping it gives the room back.
@@ -57,7 +71,8 @@
     /// Returns the budget of a node that has `memory_bytes`.
     pub fn new(memory_bytes: usize, held_bytes: Gauge, given_up: Counter) -> Arc<Self> {
         let limit_bytes = (memory_bytes / MEMORY_SHARE).clamp(MIN_BUDGET_BYTES, MAX_BUDGET_BYTES);
-        let state = State { budget: BufferBudget::new(limit_bytes), open: HashMap::new() };
+        let (open, unread) = Default::default();
+        let state = State { budget: BufferBudget::new(limit_bytes), open, unread };
         Arc::new(Self { state: Mutex::new(state), held_bytes, given_up })
     }
 
@@ -68,7 +83,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     fn resize(&self, id: BufferId, bytes: usize) -> Growth {
@@ -83,15 +98,26 @@
         let mut state = self.lock();
         let Some(id) = state.budget.give_up_one(Instant::now()) else { return };
         state.open.remove(&id);
+        let unread = state.unread.remove(&id);
         self.given_up.inc();
         log::warn!(
-            "event=buffer_given_up bytes={} held={}",
+            "event=buffer_given_up bytes={} held={} is_unread={}",
             state.budget.buffer_bytes(id),
-            state.budget.held_bytes()
+            state.budget.held_bytes(),
+            unread.is_some()
         );
+        if let Some(unread) = unread {
+            // The connection does not ask for more while its caller reads nothing.
+            *lock(&unread) = Unread::GivenUp;
+            state.budget.close(id);
+        }
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Room {
     /// Sets the size of the buffer; waits until there is room.
     ///
@@ -174,6 +200,7 @@
         }
         let mut state = self.buffers.lock();
         state.open.remove(&self.id);
+        state.unread.remove(&self.id);
         state.budget.close(self.id);
         let held_bytes = state.budget.held_bytes();
         self.buffers.held_bytes.set(i64::try_from(held_bytes).unwrap_or(i64::MAX));
@@ -232,36 +259,62 @@
     }
 }
 
-/// Body of a reply that keeps its room until it was sent.
-pub struct RoomyBody {
-    body: ReplyBody,
-    // In a box, since a room cannot be moved while it is pinned.
-    _room: Box<Room>,
+/// Body of a complete answer, which its caller takes piece by piece; it keeps its room until the last
+/// piece is taken.
+pub struct UnreadBody {
+    unread: Arc<Mutex<Unread>>,
+    room: Room,
 }
 
-impl RoomyBody {
-    /// Returns a body that keeps `room`.
-    pub fn new(body: ReplyBody, room: Room) -> Self {
-        Self { body, _room: Box::new(room) }
+impl UnreadBody {
+    /// Returns a body of `bytes`, which take `room`.
+    pub fn new(bytes: Bytes, room: Room) -> Self {
+        let unread = Arc::new(Mutex::new(Unread::Bytes(bytes)));
+        if room.given_up.is_some() {
+            let mut state = room.buffers.lock();
+            state.budget.begin_sending(room.id, Instant::now());
+            state.unread.insert(room.id, Arc::clone(&unread));
+        }
+        Self { unread, room }
+    }
+
+    fn remaining_bytes(&self) -> usize {
+        match &*lock(&self.unread) {
+            Unread::Bytes(bytes) => bytes.len(),
+            // The caller must not take the answer for complete.
+            Unread::GivenUp => PIECE_BYTES,
+        }
     }
 }
 
-impl Body for RoomyBody {
+impl Body for UnreadBody {
     type Data = Bytes;
     type Error = BodyAborted;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let piece = match &mut *lock(&self.unread) {
+            Unread::Bytes(bytes) if bytes.is_empty() => return Poll::Ready(None),
+            Unread::Bytes(bytes) => take_piece(bytes),
+            Unread::GivenUp => return Poll::Ready(Some(Err(BodyAborted))),
+        };
+        self.room.record_progress(piece.len());
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.remaining_bytes() == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        SizeHint::with_exact(self.remaining_bytes() as u64)
     }
 }
+
+/// Takes the next piece of `bytes`. The HTTP library copies what it is given, whatever its size, and then
+/// asks for more only once little is left.
+pub fn take_piece(bytes: &mut Bytes) -> Bytes {
+    bytes.split_to(bytes.len().min(PIECE_BYTES))
+}
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -14,7 +14,7 @@
 use crate::relay::answer::Answer;
 use crate::relay::attempts::Attempts;
 use crate::relay::buffered_answer::return_to_pool;
-use crate::relay::buffers::Room;
+use crate::relay::buffers::{Room, take_piece};
 use crate::relay::metrics::AnswerLabels;
 use crate::relay::outdated_weights;
 use crate::relay::peers::gateway::software_header;
@@ -143,14 +143,20 @@
         is_ended: false,
         next_move_at: None,
     };
-    let frames = unfold(relayed, |mut relayed| async move {
-        let data = relayed.next_data().await?;
-        if data.is_err() {
-            // The HTTP library writes the head and the events before it asks for the error, which
-            // closes the connection.
-            future::yield_now().await;
+    let frames = unfold((relayed, Bytes::new()), |(mut relayed, mut unread)| async move {
+        if unread.is_empty() {
+            match relayed.next_data().await? {
+                Ok(data) => unread = data,
+                Err(error) => {
+                    // The HTTP library writes the head and the events before it asks for the error,
+                    // which closes the connection.
+                    future::yield_now().await;
+                    return Some((Err(error), (relayed, unread)));
+                }
+            }
         }
-        Some((data.map(Frame::data), relayed))
+        let piece = take_piece(&mut unread);
+        Some((Ok(Frame::data(piece)), (relayed, unread)))
     });
     let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
     *reply.status_mut() = status;
--- a/tests/relay/buffer_budget.rs
+++ b/tests/relay/buffer_budget.rs
@@ -71,3 +71,22 @@
         assert_eq!(budget.resize(id, 5 * MIB, now + ms(310)), Growth::Granted);
     }
 }
+
+/// Guards against complete answers that keep the memory of a node for as long as their callers read
+/// nothing, and against giving up those that callers read or bodies that are still needed.
+#[test]
+fn a_complete_answer_is_given_up_if_its_caller_does_not_read_it_and_others_wait() {
+    let now = Instant::now();
+    let (mut budget, ids) = full_budget(now);
+    ids.iter().for_each(|id| budget.complete(*id));
+    let (unread, read) = (ids[0], ids[1]);
+    budget.begin_sending(unread, now);
+    budget.begin_sending(read, now);
+    budget.record_progress(read, MIB, now + ms(1_500));
+    assert_eq!(budget.give_up_one(now + ms(1_900)), None);
+    assert_eq!(budget.give_up_one(now + ms(2_000)), Some(unread));
+    budget.close(unread);
+    assert_eq!(budget.give_up_one(now + ms(3_400)), None);
+    let waiting = budget.open();
+    assert_eq!(budget.resize(waiting, 4 * MIB, now + ms(3_400)), Growth::Granted);
+}
