refactor(relay): bodies within the budget are a module of their own

buffers had two jobs: the budget with its rooms, and the bodies that hold them. An answer that was given up is known by its room, so that the bytes which a caller has not taken need no state of their own.

--- a/src/relay/buffers.rs
+++ b/src/relay/buffers/mod.rs
@@ -1,19 +1,18 @@
 //! Buffers of requests and answers, which draw on one budget of the node.
 
-use crate::adapters::http_server::BodyAborted;
+mod body;
+
+pub use self::body::{BufferedBody, UnreadBody, take_piece};
 use crate::decision::relay::buffer_budget::{BufferBudget, BufferId, Growth, UNCOUNTED_BYTES};
 use crate::types::NoRoom;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use smol::Timer;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// Share of a node's memory that buffers may take.
@@ -29,9 +28,6 @@
 /// Bytes that may arrive after a buffer has asked for room.
 const READ_BYTES: usize = 64 * 1024;
 
-/// Maximum bytes of a large answer or event that a connection is given at once.
-const PIECE_BYTES: usize = UNCOUNTED_BYTES;
-
 /// Budget of the buffers of a node.
 #[derive(Debug)]
 pub struct Buffers {
@@ -46,16 +42,7 @@
     /// Closed when the buffer is given up.
     open: HashMap<BufferId, Sender<Infallible>>,
     /// Complete answers of which their callers have not taken all.
-    unread: HashMap<BufferId, Arc<Mutex<Unread>>>,
-}
-
-/// What a caller has not taken of a complete answer.
-#[derive(Debug)]
-enum Unread {
-    /// The bytes that are left.
-    Bytes(Bytes),
-    /// They were given up.
-    GivenUp,
+    unread: HashMap<BufferId, Arc<Mutex<Bytes>>>,
 }
 
 /// Room of one buffer; dropping it gives the room back.
@@ -108,7 +95,7 @@
         );
         if let Some(unread) = unread {
             // The connection does not ask for more while its caller reads nothing.
-            *lock(&unread) = Unread::GivenUp;
+            lock(&unread).clear();
             state.budget.close(id);
         }
     }
@@ -119,6 +106,15 @@
 }
 
 impl Room {
+    /// Records that a caller begins to take `bytes`, which are dropped if the buffer is given up.
+    fn begin_sending(&self, bytes: &Arc<Mutex<Bytes>>) {
+        if self.given_up.is_some() {
+            let mut state = self.buffers.lock();
+            state.budget.begin_sending(self.id, Instant::now());
+            state.unread.insert(self.id, Arc::clone(bytes));
+        }
+    }
+
     /// Sets the size of the buffer; waits until there is room.
     ///
     /// # Errors
@@ -206,115 +202,3 @@
         self.buffers.held_bytes.set(i64::try_from(held_bytes).unwrap_or(i64::MAX));
     }
 }
-
-/// Bytes that arrive piece by piece, within the budget.
-#[derive(Debug)]
-pub struct BufferedBody {
-    data: Vec<u8>,
-    room: Room,
-}
-
-impl BufferedBody {
-    /// Returns an empty buffer.
-    pub fn new(buffers: &Arc<Buffers>) -> Self {
-        Self { data: Vec::new(), room: buffers.open() }
-    }
-
-    /// Returns the number of bytes.
-    pub fn len(&self) -> usize {
-        self.data.len()
-    }
-
-    /// Whether nothing has arrived.
-    pub fn is_empty(&self) -> bool {
-        self.data.is_empty()
-    }
-
-    /// Returns the room of the buffer.
-    pub fn room(&self) -> &Room {
-        &self.room
-    }
-
-    /// Adds bytes; waits until there is room.
-    ///
-    /// # Errors
-    ///
-    /// The buffer was given up, or there was no room until `deadline`.
-    pub async fn extend(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), NoRoom> {
-        let needed = self.data.len() + bytes.len();
-        if needed > self.data.capacity() {
-            let capacity = needed.max(self.data.capacity() * 3 / 2).next_multiple_of(1024);
-            self.room.resize(capacity, deadline).await?;
-            self.data.reserve_exact(capacity - self.data.len());
-        }
-        self.data.extend_from_slice(bytes);
-        self.room.record_progress(bytes.len());
-        Ok(())
-    }
-
-    /// Returns all bytes, with the room that they take until it is dropped.
-    pub fn finish(self) -> (Bytes, Room) {
-        self.room.complete();
-        (self.data.into(), self.room)
-    }
-}
-
-/// Body of a complete answer, which its caller takes piece by piece; it keeps its room until the last
-/// piece is taken.
-pub struct UnreadBody {
-    unread: Arc<Mutex<Unread>>,
-    room: Room,
-}
-
-impl UnreadBody {
-    /// Returns a body of `bytes`, which take `room`.
-    pub fn new(bytes: Bytes, room: Room) -> Self {
-        let unread = Arc::new(Mutex::new(Unread::Bytes(bytes)));
-        if room.given_up.is_some() {
-            let mut state = room.buffers.lock();
-            state.budget.begin_sending(room.id, Instant::now());
-            state.unread.insert(room.id, Arc::clone(&unread));
-        }
-        Self { unread, room }
-    }
-
-    fn remaining_bytes(&self) -> usize {
-        match &*lock(&self.unread) {
-            Unread::Bytes(bytes) => bytes.len(),
-            // The caller must not take the answer for complete.
-            Unread::GivenUp => PIECE_BYTES,
-        }
-    }
-}
-
-impl Body for UnreadBody {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        let piece = match &mut *lock(&self.unread) {
-            Unread::Bytes(bytes) if bytes.is_empty() => return Poll::Ready(None),
-            Unread::Bytes(bytes) => take_piece(bytes),
-            Unread::GivenUp => return Poll::Ready(Some(Err(BodyAborted))),
-        };
-        self.room.record_progress(piece.len());
-        Poll::Ready(Some(Ok(Frame::data(piece))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.remaining_bytes() == 0
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.remaining_bytes() as u64)
-    }
-}
-
-/// Takes the next piece of `bytes`. The HTTP library copies what it is given, whatever its size, and then
-/// asks for more only once little is left.
-pub fn take_piece(bytes: &mut Bytes) -> Bytes {
-    bytes.split_to(bytes.len().min(PIECE_BYTES))
-}
