refactor(streams): what servers send and how a stream ends are modules of their own

It keeps the loop of a stream and its answer to the caller; what the servers send (whole events, truncations, foreign text) is in received, the end of a stream with its log line in outcome. Moved, not changed.

--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -3,27 +3,25 @@
 
 mod candidate;
 mod failover;
+mod outcome;
+mod received;
 
 use self::candidate::Candidate;
+pub use self::outcome::count_outcome;
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
-use crate::decision::relay::event_splitter::EventTooLong;
-use crate::decision::relay::{EventSplitter, Failover, FailoverStep, GiveUpReason, RetrySafety};
+use crate::decision::relay::{EventSplitter, Failover, FailoverStep, RetrySafety};
 use crate::relay::RelayContext;
 use crate::relay::answer::Answer;
 use crate::relay::attempts::Attempts;
-use crate::relay::buffered_answer::return_to_pool;
 use crate::relay::buffers::{Room, take_piece};
-use crate::relay::metrics::AnswerLabels;
 use crate::relay::outdated_weights;
 use crate::relay::peers::gateway::software_header;
 use crate::relay::peers::message::SOFTWARE;
 use crate::relay::pending_attempts::{EndedAttempt, PendingAttempts, SERVER_CHECK_PERIOD};
 use crate::relay::request::{RelayedRequest, end_to_end_headers};
-use crate::relay::{stream_origin, suspects};
-use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
-use anyhow::anyhow;
+use crate::types::{PeerError, PeerResult, ServerId};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future;
@@ -36,9 +34,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Bytes of an unfinished event from which a stream makes progress: events of models are shorter.
-const MIN_PROGRESS_BYTES: usize = 4 * 1024;
-
 /// What a stream waits for.
 enum StreamEvent {
     /// The current server sent data, ended its answer or broke it off.
@@ -54,12 +49,6 @@
     Attempted(EndedAttempt),
 }
 
-/// Counts a request by its outcome.
-pub fn count_outcome(context: &RelayContext, request: &RelayedRequest, outcome: &str) {
-    let (route, outcome) = (request.route.name.to_string(), outcome.to_owned());
-    context.metrics.requests.get_or_create(&AnswerLabels { route, outcome }).inc();
-}
-
 /// Stream that is being forwarded to a caller.
 struct RelayedStream {
     context: Arc<RelayContext>,
@@ -265,176 +254,6 @@
         let attempted = async { StreamEvent::Attempted(pending.next_ended().await) };
         timeout_at(until, received.or(continued).or(attempted)).await.ok()
     }
-
-    /// Handles what the current server sent; returns what the caller gets now, `None` if nothing.
-    fn handle_received(
-        &mut self,
-        received: PeerResult<Option<Bytes>>,
-    ) -> Option<Result<Bytes, BodyAborted>> {
-        let interruption = match received {
-            Ok(Some(data)) => {
-                let received_bytes = data.len();
-                return match self.take_whole_events(data) {
-                    Ok(events) if events.is_empty() => {
-                        self.record_partial_event(received_bytes);
-                        None
-                    }
-                    Ok(events) => {
-                        self.record_contact();
-                        Some(Ok(self.record_data(events)))
-                    }
-                    Err(BodyAborted) => Some(Err(self.abort_with("event_too_long"))),
-                };
-            }
-            Ok(None) => match self.find_truncation() {
-                Some(truncation) => truncation,
-                None => return self.finish().map(Ok),
-            },
-            Err(error) => error,
-        };
-        self.interrupt(&interruption);
-        None
-    }
-
-    /// Records bytes of an unfinished event. They count as progress once there are some kilobytes: a
-    /// stalled server may send a byte now and then.
-    fn record_partial_event(&mut self, bytes: usize) {
-        self.partial_bytes += bytes;
-        if self.partial_bytes >= MIN_PROGRESS_BYTES {
-            self.record_contact();
-        } else if let Some(answer) = &mut self.answer {
-            answer.in_flight.record_contact();
-        }
-    }
-
-    /// Records that the current server goes on, so that no other one is needed.
-    fn record_contact(&mut self) {
-        self.partial_bytes = 0;
-        if let Some(answer) = &mut self.answer {
-            answer.in_flight.record_contact();
-        }
-        self.abandon_others();
-        self.failover.record_data(Instant::now());
-        self.is_silence_recorded = false;
-    }
-
-    /// Returns the whole events that `data` completes; all of `data` if the answer is not an event
-    /// stream.
-    fn take_whole_events(&mut self, data: Bytes) -> Result<Bytes, BodyAborted> {
-        let Some(splitter) = &mut self.splitter else { return Ok(data) };
-        match splitter.push(data) {
-            Ok(events) => Ok(events),
-            Err(EventTooLong) if self.is_resumable => Err(BodyAborted),
-            Err(EventTooLong) => Ok(splitter.take_partial()),
-        }
-    }
-
-    /// Returns an error if the current server has sent something else than events.
-    fn find_foreign_text(&self) -> Option<PeerError> {
-        let answer = self.answer.as_ref()?;
-        self.splitter.as_ref().filter(|splitter| splitter.has_foreign_text())?;
-        let error = anyhow!("the answer does not go on with the stream");
-        let server = answer.in_flight.server.clone();
-        Some(PeerError::new(Step::Decode, server, Delivery::Unknown, error))
-    }
-
-    /// Returns an error if the body that has just ended is not the whole stream.
-    fn find_truncation(&self) -> Option<PeerError> {
-        let (answer, splitter) = (self.answer.as_ref()?, self.splitter.as_ref()?);
-        let framing = answer.exchange.framing;
-        let fault = if splitter.is_inside_event() {
-            "the stream ended inside an event"
-        } else if framing == Framing::ConnectionClose && !splitter.has_event() {
-            "the connection ended before the first event"
-        } else {
-            return None;
-        };
-        let error = anyhow!("{fault} (framing {framing})");
-        let server = answer.in_flight.server.clone();
-        Some(PeerError::new(Step::ReadBody, server, Delivery::Unknown, error))
-    }
-
-    /// Records that data is about to be forwarded: from now on the stream goes on only at the
-    /// software version that wrote it.
-    fn record_data(&mut self, data: Bytes) -> Bytes {
-        let now = Instant::now();
-        self.bind_software();
-        if let Some(last) = self.last_data_at {
-            self.max_pause = self.max_pause.max(now.saturating_duration_since(last));
-        }
-        self.last_data_at = Some(now);
-        self.forwarded_bytes += data.len();
-        data
-    }
-
-    fn bind_software(&mut self) {
-        let Some(answer) = self.answer.as_ref().filter(|_| self.last_data_at.is_none()) else {
-            return;
-        };
-        let proven = answer.in_flight.proven_software();
-        let is_proven = proven.is_some();
-        let software = proven.unwrap_or_else(|| {
-            log::info!("event=software_unproven request={} {}", self.request.id, answer.in_flight);
-            format_smolstr!("unproven-{}", self.request.id)
-        });
-        if self.is_resumable {
-            stream_origin::record_origin(&self.context, &self.request, &software);
-        }
-        self.is_resumable &= is_proven;
-        self.attempts.software = Some(software);
-    }
-
-    /// Ends a complete stream; returns the data after the last whole event, if any.
-    fn finish(&mut self) -> Option<Bytes> {
-        self.is_ended = true;
-        self.abandon_others();
-        if let Some(answer) = self.answer.take() {
-            self.log_outcome("complete", Some(&answer));
-            suspects::acquit(&self.context, &self.request);
-            return_to_pool(&self.context, answer.exchange, &answer.head);
-        }
-        let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
-        rest.filter(|rest| !rest.is_empty())
-    }
-
-    /// Ends an incomplete stream that no server continues.
-    fn abort(&mut self, reason: GiveUpReason) -> BodyAborted {
-        self.abort_with(match reason {
-            GiveUpReason::DeadlinePassed => "time_over",
-            GiveUpReason::NoServer if self.is_resumable => "no_server_goes_on",
-            GiveUpReason::NoServer => "server_broke_off",
-        })
-    }
-
-    /// Ends an incomplete stream and logs why.
-    fn abort_with(&mut self, reason: &str) -> BodyAborted {
-        self.is_ended = true;
-        self.abandon_others();
-        let answer = self.answer.take();
-        log::info!("event=stream_broken request={} reason={reason}", self.request.id);
-        self.log_outcome("broken", answer.as_ref());
-        BodyAborted
-    }
-
-    fn log_outcome(&self, outcome: &str, answer: Option<&Answer>) {
-        count_outcome(&self.context, &self.request, outcome);
-        let current =
-            answer.map(|answer| (answer.in_flight.server.clone(), answer.exchange.framing));
-        let answer = current.or_else(|| self.last_answer.clone());
-        log::info!(
-            "event=answered request={} route={} outcome={outcome} server={} framing={} \
-             first_ms={} bytes={} longest_pause_ms={} {} age_ms={}",
-            self.request.id,
-            self.request.route.name,
-            answer.as_ref().map_or("none", |(server, _)| server.as_str()),
-            answer.as_ref().map_or("none", |(_, framing)| framing.into()),
-            self.first_answer_ms,
-            self.forwarded_bytes,
-            self.max_pause.as_millis(),
-            self.attempts,
-            self.request.age_ms()
-        );
-    }
 }
 
 /// Waits until one of the candidates sends something; never returns without candidates.
@@ -446,11 +265,3 @@
     let (received, index, _others) = select_all(next).await;
     StreamEvent::Continued { index, received }
 }
-
-impl Drop for RelayedStream {
-    fn drop(&mut self) {
-        if let Some(answer) = self.answer.take() {
-            self.log_outcome("left", Some(&answer));
-        }
-    }
-}
