--- a/src/decision/relay/record_packing.rs
+++ b/src/decision/relay/record_packing.rs
@@ -71,19 +71,18 @@
         let recent = self.recent.iter().find(|known| known.hash == hash && known.bases == bases);
         let packed = match recent {
             Some(packed) => packed.clone(),
-            None => match compress(&encoded, dictionary(topic, &bases, replica)) {
-                Ok(compressed) => {
-                    let length_bytes = encoded.len() as u64;
-                    let packed = PackedRecords { bases, length_bytes, hash, compressed };
-                    self.recent.truncate(MAX_RECENT - 1);
-                    self.recent.push_front(packed.clone());
-                    packed
-                }
-                Err(error) => {
+            None => {
+                let compressed = compress(&encoded, topic, &bases, replica);
+                let compressed = compressed.inspect_err(|error| {
                     log::warn!("event=records_not_packed topic={topic} error=\"{error:#}\"");
-                    return;
-                }
-            },
+                });
+                let Ok(compressed) = compressed else { return };
+                let length_bytes = encoded.len() as u64;
+                let packed = PackedRecords { bases, length_bytes, hash, compressed };
+                self.recent.truncate(MAX_RECENT - 1);
+                self.recent.push_front(packed.clone());
+                packed
+            }
         };
         if packed.compressed.len() < encoded.len() {
             delta.records.clear();
@@ -92,8 +91,13 @@
     }
 }
 
-fn compress(encoded: &[u8], dictionary: Option<Vec<u8>>) -> anyhow::Result<Bytes> {
-    let dictionary = dictionary.context("step=pack unknown base")?;
+fn compress(
+    encoded: &[u8],
+    topic: RecordTopic,
+    bases: &[LogPosition],
+    replica: &Replica,
+) -> anyhow::Result<Bytes> {
+    let dictionary = dictionary(topic, bases, replica).context("step=pack unknown base")?;
     let mut compressor = zstd::bulk::Compressor::with_dictionary(COMPRESSION_LEVEL, &dictionary)?;
     Ok(compressor.compress(encoded)?.into())
 }
