test(review): streams of a server upgraded in place are joined of two versions

A server starts again under its id with another software version while the store is down. The nodes take its streams for those of the old version, and go on with them at a server of that version once weights are replaced.

--- /dev/null
+++ b/review/standins-2/src/streams.rs
@@ -0,0 +1,119 @@
+//! Clients of a resumable streaming route: they read a stream, and take it up again on a new channel if
+//! it breaks off.
+
+use crate::http;
+use crate::record::Record;
+use crate::site::{HOST, KEY};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time for which a client waits for the whole stream.
+const DEADLINE: Duration = Duration::from_millis(15_000);
+
+/// Silence after which a client abandons a stream.
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// Tries of a client after the first one, and the pause before each.
+const RETRIES: usize = 4;
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
+
+/// What a client got of one stream over its tries.
+#[derive(Debug, Default)]
+pub struct Received {
+    pub id: String,
+    pub last_event: u64,
+    pub is_complete: bool,
+    pub versions: BTreeSet<String>,
+    /// Whether an event was missing or came twice.
+    pub is_out_of_order: bool,
+}
+
+/// Reads stream `number`; `entry` gives the address of a node that takes new channels.
+pub fn read_stream(
+    number: usize,
+    entry: &dyn Fn(usize) -> Option<SocketAddr>,
+    record: &Record,
+) -> Received {
+    let first_id = format!("{:08x}{:08x}", 0x5eed_0000_u32 + number as u32, std::process::id());
+    let mut received = Received { id: first_id.clone(), ..Received::default() };
+    let deadline = Instant::now() + DEADLINE;
+    for attempt in 0..=RETRIES {
+        if attempt > 0 {
+            std::thread::sleep(RETRY_PAUSE);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        let id = if attempt == 0 { first_id.clone() } else { format!("{first_id}{attempt:02x}") };
+        let Some(address) = entry(number + attempt) else { continue };
+        let mut head = format!(
+            "POST /note/2f HTTP/1.1\r\nHost: {HOST}\r\nCoriandertide-Request-Id: {id}\r\n\
+             Coriandertide-Model: {}\r\nCoriandertide-Token-Usage: 826,90\r\n\
+             Coriandertide-Prompt-Prefix: {number:08x}:198,{number:06x}ff:628\r\n\
+             Coriandertide-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 6\r\n",
+            crate::engine::MODEL,
+            left.as_millis()
+        );
+        if received.last_event > 0 {
+            head += &format!("Last-Event-Id: {}\r\nResumes: {first_id}\r\n", received.last_event);
+        }
+        head += "\r\n";
+        let after = received.last_event;
+        match http::send(address, &head, b"prompt", PATIENCE) {
+            Ok(answer) if answer.status == 200 => {
+                let versions = read_events(answer, &mut received);
+                record.add(format!(
+                    "client got of {id} (of {first_id}): events {} to {} by {} complete={}",
+                    after + 1,
+                    received.last_event,
+                    versions.into_iter().collect::<Vec<_>>().join("+"),
+                    received.is_complete
+                ));
+            }
+            Ok(answer) => record.add(format!(
+                "client got of {id} (of {first_id}): {} Retry-After {}",
+                answer.status,
+                answer.header("retry-after").unwrap_or("none")
+            )),
+            Err(error) => record.add(format!("client got of {id} (of {first_id}): {error}")),
+        }
+        if received.is_complete {
+            break;
+        }
+    }
+    received
+}
+
+fn read_events(mut answer: http::Answer, received: &mut Received) -> BTreeSet<String> {
+    let mut versions = BTreeSet::new();
+    let mut text = String::new();
+    loop {
+        match answer.next_data() {
+            Ok(data) if data.is_empty() => {
+                received.is_complete = text.is_empty();
+                break;
+            }
+            Ok(data) => text += &String::from_utf8_lossy(&data),
+            Err(_) => break,
+        }
+        while let Some(end) = text.find("\n\n") {
+            let event: String = text.drain(..end + 2).collect();
+            let field = |name: &str| {
+                event
+                    .lines()
+                    .find_map(|line| line.strip_prefix(name))
+                    .unwrap_or_default()
+                    .trim()
+                    .to_owned()
+            };
+            let number: u64 = field("id:").parse().unwrap_or(0);
+            received.is_out_of_order |= number != received.last_event + 1;
+            received.last_event = number;
+            versions.insert(field("data:"));
+        }
+    }
+    received.versions.extend(versions.iter().cloned());
+    versions
+}
