--- a/review/standins-2/src/cases/joined_streams.rs
+++ b/review/standins-2/src/cases/joined_streams.rs
@@ -10,7 +10,7 @@
 
 pub fn run(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
     let is_store_whole = std::env::var("STORE").is_ok_and(|value| value == "whole");
-    let mut site = start_site(record)?;
+    let mut site = start_site(3, record)?;
     if has_trouble && !is_store_whole {
         site.store.set_down("keyed.stream-versions", true);
         record.add("partition 0 of keyed.stream-versions is down: 503");
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,16 +1,20 @@
 //! The cases, by name.
 
 mod joined_streams;
+mod killed_nodes;
 mod upgraded_in_place;
+mod waiting_request;
+mod woken_node;
 
 use crate::Verdict;
 use crate::engine::{Engine, EngineSettings};
 use crate::node::Node;
 use crate::record::Record;
-use crate::site::{Folder, prepare};
+use crate::site::{Folder, KEY, prepare};
 use crate::store::Store;
-use crate::streams::{Received, read_stream};
+use crate::streams::{Client, Received, Retries, read_stream};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -19,22 +23,34 @@
 const EVENTS: u64 = 73;
 const EVENT_PAUSE: Duration = Duration::from_millis(110);
 
+/// Streams that a model server runs at once.
+const SLOTS: usize = 48;
+
+/// Silence after which clients abandon a stream.
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
 /// Streams that clients ask for, and the time between two.
 const STREAMS: usize = 48;
 const STREAM_PAUSE: Duration = Duration::from_millis(25);
 
+/// Tries after the first one of clients whose stream breaks.
+const RETRIES: Retries = Retries { count: 4, pause: Duration::from_millis(600) };
+
 /// Joined streams that the rule allows.
 const MAX_JOINED: usize = 2;
 
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
+        "killed_nodes" => killed_nodes::run(has_trouble, record),
         "joined_streams" => joined_streams::run(has_trouble, record),
+        "waiting_request" => waiting_request::run(has_trouble, record),
+        "woken_node" => woken_node::run(has_trouble, record),
         "upgraded_in_place" => upgraded_in_place::run(has_trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
 
-/// Three nodes and three model servers of version v1, one of each in a zone.
+/// Nodes, and three model servers of version v1.
 struct Site {
     store: Store,
     nodes: Vec<Node>,
@@ -64,13 +80,13 @@
 
 fn settings(id: &str, zone: &str, software: &'static str, events: u64) -> EngineSettings {
     let (id, zone) = (id.to_owned(), zone.to_owned());
-    EngineSettings { id, zone, software, events, event_pause: EVENT_PAUSE }
+    EngineSettings { id, zone, software, events, event_pause: EVENT_PAUSE, slots: SLOTS }
 }
 
-/// Starts a site and waits until it is calm.
-fn start_site(record: &Record) -> Result<Site, String> {
+/// Starts a site of some nodes and waits until it is calm.
+fn start_site(node_count: usize, record: &Record) -> Result<Site, String> {
     let folder = Folder::new()?;
-    let (store, nodes) = prepare(folder.path(), 3);
+    let (store, nodes) = prepare(folder.path(), node_count);
     let server = |number: usize| {
         let settings = settings(&format!("i-old{number}"), &format!("z{number}"), "v1", EVENTS);
         Engine::start(settings, &store, record)
@@ -87,22 +103,41 @@
 
 /// Starts clients one after the other, each at the next node.
 fn start_clients(site: &Site, count: usize, record: &Record) -> Clients {
+    start_patient_clients(site, 0..count, RETRIES, record)
+}
+
+fn start_patient_clients(
+    site: &Site,
+    numbers: Range<usize>,
+    retries: Retries,
+    record: &Record,
+) -> Clients {
+    let client = |number: usize| Client {
+        number,
+        key: KEY,
+        part: format!("{number:08x}"),
+        patience: PATIENCE,
+        retries,
+    };
     let mut clients = Vec::new();
-    for number in 0..count {
-        let (ready, record) = (Arc::clone(&site.ready), record.clone());
-        clients.push(thread::spawn(move || {
-            let entry = |turn: usize| {
-                let ready: Vec<SocketAddr> =
-                    ready.lock().unwrap().iter().flatten().copied().collect();
-                ready.get(turn % ready.len().max(1)).copied()
-            };
-            read_stream(number, &entry, &record)
-        }));
+    for number in numbers {
+        clients.push(start_client(site, client(number), record));
         thread::sleep(STREAM_PAUSE);
     }
     clients
 }
 
+fn start_client(site: &Site, client: Client, record: &Record) -> JoinHandle<Received> {
+    let (ready, record) = (Arc::clone(&site.ready), record.clone());
+    thread::spawn(move || {
+        let entry = |turn: usize| {
+            let ready: Vec<SocketAddr> = ready.lock().unwrap().iter().flatten().copied().collect();
+            ready.get(turn % ready.len().max(1)).copied()
+        };
+        read_stream(&client, &entry, &record)
+    })
+}
+
 /// Waits for the clients; the rule is broken if too many streams hold events of two versions.
 fn judge(
     clients: Clients,
--- a/review/standins-2/src/cases/upgraded_in_place.rs
+++ b/review/standins-2/src/cases/upgraded_in_place.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 pub fn run(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
-    let site = start_site(record)?;
+    let site = start_site(3, record)?;
     let upgraded = &site.old[0];
     if has_trouble {
         site.store.set_all_down(true);
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -41,6 +41,7 @@
     folder: PathBuf,
     store: SocketAddr,
     seeds: Vec<SocketAddr>,
+    partner_key: String,
     child: Option<Child>,
 }
 
@@ -53,6 +54,7 @@
             folder: folder.to_owned(),
             store,
             seeds: Vec::new(),
+            partner_key: format!("partner-region-{store}"),
             child: None,
         }
     }
@@ -66,7 +68,7 @@
         let Ports { callers, readiness, partners, peers, metrics } = &self.ports;
         format!(
             "{{\"store\": \"{}\", \"node\": {{\"instance_name\": \"{}\", \"availability_zone\": \"{}\", \
-             \"partner_key\": \"partner-region-{}\", \"seed_partners\": [{}], \"listen\": {{\
+             \"partner_key\": \"{}\", \"seed_partners\": [{}], \"listen\": {{\
              \"callers\": \"{callers}\", \"readiness\": \"{readiness}\", \
              \"readiness_path\": \"/-/readyz\", \"partners\": \"{partners}\", \"peers\": \"{peers}\", \
              \"metrics\": \"{metrics}\", \"metrics_path\": \"/metrics\"}}, \
@@ -76,7 +78,7 @@
             self.store,
             self.name,
             self.zone,
-            self.store,
+            self.partner_key,
             seeds.join(", "),
         )
     }
@@ -99,6 +101,27 @@
         Ok(())
     }
 
+    /// Sends a signal (`STOP`, `CONT`) to the process.
+    pub fn signal(&self, signal: &str) -> Result<(), String> {
+        let Some(pid) = self.child.as_ref().map(Child::id) else { return Ok(()) };
+        let command = format!("kill -{signal} {pid}");
+        match Command::new("bash").args(["-c", &command]).status() {
+            Ok(status) if status.success() => Ok(()),
+            Ok(status) => Err(format!("{command}: {status}")),
+            Err(error) => Err(format!("{command}: {error}")),
+        }
+    }
+
+    /// Address at which the node finds the store.
+    pub fn store(&self) -> SocketAddr {
+        self.store
+    }
+
+    /// Sets the address at which the node finds the store, which stands in the partner key as well.
+    pub fn set_store(&mut self, store: SocketAddr) {
+        self.store = store;
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 #[derive(Default)]
@@ -14,6 +15,10 @@
     down: BTreeSet<String>,
     /// Whether the whole store is down: all calls get 503.
     is_down: bool,
+    /// Records before this offset were deleted; the newest of each key is kept.
+    first_kept: BTreeMap<String, usize>,
+    /// Long reads of servers' entries, by the address at which they arrived.
+    reads: BTreeMap<SocketAddr, usize>,
 }
 
 #[derive(Default)]
@@ -28,6 +33,9 @@
     pub address: SocketAddr,
 }
 
+/// Period at which old records are deleted.
+const COMPACTION_PERIOD: Duration = Duration::from_millis(500);
+
 const JSON: [(&str, &str); 1] = [("Content-Type", "application/json")];
 
 impl Store {
@@ -53,6 +61,31 @@
         };
     }
 
+    /// Returns a further address of the store, so that the calls of one node can be told.
+    pub fn another_address(&self) -> SocketAddr {
+        listen(&self.shared)
+    }
+
+    /// Returns the long reads of the servers' entries that came to an address.
+    pub fn reads(&self, address: SocketAddr) -> usize {
+        self.shared.state.lock().unwrap().reads.get(&address).copied().unwrap_or(0)
+    }
+
+    /// Deletes the records of operators and servers twice a second, but for the newest of each key.
+    pub fn keep_newest_alone(&self) {
+        let shared = Arc::clone(&self.shared);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(COMPACTION_PERIOD);
+                let mut state = shared.state.lock().unwrap();
+                for topic in ["keyed.op", "keyed.servers"] {
+                    let end = state.topics.get(topic).map_or(0, Vec::len);
+                    state.first_kept.insert(topic.to_owned(), end);
+                }
+            }
+        });
+    }
+
     /// Sets whether the whole store is down, for servers as well.
     pub fn set_all_down(&self, is_down: bool) {
         self.shared.state.lock().unwrap().is_down = is_down;
@@ -64,6 +97,14 @@
     }
 }
 
+/// Serves a store at a free port.
+fn listen(shared: &Arc<Shared>) -> SocketAddr {
+    let shared = Arc::clone(shared);
+    let handler =
+        move |request: &Request, connection: &mut TcpStream| shared.answer(request, connection);
+    http::Server::start(Arc::new(handler)).address
+}
+
 impl Shared {
     fn append(&self, topic: &str, key: &str, value: Vec<u8>) -> usize {
         let mut state = self.state.lock().unwrap();
@@ -116,8 +157,12 @@
     fn read(&self, topic: &str, request: &Request, connection: &mut TcpStream) -> io::Result<bool> {
         let number = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
         let from = number("From").unwrap_or(0) as usize;
-        let deadline = Instant::now() + Duration::from_millis(number("WaitMs").unwrap_or(0));
+        let wait_ms = number("WaitMs").unwrap_or(0);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.lock().unwrap();
+        if topic == "keyed.servers" && wait_ms > 0 {
+            *state.reads.entry(connection.local_addr()?).or_default() += 1;
+        }
         let records = loop {
             let records = state.topics.get(topic).cloned().unwrap_or_default();
             let left = deadline.saturating_duration_since(Instant::now());
@@ -129,13 +174,15 @@
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         };
+        let first = state.first_kept.get(topic).copied().unwrap_or(0);
         drop(state);
-        if records.len() < from {
-            return http::reply(connection, "410 Gone", &JSON, b"{\"First\":0}");
+        if from < first || records.len() < from {
+            let body = format!("{{\"First\":{first}}}");
+            return http::reply(connection, "410 Gone", &JSON, body.as_bytes());
         }
         let mut body = Vec::new();
         body.extend((records.len() as u64).to_be_bytes());
-        body.extend(0_u64.to_be_bytes());
+        body.extend((first as u64).to_be_bytes());
         for (key, value) in &records[from..] {
             body.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
             body.push(key.len() as u8);
--- a/review/standins-2/src/streams.rs
+++ b/review/standins-2/src/streams.rs
@@ -3,7 +3,7 @@
 
 use crate::http;
 use crate::record::Record;
-use crate::site::{HOST, KEY};
+use crate::site::HOST;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -11,12 +11,34 @@
 /// Time for which a client waits for the whole stream.
 const DEADLINE: Duration = Duration::from_millis(15_000);
 
-/// Silence after which a client abandons a stream.
-const PATIENCE: Duration = Duration::from_millis(2_000);
+/// Client of a stream.
+#[derive(Clone)]
+pub struct Client {
+    pub number: usize,
+    pub key: &'static str,
+    /// Shared part of its prompt.
+    pub part: String,
+    /// Silence after which it abandons the stream.
+    pub patience: Duration,
+    pub retries: Retries,
+}
 
 /// Tries of a client after the first one, and the pause before each.
-const RETRIES: usize = 4;
-const RETRY_PAUSE: Duration = Duration::from_millis(600);
+#[derive(Clone, Copy)]
+pub struct Retries {
+    pub count: usize,
+    pub pause: Duration,
+}
+
+/// Try of a client that had an answer.
+#[derive(Debug)]
+pub struct Try {
+    pub at: Instant,
+    /// Whether it takes up a stream that an earlier one has begun.
+    pub takes_up: bool,
+    /// Whether it brought an event.
+    pub is_served: bool,
+}
 
 /// What a client got of one stream over its tries.
 #[derive(Debug, Default)]
@@ -27,20 +49,22 @@
     pub versions: BTreeSet<String>,
     /// Whether an event was missing or came twice.
     pub is_out_of_order: bool,
+    pub tries: Vec<Try>,
 }
 
-/// Reads stream `number`; `entry` gives the address of a node that takes new channels.
+/// Reads a stream; `entry` gives the address of a node that takes new channels.
 pub fn read_stream(
-    number: usize,
+    client: &Client,
     entry: &dyn Fn(usize) -> Option<SocketAddr>,
     record: &Record,
 ) -> Received {
-    let first_id = format!("{:08x}{:08x}", 0x5eed_0000_u32 + number as u32, std::process::id());
+    let Client { number, key, part, patience, retries } = client;
+    let first_id = format!("{:08x}{:08x}", 0x5eed_0000_u32 + *number as u32, std::process::id());
     let mut received = Received { id: first_id.clone(), ..Received::default() };
     let deadline = Instant::now() + DEADLINE;
-    for attempt in 0..=RETRIES {
+    for attempt in 0..=retries.count {
         if attempt > 0 {
-            std::thread::sleep(RETRY_PAUSE);
+            std::thread::sleep(retries.pause);
         }
         let left = deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -51,8 +75,8 @@
         let mut head = format!(
             "POST /note/2f HTTP/1.1\r\nHost: {HOST}\r\nCoriandertide-Request-Id: {id}\r\n\
              Coriandertide-Model: {}\r\nCoriandertide-Token-Usage: 826,90\r\n\
-             Coriandertide-Prompt-Prefix: {number:08x}:198,{number:06x}ff:628\r\n\
-             Coriandertide-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 6\r\n",
+             Coriandertide-Prompt-Prefix: {part}:198,{number:06x}ff:628\r\n\
+             Coriandertide-Deadline-Ms: {}\r\nAuthorization: Bearer {key}\r\nContent-Length: 6\r\n",
             crate::engine::MODEL,
             left.as_millis()
         );
@@ -61,9 +85,12 @@
         }
         head += "\r\n";
         let after = received.last_event;
-        match http::send(address, &head, b"prompt", PATIENCE) {
+        let (at, takes_up) = (Instant::now(), after > 0);
+        match http::send(address, &head, b"prompt", *patience) {
             Ok(answer) if answer.status == 200 => {
                 let versions = read_events(answer, &mut received);
+                let is_served = received.last_event > after;
+                received.tries.push(Try { at, takes_up, is_served });
                 record.add(format!(
                     "client got of {id} (of {first_id}): events {} to {} by {} complete={}",
                     after + 1,
@@ -72,11 +99,14 @@
                     received.is_complete
                 ));
             }
-            Ok(answer) => record.add(format!(
-                "client got of {id} (of {first_id}): {} Retry-After {}",
-                answer.status,
-                answer.header("retry-after").unwrap_or("none")
-            )),
+            Ok(answer) => {
+                received.tries.push(Try { at, takes_up, is_served: false });
+                record.add(format!(
+                    "client got of {id} (of {first_id}): {} Retry-After {}",
+                    answer.status,
+                    answer.header("retry-after").unwrap_or("none")
+                ));
+            }
             Err(error) => record.add(format!("client got of {id} (of {first_id}): {error}")),
         }
         if received.is_complete {
