fix(streams): a stream begins only at a software version that is recorded

Hypotheses, before a change: (1) the record is never written, as the partition is down until the kill; (2) it is written and the nodes of after the kill do not read it; (3) they read it, and the search leaves it out. The nodes' logs tell: each `version_call_failed` is of the second version, the listing of after the start has one version, and `stream_taken_up` says source=only. So (1): a node begins streams at a version as soon as it sees a server of it, and records the version some time later, or never.

The change: a node knows which versions the store holds (its own append, a listing, or the word of a partner that had the answer), and a new stream gets only servers of these while any is in service, also where they are full. A service without a recorded version has its versions recorded at once by the node that needs one; its callers wait for up to 0.4 s, and not at all while the store fails. Then the stream begins anyway: after a kill, a service without a record counts as unknown, and its streams are refused. Services of routes that are not resumable yet count as well.

Why it works: what a later node finds in the store is a superset of the versions at which streams have begun.

Partner message `versions_recorded` is new; an earlier build drops a message of a kind that it does not know.

--- a/src/decision/relay/choose.rs
+++ b/src/decision/relay/choose.rs
@@ -43,6 +43,9 @@
 /// Retry delay of a caller if the service has no ready server, or none with usable weights.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Retry delay of a caller while no software version of the service is recorded.
+const RECORD_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// Server chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -110,6 +113,8 @@
     OutdatedWeights,
     /// No server has the software version that began the stream.
     OtherSoftware,
+    /// No software version of the service is known to be recorded.
+    UnrecordedSoftware,
 }
 
 /// Error of a choice without a usable server.
@@ -121,6 +126,15 @@
     pub retry_at: Instant,
 }
 
+/// Software versions at which a stream may begin.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct BeginVersions {
+    /// Versions that the record store is known to hold.
+    pub recorded: Vec<SoftwareVersion>,
+    /// Whether another version will do while no server has a recorded one.
+    pub allows_unrecorded: bool,
+}
+
 /// Query for the server of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerQuery<'a> {
@@ -140,6 +154,8 @@
     pub max_event_gap: Duration,
     /// Software version that the server must have, since it began the stream; `None` if any will do.
     pub software: Option<&'a SoftwareVersion>,
+    /// Versions at which the stream may begin, `None` if any will do.
+    pub begins_at: Option<&'a BeginVersions>,
     /// Servers to which the request has been sent already.
     pub tried: &'a [ServerId],
 }
@@ -165,8 +181,11 @@
             .values()
             .filter(|server| server.entry.service == *query.service)
             .filter(|server| self.is_in_service(server) && !server.has_expired(now))
-            .filter(|server| !query.tried.contains(&server.entry.id))
             .collect();
+        if let Some(begins_at) = query.begins_at {
+            retain_recorded(&mut candidates, begins_at, now)?;
+        }
+        candidates.retain(|server| !query.tried.contains(&server.entry.id));
         if candidates.is_empty() {
             return Err(unavailable(UnavailableReason::NoServer, now + NO_SERVER_RETRY_DELAY));
         }
@@ -283,6 +302,22 @@
     Unavailable { reason, retry_at }
 }
 
+/// Drops the servers whose version is not recorded. Where none is recorded, streams still begin once the
+/// query allows it: after a kill of all nodes, those of a service without a record are refused.
+fn retain_recorded(
+    candidates: &mut Vec<&Server>,
+    begins_at: &BeginVersions,
+    now: Instant,
+) -> Result<(), Unavailable> {
+    let is_recorded = |server: &&Server| begins_at.recorded.contains(&server.entry.software);
+    if candidates.iter().any(is_recorded) {
+        candidates.retain(is_recorded);
+    } else if !candidates.is_empty() && !begins_at.allows_unrecorded {
+        return Err(unavailable(UnavailableReason::UnrecordedSoftware, now + RECORD_RETRY_DELAY));
+    }
+    Ok(())
+}
+
 /// Drops the servers that are not preferred, unless none is.
 fn retain_preferred_if_any(candidates: &mut Vec<&Server>, is_preferred: impl Fn(&Server) -> bool) {
     if candidates.iter().any(|server| is_preferred(server)) {
--- a/src/decision/relay/configuration.rs
+++ b/src/decision/relay/configuration.rs
@@ -228,11 +228,12 @@
         routes.iter().find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
-    /// Returns the services that get the streams of routes where they can be resumed.
-    pub fn resumable_services(&self) -> BTreeSet<ServiceId> {
+    /// Returns the services that get streams. Those of a route that is not resumable yet count as well,
+    /// since a later configuration may let their callers resume them.
+    pub fn stream_services(&self) -> BTreeSet<ServiceId> {
         let routes = self.routes.values().flatten();
-        let resumable = routes.filter(|route| route.retry_safety == RetrySafety::ResumableStream);
-        let targets = resumable.flat_map(|route| &route.targets);
+        let streams = routes.filter(|route| route.retry_safety.is_stream());
+        let targets = streams.flat_map(|route| &route.targets);
         targets.map(|target| target.service.clone()).collect()
     }
 
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -46,7 +46,7 @@
 pub use admission::AdmissionRequest;
 pub use authorization::Authorization;
 pub use brittle::{BrittleNotice, BrittleServices, RejectionLimit};
-pub use choose::{Choice, ServerQuery, Unavailable, UnavailableReason};
+pub use choose::{BeginVersions, Choice, ServerQuery, Unavailable, UnavailableReason};
 pub use configuration::{Configuration, RetrySafety, Route, Service};
 pub use event_position::EventPosition;
 pub use event_splitter::EventSplitter;
--- a/src/decision/relay/streams/mod.rs
+++ b/src/decision/relay/streams/mod.rs
@@ -5,6 +5,7 @@
 pub mod origin_search;
 pub mod origins;
 mod owners;
+pub mod recorded_versions;
 pub mod version_records;
 
 pub use origin_messages::{
@@ -12,6 +13,7 @@
 };
 pub use origin_search::{FoundVersion, OriginSearch};
 pub use origins::StreamOrigins;
+pub use recorded_versions::RecordedVersions;
 pub use version_records::{
     ServiceVersion, VersionCall, VersionListing, VersionOutcome, VersionRecords,
 };
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -18,6 +18,7 @@
 use super::origin_messages::{KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin};
 use super::origin_search::OriginSearch;
 use super::owners::{ASKED_NODES, OWNERS, node_hash, ranked_nodes};
+use super::recorded_versions::RecordedVersions;
 use super::version_records::ServiceVersion;
 use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{InstanceId, ServiceId, SoftwareVersion};
@@ -56,6 +57,7 @@
     is_first_start: bool,
     /// Versions that the record store held after the node's start.
     recorded: BTreeSet<ServiceVersion>,
+    recorded_versions: RecordedVersions,
     streams: HashMap<StreamKey, KnownStream>,
     /// When a server of each version of a service was last seen.
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
@@ -80,6 +82,7 @@
             observed_since: now,
             is_first_start,
             recorded: BTreeSet::new(),
+            recorded_versions: RecordedVersions::default(),
             streams: HashMap::new(),
             versions: BTreeMap::new(),
             servers_confirmed_at: None,
@@ -149,10 +152,36 @@
     }
 
     /// Adds versions that the record store holds, of which some may have left before this node's start.
-    pub fn add_recorded(&mut self, recorded: BTreeSet<ServiceVersion>) {
+    pub fn add_recorded(&mut self, recorded: BTreeSet<ServiceVersion>, now: Instant) {
+        for version in &recorded {
+            self.add_recorded_version(version, now);
+        }
         self.recorded.extend(recorded);
     }
 
+    /// Adds a version that the record store holds; returns whether that is news.
+    pub fn add_recorded_version(&mut self, version: &ServiceVersion, now: Instant) -> bool {
+        let is_new = self.recorded_versions.add(version);
+        let is_recorded = |software: SoftwareVersion| {
+            let service = version.service.clone();
+            self.recorded_versions.contains(&ServiceVersion { service, software })
+        };
+        if self.versions(&version.service, now).into_iter().all(is_recorded) {
+            self.recorded_versions.end_requests(&version.service);
+        }
+        is_new
+    }
+
+    /// Returns the versions that the record store is known to hold.
+    pub fn recorded_versions(&self) -> &RecordedVersions {
+        &self.recorded_versions
+    }
+
+    /// Returns the versions that the record store is known to hold, to change them.
+    pub fn recorded_versions_mut(&mut self) -> &mut RecordedVersions {
+        &mut self.recorded_versions
+    }
+
     /// Returns how many other nodes are before `instance` in the order of `seed`.
     pub fn rank(&self, instance: &InstanceId, seed: u64) -> usize {
         let hash = |instance: &InstanceId| xxh3_64_with_seed(instance.as_bytes(), seed);
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -160,14 +160,14 @@
         now: Instant,
     ) -> Option<VersionCall> {
         let Some(recorded) = &self.recorded else { return Some(VersionCall::List) };
-        if now < self.started_at + SETTLE_PERIOD {
-            return None;
-        }
+        let is_settled = now >= self.started_at + SETTLE_PERIOD;
         let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
         for service in services {
+            let is_awaited = origins.recorded_versions().is_awaited(service);
             for software in origins.versions(service, now) {
                 let version = ServiceVersion { service: service.clone(), software };
-                if !recorded.contains(&version) && rank(&version) < WRITERS {
+                let writes = is_awaited || is_settled && rank(&version) < WRITERS;
+                if !recorded.contains(&version) && writes {
                     return Some(VersionCall::Add(version));
                 }
             }
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -9,6 +9,7 @@
 use crate::decision::relay::read_schedule::Confirmation;
 use crate::decision::relay::register_lease::RegisterRecord;
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
+use crate::decision::relay::streams::ServiceVersion;
 use crate::decision::relay::{BrittleNotice, LimitNotice, RecordTopic};
 use crate::types::{LogOffset, LogPosition, ModelId, ServerId, WeightsRevision};
 use bytes::Bytes;
@@ -67,6 +68,8 @@
     RelayLoad(RelayLoad),
     /// State of a rollout of weights.
     Rollout(RolloutNotice),
+    /// Software versions of services that the record store holds, new or all that the sender knows.
+    VersionsRecorded(Vec<ServiceVersion>),
 }
 
 /// How far a node knows a topic of keyed records.
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -169,6 +169,8 @@
     },
     /// Whether the list of servers is complete must be known soon.
     ServersQuestioned,
+    /// Streams wait for the record of a software version.
+    VersionAwaited,
     /// The node is stopping; it still carries requests.
     NodeStopping,
     /// The node carries no requests any more.
--- a/src/relay/control/partners/mod.rs
+++ b/src/relay/control/partners/mod.rs
@@ -27,6 +27,9 @@
 /// Maximum strikes in a message.
 const MAX_MESSAGE_STRIKES: usize = 1_000;
 
+/// Maximum recorded versions in a message.
+const MAX_MESSAGE_VERSIONS: usize = 1_000;
+
 /// Maximum limits of servers in a message.
 const MAX_MESSAGE_LIMITS: usize = 1_000;
 
@@ -203,6 +206,10 @@
         for batch in limits.chunks(MAX_MESSAGE_LIMITS) {
             self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
         }
+        let versions = self.context.origins().recorded_versions().all();
+        for batch in versions.chunks(MAX_MESSAGE_VERSIONS) {
+            self.partners.send(&instance, &PartnerMessage::VersionsRecorded(batch.to_vec()));
+        }
     }
 
     /// Handles a message from a partner.
@@ -229,6 +236,9 @@
                 self.receive_records(&peer, *delta, received.bytes, now);
             }
             PartnerMessage::RelayLoad(load) => self.apply_load(&peer, &load, now),
+            PartnerMessage::VersionsRecorded(versions) => {
+                self.receive_versions(&peer, &versions, now)
+            }
             PartnerMessage::Rollout(notice) => self.receive_rollout_notice(&peer, notice, now),
             other => log::debug!("event=message_ignored peer={peer} kind={}", other.kind()),
         }
--- a/src/relay/control/records.rs
+++ b/src/relay/control/records.rs
@@ -233,7 +233,7 @@
         if let Some(limits) = configuration.limits {
             self.context.caller_limits.store(Arc::new(server_limits(limits)));
         }
-        self.resumable_services = configuration.resumable_services();
+        self.stream_services = configuration.stream_services();
         self.kv_store_address.set(configuration.kv_stores.first().map(|store| store.address));
         self.context
             .metrics
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -75,8 +75,8 @@
     /// When the versions of all servers are observed again.
     next_observation_at: Instant,
     pub(super) version_records: VersionRecords,
-    /// Services with routes whose streams can be resumed.
-    pub(super) resumable_services: BTreeSet<ServiceId>,
+    /// Services with routes for streams.
+    pub(super) stream_services: BTreeSet<ServiceId>,
     /// When other nodes are next asked for lost servers.
     next_reach_query_at: Instant,
     /// Newest known era of the store, `None` before its first answer.
@@ -97,7 +97,7 @@
     let kv_store_address = Rc::new(Cell::new(None));
     let mut state = ControlState {
         version_records: VersionRecords::new(instance.clone(), now),
-        resumable_services: BTreeSet::new(),
+        stream_services: BTreeSet::new(),
         rollout: RolloutControl::new(instance, context.settings.rollout_lease_ms),
         replica: Replica::default(),
         read_schedule: Rc::default(),
@@ -244,6 +244,7 @@
             RelayControlEvent::ServersQuestioned => {
                 self.read_schedule.borrow_mut().request(RecordTopic::Servers, now);
             }
+            RelayControlEvent::VersionAwaited => self.tick_version_records(now),
             RelayControlEvent::NodeStopping => self.announce_stop(now),
             RelayControlEvent::NodeStopped => self.leave_partners(now),
         }
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -3,9 +3,10 @@
 use super::RelayControlEvent;
 use super::follow::count_call;
 use super::state::ControlState;
-use crate::decision::relay::streams::{VersionCall, VersionOutcome};
+use crate::decision::relay::streams::{ServiceVersion, VersionCall, VersionOutcome};
+use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
-use crate::types::PeerResult;
+use crate::types::{InstanceId, PeerResult};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,7 +14,7 @@
     /// Makes the next call that is needed, if any.
     pub(super) fn tick_version_records(&mut self, now: Instant) {
         let origins = self.context.origins();
-        let call = self.version_records.next_call(&origins, &self.resumable_services, now);
+        let call = self.version_records.next_call(&origins, &self.stream_services, now);
         drop(origins);
         let Some(call) = call else { return };
         let context = Arc::clone(&self.context);
@@ -29,6 +30,7 @@
             Ok(outcome) => outcome,
             Err(error) => {
                 log::warn!("event=version_call_failed {error}");
+                self.context.origins().recorded_versions_mut().record_failure();
                 self.version_records.record_failure(now);
                 return;
             }
@@ -36,21 +38,49 @@
         match &outcome {
             VersionOutcome::Listed(listing) => {
                 log::info!("event=versions_listed versions={}", listing.versions.len());
-                self.context.origins().add_recorded(listing.versions.clone());
+                self.context.origins().add_recorded(listing.versions.clone(), now);
+            }
+            VersionOutcome::Added(version) => {
+                log::info!(
+                    "event=version_recorded service={} software={}",
+                    version.service,
+                    version.software
+                );
+                self.context.origins().add_recorded_version(version, now);
+                self.broadcast(None, &PartnerMessage::VersionsRecorded(vec![version.clone()]));
+            }
+            VersionOutcome::Removed(version) => {
+                log::info!(
+                    "event=version_removed service={} software={}",
+                    version.service,
+                    version.software
+                );
+                self.context.origins().recorded_versions_mut().remove(version);
             }
-            VersionOutcome::Added(version) => log::info!(
-                "event=version_recorded service={} software={}",
-                version.service,
-                version.software
-            ),
-            VersionOutcome::Removed(version) => log::info!(
-                "event=version_removed service={} software={}",
-                version.service,
-                version.software
-            ),
             VersionOutcome::Conflict => log::info!("event=version_kept reason=written_since"),
         }
+        self.context.origins().recorded_versions_mut().record_answer();
         self.version_records.apply(outcome);
+        // The next call may be waited for by callers.
+        self.tick_version_records(now);
+    }
+
+    /// Learns from a partner which versions the record store holds.
+    pub(super) fn receive_versions(
+        &self,
+        peer: &InstanceId,
+        versions: &[ServiceVersion],
+        now: Instant,
+    ) {
+        for version in versions {
+            if self.context.origins().add_recorded_version(version, now) {
+                log::info!(
+                    "event=version_known service={} software={} source={peer}",
+                    version.service,
+                    version.software
+                );
+            }
+        }
     }
 }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -12,7 +12,8 @@
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{
-    AdmissionRequest, Authorization, Configuration, Prompt, RetrySafety, Route, ServerQuery,
+    AdmissionRequest, Authorization, BeginVersions, Configuration, Prompt, RetrySafety, Route,
+    ServerQuery,
 };
 use crate::ports::RequestHead;
 use crate::types::{NoRoom, RequestId, ServiceId};
@@ -178,6 +179,7 @@
         &'a self,
         attempts: &'a Attempts,
         authorization: &'a Authorization,
+        begins_at: Option<&'a BeginVersions>,
     ) -> ServerQuery<'a> {
         ServerQuery {
             service: &self.service,
@@ -188,6 +190,7 @@
             latency_objective: Duration::from_millis(self.route.latency_objective_ms),
             max_event_gap: Duration::from_millis(self.route.max_event_gap_ms),
             software: attempts.software.as_ref(),
+            begins_at,
             tried: &attempts.tried,
         }
     }
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -2,9 +2,13 @@
 
 use super::RelayContext;
 use super::attempts::Attempts;
+use super::control::RelayControlEvent;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RelayedRequest;
-use crate::decision::relay::{Authorization, Choice, Prompt, Unavailable, UnavailableReason};
+use crate::decision::relay::{
+    Authorization, BeginVersions, Choice, Prompt, Unavailable, UnavailableReason,
+};
+use crate::types::ServiceId;
 use smol::Timer;
 use std::time::{Duration, Instant};
 
@@ -14,6 +18,9 @@
 /// Longest wait of a resumed stream for one of the servers that may go on with it.
 const MAX_RESUMPTION_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait of a new stream for the record of a software version: some calls to the store.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(400);
+
 /// Time between two attempts to choose a server while all are closed.
 const CHOICE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -38,12 +45,16 @@
         Some(_) => MAX_RESUMPTION_WAIT,
         None => objective / WAIT_OBJECTIVE_DIVISOR,
     };
-    let wait_until = Instant::now() + max_wait;
+    let mut wait_until = Instant::now() + max_wait;
     loop {
         let now = Instant::now();
         let chosen = choose_server_now(context, request, attempts, now);
+        if chosen.as_ref().is_err_and(awaits_record) {
+            wait_until = wait_until.max(request.arrived_at + MAX_RECORD_WAIT + CHOICE_POLL_PERIOD);
+        }
         let is_worth_waiting = chosen.as_ref().is_err_and(|refusal| match refusal.reason {
             RefusalReason::Unavailable(UnavailableReason::Closed) => true,
+            RefusalReason::Unavailable(UnavailableReason::UnrecordedSoftware) => true,
             RefusalReason::Unavailable(UnavailableReason::Limited) => {
                 refusal.retry_at.is_some_and(|retry_at| retry_at <= wait_until)
             }
@@ -70,7 +81,12 @@
     now: Instant,
 ) -> Result<PlannedRun, Refusal> {
     let authorization = request.authorize(context)?;
-    let chosen = context.fleet().choose(request.server_query(attempts, &authorization), now);
+    let begins_at = begin_versions(context, request, attempts, now);
+    let query = request.server_query(attempts, &authorization, begins_at.as_ref());
+    let chosen = context.fleet().choose(query, now);
+    if chosen.as_ref().is_err_and(|e| e.reason == UnavailableReason::UnrecordedSoftware) {
+        request_record(context, &request.service);
+    }
     match chosen {
         Ok(choice) => {
             let has_started = attempts.possible_runs > 0 || attempts.software.is_some();
@@ -83,6 +99,33 @@
     }
 }
 
+/// Returns the software versions at which a stream may begin, `None` if it has begun or is no stream.
+fn begin_versions(
+    context: &RelayContext,
+    request: &RelayedRequest,
+    attempts: &Attempts,
+    now: Instant,
+) -> Option<BeginVersions> {
+    if attempts.software.is_some() || !request.route.retry_safety.is_stream() {
+        return None;
+    }
+    let has_waited = now >= request.arrived_at + MAX_RECORD_WAIT;
+    Some(context.origins().recorded_versions().begin_versions(&request.service, has_waited))
+}
+
+/// Asks the control thread for the record of a version of a service.
+fn request_record(context: &RelayContext, service: &ServiceId) {
+    if context.origins().recorded_versions_mut().request(service) {
+        log::info!("event=version_awaited service={service}");
+        context.notify_control(RelayControlEvent::VersionAwaited);
+    }
+}
+
+/// Whether a request that was refused waits for the record of a version.
+fn awaits_record(refusal: &Refusal) -> bool {
+    refusal.reason == RefusalReason::Unavailable(UnavailableReason::UnrecordedSoftware)
+}
+
 /// Returns a refusal if the request would wait too long at the chosen server.
 fn check_overload(
     request: &RelayedRequest,
--- a/tests/relay/choose.rs
+++ b/tests/relay/choose.rs
@@ -6,8 +6,9 @@
 use coriandertide::decision::relay::fleet::AnnouncementPeriod;
 use coriandertide::decision::relay::server::{ServerLoad, ServerUpdate, UpdateScope};
 use coriandertide::decision::relay::{
-    Configuration, Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
+    BeginVersions, Configuration, Fleet, ServerEntry, ServerQuery, ServerState, UnavailableReason,
 };
+use coriandertide::types::{ServerId, SoftwareVersion};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -568,3 +569,40 @@
         assert_eq!(chosen.unwrap_err().reason, UnavailableReason::OtherSoftware);
     }
 }
+
+/// Guards against streams that begin at a version which no record names, while servers of a recorded one
+/// are there, also where these are full.
+#[test]
+fn a_stream_begins_at_a_recorded_software_version() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 1);
+    let old = fleet.server(&"s0".into()).unwrap().entry.software.clone();
+    for index in [3, 7] {
+        fleet.set_entry(ServerEntry { software: "v1.1".into(), ..entry(index, 1) });
+    }
+    let begins_at = |recorded: &[&SoftwareVersion], allows_unrecorded| BeginVersions {
+        recorded: recorded.iter().map(|software| (*software).clone()).collect(),
+        allows_unrecorded,
+    };
+    let new: SoftwareVersion = "v1.1".into();
+    let old_servers: Vec<ServerId> =
+        (0..12).filter(|index| ![3, 7].contains(index)).map(|i| entry(i, 1).id).collect();
+    for subject in 0..100 {
+        let prompt = long_prompt(subject, 1);
+        let choose = |begins_at: &BeginVersions, tried: &[ServerId]| {
+            let begins_at = Some(begins_at);
+            fleet.choose(ServerQuery { begins_at, tried, ..query(&prompt) }, now)
+        };
+        for allows_unrecorded in [false, true] {
+            let chosen = choose(&begins_at(&[&old], allows_unrecorded), &[]).unwrap();
+            assert_eq!(chosen.software, old);
+            let chosen = choose(&begins_at(&[&old], allows_unrecorded), &old_servers);
+            assert_eq!(chosen.unwrap_err().reason, UnavailableReason::NoServer);
+        }
+        let chosen = choose(&begins_at(&[&new], false), &[]).unwrap();
+        assert_eq!(chosen.software, new);
+        let refused = choose(&begins_at(&[], false), &[]).unwrap_err();
+        assert_eq!(refused.reason, UnavailableReason::UnrecordedSoftware);
+        assert!(choose(&begins_at(&[], true), &[]).is_ok());
+    }
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -94,6 +94,7 @@
         latency_objective: ms(400),
         max_event_gap: ms(250),
         software: None,
+        begins_at: None,
         tried: &[],
     }
 }
@@ -109,6 +110,7 @@
         latency_objective: ms(300),
         max_event_gap: ms(0),
         software: None,
+        begins_at: None,
         tried: &[],
     }
 }
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -182,7 +182,7 @@
             match outcome.filter(|_| !is_lost) {
                 Some(outcome) => {
                     if let VersionOutcome::Listed(listing) = &outcome {
-                        node.origins.add_recorded(listing.versions.clone());
+                        node.origins.add_recorded(listing.versions.clone(), now);
                     }
                     node.records.apply(outcome);
                 }
