fix(streams): versions are recorded while a partition of their records is down

The versions of services lay in one partition of one topic.

The records now lie in one partition of each of three topics. All are called at once, and two of them decide: a version is recorded once two have acknowledged it, and what is recorded is found in any two. A removal needs all three. The third partition is waited for for 0.1 s more, so that it seldom lacks a record.

Earlier builds know the first topic alone: they find there what today's build writes, and what they remove or write there today's build has, or finds, in the other two.

--- a/src/decision/relay/streams/mod.rs
+++ b/src/decision/relay/streams/mod.rs
@@ -15,5 +15,6 @@
 pub use origins::StreamOrigins;
 pub use recorded_versions::RecordedVersions;
 pub use version_records::{
-    ServiceVersion, VersionCall, VersionListing, VersionOutcome, VersionRecords,
+    PartitionListing, ServiceVersion, VERSION_PARTITIONS, VersionCall, VersionListing,
+    VersionOutcome, VersionRecords,
 };
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -19,7 +19,7 @@
 use super::origin_search::OriginSearch;
 use super::owners::{ASKED_NODES, OWNERS, node_hash, ranked_nodes};
 use super::recorded_versions::RecordedVersions;
-use super::version_records::ServiceVersion;
+use super::version_records::{ServiceVersion, VersionListing};
 use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{InstanceId, ServiceId, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -152,11 +152,11 @@
     }
 
     /// Adds versions that the record store holds, of which some may have left before this node's start.
-    pub fn add_recorded(&mut self, recorded: BTreeSet<ServiceVersion>, now: Instant) {
-        for version in &recorded {
+    pub fn add_recorded(&mut self, listing: &VersionListing, now: Instant) {
+        for version in &listing.recorded() {
             self.add_recorded_version(version, now);
         }
-        self.recorded.extend(recorded);
+        self.recorded.extend(listing.copies.keys().cloned());
     }
 
     /// Adds a version that the record store holds; returns whether that is news.
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -7,7 +7,7 @@
 use super::origins::{MAX_STREAM_LIFETIME, StreamOrigins};
 use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -39,15 +39,59 @@
     }
 }
 
-/// Recorded versions, as listed by the store.
+/// Partitions of the record store that keep the versions. A version counts as recorded once a majority has
+/// its record, and what is recorded is known from any majority.
+pub const VERSION_PARTITIONS: usize = 3;
+
+/// Copies of a record that make a majority.
+const MAJORITY: usize = VERSION_PARTITIONS / 2 + 1;
+
+/// Records of one partition.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct VersionListing {
+pub struct PartitionListing {
     /// Versions.
     pub versions: BTreeSet<ServiceVersion>,
     /// Position of the next record.
     pub end: LogPosition,
 }
 
+/// Records of a majority of the partitions.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VersionListing {
+    /// Versions, with the number of partitions that have them.
+    pub copies: BTreeMap<ServiceVersion, usize>,
+    /// Position of the next record of each partition, `None` for one that did not answer.
+    pub ends: [Option<LogPosition>; VERSION_PARTITIONS],
+}
+
+impl From<[Option<PartitionListing>; VERSION_PARTITIONS]> for VersionListing {
+    fn from(partitions: [Option<PartitionListing>; VERSION_PARTITIONS]) -> Self {
+        let mut listing = Self::default();
+        for (index, partition) in partitions.into_iter().enumerate() {
+            let Some(PartitionListing { versions, end }) = partition else { continue };
+            listing.ends[index] = Some(end);
+            for version in versions {
+                *listing.copies.entry(version).or_default() += 1;
+            }
+        }
+        listing
+    }
+}
+
+impl VersionListing {
+    /// Returns the versions that a majority of the partitions has.
+    pub fn recorded(&self) -> BTreeSet<ServiceVersion> {
+        let recorded = self.copies.iter().filter(|(_, copies)| **copies >= MAJORITY);
+        recorded.map(|(version, _)| version.clone()).collect()
+    }
+
+    /// Returns the ends of all partitions, `None` if one did not answer.
+    fn all_ends(&self) -> Option<[LogPosition; VERSION_PARTITIONS]> {
+        let ends: Vec<LogPosition> = self.ends.iter().copied().collect::<Option<_>>()?;
+        ends.try_into().ok()
+    }
+}
+
 /// Call to the record store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionCall {
@@ -59,8 +103,8 @@
     Remove {
         /// Version.
         version: ServiceVersion,
-        /// End of the listing.
-        listed_end: LogPosition,
+        /// Ends of the partitions in the listing.
+        ends: [LogPosition; VERSION_PARTITIONS],
     },
 }
 
@@ -82,10 +126,10 @@
 pub struct VersionRecords {
     instance: InstanceId,
     started_at: Instant,
-    /// Versions that the store holds as far as known, `None` until they are listed.
+    /// Versions that a majority of the partitions holds as far as known, `None` until they are listed.
     recorded: Option<BTreeSet<ServiceVersion>>,
-    /// End of the last listing, `None` if a record may have been written since.
-    listed_end: Option<LogPosition>,
+    /// Last listing, `None` if a record may have been written since.
+    listing: Option<VersionListing>,
     /// Until when the pending call is waited for, `None` if none is pending.
     pending_until: Option<Instant>,
     next_call_at: Instant,
@@ -98,7 +142,7 @@
             instance,
             started_at: now,
             recorded: None,
-            listed_end: None,
+            listing: None,
             pending_until: None,
             next_call_at: now,
         }
@@ -124,11 +168,11 @@
     /// Applies the outcome of a call.
     pub fn apply(&mut self, outcome: VersionOutcome) {
         self.pending_until = None;
-        self.listed_end = None;
+        self.listing = None;
         match outcome {
-            VersionOutcome::Listed(VersionListing { versions, end }) => {
-                self.recorded = Some(versions);
-                self.listed_end = Some(end);
+            VersionOutcome::Listed(listing) => {
+                self.recorded = Some(listing.recorded());
+                self.listing = Some(listing);
             }
             VersionOutcome::Added(version) => {
                 self.recorded.get_or_insert_default().insert(version);
@@ -143,14 +187,14 @@
     /// Records that a call failed; it may have taken effect.
     pub fn record_failure(&mut self, now: Instant) {
         self.pending_until = None;
-        self.listed_end = None;
+        self.listing = None;
         self.next_call_at = now + RETRY_DELAY;
     }
 
     /// Lists the records again, since a restored store may lack some.
     pub fn observe_restore(&mut self) {
         self.recorded = None;
-        self.listed_end = None;
+        self.listing = None;
     }
 
     fn needed_call(
@@ -180,8 +224,8 @@
             !seen.contains(&version.software) && rank(version) == 0
         };
         let version = recorded.iter().find(is_gone)?.clone();
-        Some(match self.listed_end {
-            Some(listed_end) => VersionCall::Remove { version, listed_end },
+        Some(match &self.listing {
+            Some(listing) => VersionCall::Remove { version, ends: listing.all_ends()? },
             None => VersionCall::List,
         })
     }
--- a/src/ports/coordination_store.rs
+++ b/src/ports/coordination_store.rs
@@ -3,7 +3,7 @@
 
 use crate::decision::relay::register_lease::{FencingNumber, RegisterRecord};
 use crate::decision::relay::replica::TopicListing;
-use crate::decision::relay::streams::{ServiceVersion, VersionListing};
+use crate::decision::relay::streams::{PartitionListing, ServiceVersion};
 use crate::decision::relay::{KeyedRecord, RecordTopic};
 use crate::types::{InstanceId, LogPosition, PeerResult};
 use async_trait::async_trait;
@@ -79,16 +79,18 @@
         holder: &InstanceId,
     ) -> PeerResult<ReplaceOutcome>;
 
-    /// Returns the recorded software versions of services.
-    async fn list_versions(&self) -> PeerResult<VersionListing>;
+    /// Returns the software versions of services that are recorded in `partition`, of
+    /// [`VERSION_PARTITIONS`](crate::decision::relay::streams::VERSION_PARTITIONS).
+    async fn list_versions(&self, partition: usize) -> PeerResult<PartitionListing>;
 
-    /// Records a software version of a service.
-    async fn add_version(&self, version: &ServiceVersion) -> PeerResult<()>;
+    /// Records a software version of a service in `partition`.
+    async fn add_version(&self, partition: usize, version: &ServiceVersion) -> PeerResult<()>;
 
-    /// Removes the record of a software version if the last record is still the one before
-    /// `listed_end`; returns whether it did.
+    /// Removes the record of a software version from `partition` if the last record there is still the one
+    /// before `listed_end`; returns whether it did.
     async fn remove_version(
         &self,
+        partition: usize,
         version: &ServiceVersion,
         listed_end: LogPosition,
     ) -> PeerResult<bool>;
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -12,6 +12,7 @@
 mod rollout;
 mod server_notices;
 mod state;
+mod version_calls;
 mod versions;
 
 pub(super) use server_notices::{log_brittle, log_limit};
--- /dev/null
+++ b/src/relay/control/version_calls.rs
@@ -0,0 +1,113 @@
+//! Calls to the partitions of the record store that keep the software versions of services. All are called
+//! at once, and a majority decides, so that the outage of one stops nothing.
+
+use super::follow::count_call;
+use crate::decision::relay::streams::{
+    PartitionListing, ServiceVersion, VERSION_PARTITIONS, VersionCall, VersionListing,
+    VersionOutcome,
+};
+use crate::relay::RelayContext;
+use crate::types::{LogPosition, PeerError, PeerResult};
+use futures_lite::{FutureExt, future};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Partitions that must have answered.
+const MAJORITY: usize = VERSION_PARTITIONS / 2 + 1;
+
+/// Time for which the other partitions are waited for once a majority has succeeded.
+const STRAGGLER_PERIOD: Duration = Duration::from_millis(100);
+
+/// Outcomes of calls to all partitions, `None` where a call failed or has not ended.
+type Outcomes<T> = [Option<T>; VERSION_PARTITIONS];
+
+/// Makes a call to the partitions.
+///
+/// # Errors
+///
+/// No majority has answered, or for a removal not all have; the error is that of one of the others.
+pub(super) async fn make_call(
+    context: &RelayContext,
+    call: VersionCall,
+) -> PeerResult<VersionOutcome> {
+    match call {
+        VersionCall::List => list(context).await.map(VersionOutcome::Listed),
+        VersionCall::Add(version) => {
+            let add = |partition| add(context, partition, &version);
+            call_majority(add).await?;
+            Ok(VersionOutcome::Added(version))
+        }
+        VersionCall::Remove { version, ends } => remove(context, version, ends).await,
+    }
+}
+
+async fn list(context: &RelayContext) -> PeerResult<VersionListing> {
+    let list = |partition| async move {
+        count_call(context, "list_versions");
+        context.ports.store.list_versions(partition).await
+    };
+    let listings: Outcomes<PartitionListing> = call_majority(list).await?;
+    Ok(VersionListing::from(listings))
+}
+
+async fn add(context: &RelayContext, partition: usize, version: &ServiceVersion) -> PeerResult<()> {
+    count_call(context, "add_version");
+    context.ports.store.add_version(partition, version).await
+}
+
+/// Removes the record of a version in one partition after the other, until one has changed since its
+/// listing.
+async fn remove(
+    context: &RelayContext,
+    version: ServiceVersion,
+    ends: [LogPosition; VERSION_PARTITIONS],
+) -> PeerResult<VersionOutcome> {
+    for (partition, listed_end) in ends.into_iter().enumerate() {
+        count_call(context, "remove_version");
+        if !context.ports.store.remove_version(partition, &version, listed_end).await? {
+            return Ok(VersionOutcome::Conflict);
+        }
+    }
+    Ok(VersionOutcome::Removed(version))
+}
+
+/// Calls all partitions at once; returns when all calls have ended, or a little after a majority has
+/// succeeded.
+async fn call_majority<T, F>(call: impl Fn(usize) -> F) -> PeerResult<Outcomes<T>>
+where
+    F: Future<Output = PeerResult<T>>,
+{
+    let call = &call;
+    let calls = (0..VERSION_PARTITIONS).map(|index| async move { (index, call(index).await) });
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    let mut outcomes: Outcomes<T> = [const { None }; VERSION_PARTITIONS];
+    let mut failure: Option<PeerError> = None;
+    let mut stragglers_until: Option<Instant> = None;
+    loop {
+        let timeout = async {
+            match stragglers_until {
+                Some(until) => drop(Timer::at(until).await),
+                None => future::pending().await,
+            }
+            None
+        };
+        match calls.next().or(timeout).await {
+            Some((index, Ok(outcome))) => outcomes[index] = Some(outcome),
+            Some((_, Err(error))) => failure = Some(error),
+            None => break,
+        }
+        if stragglers_until.is_none() && count_ended(&outcomes) >= MAJORITY {
+            stragglers_until = Some(Instant::now() + STRAGGLER_PERIOD);
+        }
+    }
+    match failure {
+        Some(error) if count_ended(&outcomes) < MAJORITY => Err(error),
+        _ => Ok(outcomes),
+    }
+}
+
+fn count_ended<T>(outcomes: &Outcomes<T>) -> usize {
+    outcomes.iter().flatten().count()
+}
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -1,11 +1,10 @@
 //! Calls that keep the record of the software versions of services whose streams can be resumed.
 
 use super::RelayControlEvent;
-use super::follow::count_call;
 use super::state::ControlState;
-use crate::decision::relay::streams::{ServiceVersion, VersionCall, VersionOutcome};
+use super::version_calls::make_call;
+use crate::decision::relay::streams::{ServiceVersion, VersionOutcome};
 use crate::links::PartnerMessage;
-use crate::relay::RelayContext;
 use crate::types::{InstanceId, PeerResult};
 use std::sync::Arc;
 use std::time::Instant;
@@ -37,8 +36,8 @@
         };
         match &outcome {
             VersionOutcome::Listed(listing) => {
-                log::info!("event=versions_listed versions={}", listing.versions.len());
-                self.context.origins().add_recorded(listing.versions.clone(), now);
+                log::info!("event=versions_listed versions={}", listing.copies.len());
+                self.context.origins().add_recorded(listing, now);
             }
             VersionOutcome::Added(version) => {
                 log::info!(
@@ -83,24 +82,3 @@
         }
     }
 }
-
-async fn make_call(context: &RelayContext, call: VersionCall) -> PeerResult<VersionOutcome> {
-    let store = &context.ports.store;
-    match call {
-        VersionCall::List => {
-            count_call(context, "list_versions");
-            Ok(VersionOutcome::Listed(store.list_versions().await?))
-        }
-        VersionCall::Add(version) => {
-            count_call(context, "add_version");
-            store.add_version(&version).await?;
-            Ok(VersionOutcome::Added(version))
-        }
-        VersionCall::Remove { version, listed_end } => {
-            count_call(context, "remove_version");
-            let is_removed = store.remove_version(&version, listed_end).await?;
-            let outcome = VersionOutcome::Removed(version);
-            Ok(if is_removed { outcome } else { VersionOutcome::Conflict })
-        }
-    }
-}
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -4,8 +4,8 @@
 
 use coriandertide::decision::relay::PeerNode;
 use coriandertide::decision::relay::streams::{
-    FoundVersion, ServiceVersion, StreamOrigins, VersionCall, VersionListing, VersionOutcome,
-    VersionRecords,
+    FoundVersion, PartitionListing, StreamOrigins, VERSION_PARTITIONS, VersionCall, VersionListing,
+    VersionOutcome, VersionRecords,
 };
 use coriandertide::types::{ServiceId, SoftwareVersion};
 use smol_str::{SmolStr, format_smolstr};
@@ -53,6 +53,8 @@
     restore_ms: u64,
     /// When the store stops answering, and when it answers again.
     down_ms: (u64, u64),
+    /// Partition that never answers.
+    down_partition: Option<usize>,
 }
 
 impl Case {
@@ -70,7 +72,8 @@
         } else {
             (u64::MAX, u64::MAX)
         };
-        Self { nodes, join_ms, gone_ms, kill_ms, restore_ms, down_ms }
+        let down_partition = None;
+        Self { nodes, join_ms, gone_ms, kill_ms, restore_ms, down_ms, down_partition }
     }
 
     fn versions(&self, at_ms: u64) -> Vec<SoftwareVersion> {
@@ -91,8 +94,7 @@
 
 #[derive(Clone, Default)]
 struct Store {
-    versions: BTreeSet<ServiceVersion>,
-    end: u64,
+    partitions: [PartitionListing; VERSION_PARTITIONS],
 }
 
 struct Node {
@@ -178,11 +180,11 @@
                 continue;
             };
             let is_lost = self.random.f64() < LOSS;
-            let outcome = case.is_store_up(at_ms).then(|| self.store.answer(call));
-            match outcome.filter(|_| !is_lost) {
+            let is_up = |index| case.is_store_up(at_ms) && case.down_partition != Some(index);
+            match self.store.answer(call, is_up).filter(|_| !is_lost) {
                 Some(outcome) => {
                     if let VersionOutcome::Listed(listing) = &outcome {
-                        node.origins.add_recorded(listing.versions.clone(), now);
+                        node.origins.add_recorded(listing, now);
                     }
                     node.records.apply(outcome);
                 }
@@ -256,35 +258,61 @@
 }
 
 impl Store {
-    fn answer(&mut self, call: VersionCall) -> VersionOutcome {
-        match call {
-            VersionCall::List => VersionOutcome::Listed(VersionListing {
-                versions: self.versions.clone(),
-                end: self.end,
-            }),
+    /// Answers a call while `is_up` partitions answer, `None` if these are no majority.
+    fn answer(
+        &mut self,
+        call: VersionCall,
+        is_up: impl Fn(usize) -> bool,
+    ) -> Option<VersionOutcome> {
+        let up: Vec<usize> = (0..VERSION_PARTITIONS).filter(|index| is_up(*index)).collect();
+        if up.len() <= VERSION_PARTITIONS / 2 {
+            return None;
+        }
+        Some(match call {
+            VersionCall::List => {
+                let mut listings = [const { None }; VERSION_PARTITIONS];
+                up.iter().for_each(|&index| listings[index] = Some(self.partitions[index].clone()));
+                VersionOutcome::Listed(VersionListing::from(listings))
+            }
             VersionCall::Add(version) => {
-                self.end += 1;
-                self.versions.insert(version.clone());
+                for index in up {
+                    self.partitions[index].end += 1;
+                    self.partitions[index].versions.insert(version.clone());
+                }
                 VersionOutcome::Added(version)
             }
-            VersionCall::Remove { listed_end, .. } if listed_end != self.end => {
+            VersionCall::Remove { .. } if up.len() < VERSION_PARTITIONS => return None,
+            VersionCall::Remove { ends, .. }
+                if ends != self.partitions.each_ref().map(|partition| partition.end) =>
+            {
                 VersionOutcome::Conflict
             }
             VersionCall::Remove { version, .. } => {
-                self.end += 1;
-                self.versions.remove(&version);
+                for partition in &mut self.partitions {
+                    partition.end += 1;
+                    partition.versions.remove(&version);
+                }
                 VersionOutcome::Removed(version)
             }
-        }
+        })
     }
 }
 
 fn outcomes(has_two_versions: bool) -> Vec<(Case, Outcome)> {
+    outcomes_while_down(has_two_versions, |_| None)
+}
+
+/// Returns the outcomes while one partition, by the seed, never answers.
+fn outcomes_while_down(
+    has_two_versions: bool,
+    down_partition: impl Fn(u64) -> Option<usize>,
+) -> Vec<(Case, Outcome)> {
     let mut outcomes = Vec::new();
     for nodes in [6, 68, 295] {
         for seed in 0..RUNS {
             let mut random = fastrand::Rng::with_seed(seed);
-            let case = Case::drawn(nodes, has_two_versions, &mut random);
+            let down_partition = down_partition(seed);
+            let case = Case { down_partition, ..Case::drawn(nodes, has_two_versions, &mut random) };
             outcomes.push((case, Model::new(case, random).run()));
         }
     }
@@ -320,6 +348,17 @@
     assert!(outcomes.iter().all(|(_, outcome)| outcome.wrong == 0));
 }
 
+/// Guards against versions that are not recorded, or not found, while one partition of the records is down.
+#[test]
+fn the_outage_of_a_partition_changes_no_resumption_after_a_kill_of_all_nodes() {
+    let down = |seed| Some(seed as usize % VERSION_PARTITIONS);
+    for (case, outcome) in outcomes_while_down(true, down) {
+        assert_eq!(outcome.wrong, 0, "{case:?}: {outcome:?}");
+    }
+    let fraction = resumed_fraction(&outcomes_while_down(false, down));
+    assert!(fraction >= MIN_RESUMED_OF_ONE_VERSION, "{fraction}");
+}
+
 /// Guards against refusing most resumed streams while a service has, or just had, two versions.
 #[test]
 fn after_a_kill_of_all_nodes_half_of_the_streams_of_two_versions_go_on() {
@@ -338,10 +377,11 @@
         kill_ms: u64::MAX,
         restore_ms: u64::MAX,
         down_ms: (u64::MAX, u64::MAX),
+        down_partition: None,
     };
     let mut model = Model::new(case, fastrand::Rng::with_seed(1));
     let recorded = |model: &Model| -> Vec<SoftwareVersion> {
-        model.store.versions.iter().map(|version| version.software.clone()).collect()
+        model.store.partitions[0].versions.iter().map(|version| version.software.clone()).collect()
     };
     for at_ms in (0..80_000).step_by(TICK_MS as usize) {
         model.tick(at_ms);
