fix(streams): a stream that nobody knows is decided by the records, listed after the caller came

Hypotheses: (1) the woken node never sees an entry of the version; (2) it sees it and forgets it; (3) its list of servers is old. Its log has `server_entry_gone` of the server and no `server_entry`, and `stream_taken_up … source=only` after a fresh confirmation of the list: (1). The list is right about what there is, and says nothing of what has left.

The class: a node takes "I know of no other version" for "there was none". Three proofs of absence stood side by side (the first start of the site, 60 s of observation, any record at the node's start), each with a gap. They are replaced by one: a stream that nobody knows goes on if the records were listed after its caller came, in the present era of the store, and name one version, which is that of all servers seen since. All streams begin at recorded versions, so that neither the age of a node nor what it has missed matters.

A node of a site's first start may have the first version of a service recorded for such a caller, in its first minute alone and until a restore: no stream can have begun before.

Answers of origin queries lose `c` and `a`: an earlier build takes an answer without them for one that confirms nothing, and what an earlier build claims there is not read any more.

--- a/src/decision/relay/read_schedule.rs
+++ b/src/decision/relay/read_schedule.rs
@@ -108,8 +108,6 @@
     failed_at: Option<Instant>,
     /// When a read of this node last failed.
     last_failed_at: Option<Instant>,
-    /// When a confirmation was last requested.
-    requested_at: Option<Instant>,
     /// What partners know and this node lacks.
     newer: Option<NewerRecords>,
 }
@@ -206,11 +204,6 @@
         }
     }
 
-    /// Requests a confirmation of the view of a topic that is not older than `now`.
-    pub fn request(&mut self, topic: RecordTopic, now: Instant) {
-        self.topics.entry(topic).or_default().requested_at = Some(now);
-    }
-
     /// Records that a partner knows a topic below `position`, which is more than this node knows;
     /// returns whether that is news.
     pub fn observe_newer(
@@ -285,12 +278,9 @@
     pub fn next_read(&self, topic: RecordTopic, now: Instant) -> NextRead {
         let unknown = TopicSchedule::default();
         let schedule = self.topics.get(&topic).unwrap_or(&unknown);
-        let is_requested = schedule
-            .requested_at
-            .is_some_and(|at| schedule.confirmed_at.is_none_or(|known| known < at));
         let fetch_at = schedule.newer.map(|newer| newer.since + FETCH_TIMEOUT);
         let has_failed = schedule.failed_at.is_some_and(|at| now < at + FAILED_READ_BACKOFF);
-        if is_requested || fetch_at.is_some_and(|at| now >= at) && !has_failed {
+        if fetch_at.is_some_and(|at| now >= at) && !has_failed {
             return NextRead::Read { wait_until: now };
         }
         let (due_at, read_wait) = if schedule.rank < FOLLOWERS && !has_failed {
--- a/src/decision/relay/streams/origin_messages.rs
+++ b/src/decision/relay/streams/origin_messages.rs
@@ -56,19 +56,11 @@
     /// What it knows of the stream.
     #[serde(rename = "o")]
     pub known: KnownOrigin,
-    /// Versions that the service may have had within
+    /// Versions whose servers the node has seen within
     /// [`MAX_STREAM_LIFETIME`](super::origins::MAX_STREAM_LIFETIME); some of them if there are
-    /// many.
+    /// many. They show that a service has several versions, never that it has one.
     #[serde(rename = "v")]
     pub versions: Vec<SoftwareVersion>,
-    /// Whether these are all such versions of which the node can know. Nodes of earlier builds do not
-    /// say so.
-    #[serde(rename = "c", default)]
-    pub is_complete: bool,
-    /// Milliseconds since the node's list of servers was known to be complete, `None` if it never was.
-    /// Nodes of earlier builds do not tell, so that they confirm nothing.
-    #[serde(rename = "a", default)]
-    pub servers_age_ms: Option<u64>,
 }
 
 impl OriginRecord {
--- a/src/decision/relay/streams/origin_search.rs
+++ b/src/decision/relay/streams/origin_search.rs
@@ -1,4 +1,5 @@
-//! Search for the software version that began a stream, over the answers of other nodes.
+//! Search for the software version that began a stream, over the answers of other nodes and the records of
+//! versions.
 
 use super::origin_messages::{KnownOrigin, OriginAnswer, StreamKey};
 use super::origins::StreamOrigins;
@@ -19,15 +20,13 @@
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
     began_at: Instant,
-    /// Whether this node knows all versions once its list of servers is confirmed.
-    knows_all_versions: bool,
     service: ServiceId,
     known: KnownOrigin,
-    /// Versions that the service may have had, by this node's knowledge and by the answers.
+    /// Versions of the service, by its servers and the records.
     versions: Vec<SoftwareVersion>,
-    /// Whether these are all, by the word of any node whose list of servers was confirmed since the
-    /// search began.
-    is_complete: bool,
+    /// Whether the service has a version in the records, which were listed since the search began; `None`
+    /// before that.
+    is_recorded: Option<bool>,
     unanswered: Vec<SocketAddr>,
     answers: usize,
     /// Whether two nodes know different origins.
@@ -39,17 +38,21 @@
     pub(super) fn new(service: ServiceId, unanswered: Vec<SocketAddr>, now: Instant) -> Self {
         Self {
             began_at: now,
-            knows_all_versions: false,
             service,
             known: KnownOrigin::Unknown,
             versions: Vec::new(),
-            is_complete: false,
+            is_recorded: None,
             unanswered,
             answers: 0,
             has_contradiction: false,
         }
     }
 
+    /// Returns since when the records must have been listed to decide.
+    pub fn began_at(&self) -> Instant {
+        self.began_at
+    }
+
     /// Returns the nodes that have not answered.
     pub fn unanswered(&self) -> &[SocketAddr] {
         &self.unanswered
@@ -62,18 +65,35 @@
 
     /// Looks again at what this node itself knows.
     pub fn update(&mut self, origins: &StreamOrigins, stream: Option<StreamKey>, now: Instant) {
-        self.add_versions(origins.possible_versions(&self.service, now));
-        self.knows_all_versions = origins.knows_all_versions(&self.service, now);
-        self.is_complete |= self.knows_all_versions && origins.has_confirmed_since(self.began_at);
+        self.add_versions(origins.versions(&self.service, now));
+        let listed = origins.recorded_versions().listed_since(&self.service, self.began_at);
+        if let Some(listed) = listed {
+            self.is_recorded = Some(!listed.is_empty());
+            self.add_versions(listed);
+        }
         if let (KnownOrigin::Unknown, Some(stream)) = (&self.known, stream) {
             self.known = origins.known(stream, now);
         }
     }
 
-    /// Whether a confirmation of this node's list of servers decides where the stream goes on.
-    pub fn needs_confirmation(&self) -> bool {
-        let may_be_only = self.known == KnownOrigin::Unknown && self.versions.len() == 1;
-        may_be_only && self.knows_all_versions && !self.is_complete
+    /// Whether a listing of the records decides where the stream goes on.
+    pub fn needs_listing(&self) -> bool {
+        self.may_be_only() && self.is_recorded.is_none()
+    }
+
+    /// Whether the service has no version in the records.
+    pub fn lacks_record(&self) -> bool {
+        self.may_be_only() && self.is_recorded == Some(false)
+    }
+
+    /// Waits for another listing, since a version has been recorded meanwhile.
+    pub fn expect_listing(&mut self, now: Instant) {
+        self.began_at = now;
+        self.is_recorded = None;
+    }
+
+    fn may_be_only(&self) -> bool {
+        self.known == KnownOrigin::Unknown && self.versions.len() <= 1
     }
 
     fn add_versions(&mut self, versions: Vec<SoftwareVersion>) {
@@ -84,17 +104,13 @@
         }
     }
 
-    /// Adds the answer of the node at `address`, which arrived at `now`; a second one of a node changes
-    /// nothing.
-    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer, now: Instant) {
+    /// Adds the answer of the node at `address`; a second one of a node changes nothing.
+    pub fn add_answer(&mut self, address: SocketAddr, answer: OriginAnswer) {
         let Some(index) = self.unanswered.iter().position(|asked| *asked == address) else {
             return;
         };
         self.unanswered.swap_remove(index);
         self.answers += 1;
-        let age_ms = now.saturating_duration_since(self.began_at).as_millis();
-        let is_confirmed = answer.servers_age_ms.is_some_and(|ms| u128::from(ms) < age_ms);
-        self.is_complete |= answer.is_complete && is_confirmed;
         self.add_versions(answer.versions);
         match (&self.known, answer.known) {
             (_, KnownOrigin::Unknown) => {}
@@ -105,8 +121,8 @@
 
     /// Returns whether more answers cannot change the result.
     pub fn is_over(&self) -> bool {
-        let is_confirmed = self.versions.len() == 1 && self.is_complete;
-        self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_confirmed
+        let is_only = self.may_be_only() && self.is_recorded == Some(true);
+        self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_only
     }
 
     /// Returns the version at which the stream goes on, `None` if that is not certain.
@@ -116,7 +132,7 @@
             KnownOrigin::Ambiguous => None,
             KnownOrigin::Origin(origin) if origin.service != self.service => None,
             KnownOrigin::Origin(origin) => Some(FoundVersion::Known(origin.software.clone())),
-            KnownOrigin::Unknown if !self.is_complete => None,
+            KnownOrigin::Unknown if self.is_recorded != Some(true) => None,
             KnownOrigin::Unknown => match self.versions.as_slice() {
                 [only] => Some(FoundVersion::Only(only.clone())),
                 _ => None,
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -4,9 +4,8 @@
 //! node that forwards the first event of a stream tells the owners of the stream: a few other nodes,
 //! the first ones for it by rendezvous hashing, in different availability zones. A node that a caller
 //! asks to resume a stream asks these nodes and some more. A stream that nobody knows goes on only if
-//! its service has had a single version, by the word of a node that knows all versions of the time in
-//! which the stream can have begun. That node's list of servers must have been confirmed since the
-//! caller came: a node that was cut off or stood still does not know what has begun meanwhile.
+//! its service has a single version in the record store, listed after the caller came: streams begin only
+//! at recorded versions, so that it does not matter what this node has missed.
 //!
 //! Streams are told also while a service has a single version: a node that is killed just before it
 //! learns of the second one could not tell them any more.
@@ -22,7 +21,7 @@
 use super::version_records::{ServiceVersion, VersionListing};
 use crate::decision::relay::peer_node::PeerNode;
 use crate::types::{InstanceId, ServiceId, SoftwareVersion};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -51,18 +50,13 @@
 /// Origins of streams and versions of services, as known to a node.
 #[derive(Clone, Debug)]
 pub struct StreamOrigins {
-    /// Since when the node has observed versions.
-    observed_since: Instant,
-    /// Whether no stream began before that, since the site started for the first time.
-    is_first_start: bool,
-    /// Versions that the record store held after the node's start.
-    recorded: BTreeSet<ServiceVersion>,
+    /// Until when this node may have the first version of a service recorded for a stream that is taken up:
+    /// none can have begun before the first start of the site. `None` if it may not.
+    first_records_until: Option<Instant>,
     recorded_versions: RecordedVersions,
     streams: HashMap<StreamKey, KnownStream>,
     /// When a server of each version of a service was last seen.
     versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
-    /// When the list of servers was last known to be complete, `None` if it never was.
-    servers_confirmed_at: Option<Instant>,
     /// Other live nodes.
     nodes: Vec<PeerNode>,
     /// Other nodes that are stopping.
@@ -79,13 +73,10 @@
     /// first time.
     pub fn new(is_first_start: bool, now: Instant) -> Self {
         Self {
-            observed_since: now,
-            is_first_start,
-            recorded: BTreeSet::new(),
+            first_records_until: is_first_start.then(|| now + MAX_STREAM_LIFETIME),
             recorded_versions: RecordedVersions::default(),
             streams: HashMap::new(),
             versions: BTreeMap::new(),
-            servers_confirmed_at: None,
             nodes: Vec::new(),
             stopping_nodes: Vec::new(),
             unchecked: VecDeque::new(),
@@ -141,22 +132,23 @@
         versions.insert(software.clone(), now).is_none()
     }
 
-    /// Records that the list of servers, whose versions have been observed, was complete at `at`.
-    pub fn confirm_servers(&mut self, at: Instant) {
-        self.servers_confirmed_at = self.servers_confirmed_at.max(Some(at));
+    /// Applies a listing of the record store that was requested at `requested_at`.
+    pub fn apply_listing(&mut self, listing: &VersionListing, requested_at: Instant, now: Instant) {
+        for version in &listing.recorded() {
+            self.add_recorded_version(version, now);
+        }
+        self.recorded_versions.set_listed(listing, requested_at);
     }
 
-    /// Whether the list of servers was known to be complete at a moment since `since`.
-    pub(super) fn has_confirmed_since(&self, since: Instant) -> bool {
-        self.servers_confirmed_at.is_some_and(|at| at >= since)
+    /// Forgets what a restored store may lack.
+    pub fn observe_restore(&mut self) {
+        self.recorded_versions.clear();
+        self.first_records_until = None;
     }
 
-    /// Adds versions that the record store holds, of which some may have left before this node's start.
-    pub fn add_recorded(&mut self, listing: &VersionListing, now: Instant) {
-        for version in &listing.recorded() {
-            self.add_recorded_version(version, now);
-        }
-        self.recorded.extend(listing.copies.keys().cloned());
+    /// Whether this node may have the first version of a service recorded for a stream that is taken up.
+    pub fn may_record_first(&self, now: Instant) -> bool {
+        self.first_records_until.is_some_and(|until| now < until)
     }
 
     /// Adds a version that the record store holds; returns whether that is news.
@@ -196,36 +188,6 @@
         current.map(|(software, _)| software.clone()).collect()
     }
 
-    /// Returns the versions that the service may have had within [`MAX_STREAM_LIFETIME`], as far as
-    /// this node knows.
-    pub(super) fn possible_versions(
-        &self,
-        service: &ServiceId,
-        now: Instant,
-    ) -> Vec<SoftwareVersion> {
-        let mut versions = self.versions(service, now);
-        if self.has_observed_long(now) {
-            return versions;
-        }
-        for recorded in self.recorded.iter().filter(|recorded| recorded.service == *service) {
-            if !versions.contains(&recorded.software) {
-                versions.push(recorded.software.clone());
-            }
-        }
-        versions
-    }
-
-    /// Whether these are all versions that the service may have had.
-    pub(super) fn knows_all_versions(&self, service: &ServiceId, now: Instant) -> bool {
-        self.is_first_start
-            || self.has_observed_long(now)
-            || self.recorded.iter().any(|recorded| recorded.service == *service)
-    }
-
-    fn has_observed_long(&self, now: Instant) -> bool {
-        now >= self.observed_since + MAX_STREAM_LIFETIME
-    }
-
     /// Records the origin of a stream of which this node is about to forward events; returns the
     /// record and the nodes that must be told.
     pub fn begin(
@@ -264,17 +226,10 @@
         service: &ServiceId,
         now: Instant,
     ) -> OriginAnswer {
-        let mut versions = self.possible_versions(service, now);
+        let mut versions = self.versions(service, now);
         versions.truncate(MAX_ANSWERED_VERSIONS);
         let known = stream.map_or(KnownOrigin::Unknown, |stream| self.known(stream, now));
-        let servers_age = self.servers_confirmed_at.map(|at| now.saturating_duration_since(at));
-        OriginAnswer {
-            known,
-            versions,
-            is_complete: self.knows_all_versions(service, now),
-            servers_age_ms: servers_age
-                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        }
+        OriginAnswer { known, versions }
     }
 
     /// Returns the state of a search for the origin of a stream, `None` if the caller did not name
--- a/src/decision/relay/streams/recorded_versions.rs
+++ b/src/decision/relay/streams/recorded_versions.rs
@@ -3,10 +3,21 @@
 //! A stream begins only at a version whose record is known to be in the store: a node that later finds one
 //! version there then knows that the service has had no other one, also if it did not run meanwhile.
 
-use super::version_records::ServiceVersion;
+use super::version_records::{ServiceVersion, VersionListing};
 use crate::decision::relay::choose::BeginVersions;
 use crate::types::{ServiceId, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// Time for which a listing is wanted after it was requested: callers do not wait longer for it.
+const REQUEST_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Versions in the record store at some moment after `requested_at`.
+#[derive(Clone, Debug)]
+struct Listed {
+    requested_at: Instant,
+    versions: BTreeMap<ServiceId, Vec<SoftwareVersion>>,
+}
 
 /// Recorded versions, and the services that lack one.
 #[derive(Clone, Debug, Default)]
@@ -16,6 +27,10 @@
     is_store_failing: bool,
     /// Services whose versions must be recorded soon, since streams wait for that.
     awaited: BTreeSet<ServiceId>,
+    /// Last listing of the store, `None` before the first.
+    listed: Option<Listed>,
+    /// When a listing was last requested, `None` if it never was.
+    listing_requested_at: Option<Instant>,
 }
 
 impl RecordedVersions {
@@ -35,6 +50,39 @@
     /// Drops all versions, since a restored store may lack some.
     pub fn clear(&mut self) {
         self.versions.clear();
+        self.listed = None;
+    }
+
+    /// Sets what the store held at some moment after `requested_at`.
+    pub(super) fn set_listed(&mut self, listing: &VersionListing, requested_at: Instant) {
+        let mut versions: BTreeMap<ServiceId, Vec<SoftwareVersion>> = BTreeMap::new();
+        for ServiceVersion { service, software } in listing.copies.keys() {
+            versions.entry(service.clone()).or_default().push(software.clone());
+        }
+        self.listed = Some(Listed { requested_at, versions });
+    }
+
+    /// Returns the versions of a service that the store held at some moment since `since`, `None` if that is
+    /// not known.
+    pub(super) fn listed_since(
+        &self,
+        service: &ServiceId,
+        since: Instant,
+    ) -> Option<Vec<SoftwareVersion>> {
+        let listed = self.listed.as_ref().filter(|listed| listed.requested_at >= since)?;
+        Some(listed.versions.get(service).cloned().unwrap_or_default())
+    }
+
+    /// Requests a listing that begins at `since` or later.
+    pub fn request_listing(&mut self, since: Instant) {
+        self.listing_requested_at = self.listing_requested_at.max(Some(since));
+    }
+
+    /// Whether a listing was requested, and callers may still wait for it.
+    pub(super) fn is_listing_wanted(&self, now: Instant) -> bool {
+        let Some(requested_at) = self.listing_requested_at else { return false };
+        let is_listed = self.listed.as_ref().is_some_and(|l| l.requested_at >= requested_at);
+        !is_listed && now < requested_at + REQUEST_LIFETIME
     }
 
     /// Records that a call for the records failed.
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -5,7 +5,7 @@
 //! times: a node that removes one has observed for long enough itself.
 
 use super::origins::{MAX_STREAM_LIFETIME, StreamOrigins};
-use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion};
+use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion, StoreEra};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -23,6 +23,9 @@
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Delay after a failed call while callers wait for a listing.
+const WANTED_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Software version of a service.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ServiceVersion {
@@ -112,15 +115,37 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionOutcome {
     /// The recorded versions.
-    Listed(VersionListing),
+    Listed {
+        /// What the store held at some moment after the request.
+        listing: VersionListing,
+        /// Era of the store.
+        era: StoreEra,
+        /// When it was requested.
+        requested_at: Instant,
+    },
     /// The version is recorded.
-    Added(ServiceVersion),
+    Added {
+        /// Version.
+        version: ServiceVersion,
+        /// Era of the store.
+        era: StoreEra,
+    },
     /// The version is not recorded any more.
     Removed(ServiceVersion),
     /// A record was written since the listing; nothing was removed.
     Conflict,
 }
 
+impl VersionOutcome {
+    /// Returns the era in which the store answered, `None` if that does not matter.
+    pub fn era(&self) -> Option<StoreEra> {
+        match self {
+            Self::Listed { era, .. } | Self::Added { era, .. } => Some(*era),
+            Self::Removed(_) | Self::Conflict => None,
+        }
+    }
+}
+
 /// Records of versions, as known to one node.
 #[derive(Clone, Debug)]
 pub struct VersionRecords {
@@ -132,7 +157,8 @@
     listing: Option<VersionListing>,
     /// Until when the pending call is waited for, `None` if none is pending.
     pending_until: Option<Instant>,
-    next_call_at: Instant,
+    /// When the last call failed, `None` if it did not.
+    failed_at: Option<Instant>,
 }
 
 impl VersionRecords {
@@ -144,7 +170,7 @@
             recorded: None,
             listing: None,
             pending_until: None,
-            next_call_at: now,
+            failed_at: None,
         }
     }
 
@@ -157,7 +183,10 @@
         now: Instant,
     ) -> Option<VersionCall> {
         let is_pending = self.pending_until.is_some_and(|until| now < until);
-        if services.is_empty() || is_pending || now < self.next_call_at {
+        let is_wanted = origins.recorded_versions().is_listing_wanted(now);
+        let delay = if is_wanted { WANTED_RETRY_DELAY } else { RETRY_DELAY };
+        let is_delayed = self.failed_at.is_some_and(|failed_at| now < failed_at + delay);
+        if services.is_empty() || is_pending || is_delayed {
             return None;
         }
         let call = self.needed_call(origins, services, now)?;
@@ -168,13 +197,14 @@
     /// Applies the outcome of a call.
     pub fn apply(&mut self, outcome: VersionOutcome) {
         self.pending_until = None;
+        self.failed_at = None;
         self.listing = None;
         match outcome {
-            VersionOutcome::Listed(listing) => {
+            VersionOutcome::Listed { listing, .. } => {
                 self.recorded = Some(listing.recorded());
                 self.listing = Some(listing);
             }
-            VersionOutcome::Added(version) => {
+            VersionOutcome::Added { version, .. } => {
                 self.recorded.get_or_insert_default().insert(version);
             }
             VersionOutcome::Removed(version) => {
@@ -188,7 +218,7 @@
     pub fn record_failure(&mut self, now: Instant) {
         self.pending_until = None;
         self.listing = None;
-        self.next_call_at = now + RETRY_DELAY;
+        self.failed_at = Some(now);
     }
 
     /// Lists the records again, since a restored store may lack some.
@@ -204,6 +234,9 @@
         now: Instant,
     ) -> Option<VersionCall> {
         let Some(recorded) = &self.recorded else { return Some(VersionCall::List) };
+        if origins.recorded_versions().is_listing_wanted(now) {
+            return Some(VersionCall::List);
+        }
         let is_settled = now >= self.started_at + SETTLE_PERIOD;
         let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
         for service in services {
--- a/src/ports/coordination_store.rs
+++ b/src/ports/coordination_store.rs
@@ -5,7 +5,7 @@
 use crate::decision::relay::replica::TopicListing;
 use crate::decision::relay::streams::{PartitionListing, ServiceVersion};
 use crate::decision::relay::{KeyedRecord, RecordTopic};
-use crate::types::{InstanceId, LogPosition, PeerResult};
+use crate::types::{InstanceId, LogPosition, PeerResult, StoreEra};
 use async_trait::async_trait;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -83,8 +83,9 @@
     /// [`VERSION_PARTITIONS`](crate::decision::relay::streams::VERSION_PARTITIONS).
     async fn list_versions(&self, partition: usize) -> PeerResult<PartitionListing>;
 
-    /// Records a software version of a service in `partition`.
-    async fn add_version(&self, partition: usize, version: &ServiceVersion) -> PeerResult<()>;
+    /// Records a software version of a service in `partition`; returns the era of the store.
+    async fn add_version(&self, partition: usize, version: &ServiceVersion)
+    -> PeerResult<StoreEra>;
 
     /// Removes the record of a software version from `partition` if the last record there is still the one
     /// before `listed_end`; returns whether it did.
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -236,7 +236,7 @@
         }
         log::warn!("event=store_restored era={era} known_era={known}");
         self.version_records.observe_restore();
-        self.context.origins().recorded_versions_mut().clear();
+        self.context.origins().observe_restore();
         let (context, node) = (Arc::clone(&self.context), self.announced_node.clone());
         let delay = MAX_REANNOUNCE_DELAY.mul_f64(fastrand::f64());
         self.spawn(async move {
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -168,10 +168,8 @@
         /// Address of the server.
         address: SocketAddr,
     },
-    /// Whether the list of servers is complete must be known soon.
-    ServersQuestioned,
-    /// Streams wait for the record of a software version.
-    VersionAwaited,
+    /// Streams wait for a listing of the software versions, or for the record of one.
+    VersionsWanted,
     /// The node is stopping; it still carries requests.
     NodeStopping,
     /// The node carries no requests any more.
--- a/src/relay/control/partners/record_exchange.rs
+++ b/src/relay/control/partners/record_exchange.rs
@@ -79,7 +79,6 @@
                 self.request_records(peer, request);
             }
         }
-        self.confirm_servers(now);
         self.publish_outdated_period();
     }
 
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -6,7 +6,7 @@
 use super::{RelayControlEvent, follow, kv_store, partner_links};
 use crate::daemon::threads::catch_panic;
 use crate::decision::relay::streams::VersionRecords;
-use crate::decision::relay::{LoadExchange, ReadSchedule, RecordTopic, Replica, StoreLink};
+use crate::decision::relay::{LoadExchange, ReadSchedule, Replica, StoreLink};
 use crate::links::{Identity, PartnerMessage};
 use crate::ports::AnnouncedNode;
 use crate::relay::RelayContext;
@@ -178,7 +178,6 @@
                 self.observe_era(log_position::era(listing.end), now);
                 self.apply_listing(topic, listing, now);
                 self.read_schedule.borrow_mut().confirm(topic, requested_at, now);
-                self.confirm_servers(now);
                 self.publish_outdated_period();
             }
             RelayControlEvent::RecordsRead { topic, records, next_position, confirmed_at } => {
@@ -186,7 +185,6 @@
                 self.apply_records(topic, records, next_position, now);
                 if let Some(confirmed_at) = confirmed_at {
                     self.read_schedule.borrow_mut().confirm(topic, confirmed_at.min(now), now);
-                    self.confirm_servers(now);
                     self.publish_outdated_period();
                 }
             }
@@ -241,10 +239,7 @@
                     }
                 });
             }
-            RelayControlEvent::ServersQuestioned => {
-                self.read_schedule.borrow_mut().request(RecordTopic::Servers, now);
-            }
-            RelayControlEvent::VersionAwaited => self.tick_version_records(now),
+            RelayControlEvent::VersionsWanted => self.tick_version_records(now),
             RelayControlEvent::NodeStopping => self.announce_stop(now),
             RelayControlEvent::NodeStopped => self.leave_partners(now),
         }
@@ -293,14 +288,6 @@
         self.context.peer_pool.close_expired(now);
     }
 
-    /// Records when the list of servers was last complete.
-    pub(super) fn confirm_servers(&self, now: Instant) {
-        let age = self.read_schedule.borrow().age(RecordTopic::Servers, now);
-        if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
-            self.context.origins().confirm_servers(at);
-        }
-    }
-
     /// Records which software versions still have servers.
     fn observe_versions(&mut self, now: Instant) {
         if now < self.next_observation_at {
--- a/src/relay/control/version_calls.rs
+++ b/src/relay/control/version_calls.rs
@@ -7,11 +7,13 @@
     VersionOutcome,
 };
 use crate::relay::RelayContext;
-use crate::types::{LogPosition, PeerError, PeerResult};
+use crate::types::{Delivery, LogPosition, PeerError, PeerResult, Step, StoreEra, log_position};
+use anyhow::anyhow;
 use futures_lite::{FutureExt, future};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use smol::Timer;
+use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
 /// Partitions that must have answered.
@@ -33,30 +35,53 @@
     call: VersionCall,
 ) -> PeerResult<VersionOutcome> {
     match call {
-        VersionCall::List => list(context).await.map(VersionOutcome::Listed),
+        VersionCall::List => {
+            let requested_at = Instant::now();
+            let (listing, era) = list(context).await?;
+            Ok(VersionOutcome::Listed { listing, era, requested_at })
+        }
         VersionCall::Add(version) => {
             let add = |partition| add(context, partition, &version);
-            call_majority(add).await?;
-            Ok(VersionOutcome::Added(version))
+            let era = common_era(call_majority(add).await?.into_iter().flatten())?;
+            Ok(VersionOutcome::Added { version, era })
         }
         VersionCall::Remove { version, ends } => remove(context, version, ends).await,
     }
 }
 
-async fn list(context: &RelayContext) -> PeerResult<VersionListing> {
+async fn list(context: &RelayContext) -> PeerResult<(VersionListing, StoreEra)> {
     let list = |partition| async move {
         count_call(context, "list_versions");
         context.ports.store.list_versions(partition).await
     };
     let listings: Outcomes<PartitionListing> = call_majority(list).await?;
-    Ok(VersionListing::from(listings))
+    let era = common_era(listings.iter().flatten().map(|listed| log_position::era(listed.end)))?;
+    Ok((VersionListing::from(listings), era))
 }
 
-async fn add(context: &RelayContext, partition: usize, version: &ServiceVersion) -> PeerResult<()> {
+async fn add(
+    context: &RelayContext,
+    partition: usize,
+    version: &ServiceVersion,
+) -> PeerResult<StoreEra> {
     count_call(context, "add_version");
     context.ports.store.add_version(partition, version).await
 }
 
+/// Returns the era in which all partitions answered.
+///
+/// # Errors
+///
+/// The store was restored between two answers.
+fn common_era(mut eras: impl Iterator<Item = StoreEra>) -> PeerResult<StoreEra> {
+    let first = eras.next().unwrap_or_default();
+    if eras.all(|era| era == first) {
+        return Ok(first);
+    }
+    let error = anyhow!("the store was restored between two partitions");
+    Err(PeerError::new(Step::Decode, SmolStr::new_static("store"), Delivery::Unknown, error))
+}
+
 /// Removes the record of a version in one partition after the other, until one has changed since its
 /// listing.
 async fn remove(
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -34,12 +34,19 @@
                 return;
             }
         };
+        if let Some(era) = outcome.era() {
+            self.observe_era(era, now);
+        }
+        if outcome.era().is_some_and(|era| self.store_era.is_some_and(|known| era < known)) {
+            log::info!("event=version_call_outdated known_era={:?}", self.store_era);
+            return self.version_records.record_failure(now);
+        }
         match &outcome {
-            VersionOutcome::Listed(listing) => {
+            VersionOutcome::Listed { listing, requested_at, .. } => {
                 log::info!("event=versions_listed versions={}", listing.copies.len());
-                self.context.origins().add_recorded(listing, now);
+                self.context.origins().apply_listing(listing, *requested_at, now);
             }
-            VersionOutcome::Added(version) => {
+            VersionOutcome::Added { version, .. } => {
                 log::info!(
                     "event=version_recorded service={} software={}",
                     version.service,
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -117,7 +117,7 @@
 fn request_record(context: &RelayContext, service: &ServiceId) {
     if context.origins().recorded_versions_mut().request(service) {
         log::info!("event=version_awaited service={service}");
-        context.notify_control(RelayControlEvent::VersionAwaited);
+        context.notify_control(RelayControlEvent::VersionsWanted);
     }
 }
 
--- a/src/relay/stream_origin.rs
+++ b/src/relay/stream_origin.rs
@@ -12,7 +12,7 @@
 };
 use crate::links::Datagram;
 use crate::metrics::labels::ReasonLabels;
-use crate::types::SoftwareVersion;
+use crate::types::{ServiceId, SoftwareVersion};
 use smol::Timer;
 use std::time::{Duration, Instant};
 
@@ -23,11 +23,11 @@
 /// Time after which nodes that have not answered are asked again, since datagrams may be lost.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(60);
 
-/// Time in which the list of servers must be confirmed: less than callers wait for a stream.
-const CONFIRMATION_PERIOD: Duration = Duration::from_millis(900);
+/// Time in which the records of versions must be listed: less than callers wait for a stream.
+const LISTING_PERIOD: Duration = Duration::from_millis(900);
 
-/// Period at which a search looks whether the list is confirmed.
-const CONFIRMATION_POLL_PERIOD: Duration = Duration::from_millis(20);
+/// Period at which a search looks whether the records are listed.
+const LISTING_POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Maximum streams whose owners are checked in a tick.
 const MAX_REPLICATED_STREAMS: usize = 256;
@@ -53,9 +53,12 @@
     let mut search = context.origins().search(stream, &request.service, asked_at);
     let asked = search.unanswered().len();
     ask_other_nodes(context, stream, request, &mut search).await;
-    if search.needs_confirmation() {
-        let deadline = request.deadline.min(asked_at + CONFIRMATION_PERIOD);
-        await_confirmation(context, stream, &mut search, deadline).await;
+    let deadline = request.deadline.min(asked_at + LISTING_PERIOD);
+    await_listing(context, stream, &mut search, deadline).await;
+    if search.lacks_record() && context.origins().may_record_first(Instant::now()) {
+        await_first_record(context, &request.service, deadline).await;
+        search.expect_listing(Instant::now());
+        await_listing(context, stream, &mut search, deadline).await;
     }
     let (source, software) = match search.result() {
         Some(FoundVersion::Known(software)) => ("known", Some(software)),
@@ -80,21 +83,37 @@
     }
 }
 
-/// Waits until the list of servers is confirmed, which shows whether a server of another version has
-/// appeared that can have begun the stream.
-async fn await_confirmation(
+/// Waits until the records of versions are listed if that decides where the stream goes on.
+async fn await_listing(
     context: &RelayContext,
     stream: Option<StreamKey>,
     search: &mut OriginSearch,
     deadline: Instant,
 ) {
-    context.notify_control(RelayControlEvent::ServersQuestioned);
-    while search.needs_confirmation() && Instant::now() < deadline {
-        Timer::after(CONFIRMATION_POLL_PERIOD).await;
+    if search.needs_listing() {
+        request_listing(context, search);
+    }
+    while search.needs_listing() && Instant::now() < deadline {
+        Timer::after(LISTING_POLL_PERIOD).await;
         search.update(&context.origins(), stream, Instant::now());
     }
 }
 
+fn request_listing(context: &RelayContext, search: &OriginSearch) {
+    context.origins().recorded_versions_mut().request_listing(search.began_at());
+    context.notify_control(RelayControlEvent::VersionsWanted);
+}
+
+/// Waits until the versions of a service are recorded.
+async fn await_first_record(context: &RelayContext, service: &ServiceId, deadline: Instant) {
+    context.origins().recorded_versions_mut().request(service);
+    context.notify_control(RelayControlEvent::VersionsWanted);
+    let is_awaited = || context.origins().recorded_versions().is_awaited(service);
+    while is_awaited() && Instant::now() < deadline {
+        Timer::after(LISTING_POLL_PERIOD).await;
+    }
+}
+
 async fn ask_other_nodes(
     context: &RelayContext,
     stream: Option<StreamKey>,
@@ -114,8 +133,13 @@
             else {
                 break;
             };
-            search.add_answer(address, answer, Instant::now());
+            search.add_answer(address, answer);
         }
+        // Nodes that do not answer may be gone, so that the records are listed meanwhile.
+        if search.needs_listing() && !search.is_over() {
+            request_listing(context, search);
+        }
+        search.update(&context.origins(), stream, Instant::now());
     }
 }
 
