fix(streams): a record is removed only by a node that has watched it for as long as streams live

By reading (DESIGN 27): the first writer of a version removes its record once it is listed and this node has seen no server of it for 60 s. A node that stood still while the version came and went has never seen one: it lists the records for another reason, and removes the fresh record while streams of the version live. The condition on the end of the partition does not help, since the record was written before the listing. After a kill of all nodes these streams go on at the version that is left.

The same class from the other side: what a node knows as recorded counted for ever, so that a version that returned after its record was removed got streams before it was recorded again, if the node that had removed it was gone.

The change: a node lists the records when a version has lost its last server, and removes one only if it finds it at the same positions 65 s later, and no server of it has been seen since. What is known as recorded counts for 60 s after the last server was seen (5 s if none was), which ends before any node may remove it; then it is written, or heard of, anew. The first three nodes by rank watch, so that the next one goes on if the first is killed. A suspension of the machine ends all that a node knows of records. A node that sees servers of a version for 1 s and is told of no record lists them.

The record of a version that has left is removed within the 80 s that the test allows, as before.

--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -30,6 +30,10 @@
 /// server was seen.
 pub const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Time after which a version without a server that was seen counts as out of service; all servers are
+/// looked through each second.
+const UNSEEN_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Maximum streams that are remembered.
 const MAX_STREAMS: usize = 65_536;
 
@@ -129,7 +133,23 @@
     ) -> bool {
         let versions = self.versions.entry(service.clone()).or_default();
         versions.retain(|_, seen_at| now < *seen_at + MAX_STREAM_LIFETIME);
-        versions.insert(software.clone(), now).is_none()
+        let is_new = versions.insert(software.clone(), now).is_none();
+        self.recorded_versions.observe(service, software, now);
+        is_new
+    }
+
+    /// Whether a server of a version was seen lately.
+    pub(super) fn is_in_service(&self, version: &ServiceVersion, now: Instant) -> bool {
+        let versions = self.versions.get(&version.service);
+        let seen_at = versions.and_then(|versions| versions.get(&version.software));
+        seen_at.is_some_and(|seen_at| now < *seen_at + UNSEEN_PERIOD)
+    }
+
+    /// Returns the versions with servers that the record store is known to hold.
+    pub fn recorded_versions_in_service(&self, now: Instant) -> Vec<ServiceVersion> {
+        let mut versions = self.recorded_versions.all(now);
+        versions.retain(|version| self.is_in_service(version, now));
+        versions
     }
 
     /// Applies a listing of the record store that was requested at `requested_at`.
@@ -153,10 +173,13 @@
 
     /// Adds a version that the record store holds; returns whether that is news.
     pub fn add_recorded_version(&mut self, version: &ServiceVersion, now: Instant) -> bool {
-        let is_new = self.recorded_versions.add(version);
+        let is_new = self.recorded_versions.add(version, now);
+        if self.is_in_service(version, now) {
+            self.recorded_versions.observe(&version.service, &version.software, now);
+        }
         let is_recorded = |software: SoftwareVersion| {
             let service = version.service.clone();
-            self.recorded_versions.contains(&ServiceVersion { service, software })
+            self.recorded_versions.contains(&ServiceVersion { service, software }, now)
         };
         if self.versions(&version.service, now).into_iter().all(is_recorded) {
             self.recorded_versions.end_requests(&version.service);
@@ -255,6 +278,7 @@
             versions.retain(|_, seen_at| now < *seen_at + MAX_STREAM_LIFETIME);
         }
         self.versions.retain(|_, versions| !versions.is_empty());
+        self.recorded_versions.remove_expired(now);
     }
 
     /// Returns the number of remembered streams.
--- a/src/decision/relay/streams/recorded_versions.rs
+++ b/src/decision/relay/streams/recorded_versions.rs
@@ -3,12 +3,17 @@
 //! A stream begins only at a version whose record is known to be in the store: a node that later finds one
 //! version there then knows that the service has had no other one, also if it did not run meanwhile.
 
+use super::origins::MAX_STREAM_LIFETIME;
 use super::version_records::{ServiceVersion, VersionListing};
 use crate::decision::relay::choose::BeginVersions;
 use crate::types::{ServiceId, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+/// Time for which a version without a server that this node sees counts as recorded: its record may be
+/// removed at any time.
+const UNSEEN_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Time for which a listing is wanted after it was requested: callers do not wait longer for it.
 const REQUEST_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -22,7 +27,8 @@
 /// Recorded versions, and the services that lack one.
 #[derive(Clone, Debug, Default)]
 pub struct RecordedVersions {
-    versions: BTreeMap<ServiceId, BTreeSet<SoftwareVersion>>,
+    /// Recorded versions, with the time until which they count as such.
+    versions: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
     /// Whether the last call for the records failed.
     is_store_failing: bool,
     /// Services whose versions must be recorded soon, since streams wait for that.
@@ -35,9 +41,33 @@
 
 impl RecordedVersions {
     /// Adds a version that the store holds; returns whether it was not known.
-    pub fn add(&mut self, version: &ServiceVersion) -> bool {
+    pub(super) fn add(&mut self, version: &ServiceVersion, now: Instant) -> bool {
+        let is_new = !self.contains(version, now);
         let versions = self.versions.entry(version.service.clone()).or_default();
-        versions.insert(version.software.clone())
+        let until = versions.entry(version.software.clone()).or_insert(now);
+        *until = (*until).max(now + UNSEEN_LIFETIME);
+        is_new
+    }
+
+    /// Records that a server of a version was seen, so that nobody removes its record for a while.
+    pub(super) fn observe(
+        &mut self,
+        service: &ServiceId,
+        software: &SoftwareVersion,
+        now: Instant,
+    ) {
+        let until = self.versions.get_mut(service).and_then(|versions| versions.get_mut(software));
+        if let Some(until) = until.filter(|until| now < **until) {
+            *until = now + MAX_STREAM_LIFETIME;
+        }
+    }
+
+    /// Forgets versions that do not count as recorded any more.
+    pub(super) fn remove_expired(&mut self, now: Instant) {
+        for versions in self.versions.values_mut() {
+            versions.retain(|_, until| now < *until);
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
     }
 
     /// Drops a version that the store does not hold any more.
@@ -56,6 +86,9 @@
     /// Sets what the store held at some moment after `requested_at`.
     pub(super) fn set_listed(&mut self, listing: &VersionListing, requested_at: Instant) {
         let mut versions: BTreeMap<ServiceId, Vec<SoftwareVersion>> = BTreeMap::new();
+        for (service, versions) in &mut self.versions {
+            versions.retain(|software, _| listing.contains(service, software));
+        }
         for ServiceVersion { service, software } in listing.copies.keys() {
             versions.entry(service.clone()).or_default().push(software.clone());
         }
@@ -96,25 +129,36 @@
     }
 
     /// Whether the store is known to hold a version.
-    pub fn contains(&self, version: &ServiceVersion) -> bool {
+    pub fn contains(&self, version: &ServiceVersion, now: Instant) -> bool {
         let versions = self.versions.get(&version.service);
-        versions.is_some_and(|versions| versions.contains(&version.software))
+        let until = versions.and_then(|versions| versions.get(&version.software));
+        until.is_some_and(|until| now < *until)
     }
 
-    /// Returns all versions that are known to be recorded.
-    pub fn all(&self) -> Vec<ServiceVersion> {
-        let version = |service: &ServiceId, software: &SoftwareVersion| ServiceVersion {
-            service: service.clone(),
-            software: software.clone(),
-        };
-        let versions = self.versions.iter();
-        versions.flat_map(|(id, all)| all.iter().map(|v| version(id, v))).collect()
+    /// Returns all versions that the store is known to hold.
+    pub fn all(&self, now: Instant) -> Vec<ServiceVersion> {
+        let mut all = Vec::new();
+        for (service, versions) in &self.versions {
+            let recorded = versions.iter().filter(|(_, until)| now < **until);
+            all.extend(recorded.map(|(software, _)| ServiceVersion {
+                service: service.clone(),
+                software: software.clone(),
+            }));
+        }
+        all
     }
 
     /// Returns the versions at which a stream of a service may begin. `has_waited` is whether its caller
     /// has waited for the record of a version for long enough; none is waited for while the store fails.
-    pub fn begin_versions(&self, service: &ServiceId, has_waited: bool) -> BeginVersions {
-        let recorded = self.versions.get(service).into_iter().flatten().cloned().collect();
+    pub fn begin_versions(
+        &self,
+        service: &ServiceId,
+        has_waited: bool,
+        now: Instant,
+    ) -> BeginVersions {
+        let versions = self.versions.get(service).into_iter().flatten();
+        let recorded = versions.filter(|(_, until)| now < **until);
+        let recorded = recorded.map(|(software, _)| software.clone()).collect();
         BeginVersions { recorded, allows_unrecorded: has_waited || self.is_store_failing }
     }
 
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -17,6 +17,13 @@
 /// Time after a node's start in which it learns of the other nodes, before it writes.
 const SETTLE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time for which a record must have stayed the same, without a server of its version, before it is
+/// removed. It is longer than the time after which other nodes take a version for new, and have it recorded.
+const REMOVAL_DELAY: Duration = MAX_STREAM_LIFETIME.saturating_add(Duration::from_secs(5));
+
+/// Time in which a node that writes the record of a version tells the others.
+const UNTOLD_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time after which an unanswered call is given up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -52,8 +59,8 @@
 /// Records of one partition.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PartitionListing {
-    /// Versions.
-    pub versions: BTreeSet<ServiceVersion>,
+    /// Versions, with the positions of their records.
+    pub versions: BTreeMap<ServiceVersion, LogPosition>,
     /// Position of the next record.
     pub end: LogPosition,
 }
@@ -61,8 +68,8 @@
 /// Records of a majority of the partitions.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct VersionListing {
-    /// Versions, with the number of partitions that have them.
-    pub copies: BTreeMap<ServiceVersion, usize>,
+    /// Versions, with the partitions that have them and the positions of the records there.
+    pub copies: BTreeMap<ServiceVersion, Vec<(usize, LogPosition)>>,
     /// Position of the next record of each partition, `None` for one that did not answer.
     pub ends: [Option<LogPosition>; VERSION_PARTITIONS],
 }
@@ -73,8 +80,8 @@
         for (index, partition) in partitions.into_iter().enumerate() {
             let Some(PartitionListing { versions, end }) = partition else { continue };
             listing.ends[index] = Some(end);
-            for version in versions {
-                *listing.copies.entry(version).or_default() += 1;
+            for (version, position) in versions {
+                listing.copies.entry(version).or_default().push((index, position));
             }
         }
         listing
@@ -84,10 +91,16 @@
 impl VersionListing {
     /// Returns the versions that a majority of the partitions has.
     pub fn recorded(&self) -> BTreeSet<ServiceVersion> {
-        let recorded = self.copies.iter().filter(|(_, copies)| **copies >= MAJORITY);
+        let recorded = self.copies.iter().filter(|(_, copies)| copies.len() >= MAJORITY);
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Whether a partition has the record of a version.
+    pub(super) fn contains(&self, service: &ServiceId, software: &SoftwareVersion) -> bool {
+        let version = ServiceVersion { service: service.clone(), software: software.clone() };
+        self.copies.contains_key(&version)
+    }
+
     /// Returns the ends of all partitions, `None` if one did not answer.
     fn all_ends(&self) -> Option<[LogPosition; VERSION_PARTITIONS]> {
         let ends: Vec<LogPosition> = self.ends.iter().copied().collect::<Option<_>>()?;
@@ -146,15 +159,29 @@
     }
 }
 
+/// Version without servers whose record is to be removed.
+#[derive(Clone, Debug)]
+struct UnusedVersion {
+    /// Its records when this node first listed them after the last server was seen.
+    copies: Vec<(usize, LogPosition)>,
+    removable_at: Instant,
+}
+
 /// Records of versions, as known to one node.
 #[derive(Clone, Debug)]
 pub struct VersionRecords {
     instance: InstanceId,
     started_at: Instant,
-    /// Versions that a majority of the partitions holds as far as known, `None` until they are listed.
-    recorded: Option<BTreeSet<ServiceVersion>>,
+    /// Whether the records must be listed, since this node does not know them or the store was restored.
+    needs_listing: bool,
     /// Last listing, `None` if a record may have been written since.
     listing: Option<VersionListing>,
+    /// When the records are listed since a version with servers is not known to be recorded, `None` if all
+    /// are.
+    list_untold_at: Option<Instant>,
+    /// Listed versions without servers.
+    unused: BTreeMap<ServiceVersion, UnusedVersion>,
+
     /// Until when the pending call is waited for, `None` if none is pending.
     pending_until: Option<Instant>,
     /// When the last call failed, `None` if it did not.
@@ -167,8 +194,10 @@
         Self {
             instance,
             started_at: now,
-            recorded: None,
+            needs_listing: true,
             listing: None,
+            list_untold_at: None,
+            unused: BTreeMap::new(),
             pending_until: None,
             failed_at: None,
         }
@@ -194,24 +223,37 @@
         Some(call)
     }
 
-    /// Applies the outcome of a call.
-    pub fn apply(&mut self, outcome: VersionOutcome) {
+    /// Applies the outcome of a call; `origins` knows it already.
+    pub fn apply(&mut self, outcome: VersionOutcome, origins: &StreamOrigins, now: Instant) {
         self.pending_until = None;
         self.failed_at = None;
         self.listing = None;
         match outcome {
             VersionOutcome::Listed { listing, .. } => {
-                self.recorded = Some(listing.recorded());
+                self.needs_listing = false;
+                self.update_unused(&listing, origins, now);
                 self.listing = Some(listing);
             }
-            VersionOutcome::Added { version, .. } => {
-                self.recorded.get_or_insert_default().insert(version);
-            }
             VersionOutcome::Removed(version) => {
-                self.recorded.get_or_insert_default().remove(&version);
+                self.unused.remove(&version);
+            }
+            VersionOutcome::Added { .. } | VersionOutcome::Conflict => {}
+        }
+    }
+
+    /// Keeps the listed versions without servers, each with the time since which its record is the same.
+    fn update_unused(&mut self, listing: &VersionListing, origins: &StreamOrigins, now: Instant) {
+        let mut unused = BTreeMap::new();
+        for (version, copies) in &listing.copies {
+            if origins.is_in_service(version, now) {
+                continue;
             }
-            VersionOutcome::Conflict => {}
+            let known = self.unused.remove(version).filter(|known| known.copies == *copies);
+            let new =
+                || UnusedVersion { copies: copies.clone(), removable_at: now + REMOVAL_DELAY };
+            unused.insert(version.clone(), known.unwrap_or_else(new));
         }
+        self.unused = unused;
     }
 
     /// Records that a call failed; it may have taken effect.
@@ -223,18 +265,18 @@
 
     /// Lists the records again, since a restored store may lack some.
     pub fn observe_restore(&mut self) {
-        self.recorded = None;
+        self.needs_listing = true;
         self.listing = None;
+        self.unused.clear();
     }
 
     fn needed_call(
-        &self,
+        &mut self,
         origins: &StreamOrigins,
         services: &BTreeSet<ServiceId>,
         now: Instant,
     ) -> Option<VersionCall> {
-        let Some(recorded) = &self.recorded else { return Some(VersionCall::List) };
-        if origins.recorded_versions().is_listing_wanted(now) {
+        if self.needs_listing || origins.recorded_versions().is_listing_wanted(now) {
             return Some(VersionCall::List);
         }
         let is_settled = now >= self.started_at + SETTLE_PERIOD;
@@ -244,22 +286,67 @@
             for software in origins.versions(service, now) {
                 let version = ServiceVersion { service: service.clone(), software };
                 let writes = is_awaited || is_settled && rank(&version) < WRITERS;
-                if !recorded.contains(&version) && writes {
+                let is_recorded = origins.recorded_versions().contains(&version, now);
+                if !is_recorded && writes {
                     return Some(VersionCall::Add(version));
                 }
             }
         }
-        if now < self.started_at + MAX_STREAM_LIFETIME {
-            return None;
+        if self.is_untold(origins, services, now) {
+            return Some(VersionCall::List);
         }
-        let is_gone = |version: &&ServiceVersion| {
-            let seen = origins.versions(&version.service, now);
-            !seen.contains(&version.software) && rank(version) == 0
+        if is_settled { self.needed_removal(origins, now) } else { None }
+    }
+
+    /// Whether a version has servers and nobody has told for a while whether it is recorded.
+    fn is_untold(
+        &mut self,
+        origins: &StreamOrigins,
+        services: &BTreeSet<ServiceId>,
+        now: Instant,
+    ) -> bool {
+        let is_unknown = |service: &ServiceId, software: SoftwareVersion| {
+            let version = ServiceVersion { service: service.clone(), software };
+            origins.is_in_service(&version, now)
+                && !origins.recorded_versions().contains(&version, now)
         };
-        let version = recorded.iter().find(is_gone)?.clone();
+        let mut services = services.iter();
+        let has_unknown = services.any(|service| {
+            origins.versions(service, now).into_iter().any(|software| is_unknown(service, software))
+        });
+        if !has_unknown {
+            self.list_untold_at = None;
+            return false;
+        }
+        let list_at = *self.list_untold_at.get_or_insert(now + UNTOLD_PERIOD);
+        if now < list_at {
+            return false;
+        }
+        self.list_untold_at = None;
+        true
+    }
+
+    /// Returns the call that is needed for the removal of a record.
+    fn needed_removal(&mut self, origins: &StreamOrigins, now: Instant) -> Option<VersionCall> {
+        self.unused.retain(|version, _| !origins.is_in_service(version, now));
+        let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
+        let has_left = |version: &ServiceVersion| {
+            !self.unused.contains_key(version) && !origins.is_in_service(version, now)
+        };
+        let mut known = origins.recorded_versions().all(now).into_iter();
+        if known.any(|version| has_left(&version) && rank(&version) < WRITERS) {
+            return Some(VersionCall::List);
+        }
+        let mut unused = self.unused.iter();
+        let is_due =
+            |version, unused: &UnusedVersion| now >= unused.removable_at && rank(version) == 0;
+        let (version, unused) = unused.find(|(version, unused)| is_due(version, unused))?;
         Some(match &self.listing {
-            Some(listing) => VersionCall::Remove { version, ends: listing.all_ends()? },
-            None => VersionCall::List,
+            // The last listing has found the record as it was.
+            Some(listing) if listing.copies.get(version) == Some(&unused.copies) => {
+                VersionCall::Remove { version: version.clone(), ends: listing.all_ends()? }
+            }
+            _ => VersionCall::List,
         })
     }
 }
--- a/src/relay/control/partners/mod.rs
+++ b/src/relay/control/partners/mod.rs
@@ -206,7 +206,7 @@
         for batch in limits.chunks(MAX_MESSAGE_LIMITS) {
             self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
         }
-        let versions = self.context.origins().recorded_versions().all();
+        let versions = self.context.origins().recorded_versions_in_service(now);
         for batch in versions.chunks(MAX_MESSAGE_VERSIONS) {
             self.partners.send(&instance, &PartnerMessage::VersionsRecorded(batch.to_vec()));
         }
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -331,5 +331,8 @@
         self.read_schedule.borrow_mut().record_suspension(gap);
         self.context.fleet().record_suspension(gap);
         self.context.quotas().restart(self.context.quota_clock.now());
+        // Records that this node relied on may have been removed meanwhile.
+        self.context.origins().recorded_versions_mut().clear();
+        self.version_records.observe_restore();
     }
 }
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -66,7 +66,7 @@
             VersionOutcome::Conflict => log::info!("event=version_kept reason=written_since"),
         }
         self.context.origins().recorded_versions_mut().record_answer();
-        self.version_records.apply(outcome);
+        self.version_records.apply(outcome, &self.context.origins(), now);
         // The next call may be waited for by callers.
         self.tick_version_records(now);
     }
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -110,7 +110,8 @@
         return None;
     }
     let has_waited = now >= request.arrived_at + MAX_RECORD_WAIT;
-    Some(context.origins().recorded_versions().begin_versions(&request.service, has_waited))
+    let origins = context.origins();
+    Some(origins.recorded_versions().begin_versions(&request.service, has_waited, now))
 }
 
 /// Asks the control thread for the record of a version of a service.
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -244,7 +244,7 @@
         service: SERVICE,
         software: software.clone(),
     };
-    let versions = versions.iter().map(version).collect();
+    let versions = versions.iter().map(|software| (version(software), 0)).collect();
     let partition = PartitionListing { versions, end: 1 };
     VersionListing::from([Some(partition.clone()), Some(partition.clone()), Some(partition)])
 }
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -4,8 +4,8 @@
 
 use coriandertide::decision::relay::PeerNode;
 use coriandertide::decision::relay::streams::{
-    FoundVersion, PartitionListing, StreamOrigins, VERSION_PARTITIONS, VersionCall, VersionListing,
-    VersionOutcome, VersionRecords,
+    FoundVersion, PartitionListing, ServiceVersion, StreamOrigins, VERSION_PARTITIONS, VersionCall,
+    VersionListing, VersionOutcome, VersionRecords,
 };
 use coriandertide::types::{ServiceId, SoftwareVersion};
 use smol_str::{SmolStr, format_smolstr};
@@ -169,7 +169,10 @@
         if (at_ms..at_ms + TICK_MS).contains(&case.restore_ms) {
             let copied = self.history.len().saturating_sub((2_000 / TICK_MS) as usize);
             self.store = self.history[copied].clone();
-            self.nodes.iter_mut().for_each(|node| node.records.observe_restore());
+            for node in &mut self.nodes {
+                node.records.observe_restore();
+                node.origins.observe_restore();
+            }
         }
         let services = BTreeSet::from([SERVICE]);
         for node in &mut self.nodes {
@@ -192,7 +195,7 @@
                         }
                         VersionOutcome::Removed(_) | VersionOutcome::Conflict => {}
                     }
-                    node.records.apply(outcome);
+                    node.records.apply(outcome, &node.origins, now);
                 }
                 None => node.records.record_failure(now),
             }
@@ -232,11 +235,12 @@
 
     /// Returns the version of a stream that was open at the kill, `None` if its node knew no server.
     fn begun_stream(&mut self) -> Option<SoftwareVersion> {
+        let now = self.at(self.case.kill_ms);
         let begun_ms = self.case.kill_ms - self.random.u64(0..1_000);
         let node = self.random.usize(0..self.case.nodes);
         let mut versions = self.case.versions(begun_ms.saturating_sub(self.nodes[node].lag_ms));
         let recorded = self.nodes[node].origins.recorded_versions();
-        let begins_at = recorded.begin_versions(&SERVICE, false);
+        let begins_at = recorded.begin_versions(&SERVICE, false, now);
         // Without a recorded version, the service has no record after the kill either.
         if versions.iter().any(|version| begins_at.recorded.contains(version)) {
             versions.retain(|version| begins_at.recorded.contains(version));
@@ -291,7 +295,8 @@
             VersionCall::Add(version) => {
                 for index in up {
                     self.partitions[index].end += 1;
-                    self.partitions[index].versions.insert(version.clone());
+                    let end = self.partitions[index].end;
+                    self.partitions[index].versions.insert(version.clone(), end);
                 }
                 VersionOutcome::Added { version, era: 0 }
             }
@@ -395,7 +400,7 @@
     };
     let mut model = Model::new(case, fastrand::Rng::with_seed(1));
     let recorded = |model: &Model| -> Vec<SoftwareVersion> {
-        model.store.partitions[0].versions.iter().map(|version| version.software.clone()).collect()
+        model.store.partitions[0].versions.keys().map(|version| version.software.clone()).collect()
     };
     for at_ms in (0..80_000).step_by(TICK_MS as usize) {
         model.tick(at_ms);
@@ -405,3 +410,111 @@
     }
     assert_eq!(recorded(&model), [NEW]);
 }
+
+/// Records of a store and of the nodes that write them, of which some miss that a version came and went.
+struct Removals {
+    start: Instant,
+    store: Store,
+    nodes: Vec<Node>,
+}
+
+impl Removals {
+    fn new(count: usize) -> Self {
+        let start = Instant::now();
+        let case = Case {
+            nodes: count,
+            join_ms: u64::MAX,
+            gone_ms: u64::MAX,
+            kill_ms: u64::MAX,
+            restore_ms: u64::MAX,
+            down_ms: (u64::MAX, u64::MAX),
+            down_partition: None,
+        };
+        let model = Model::new(case, fastrand::Rng::with_seed(1));
+        Self { start, store: Store::default(), nodes: model.nodes }
+    }
+
+    /// Lets all nodes see the old version, and those that `sees_new` the new one as well, over some time.
+    fn run(&mut self, period_ms: std::ops::Range<u64>, sees_new: impl Fn(usize) -> bool) {
+        let services = BTreeSet::from([SERVICE]);
+        for at_ms in period_ms.step_by(TICK_MS as usize) {
+            let now = self.start + Duration::from_millis(at_ms);
+            for (index, node) in self.nodes.iter_mut().enumerate() {
+                node.origins.observe_version(&SERVICE, &OLD, now);
+                if sees_new(index) {
+                    node.origins.observe_version(&SERVICE, &NEW, now);
+                }
+                let call = node.records.next_call(&node.origins, &services, now);
+                let outcome = call.and_then(|call| self.store.answer(call, now, |_| true));
+                let Some(outcome) = outcome else { continue };
+                match &outcome {
+                    VersionOutcome::Listed { listing, requested_at, .. } => {
+                        node.origins.apply_listing(listing, *requested_at, now);
+                    }
+                    VersionOutcome::Added { version, .. } => {
+                        node.origins.add_recorded_version(version, now);
+                    }
+                    VersionOutcome::Removed(version) => {
+                        node.origins.recorded_versions_mut().remove(version);
+                    }
+                    VersionOutcome::Conflict => {}
+                }
+                node.records.apply(outcome, &node.origins, now);
+            }
+        }
+    }
+
+    /// Returns the node that removes the record of the new version.
+    fn remover(&self) -> usize {
+        let version = ServiceVersion { service: SERVICE, software: NEW };
+        let rank = |index: usize| {
+            let instance = format_smolstr!("n{index}");
+            self.nodes[index].origins.rank(&instance, version.key_hash())
+        };
+        (0..self.nodes.len()).find(|index| rank(*index) == 0).unwrap()
+    }
+
+    fn is_recorded(&self) -> bool {
+        let version = ServiceVersion { service: SERVICE, software: NEW };
+        self.store.partitions.iter().all(|partition| partition.versions.contains_key(&version))
+    }
+}
+
+/// Guards against the removal of a fresh record by a node that stood still, or was cut off, while the version
+/// came and went, and so has never seen a server of it.
+#[test]
+fn a_node_that_missed_a_version_does_not_remove_its_record_while_its_streams_live() {
+    for nodes in [3, 6, 68] {
+        let mut removals = Removals::new(nodes);
+        let remover = removals.remover();
+        removals.run(0..70_000, |_| false);
+        removals.run(70_000..72_000, |index| index != remover);
+        assert!(removals.is_recorded());
+        // It lists the records for another reason.
+        removals.nodes[remover].records.observe_restore();
+        removals.run(72_000..131_000, |_| false);
+        assert!(removals.is_recorded(), "{nodes} nodes");
+        removals.run(131_000..145_000, |_| false);
+        assert!(!removals.is_recorded(), "{nodes} nodes");
+    }
+}
+
+/// Guards against a version that returns after its record was removed, and gets streams at nodes which still
+/// take it for recorded.
+#[test]
+fn a_version_that_returns_after_the_removal_of_its_record_is_recorded_again() {
+    let mut removals = Removals::new(6);
+    let remover = removals.remover();
+    removals.run(0..5_000, |_| true);
+    removals.run(5_000..80_000, |_| false);
+    assert!(!removals.is_recorded());
+    let returned_at = removals.start + Duration::from_millis(80_000);
+    for node in &removals.nodes {
+        let begins_at =
+            node.origins.recorded_versions().begin_versions(&SERVICE, false, returned_at);
+        assert_eq!(begins_at.recorded, [OLD]);
+    }
+    // The node that has removed it is gone.
+    removals.run(80_000..81_000, |index| index != remover);
+    assert!(removals.is_recorded());
+}
