test(streams): what an earlier build makes of records and answers on versions

Today's answers on origins prove nothing to a node of an earlier build, and the other way round; a version that an earlier build alone has recorded is one that the service has had, and streams begin there after today's build has written it too; what an earlier build removes from the partition that it knows is found in the other two.

--- a/tests/relay/earlier_messages.rs
+++ b/tests/relay/earlier_messages.rs
@@ -4,13 +4,18 @@
 use coriandertide::decision::membership::{MemberRecord, MemberStatus};
 use coriandertide::decision::relay::read_schedule::Confirmation;
 use coriandertide::decision::relay::replica::{RecordsRequest, TopicListing};
+use coriandertide::decision::relay::streams::{
+    KnownOrigin, OriginAnswer, PartitionListing, ServiceVersion, VersionListing,
+};
 use coriandertide::decision::relay::{
-    KeyedRecord, RecordPacker, RecordTopic, Replica, record_packing,
+    KeyedRecord, PeerNode, RecordPacker, RecordTopic, Replica, StreamOrigins, record_packing,
 };
 use coriandertide::links::message::{DecodedMessage, TopicDigest};
 use coriandertide::links::{Datagram, PartnerMessage};
 use coriandertide::relay::peers::message;
+use coriandertide::types::SoftwareVersion;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -246,3 +251,82 @@
     record_packing::unpack(&mut delta, &Replica::default()).unwrap();
     assert_eq!(delta.records, records);
 }
+
+/// Answer on the origin of a stream, as an earlier build (c0dd9f2) sends and reads it.
+#[derive(Debug, Deserialize, Serialize)]
+struct EarlierOriginAnswer {
+    #[serde(rename = "o")]
+    known: KnownOrigin,
+    #[serde(rename = "v")]
+    versions: Vec<SoftwareVersion>,
+    #[serde(rename = "c", default)]
+    is_complete: bool,
+    #[serde(rename = "a", default)]
+    servers_age_ms: Option<u64>,
+}
+
+/// Guards against a node of an earlier build that takes an answer of today's for proof of a version, and
+/// against today's node that takes one of an earlier build for that.
+#[test]
+fn answers_on_origins_prove_no_version_to_the_other_build() {
+    let versions: Vec<SoftwareVersion> = vec!["v1".into()];
+    let today = OriginAnswer { known: KnownOrigin::Unknown, versions: versions.clone() };
+    let read: EarlierOriginAnswer = ciborium::from_reader(encode(&today).as_slice()).unwrap();
+    assert_eq!(
+        (read.versions, read.is_complete, read.servers_age_ms),
+        (versions.clone(), false, None)
+    );
+    let earlier = EarlierOriginAnswer {
+        known: KnownOrigin::Unknown,
+        versions,
+        is_complete: true,
+        servers_age_ms: Some(0),
+    };
+    let answer: OriginAnswer = ciborium::from_reader(encode(&earlier).as_slice()).unwrap();
+    let now = Instant::now();
+    let mut origins = StreamOrigins::new(true, now);
+    let node = SocketAddr::from(([127, 0, 0, 1], 1));
+    let peer = PeerNode {
+        instance: "n1".into(),
+        availability_zone: "z1".into(),
+        address: node,
+        processor_percent: 0,
+    };
+    origins.set_nodes(vec![peer], Vec::new());
+    let mut search = origins.search(Some(1), &"models".into(), now);
+    search.add_answer(node, answer);
+    assert_eq!((search.needs_listing(), search.result()), (true, None));
+}
+
+/// Guards against versions that earlier builds record, or remove, in the one partition that they know: what
+/// they write is a version that the service has had, and what they remove is found in the other partitions.
+#[test]
+fn an_earlier_build_writes_one_partition_of_the_versions() {
+    let version = ServiceVersion { service: "models".into(), software: "v1".into() };
+    let with = PartitionListing { versions: BTreeMap::from([(version.clone(), 0)]), end: 1 };
+    let without = PartitionListing { versions: BTreeMap::new(), end: 1 };
+    let written = VersionListing::from([Some(with.clone()), Some(without.clone()), None]);
+    assert!(written.copies.contains_key(&version));
+    // Streams begin there after today's build has written it too.
+    assert!(!written.recorded().contains(&version));
+    for answered in [[true, true, true], [true, true, false], [true, false, true]] {
+        let partitions = [&without, &with, &with].map(Clone::clone);
+        let mut listings = partitions.map(Some);
+        for (listing, has_answered) in listings.iter_mut().zip(answered) {
+            listing.take_if(|_| !has_answered);
+        }
+        assert!(VersionListing::from(listings).copies.contains_key(&version), "{answered:?}");
+    }
+}
+
+/// Guards against a message that ends the link to a node of an earlier build: one of a kind that it does not
+/// know has to have the form of those that it does.
+#[test]
+fn recorded_versions_are_a_message_that_earlier_builds_skip() {
+    let version = ServiceVersion { service: "models".into(), software: "v1".into() };
+    let message = PartnerMessage::VersionsRecorded(vec![version]).encode();
+    let value: Value = ciborium::from_reader(&*message).unwrap();
+    let kinds = value.as_map().unwrap();
+    assert_eq!(kinds.len(), 1);
+    assert_eq!(kinds[0].0.as_text(), Some("versions_recorded"));
+}
