fix(streams): a removal waits for a partition that is down, and the lost records of a restore are red

With a partition down, the removal of a record found no end for it and was not tried again unless another call was made; and a listing without that partition counted as a change of the record, which began the time anew. Records are compared in the partitions that were listed, and the removal is tried again each five seconds. a_record_is_removed_after_the_outage_of_a_partition failed before (still there at 170 s, partition 0).

a_restore_before_a_kill_of_all_nodes_joins_no_streams fails: a store that is restored from a copy without a record, and a kill of all nodes before one has written it again, leave one version, which is taken for the only one.

--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -21,6 +21,9 @@
 /// removed. It is longer than the time after which other nodes take a version for new, and have it recorded.
 const REMOVAL_DELAY: Duration = MAX_STREAM_LIFETIME.saturating_add(Duration::from_secs(5));
 
+/// Delay after a removal that was not possible since a partition did not answer.
+const REMOVAL_RETRY_DELAY: Duration = Duration::from_secs(5);
+
 /// Time in which a node that writes the record of a version tells the others.
 const UNTOLD_PERIOD: Duration = Duration::from_secs(1);
 
@@ -162,11 +165,20 @@
 /// Version without servers whose record is to be removed.
 #[derive(Clone, Debug)]
 struct UnusedVersion {
-    /// Its records when this node first listed them after the last server was seen.
-    copies: Vec<(usize, LogPosition)>,
+    /// Positions of its records by partition, as first listed after the last server was seen.
+    copies: BTreeMap<usize, LogPosition>,
     removable_at: Instant,
 }
 
+impl UnusedVersion {
+    /// Whether no record was written again, by a listing of some partitions.
+    fn is_unchanged(&self, copies: &[(usize, LogPosition)]) -> bool {
+        let is_known =
+            |partition, position| self.copies.get(partition).is_none_or(|known| known == position);
+        copies.iter().all(|(partition, position)| is_known(partition, position))
+    }
+}
+
 /// Records of versions, as known to one node.
 #[derive(Clone, Debug)]
 pub struct VersionRecords {
@@ -203,8 +215,8 @@
         }
     }
 
-    /// Returns the next call that this node makes; `services` have routes whose streams can be
-    /// resumed. Its outcome, or its failure, must be reported.
+    /// Returns the next call that this node makes; `services` have routes for streams.
+    /// Its outcome, or its failure, must be reported.
     pub fn next_call(
         &mut self,
         origins: &StreamOrigins,
@@ -248,10 +260,13 @@
             if origins.is_in_service(version, now) {
                 continue;
             }
-            let known = self.unused.remove(version).filter(|known| known.copies == *copies);
-            let new =
-                || UnusedVersion { copies: copies.clone(), removable_at: now + REMOVAL_DELAY };
-            unused.insert(version.clone(), known.unwrap_or_else(new));
+            let known = self.unused.remove(version).filter(|known| known.is_unchanged(copies));
+            let mut version_unused = known.unwrap_or_else(|| UnusedVersion {
+                copies: BTreeMap::new(),
+                removable_at: now + REMOVAL_DELAY,
+            });
+            version_unused.copies.extend(copies.iter().copied());
+            unused.insert(version.clone(), version_unused);
         }
         self.unused = unused;
     }
@@ -337,16 +352,20 @@
         if known.any(|version| has_left(&version) && rank(&version) < WRITERS) {
             return Some(VersionCall::List);
         }
-        let mut unused = self.unused.iter();
+        let mut unused = self.unused.iter_mut();
         let is_due =
             |version, unused: &UnusedVersion| now >= unused.removable_at && rank(version) == 0;
         let (version, unused) = unused.find(|(version, unused)| is_due(version, unused))?;
-        Some(match &self.listing {
-            // The last listing has found the record as it was.
-            Some(listing) if listing.copies.get(version) == Some(&unused.copies) => {
-                VersionCall::Remove { version: version.clone(), ends: listing.all_ends()? }
+        let Some(listing) = self.listing.take() else { return Some(VersionCall::List) };
+        let copies = listing.copies.get(version);
+        let is_same = copies.is_some_and(|copies| unused.is_unchanged(copies));
+        match listing.all_ends().filter(|_| is_same) {
+            Some(ends) => Some(VersionCall::Remove { version: version.clone(), ends }),
+            None => {
+                // A partition has not answered.
+                unused.removable_at = now + REMOVAL_RETRY_DELAY;
+                None
             }
-            _ => VersionCall::List,
-        })
+        }
     }
 }
--- a/tests/relay/stream_origins.rs
+++ b/tests/relay/stream_origins.rs
@@ -274,6 +274,10 @@
         assert_eq!((search.lacks_record(), search.result()), (true, None));
         origins.apply_listing(&listing(&[OLD]), now, now);
         assert_eq!(origins.search(Some(1), &SERVICE, now).result(), Some(FoundVersion::Only(OLD)));
+        // The records of another service tell nothing of this one.
+        let other = ServiceId::from("other");
+        origins.observe_version(&other, &OLD, now);
+        assert_eq!(origins.search(Some(1), &other, now).result(), None);
         origins.apply_listing(&listing(&[OLD, NEW]), now, now);
         assert_eq!(origins.search(Some(1), &SERVICE, now).result(), None);
         origins.apply_listing(&listing(&[NEW]), now, now);
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -415,6 +415,7 @@
 struct Removals {
     start: Instant,
     store: Store,
+    down_partition: Option<usize>,
     nodes: Vec<Node>,
 }
 
@@ -431,7 +432,7 @@
             down_partition: None,
         };
         let model = Model::new(case, fastrand::Rng::with_seed(1));
-        Self { start, store: Store::default(), nodes: model.nodes }
+        Self { start, store: Store::default(), down_partition: None, nodes: model.nodes }
     }
 
     /// Lets all nodes see the old version, and those that `sees_new` the new one as well, over some time.
@@ -445,8 +446,12 @@
                     node.origins.observe_version(&SERVICE, &NEW, now);
                 }
                 let call = node.records.next_call(&node.origins, &services, now);
-                let outcome = call.and_then(|call| self.store.answer(call, now, |_| true));
-                let Some(outcome) = outcome else { continue };
+                let Some(call) = call else { continue };
+                let is_up = |index| self.down_partition != Some(index);
+                let Some(outcome) = self.store.answer(call, now, is_up) else {
+                    node.records.record_failure(now);
+                    continue;
+                };
                 match &outcome {
                     VersionOutcome::Listed { listing, requested_at, .. } => {
                         node.origins.apply_listing(listing, *requested_at, now);
@@ -518,3 +523,39 @@
     removals.run(80_000..81_000, |index| index != remover);
     assert!(removals.is_recorded());
 }
+
+/// Guards against a record that stays for ever since a partition was down when it was to be removed.
+#[test]
+fn a_record_is_removed_after_the_outage_of_a_partition() {
+    for partition in 0..VERSION_PARTITIONS {
+        let mut removals = Removals::new(6);
+        removals.run(0..5_000, |_| true);
+        removals.run(5_000..60_000, |_| false);
+        removals.down_partition = Some(partition);
+        removals.run(60_000..90_000, |_| false);
+        assert!(removals.is_recorded());
+        removals.down_partition = None;
+        removals.run(90_000..170_000, |_| false);
+        assert!(!removals.is_recorded(), "partition {partition}");
+    }
+}
+
+/// Guards against streams of a version whose record a restored store has lost, and that go on at another one
+/// since all nodes were killed before one had written it again.
+#[test]
+fn a_restore_before_a_kill_of_all_nodes_joins_no_streams() {
+    let mut removals = Removals::new(6);
+    removals.run(0..5_000, |_| false);
+    let copy = removals.store.clone();
+    removals.run(5_000..6_000, |_| true);
+    removals.store = copy;
+    let now = removals.start + Duration::from_millis(8_000);
+    let mut origins = StreamOrigins::new(false, now);
+    origins.observe_version(&SERVICE, &OLD, now);
+    let listed = removals.store.answer(VersionCall::List, now, |_| true);
+    let Some(VersionOutcome::Listed { listing, requested_at, .. }) = listed else {
+        panic!("{listed:?}")
+    };
+    origins.apply_listing(&listing, requested_at, now);
+    assert_eq!(origins.search(Some(1), &SERVICE, now).result(), None);
+}
