perf(streams): nodes hear at their start which versions are recorded

Each node listed the three topics at its start, and again a second later while no version was recorded yet.

Now partners tell a node when the link opens. A node lists before it writes, where a stream waits, and after 2 s if it has not been told of a version; three nodes, the same for all versions, list at their start and watch versions without servers, so that a record that nobody uses any more is found after all nodes have been replaced.

--- a/src/decision/relay/streams/mod.rs
+++ b/src/decision/relay/streams/mod.rs
@@ -16,5 +16,5 @@
 pub use recorded_versions::RecordedVersions;
 pub use version_records::{
     PartitionListing, ServiceVersion, VERSION_PARTITIONS, VersionCall, VersionListing,
-    VersionOutcome, VersionRecords,
+    VersionOutcome, VersionRecords, WATCHER_SEED,
 };
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -14,6 +14,12 @@
 /// Nodes that record a version; more than one, since a node may die before it has written.
 const WRITERS: usize = 3;
 
+/// Nodes that watch versions without servers, of which the first one removes their records.
+const WATCHERS: usize = 3;
+
+/// Seed of the rank of the nodes that watch.
+pub const WATCHER_SEED: u64 = 0;
+
 /// Time after a node's start in which it learns of the other nodes, before it writes.
 const SETTLE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -291,7 +297,7 @@
         services: &BTreeSet<ServiceId>,
         now: Instant,
     ) -> Option<VersionCall> {
-        if self.needs_listing || origins.recorded_versions().is_listing_wanted(now) {
+        if origins.recorded_versions().is_listing_wanted(now) {
             return Some(VersionCall::List);
         }
         let is_settled = now >= self.started_at + SETTLE_PERIOD;
@@ -303,14 +309,24 @@
                 let writes = is_awaited || is_settled && rank(&version) < WRITERS;
                 let is_recorded = origins.recorded_versions().contains(&version, now);
                 if !is_recorded && writes {
-                    return Some(VersionCall::Add(version));
+                    // Most nodes hear of it from partners, and need no listing at their start.
+                    let is_listed = !self.needs_listing;
+                    return Some(if is_listed {
+                        VersionCall::Add(version)
+                    } else {
+                        VersionCall::List
+                    });
                 }
             }
         }
-        if self.is_untold(origins, services, now) {
+        if !is_settled {
+            return None;
+        }
+        let is_watcher = origins.rank(&self.instance, WATCHER_SEED) < WATCHERS;
+        if self.needs_listing && is_watcher || self.is_untold(origins, services, now) {
             return Some(VersionCall::List);
         }
-        if is_settled { self.needed_removal(origins, now) } else { None }
+        self.needed_removal(origins, now)
     }
 
     /// Whether a version has servers and nobody has told for a while whether it is recorded.
@@ -344,18 +360,17 @@
     /// Returns the call that is needed for the removal of a record.
     fn needed_removal(&mut self, origins: &StreamOrigins, now: Instant) -> Option<VersionCall> {
         self.unused.retain(|version, _| !origins.is_in_service(version, now));
-        let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
+        let rank = origins.rank(&self.instance, WATCHER_SEED);
         let has_left = |version: &ServiceVersion| {
             !self.unused.contains_key(version) && !origins.is_in_service(version, now)
         };
         let mut known = origins.recorded_versions().all(now).into_iter();
-        if known.any(|version| has_left(&version) && rank(&version) < WRITERS) {
+        if rank < WATCHERS && known.any(|version| has_left(&version)) {
             return Some(VersionCall::List);
         }
         let mut unused = self.unused.iter_mut();
-        let is_due =
-            |version, unused: &UnusedVersion| now >= unused.removable_at && rank(version) == 0;
-        let (version, unused) = unused.find(|(version, unused)| is_due(version, unused))?;
+        let is_due = |unused: &UnusedVersion| rank == 0 && now >= unused.removable_at;
+        let (version, unused) = unused.find(|(_, unused)| is_due(unused))?;
         let Some(listing) = self.listing.take() else { return Some(VersionCall::List) };
         let copies = listing.copies.get(version);
         let is_same = copies.is_some_and(|copies| unused.is_unchanged(copies));
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -5,7 +5,7 @@
 use coriandertide::decision::relay::PeerNode;
 use coriandertide::decision::relay::streams::{
     FoundVersion, PartitionListing, ServiceVersion, StreamOrigins, VERSION_PARTITIONS, VersionCall,
-    VersionListing, VersionOutcome, VersionRecords,
+    VersionListing, VersionOutcome, VersionRecords, WATCHER_SEED,
 };
 use coriandertide::types::{ServiceId, SoftwareVersion};
 use smol_str::{SmolStr, format_smolstr};
@@ -469,12 +469,11 @@
         }
     }
 
-    /// Returns the node that removes the record of the new version.
+    /// Returns the node that removes records.
     fn remover(&self) -> usize {
-        let version = ServiceVersion { service: SERVICE, software: NEW };
         let rank = |index: usize| {
             let instance = format_smolstr!("n{index}");
-            self.nodes[index].origins.rank(&instance, version.key_hash())
+            self.nodes[index].origins.rank(&instance, WATCHER_SEED)
         };
         (0..self.nodes.len()).find(|index| rank(*index) == 0).unwrap()
     }
