--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -190,7 +190,7 @@
 pub struct VersionRecords {
     instance: InstanceId,
     started_at: Instant,
-    /// Whether the records must be listed, since this node does not know them or the store was restored.
+    /// Whether this node has not listed the records since its start, a restore of the store or a suspension.
     needs_listing: bool,
     /// Last listing, `None` if a record may have been written since.
     listing: Option<VersionListing>,
@@ -199,7 +199,6 @@
     list_untold_at: Option<Instant>,
     /// Listed versions without servers.
     unused: BTreeMap<ServiceVersion, UnusedVersion>,
-
     /// Until when the pending call is waited for, `None` if none is pending.
     pending_until: Option<Instant>,
     /// When the last call failed, `None` if it did not.
@@ -284,8 +283,8 @@
         self.failed_at = Some(now);
     }
 
-    /// Lists the records again, since a restored store may lack some.
-    pub fn observe_restore(&mut self) {
+    /// Begins anew, since a restored store may lack some records, or some were removed in a suspension.
+    pub fn restart(&mut self) {
         self.needs_listing = true;
         self.listing = None;
         self.unused.clear();
@@ -308,15 +307,14 @@
                 let version = ServiceVersion { service: service.clone(), software };
                 let writes = is_awaited || is_settled && rank(&version) < WRITERS;
                 let is_recorded = origins.recorded_versions().contains(&version, now);
-                if !is_recorded && writes {
-                    // Most nodes hear of it from partners, and need no listing at their start.
-                    let is_listed = !self.needs_listing;
-                    return Some(if is_listed {
-                        VersionCall::Add(version)
-                    } else {
-                        VersionCall::List
-                    });
+                if is_recorded || !writes {
+                    continue;
                 }
+                // Most nodes hear of versions from partners, and do not list them at their start.
+                return Some(match self.needs_listing {
+                    true => VersionCall::List,
+                    false => VersionCall::Add(version),
+                });
             }
         }
         if !is_settled {
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -235,7 +235,7 @@
             return;
         }
         log::warn!("event=store_restored era={era} known_era={known}");
-        self.version_records.observe_restore();
+        self.version_records.restart();
         self.context.origins().observe_restore();
         let (context, node) = (Arc::clone(&self.context), self.announced_node.clone());
         let delay = MAX_REANNOUNCE_DELAY.mul_f64(fastrand::f64());
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -333,6 +333,6 @@
         self.context.quotas().restart(self.context.quota_clock.now());
         // Records that this node relied on may have been removed meanwhile.
         self.context.origins().recorded_versions_mut().clear();
-        self.version_records.observe_restore();
+        self.version_records.restart();
     }
 }
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -1,4 +1,5 @@
-//! Calls that keep the record of the software versions of services whose streams can be resumed.
+//! Records of the software versions of services with streams: when they are read and written, and what
+//! follows from the answers.
 
 use super::RelayControlEvent;
 use super::state::ControlState;
--- a/tests/relay/version_records.rs
+++ b/tests/relay/version_records.rs
@@ -170,7 +170,7 @@
             let copied = self.history.len().saturating_sub((2_000 / TICK_MS) as usize);
             self.store = self.history[copied].clone();
             for node in &mut self.nodes {
-                node.records.observe_restore();
+                node.records.restart();
                 node.origins.observe_restore();
             }
         }
@@ -495,7 +495,7 @@
         removals.run(70_000..72_000, |index| index != remover);
         assert!(removals.is_recorded());
         // It lists the records for another reason.
-        removals.nodes[remover].records.observe_restore();
+        removals.nodes[remover].records.restart();
         removals.run(72_000..131_000, |_| false);
         assert!(removals.is_recorded(), "{nodes} nodes");
         removals.run(131_000..145_000, |_| false);
