--- a/tests/relay/configuration.rs
+++ b/tests/relay/configuration.rs
@@ -2,6 +2,7 @@
 
 use coriandertide::decision::relay::configuration::{Caller, RouteTarget, Workspace};
 use coriandertide::decision::relay::{Configuration, RetrySafety, Route};
+use coriandertide::types::ServiceId;
 use std::collections::BTreeMap;
 
 fn route(name: &str, host: &str, prefix: &str, weights: &[(&str, u32)]) -> Route {
@@ -90,3 +91,21 @@
     let public = configuration.route("c.example", "/").unwrap();
     assert_eq!(configuration.caller(public, None), Caller::Anonymous);
 }
+
+/// Guards against versions that are not recorded because the streams of their route could not be resumed when
+/// they began, and can be by a later configuration.
+#[test]
+fn the_versions_of_all_services_with_streams_are_recorded() {
+    let of_kind = |name: &str, retry_safety| Route {
+        retry_safety,
+        ..route(name, "a.example", name, &[(name, 1)])
+    };
+    let routes = vec![
+        of_kind("plain", RetrySafety::Idempotent),
+        of_kind("once", RetrySafety::Stream),
+        of_kind("resumable", RetrySafety::ResumableStream),
+    ];
+    let configuration = Configuration::new(3, routes, BTreeMap::new());
+    let services: Vec<ServiceId> = configuration.stream_services().into_iter().collect();
+    assert_eq!(services, ["once", "resumable"]);
+}
