refactor(streams): one majority, one list of unrecorded versions, and a line for a partition that fails

From reading the change once more. No decision changes: - the majority of the partitions was defined twice; version_calls uses that of the records. - a tick went through the versions that are not known to be recorded twice, once to write and once to list them. - choose_server_now looked at the reason of a refusal beside the match that turns it into one; the two kinds of refusal that are waited for are one arm. - the error of one partition was dropped without a line when the two others had answered (event=version_partition_failed).

--- a/src/decision/relay/streams/mod.rs
+++ b/src/decision/relay/streams/mod.rs
@@ -15,6 +15,6 @@
 pub use origins::StreamOrigins;
 pub use recorded_versions::RecordedVersions;
 pub use version_records::{
-    PartitionListing, ServiceVersion, VERSION_PARTITIONS, VersionCall, VersionListing,
-    VersionOutcome, VersionRecords, WATCHER_SEED,
+    PartitionListing, ServiceVersion, VERSION_MAJORITY, VERSION_PARTITIONS, VersionCall,
+    VersionListing, VersionOutcome, VersionRecords, WATCHER_SEED,
 };
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -62,8 +62,8 @@
 /// its record, and what is recorded is known from any majority.
 pub const VERSION_PARTITIONS: usize = 3;
 
-/// Copies of a record that make a majority.
-const MAJORITY: usize = VERSION_PARTITIONS / 2 + 1;
+/// Partitions that make a majority.
+pub const VERSION_MAJORITY: usize = VERSION_PARTITIONS / 2 + 1;
 
 /// Records of one partition.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -100,7 +100,7 @@
 impl VersionListing {
     /// Returns the versions that a majority of the partitions has.
     pub fn recorded(&self) -> BTreeSet<ServiceVersion> {
-        let recorded = self.copies.iter().filter(|(_, copies)| copies.len() >= MAJORITY);
+        let recorded = self.copies.iter().filter(|(_, copies)| copies.len() >= VERSION_MAJORITY);
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
@@ -301,48 +301,37 @@
         }
         let is_settled = now >= self.started_at + SETTLE_PERIOD;
         let rank = |version: &ServiceVersion| origins.rank(&self.instance, version.key_hash());
-        for service in services {
-            let is_awaited = origins.recorded_versions().is_awaited(service);
-            for software in origins.versions(service, now) {
-                let version = ServiceVersion { service: service.clone(), software };
-                let writes = is_awaited || is_settled && rank(&version) < WRITERS;
-                let is_recorded = origins.recorded_versions().contains(&version, now);
-                if is_recorded || !writes {
-                    continue;
-                }
-                // Most nodes hear of versions from partners, and do not list them at their start.
-                return Some(match self.needs_listing {
-                    true => VersionCall::List,
-                    false => VersionCall::Add(version),
-                });
-            }
+        let unrecorded = unrecorded_versions(origins, services, now);
+        let must_write = |version: &&ServiceVersion| {
+            let is_awaited = origins.recorded_versions().is_awaited(&version.service);
+            is_awaited || is_settled && rank(version) < WRITERS
+        };
+        if let Some(version) = unrecorded.iter().find(must_write) {
+            // Most nodes hear of versions from partners, and do not list them at their start.
+            return Some(match self.needs_listing {
+                true => VersionCall::List,
+                false => VersionCall::Add(version.clone()),
+            });
         }
         if !is_settled {
             return None;
         }
         let is_watcher = origins.rank(&self.instance, WATCHER_SEED) < WATCHERS;
-        if self.needs_listing && is_watcher || self.is_untold(origins, services, now) {
+        if self.needs_listing && is_watcher || self.is_untold(origins, &unrecorded, now) {
             return Some(VersionCall::List);
         }
         self.needed_removal(origins, now)
     }
 
-    /// Whether a version has servers and nobody has told for a while whether it is recorded.
+    /// Whether one of the versions that are not known to be recorded has servers, and nobody has told of it
+    /// for a while.
     fn is_untold(
         &mut self,
         origins: &StreamOrigins,
-        services: &BTreeSet<ServiceId>,
+        unrecorded: &[ServiceVersion],
         now: Instant,
     ) -> bool {
-        let is_unknown = |service: &ServiceId, software: SoftwareVersion| {
-            let version = ServiceVersion { service: service.clone(), software };
-            origins.is_in_service(&version, now)
-                && !origins.recorded_versions().contains(&version, now)
-        };
-        let mut services = services.iter();
-        let has_unknown = services.any(|service| {
-            origins.versions(service, now).into_iter().any(|software| is_unknown(service, software))
-        });
+        let has_unknown = unrecorded.iter().any(|version| origins.is_in_service(version, now));
         if !has_unknown {
             self.list_untold_at = None;
             return false;
@@ -382,3 +371,19 @@
         }
     }
 }
+
+/// Returns the versions of services, as far as their servers were seen lately, that are not known to be
+/// recorded.
+fn unrecorded_versions(
+    origins: &StreamOrigins,
+    services: &BTreeSet<ServiceId>,
+    now: Instant,
+) -> Vec<ServiceVersion> {
+    let versions_of = |service: &ServiceId| {
+        let versions = origins.versions(service, now).into_iter();
+        let service = service.clone();
+        versions.map(move |software| ServiceVersion { service: service.clone(), software })
+    };
+    let versions = services.iter().flat_map(versions_of);
+    versions.filter(|version| !origins.recorded_versions().contains(version, now)).collect()
+}
--- a/src/relay/control/version_calls.rs
+++ b/src/relay/control/version_calls.rs
@@ -3,8 +3,8 @@
 
 use super::follow::count_call;
 use crate::decision::relay::streams::{
-    PartitionListing, ServiceVersion, VERSION_PARTITIONS, VersionCall, VersionListing,
-    VersionOutcome,
+    PartitionListing, ServiceVersion, VERSION_MAJORITY, VERSION_PARTITIONS, VersionCall,
+    VersionListing, VersionOutcome,
 };
 use crate::relay::RelayContext;
 use crate::types::{Delivery, LogPosition, PeerError, PeerResult, Step, StoreEra, log_position};
@@ -16,9 +16,6 @@
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
-/// Partitions that must have answered.
-const MAJORITY: usize = VERSION_PARTITIONS / 2 + 1;
-
 /// Time for which the other partitions are waited for once a majority has succeeded.
 const STRAGGLER_PERIOD: Duration = Duration::from_millis(100);
 
@@ -120,15 +117,18 @@
         };
         match calls.next().or(timeout).await {
             Some((index, Ok(outcome))) => outcomes[index] = Some(outcome),
-            Some((_, Err(error))) => failure = Some(error),
+            Some((partition, Err(error))) => {
+                log::info!("event=version_partition_failed partition={partition} {error}");
+                failure = Some(error);
+            }
             None => break,
         }
-        if stragglers_until.is_none() && count_ended(&outcomes) >= MAJORITY {
+        if stragglers_until.is_none() && count_ended(&outcomes) >= VERSION_MAJORITY {
             stragglers_until = Some(Instant::now() + STRAGGLER_PERIOD);
         }
     }
     match failure {
-        Some(error) if count_ended(&outcomes) < MAJORITY => Err(error),
+        Some(error) if count_ended(&outcomes) < VERSION_MAJORITY => Err(error),
         _ => Ok(outcomes),
     }
 }
--- a/src/relay/server_choice.rs
+++ b/src/relay/server_choice.rs
@@ -53,8 +53,9 @@
             wait_until = wait_until.max(request.arrived_at + MAX_RECORD_WAIT + CHOICE_POLL_PERIOD);
         }
         let is_worth_waiting = chosen.as_ref().is_err_and(|refusal| match refusal.reason {
-            RefusalReason::Unavailable(UnavailableReason::Closed) => true,
-            RefusalReason::Unavailable(UnavailableReason::UnrecordedSoftware) => true,
+            RefusalReason::Unavailable(
+                UnavailableReason::Closed | UnavailableReason::UnrecordedSoftware,
+            ) => true,
             RefusalReason::Unavailable(UnavailableReason::Limited) => {
                 refusal.retry_at.is_some_and(|retry_at| retry_at <= wait_until)
             }
@@ -84,9 +85,6 @@
     let begins_at = begin_versions(context, request, attempts, now);
     let query = request.server_query(attempts, &authorization, begins_at.as_ref());
     let chosen = context.fleet().choose(query, now);
-    if chosen.as_ref().is_err_and(|e| e.reason == UnavailableReason::UnrecordedSoftware) {
-        request_record(context, &request.service);
-    }
     match chosen {
         Ok(choice) => {
             let has_started = attempts.possible_runs > 0 || attempts.software.is_some();
@@ -94,6 +92,9 @@
             Ok(PlannedRun { choice, authorization })
         }
         Err(Unavailable { reason, retry_at }) => {
+            if reason == UnavailableReason::UnrecordedSoftware {
+                request_record(context, &request.service);
+            }
             Err(Refusal::with_retry(RefusalReason::Unavailable(reason), retry_at))
         }
     }
