fix(callers): one account for all that callers can make a node hold

What callers saw: clients that nobody controls took the memory of a node, or all of its descriptors, and ordinary callers got nothing any more. The cause: each body, head and connection had a limit, and their number had none. The budget of buffers left out the first 32 KB of each, heads, read buffers and what the kernel had received; connections were accepted without a bound.

A connection is closed for a new one only if there is no room: the one without a request for longest, then one whose caller has read nothing for 2 s. A refused caller that still sends is read for a second, so that it can read its refusal. Receive buffers of callers' connections are small; bodies go to servers in pieces, since the HTTP library copies what it is given; the copy for another node counts. Listeners for monitoring, other nodes and partner links have accounts of their own. The first node kind uses the same account, for callers and for its administration API (limits.memory_mb, limits.max_descriptors).

Messages and records are unchanged; a node of another build takes part as before.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -6,6 +6,7 @@
 use super::deadline::timeout_at;
 use super::framing::Framing;
 use super::guarded_stream::{GuardedStream, UndeliveredBytes};
+use super::piecewise_body::PiecewiseBody;
 use crate::links::Identity;
 use crate::links::node_connection::authenticate_dialer;
 use crate::types::{Delivery, PeerError, PeerResult, ServerId, Step};
@@ -51,7 +52,7 @@
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<PiecewiseBody>,
     undelivered: UndeliveredBytes,
     /// Performs the I/O; dropping it closes the connection.
     _driver: Task<()>,
@@ -115,6 +116,7 @@
         let key = (server.clone(), address);
         let (mut connection, is_new_connection) = self.acquire(&key, deadline).await?;
         connection.undelivered.reset();
+        let request = request.map(PiecewiseBody::from);
         let sent = timeout_at(deadline, connection.sender.send_request(request)).await;
         let answer = sent.map_err(|error| head_error(&key, Delivery::Unknown, error.into()))?;
         let answer = answer.map_err(|error| {
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,5 +1,8 @@
 //! Implementations of the ports over HTTP/1.1, and the HTTP client and server that they share.
 
+pub mod caller_body;
+pub mod caller_memory;
+pub mod caller_stream;
 pub mod connection_pool;
 pub mod datagram_socket;
 pub mod deadline;
@@ -11,6 +14,7 @@
 pub mod kv_store;
 pub mod log_service;
 pub mod model_engine;
+pub mod piecewise_body;
 pub mod plain_service;
 
 pub use instance_list::HttpInstanceList;
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -4,15 +4,15 @@
 use super::error::{AdminError, ErrorCode};
 use super::routes::{AdminRoute, MatchedRoute, find_route};
 use super::{AdminView, edit, explain, openapi, read, restore};
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::http_server::Reply;
 use crate::metrics::{ReasonLabels, encode};
 use crate::ports::LogService;
 use crate::traffic::authenticate::bearer_key;
 use crate::traffic::reply::{json_reply, text_reply};
-use crate::traffic::{TrafficContext, body};
+use crate::traffic::{FailureCode, TrafficContext, body};
 use http::request::Parts;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use std::sync::Arc;
@@ -38,7 +38,7 @@
 }
 
 /// Handles a request and returns its reply; also counts it by outcome.
-pub async fn dispatch(context: Arc<AdminContext>, request: Request<Incoming>) -> Reply {
+pub async fn dispatch(context: Arc<AdminContext>, request: Request<CallerBody>) -> Reply {
     let (parts, body) = request.into_parts();
     let result = handle(&context, &parts, body).await;
     let code: &'static str = result.as_ref().err().map_or("ok", |error| error.code.into());
@@ -53,7 +53,7 @@
 async fn handle(
     context: &AdminContext,
     parts: &Parts,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<Reply, AdminError> {
     let matched = find_route(&parts.method, parts.uri.path())?;
     let Some(role) = matched.route.min_role() else {
@@ -130,13 +130,17 @@
 
 async fn read_json<T: DeserializeOwned>(
     context: &AdminContext,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<T, AdminError> {
     let limits = context.traffic.settings.limits;
     let deadline = Instant::now() + Duration::from_millis(limits.read_timeout_ms);
-    let bytes = body::read(body, limits.body_bytes, deadline)
-        .await
-        .map_err(|failure| AdminError::new(ErrorCode::InvalidRequest, failure.message))?;
+    let (bytes, _room) = body::read(&context.traffic, body, deadline).await.map_err(|failure| {
+        let code = match failure.code {
+            FailureCode::NoRoom => ErrorCode::NotReady,
+            _ => ErrorCode::InvalidRequest,
+        };
+        AdminError::new(code, failure.message)
+    })?;
     serde_json::from_slice(&bytes)
         .map_err(|error| AdminError::new(ErrorCode::InvalidRequest, error.to_string()))
 }
--- a/src/control/link_listener.rs
+++ b/src/control/link_listener.rs
@@ -1,35 +1,23 @@
 //! Listener of partner links.
 
 use super::ControlContext;
-use super::links::{ACCEPT_RETRY_DELAY, LinkOpener};
-use smol::Timer;
+use super::links::LinkOpener;
+use crate::adapters::caller_memory::{CallerMemory, ConnectionSlot};
+use crate::adapters::http_server;
+use futures_lite::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// Maximum number of handshakes at once; further connections are closed.
-const MAX_HANDSHAKES: usize = 8;
+/// Maximum connections that have not proved their key.
+const MAX_UNPROVEN_CONNECTIONS: usize = 32;
 
 /// Accepts partner links, forever.
 pub(super) async fn listen(context: ControlContext, opener: LinkOpener, listener: TcpListener) {
     let opener = Rc::new(opener);
-    // Each handshake holds a clone, so the strong count minus one is the number of handshakes.
-    let handshakes = Rc::new(());
+    let unproven = CallerMemory::of_connections(MAX_UNPROVEN_CONNECTIONS);
     loop {
-        match listener.accept().await {
-            Ok(_) if Rc::strong_count(&handshakes) > MAX_HANDSHAKES => {
-                log::warn!("event=link_refused reason=too_many_handshakes");
-            }
-            Ok((stream, _)) => {
-                let handshake_guard = Rc::clone(&handshakes);
-                let task =
-                    accept_link(context.clone(), Rc::clone(&opener), stream, handshake_guard);
-                context.spawn(task);
-            }
-            Err(error) => {
-                log::warn!("event=link_accept_failed error=\"{error}\"");
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let (stream, slot) = http_server::accept(&listener, &unproven).await;
+        context.spawn(accept_link(context.clone(), Rc::clone(&opener), stream, slot));
     }
 }
 
@@ -37,12 +25,19 @@
     context: ControlContext,
     opener: Rc<LinkOpener>,
     stream: TcpStream,
-    handshake_guard: Rc<()>,
+    slot: ConnectionSlot,
 ) {
-    let accepted = crate::links::accept(stream, &opener.identity()).await;
-    drop(handshake_guard);
+    let identity = opener.identity();
+    let accepted = async { Some(crate::links::accept(stream, &identity).await) };
+    let given_up = async {
+        slot.given_up().await;
+        None
+    };
+    let accepted = accepted.or(given_up).await;
+    drop(slot);
     match accepted {
-        Ok(link) => opener.run(&context, link, false).await,
-        Err(error) => log::warn!("event=link_refused {error}"),
+        Some(Ok(link)) => opener.run(&context, link, false).await,
+        Some(Err(error)) => log::warn!("event=link_refused {error}"),
+        None => log::debug!("event=link_refused reason=too_many_handshakes"),
     }
 }
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -19,7 +19,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Maximum messages that wait to be sent over a link.
 const MAX_QUEUED_MESSAGES: usize = 64;
@@ -331,6 +331,3 @@
         }
     }
 }
-
-/// Delay before the next accept after one has failed.
-pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,6 +1,7 @@
 //! A node: listeners, the control thread and the traffic threads.
 
 use super::threads::{self, spawn_control, spawn_traffic};
+use crate::adapters::caller_memory::CallerMemory;
 use crate::adapters::http_server::{self, Handler, ListenerLimits};
 use crate::adapters::{
     HttpInstanceList, HttpKvStore, HttpLogService, HttpModelEngine, HttpPlainService,
@@ -30,6 +31,9 @@
 /// Maximum events that wait for the control thread.
 const MAX_QUEUED_EVENTS: usize = 4_096;
 
+/// Maximum connections of the administration API.
+const MAX_ADMIN_CONNECTIONS: usize = 64;
+
 /// Period at which a draining node checks whether its connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -69,8 +73,8 @@
     pub fn start(settings: Settings) -> anyhow::Result<Self> {
         let instance = format_smolstr!("{}-{:08x}", settings.instance_name, fastrand::u32(..));
         let listeners = Listeners {
-            callers: http_server::bind(settings.listen.callers, "callers")?,
-            admin: http_server::bind(settings.listen.admin, "admin")?,
+            callers: http_server::bind_callers(settings.listen.callers, "callers")?,
+            admin: http_server::bind_callers(settings.listen.admin, "admin")?,
             partners: http_server::bind(settings.listen.partners, "partners")?,
         };
         let caller_address = listeners.callers.local_addr()?;
@@ -271,8 +275,9 @@
     let handler: Handler =
         Arc::new(move |request| Box::pin(dispatch(Arc::clone(&context), request)));
     let limits = server_limits(&traffic.settings);
-    let server =
-        http_server::serve(listener, Arc::downgrade(executor), handler, limits, drain_signal);
+    let memory = Arc::clone(&traffic.caller_memory);
+    let weak = Arc::downgrade(executor);
+    let server = http_server::serve(listener, weak, handler, limits, memory, drain_signal);
     executor.spawn(server).detach();
 }
 
@@ -291,8 +296,9 @@
     let handler: Handler =
         Arc::new(move |request| Box::pin(admin::server::dispatch(Arc::clone(&context), request)));
     let limits = server_limits(settings);
-    let server =
-        http_server::serve(listener, Arc::downgrade(executor), handler, limits, drain_signal);
+    let memory = CallerMemory::of_connections(MAX_ADMIN_CONNECTIONS);
+    let weak = Arc::downgrade(executor);
+    let server = http_server::serve(listener, weak, handler, limits, memory, drain_signal);
     executor.spawn(server).detach();
 }
 
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,6 +1,7 @@
 //! Pure decision logic: state, an event and the time in, commands out.
 
 pub mod admission;
+pub mod caller_memory;
 pub mod claims;
 pub mod configuration;
 pub mod frame_order;
--- a/src/decision/relay/mod.rs
+++ b/src/decision/relay/mod.rs
@@ -5,7 +5,6 @@
 pub mod admission;
 pub mod authorization;
 pub mod brittle;
-pub mod buffer_budget;
 pub mod choose;
 pub mod configuration;
 pub mod decode_rate;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -8,6 +8,7 @@
     FailureLabels, LeaseLabels, PeerLabels, ReasonLabels, StreamLabels, WorkspaceLabels,
 };
 
+use crate::adapters::caller_memory::CallerMemoryMetrics;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -117,6 +118,8 @@
     pub configuration_bad_records: Counter,
     /// Requests to the administration API, by outcome.
     pub admin_requests: Family<ReasonLabels, Counter>,
+    /// Memory that callers make the node hold.
+    pub caller_memory: CallerMemoryMetrics,
 }
 
 impl Metrics {
@@ -124,6 +127,7 @@
     pub fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("coriandertide");
         self.register_traffic(&mut registry);
+        self.caller_memory.register(&mut registry, "");
         self.register_control(&mut registry);
         self.register_configuration(&mut registry);
         registry
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,9 +1,9 @@
 //! What an attempt brings: the answer of a server, or why there is none.
 
 use super::buffered_answer::BufferedAnswer;
-use super::buffers::{BufferedBody, Buffers, Room};
 use super::end_proof::{EndProof, prove_end};
 use super::in_flight::InFlightAttempt;
+use crate::adapters::caller_memory::{BufferedBody, CallerMemory, Room};
 use crate::adapters::connection_pool::PooledExchange;
 use crate::ports::AnswerHead;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
@@ -110,7 +110,7 @@
         Ok(data)
     }
 
-    /// Reads the whole body, at most `max_bytes`, within the budget of `buffers`.
+    /// Reads the whole body, at most `max_bytes`, within the account `memory`.
     ///
     /// # Errors
     ///
@@ -119,9 +119,9 @@
         &mut self,
         max_bytes: usize,
         deadline: Instant,
-        buffers: &Arc<Buffers>,
+        memory: &Arc<CallerMemory>,
     ) -> PeerResult<(Bytes, Room)> {
-        let mut body = BufferedBody::new(buffers);
+        let mut body = BufferedBody::new(memory);
         loop {
             let given_up = async { Err(body.room().given_up().await) };
             let received = async { Ok(self.next_data(deadline).await) };
--- a/src/relay/buffered_answer.rs
+++ b/src/relay/buffered_answer.rs
@@ -2,10 +2,10 @@
 
 use super::answer::Answer;
 use super::attempts::Attempts;
-use super::buffers::{Room, UnreadBody};
 use super::in_flight::{self, CutStage};
 use super::request::{RelayedRequest, end_to_end_headers};
 use super::{RelayContext, stream, suspects};
+use crate::adapters::caller_memory::{Room, UnreadBody};
 use crate::adapters::connection_pool::PooledExchange;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::Reply;
@@ -53,7 +53,7 @@
     request: &RelayedRequest,
     mut received: Answer,
 ) -> PeerResult<BufferedAnswer> {
-    let read = received.read_all(MAX_ANSWER_BYTES, request.deadline, &context.buffers).await;
+    let read = received.read_all(MAX_ANSWER_BYTES, request.deadline, &context.caller_memory).await;
     let (body, room) = read.inspect_err(|error| {
         received.in_flight.record_outcome(false, 0.0);
         if error.is_disconnect() {
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -1,11 +1,11 @@
 //! State shared by the threads of a relay node.
 
-use super::buffers::Buffers;
 use super::control::RelayControlEvent;
 use super::metrics::RelayMetrics;
 use super::peers::PeerQueries;
 use super::planned_stop::PlannedStop;
 use super::settings::RelaySettings;
+use crate::adapters::caller_memory::CallerMemory;
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::http_server::ListenerLimits;
 use crate::decision::poison::{CrashEvidence, PoisonState};
@@ -48,8 +48,8 @@
     pub caller_limits: Arc<ArcSwap<ListenerLimits>>,
     /// Connections to servers and to the record store.
     pub pool: Arc<ConnectionPool>,
-    /// Memory of all requests and answers that the node holds.
-    pub buffers: Arc<Buffers>,
+    /// Memory that callers make the node hold.
+    pub caller_memory: Arc<CallerMemory>,
     /// Metrics.
     pub metrics: RelayMetrics,
     /// Queue of events for the control thread.
--- a/src/relay/control/partner_links.rs
+++ b/src/relay/control/partner_links.rs
@@ -1,23 +1,24 @@
 //! Tasks that open, accept and run the partner links of a node.
 
 use super::RelayControlEvent;
+use crate::adapters::caller_memory::CallerMemory;
+use crate::adapters::http_server;
 use crate::decision::membership::MemberStatus;
 use crate::links::{Identity, Link};
 use crate::relay::RelayContext;
-use smol::Timer;
+use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 /// Maximum messages that wait to be sent over a link.
 const MAX_QUEUED_MESSAGES: usize = 64;
 
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum connections that have not proved their key.
+const MAX_UNPROVEN_CONNECTIONS: usize = 32;
 
 /// Accepts and runs partner links until the thread stops.
 pub(super) async fn accept_links(
@@ -26,29 +27,32 @@
     listener: TcpListener,
 ) {
     let executor = smol::LocalExecutor::new();
+    let unproven = CallerMemory::of_connections(MAX_UNPROVEN_CONNECTIONS);
     let accept = async {
         loop {
-            match listener.accept().await {
-                // Other nodes still find the address in the store and dial it after this node left.
-                Ok(_) if identity.borrow().record.status == MemberStatus::Left => {
-                    log::debug!("event=link_refused reason=left");
-                }
-                Ok((stream, _)) => {
-                    let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
-                    let task = async move {
-                        let own_identity = identity.borrow().clone();
-                        match crate::links::accept(stream, &own_identity).await {
-                            Ok(link) => run_link(&context, link, false).await,
-                            Err(error) => log::warn!("event=link_refused {error}"),
-                        }
-                    };
-                    executor.spawn(task).detach();
-                }
-                Err(error) => {
-                    log::warn!("event=link_accept_failed error=\"{error}\"");
-                    Timer::after(ACCEPT_RETRY_DELAY).await;
-                }
+            let (stream, slot) = http_server::accept(&listener, &unproven).await;
+            // Other nodes still find the address in the store and dial it after this node left.
+            if identity.borrow().record.status == MemberStatus::Left {
+                log::debug!("event=link_refused reason=left");
+                continue;
             }
+            let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
+            let task = async move {
+                let own_identity = identity.borrow().clone();
+                let accepted = async { Some(crate::links::accept(stream, &own_identity).await) };
+                let given_up = async {
+                    slot.given_up().await;
+                    None
+                };
+                let accepted = accepted.or(given_up).await;
+                drop(slot);
+                match accepted {
+                    Some(Ok(link)) => run_link(&context, link, false).await,
+                    Some(Err(error)) => log::warn!("event=link_refused {error}"),
+                    None => log::debug!("event=link_refused reason=too_many_handshakes"),
+                }
+            };
+            executor.spawn(task).detach();
         }
     };
     executor.run(accept).await
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -4,17 +4,17 @@
 use super::request::{RelayedRequest, receive};
 use super::server_search::serve;
 use super::{RelayContext, quota, stream};
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::http_server::Reply;
 use crate::types::RequestId;
 use futures_lite::FutureExt;
 use http::Request;
-use hyper::body::Incoming;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Instant;
 
 /// Handles a request and returns the answer for the caller.
-pub async fn handle(context: Arc<RelayContext>, request: Request<Incoming>) -> Reply {
+pub async fn handle(context: Arc<RelayContext>, request: Request<CallerBody>) -> Reply {
     let arrived_at = Instant::now();
     let head = context.ports.dialect.read_request(request.headers());
     let id = head.id.clone();
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Every family is described in `docs/operators/relay_metrics.md`.
 
+use crate::adapters::caller_memory::CallerMemoryMetrics;
 use crate::metrics::LatencyFamily;
 use crate::metrics::labels::{LinkLabels, ReasonLabels};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -69,10 +70,8 @@
     pub quota_wait: LatencyFamily<RouteLabels>,
     /// Requests of other nodes, which this one sends on.
     pub forwarded_requests: Counter,
-    /// Bytes of requests and answers that the node holds.
-    pub buffered_bytes: Gauge,
-    /// Requests and answers that were given up for want of memory.
-    pub given_up_buffers: Counter,
+    /// Memory that callers make the node hold.
+    pub caller_memory: CallerMemoryMetrics,
     /// Failed exchanges with servers, by step.
     pub server_failures: Family<ReasonLabels, Counter>,
     /// Calls to the coordination store, by call.
@@ -114,17 +113,7 @@
             Unit::Seconds,
             self.first_answer.family(),
         );
-        registry.register_with_unit(
-            "relay_buffered",
-            "Requests and answers that the node holds",
-            Unit::Bytes,
-            self.buffered_bytes.clone(),
-        );
-        registry.register(
-            "relay_given_up_buffers",
-            "Requests and answers given up for want of memory",
-            self.given_up_buffers.clone(),
-        );
+        self.caller_memory.register(registry, "relay_");
         registry.register("relay_refusals", "Refusals by reason", self.refusals.clone());
         registry.register("relay_resends", "Requests sent once more", self.resends.clone());
         registry.register(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,7 +9,6 @@
 pub mod attempt;
 pub mod attempts;
 pub mod buffered_answer;
-pub mod buffers;
 pub mod context;
 pub mod control;
 pub mod end_proof;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -1,12 +1,13 @@
 //! Starts and stops a relay node, which runs on threads of its own.
 
-use super::buffers::Buffers;
 use super::control::{self, ControlDependencies, RelayControlEvent};
 use super::exchange;
 use super::metrics::RelayMetrics;
 use super::peers::{PeerQueries, listener, queries};
 use super::planned_stop::PlannedStop;
 use super::{RelayContext, RelayPorts, RelaySettings};
+use crate::adapters::caller_body::CallerBody;
+use crate::adapters::caller_memory::{CallerMemory, limits_of_node};
 use crate::adapters::connection_pool::ConnectionPool;
 use crate::adapters::datagram_socket::DatagramSocket;
 use crate::adapters::http_server::{self, Handler, ListenerLimits, Reply};
@@ -22,7 +23,6 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
 use smol::Executor;
 use smol::net::TcpListener;
@@ -45,6 +45,9 @@
 const MONITORING_LIMITS: ListenerLimits =
     ListenerLimits { head_bytes: 8 * 1024, head_timeout_ms: 60_000 };
 
+/// Maximum connections of the readiness listener, and of the metrics listener.
+const MAX_MONITORING_CONNECTIONS: usize = 32;
+
 /// Ports that are tried if any free one will do for the listener and the socket for other nodes.
 const MAX_PORT_ATTEMPTS: usize = 16;
 
@@ -86,7 +89,7 @@
         let executor: Arc<Executor<'static>> = Arc::default();
         let pool = Arc::new(ConnectionPool::new(Arc::downgrade(&executor)));
         let ports = ports(Arc::clone(&pool));
-        let callers = http_server::bind(settings.listen.callers, "callers")?;
+        let callers = http_server::bind_callers(settings.listen.callers, "callers")?;
         let readiness = http_server::bind(settings.listen.readiness, "readiness")?;
         let metrics_listener = http_server::bind(settings.listen.metrics, "metrics")?;
         let partners = http_server::bind(settings.listen.partners, "partners")?;
@@ -246,10 +249,9 @@
         outdated_period: ArcSwapOption::empty(),
         caller_limits: Arc::new(ArcSwap::from_pointee(DEFAULT_CALLER_LIMITS)),
         pool: pools.servers,
-        buffers: Buffers::new(
-            settings.memory_bytes,
-            metrics.buffered_bytes.clone(),
-            metrics.given_up_buffers.clone(),
+        caller_memory: CallerMemory::new(
+            limits_of_node(settings.memory_bytes, settings.max_descriptors),
+            metrics.caller_memory.clone(),
         ),
         metrics,
         control_events,
@@ -285,8 +287,9 @@
     let handler: Handler =
         Arc::new(move |request| Box::pin(exchange::handle(Arc::clone(&shared), request)));
     let limits = Arc::clone(&context.caller_limits);
-    let server =
-        http_server::serve(listener, Arc::downgrade(executor), handler, limits, drain_signal);
+    let memory = Arc::clone(&context.caller_memory);
+    let weak = Arc::downgrade(executor);
+    let server = http_server::serve(listener, weak, handler, limits, memory, drain_signal);
     executor.spawn(server).detach();
 }
 
@@ -298,6 +301,8 @@
     stop_signal: Receiver<Infallible>,
 ) {
     let limits = Arc::new(ArcSwap::from_pointee(MONITORING_LIMITS));
+    let readiness_memory = CallerMemory::of_connections(MAX_MONITORING_CONNECTIONS);
+    let metrics_memory = CallerMemory::of_connections(MAX_MONITORING_CONNECTIONS);
     let shared = Arc::clone(context);
     let answer_readiness: Handler = Arc::new(move |request| {
         let reply = readiness_reply(&shared, &request);
@@ -309,6 +314,7 @@
         weak.clone(),
         answer_readiness,
         Arc::clone(&limits),
+        readiness_memory,
         stop_signal.clone(),
     );
     executor.spawn(server).detach();
@@ -319,10 +325,12 @@
         let reply = metrics_reply(&registry, &path, &request);
         Box::pin(async move { reply })
     });
-    executor.spawn(http_server::serve(metrics, weak, answer_metrics, limits, stop_signal)).detach();
+    let server =
+        http_server::serve(metrics, weak, answer_metrics, limits, metrics_memory, stop_signal);
+    executor.spawn(server).detach();
 }
 
-fn readiness_reply(context: &RelayContext, request: &Request<Incoming>) -> Reply {
+fn readiness_reply(context: &RelayContext, request: &Request<CallerBody>) -> Reply {
     if request.uri().path() != context.settings.listen.readiness_path {
         return text_reply(StatusCode::NOT_FOUND, "");
     }
@@ -330,7 +338,7 @@
     text_reply(status, "")
 }
 
-fn metrics_reply(registry: &Registry, path: &str, request: &Request<Incoming>) -> Reply {
+fn metrics_reply(registry: &Registry, path: &str, request: &Request<CallerBody>) -> Reply {
     if request.uri().path() != path {
         return text_reply(StatusCode::NOT_FOUND, "");
     }
--- a/src/relay/peers/forward.rs
+++ b/src/relay/peers/forward.rs
@@ -82,6 +82,14 @@
     attempts: &Attempts,
     last_event_id: Option<SmolStr>,
 ) -> ForwardedAnswer {
+    // The message holds the body once more until the node has it.
+    let mut room = context.caller_memory.open();
+    if let Err(error) = room.resize(request.body.len(), request.deadline).await {
+        let peer = node.instance.clone();
+        let error = PeerError::new(Step::Connect, peer, Delivery::NotSent, error);
+        return ForwardedAnswer::from(AttemptOutcome::NotSent(error));
+    }
+    room.complete();
     let sent_at = Instant::now();
     let body = message::encode(
         request,
--- a/src/relay/peers/gateway.rs
+++ b/src/relay/peers/gateway.rs
@@ -1,6 +1,7 @@
 //! Sends on the requests of nodes that have lost their links to servers.
 
 use super::message::{self, ANSWERED, FORWARD_PATH, MAX_HEAD_BYTES, OUTCOME, REFUSED, SERVER};
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::http_server::Reply;
 use crate::relay::RelayContext;
 use crate::relay::refusal::{Refusal, RefusalReason};
@@ -10,7 +11,6 @@
 use crate::types::RequestId;
 use anyhow::ensure;
 use http::{HeaderValue, Request};
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -19,7 +19,7 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Handles a request of another node; the answer tells whether it is a server's.
-pub async fn handle(context: Arc<RelayContext>, request: Request<Incoming>) -> Reply {
+pub async fn handle(context: Arc<RelayContext>, request: Request<CallerBody>) -> Reply {
     let _count = ForwardedCount::begin(&context);
     let received = receive(&context, request).await;
     let (id, result) = match received {
@@ -67,7 +67,7 @@
 
 async fn receive(
     context: &Arc<RelayContext>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<ReceivedRequest, Rejection> {
     let deadline = Instant::now() + READ_TIMEOUT;
     let is_forward = request.uri().path() == FORWARD_PATH;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -2,13 +2,13 @@
 
 use super::RelayContext;
 use super::attempts::Attempts;
-use super::buffers::{BufferedBody, Room};
 use super::outdated_configuration::wait_until_current;
 use super::peers::message::ForwardedRequest;
 use super::quota::QuotaGrant;
 use super::refusal::{Refusal, RefusalReason};
 use super::suspects::{self, Probe, SuspectKeys};
-use crate::adapters::deadline::timeout_at;
+use crate::adapters::caller_body::CallerBody;
+use crate::adapters::caller_memory::{BodyFault, Room, read_request_body};
 use crate::decision::poison::{Fingerprint, Suspicion};
 use crate::decision::relay::configuration::{Caller, MAX_PERIOD_MS, Workspace};
 use crate::decision::relay::{
@@ -16,12 +16,9 @@
     ServerQuery,
 };
 use crate::ports::RequestHead;
-use crate::types::{NoRoom, RequestId, ServiceId};
+use crate::types::{RequestId, ServiceId};
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -209,7 +206,7 @@
 /// Matches the route, authenticates the caller, reads the body and checks for poison requests.
 pub async fn receive(
     context: &Arc<RelayContext>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     head: RequestHead,
     arrived_at: Instant,
 ) -> Result<RelayedRequest, Refusal> {
@@ -265,7 +262,7 @@
 
 fn find_route(
     configuration: &Configuration,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
     head: &RequestHead,
 ) -> Result<RouteAndWorkspace, Refusal> {
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
@@ -287,33 +284,24 @@
     limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes)
 }
 
-/// Reads a body of at most `max_bytes`, within the budget of the node.
+/// Reads a body of at most `max_bytes`, within the memory for callers. A body that announces more is
+/// refused before it is read.
 pub async fn read_body(
     context: &RelayContext,
-    mut body: Incoming,
+    body: CallerBody,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<(Bytes, Room), Refusal> {
-    let mut whole = BufferedBody::new(&context.buffers);
-    loop {
-        let given_up = async { Err(whole.room().given_up().await) };
-        let received = async { Ok(body.frame().await) };
-        let frame = match timeout_at(deadline, received.or(given_up)).await {
-            Err(_) => return Err(Refusal::new(RefusalReason::TimedOut)),
-            Ok(Err(NoRoom)) => return Err(no_room()),
-            Ok(Ok(None)) => return Ok(whole.finish()),
-            Ok(Ok(Some(Err(error)))) => {
-                log::debug!("event=request_body_broken error=\"{error}\"");
-                return Err(Refusal::new(RefusalReason::BodyIncomplete));
-            }
-            Ok(Ok(Some(Ok(frame)))) => frame,
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > max_bytes {
-            return Err(Refusal::new(RefusalReason::BodyTooLarge));
+    let read = read_request_body(&context.caller_memory, body, max_bytes, deadline).await;
+    read.map_err(|fault| match fault {
+        BodyFault::TooLarge => Refusal::new(RefusalReason::BodyTooLarge),
+        BodyFault::TimedOut => Refusal::new(RefusalReason::TimedOut),
+        BodyFault::NoRoom => no_room(),
+        BodyFault::Broken(error) => {
+            log::debug!("event=request_body_broken error=\"{error}\"");
+            Refusal::new(RefusalReason::BodyIncomplete)
         }
-        whole.extend(&data, deadline).await.map_err(|NoRoom| no_room())?;
-    }
+    })
 }
 
 fn no_room() -> Refusal {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a relay node, as read from the file and as checked.
 
+use crate::adapters::caller_memory::DEFAULT_MEMORY_BYTES;
 use crate::decision::relay::quota::QuotaWindow;
 use crate::decision::relay::resend::ResendSettings;
 use crate::settings::check::{check_address, check_identity};
@@ -18,8 +19,8 @@
 /// Bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
-/// Memory of a node whose settings do not tell.
-const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+/// Largest number of descriptors that the settings accept.
+const MAX_DESCRIPTORS: usize = 1 << 24;
 
 /// Settings of a relay node as read from a file.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
@@ -45,6 +46,8 @@
     pub processor_cores: f64,
     /// Megabytes that the process may use, 0 if unknown.
     pub memory_mb: f64,
+    /// Sockets and files that the process may open, 0 for what the system allows.
+    pub max_descriptors: usize,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub first_start: bool,
     /// How quotas of workspaces are judged.
@@ -142,6 +145,8 @@
     pub processor_percent: u32,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// Sockets and files that the process may open, `None` for what the system allows.
+    pub max_descriptors: Option<usize>,
     /// Whether the whole site starts for the first time, so that no stream has begun yet.
     pub is_first_start: bool,
     /// How quotas of workspaces are judged.
@@ -183,6 +188,11 @@
             "memory_mb",
             "must be from 0 to 1048576",
         );
+        faults.require(
+            raw.max_descriptors <= MAX_DESCRIPTORS,
+            "max_descriptors",
+            "must be from 0 to 16777216",
+        );
         faults.require(raw.rollout_lease_ms > 0, "rollout_lease_ms", "must be above 0");
         let RawResendSettings { ratio, slack, window_s } = raw.resend;
         faults.require((0.0..=1.0).contains(&ratio), "resend.ratio", "must be from 0 to 1");
@@ -215,6 +225,7 @@
                 true => (raw.memory_mb * BYTES_PER_MB) as usize,
                 false => DEFAULT_MEMORY_BYTES,
             },
+            max_descriptors: (raw.max_descriptors > 0).then_some(raw.max_descriptors),
             is_first_start: raw.first_start,
             quota_window,
         };
--- a/src/relay/stream/candidate.rs
+++ b/src/relay/stream/candidate.rs
@@ -1,9 +1,9 @@
 //! Answer of another server that is to continue a stream.
 
+use crate::adapters::caller_memory::Room;
 use crate::decision::relay::EventSplitter;
 use crate::decision::relay::event_splitter::EventTooLong;
 use crate::relay::answer::Answer;
-use crate::relay::buffers::Room;
 use crate::types::PeerResult;
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -281,7 +281,7 @@
         let now = Instant::now();
         match outcome {
             AttemptOutcome::Streaming(answer) if self.is_alike(&answer) => {
-                let room = self.context.buffers.open();
+                let room = self.context.caller_memory.open();
                 self.candidates.push(Candidate::new(*answer, self.last_event_id(), room));
                 return self.failover.record_wait(now);
             }
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -8,6 +8,7 @@
 
 use self::candidate::Candidate;
 pub use self::outcome::count_outcome;
+use crate::adapters::caller_memory::{Room, take_piece};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
@@ -15,7 +16,6 @@
 use crate::relay::RelayContext;
 use crate::relay::answer::Answer;
 use crate::relay::attempts::Attempts;
-use crate::relay::buffers::{Room, take_piece};
 use crate::relay::outdated_weights;
 use crate::relay::peers::gateway::software_header;
 use crate::relay::peers::message::SOFTWARE;
@@ -121,7 +121,7 @@
         is_silence_recorded: false,
         status,
         splitter: is_event_stream.then(|| EventSplitter::resumed_after(resumed_after(request))),
-        room: context.buffers.open(),
+        room: context.caller_memory.open(),
         is_resumable: is_event_stream && retry_safety == RetrySafety::ResumableStream,
         last_answer: None,
         forwarded_bytes: 0,
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -16,6 +16,11 @@
     /// Maximum bytes of a service's response body, or of the text of a model answer that is not
     /// streamed.
     pub answer_bytes: usize,
+    /// Megabytes that the process may use, 0 for 256; callers may make the node hold two fifths of them.
+    pub memory_mb: usize,
+    /// Sockets and files that the process may open, 0 for what the system allows; connections of callers
+    /// take half of them at most.
+    pub max_descriptors: usize,
     /// Milliseconds in which a caller must send a request's head or body.
     pub read_timeout_ms: u64,
     /// Timeout of a whole model request in milliseconds.
@@ -34,6 +39,8 @@
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
             answer_bytes: 16 * 1024 * 1024,
+            memory_mb: 0,
+            max_descriptors: 0,
             read_timeout_ms: 10_000,
             request_timeout_ms: 60_000,
             frame_timeout_ms: 5_000,
@@ -54,6 +61,8 @@
         for (path, bytes) in sizes_bytes {
             faults.require(bytes >= 1024, path, "must be at least 1024");
         }
+        let most = 1 << 20;
+        faults.require(self.memory_mb <= most, "limits.memory_mb", "must be from 0 to 1048576");
         let timeouts_ms = [
             ("limits.read_timeout_ms", self.read_timeout_ms),
             ("limits.request_timeout_ms", self.request_timeout_ms),
--- a/src/traffic/body.rs
+++ b/src/traffic/body.rs
@@ -1,28 +1,39 @@
-//! Reads request bodies within a size limit and a deadline.
+//! Reads request bodies within a size limit, the memory for callers, and a deadline.
 
-use super::{Failure, FailureCode};
-use crate::adapters::deadline::timeout_at;
+use super::{Failure, FailureCode, TrafficContext};
+use crate::adapters::caller_body::CallerBody;
+use crate::adapters::caller_memory::{BodyFault, Room, read_request_body};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// Reads `body`; fails if it exceeds `limit_bytes` or is incomplete at `deadline`.
-pub async fn read(body: Incoming, limit_bytes: usize, deadline: Instant) -> Result<Bytes, Failure> {
-    let collected = timeout_at(deadline, Limited::new(body, limit_bytes).collect()).await;
-    let Ok(collected) = collected else {
-        let message = "the body did not arrive in time";
-        return Err(Failure::not_run(FailureCode::BodyTimeout, message));
-    };
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+/// Time after which a caller whose body found no room may return.
+const NO_ROOM_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Reads `body`, which takes its room until that is dropped; fails if it exceeds the limit of the settings,
+/// is incomplete at `deadline`, or finds no room.
+pub async fn read(
+    context: &TrafficContext,
+    body: CallerBody,
+    deadline: Instant,
+) -> Result<(Bytes, Room), Failure> {
+    let limit_bytes = context.settings.limits.body_bytes;
+    let read = read_request_body(&context.caller_memory, body, limit_bytes, deadline).await;
+    read.map_err(|fault| match fault {
+        BodyFault::TimedOut => {
+            Failure::not_run(FailureCode::BodyTimeout, "the body did not arrive in time")
+        }
+        BodyFault::TooLarge => {
             let message = format!("the body exceeds {limit_bytes} bytes");
-            Err(Failure::not_run(FailureCode::BodyTooLarge, message))
+            Failure::not_run(FailureCode::BodyTooLarge, message)
         }
-        Err(error) => {
+        BodyFault::Broken(error) => {
             let message = format!("the body could not be read: {error}");
-            Err(Failure::not_run(FailureCode::InvalidRequest, message))
+            Failure::not_run(FailureCode::InvalidRequest, message)
+        }
+        BodyFault::NoRoom => {
+            let retry_at = Instant::now() + NO_ROOM_RETRY_DELAY;
+            let message = "the node has no memory for the body";
+            Failure::not_run(FailureCode::NoRoom, message).retry_at(retry_at)
         }
-    }
+    })
 }
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -3,13 +3,14 @@
 use super::admission_gate::AdmissionGate;
 use super::shed_signals::ShedSignals;
 use super::suspect_gate::SuspectGate;
+use crate::adapters::caller_memory::{CallerMemory, DEFAULT_MEMORY_BYTES, limits_of_node};
 use crate::admin::RecentDecisions;
 use crate::control::{ClaimsMessage, ControlEvent, Snapshot, TrafficReport};
 use crate::decision::power::PowerAccount;
 use crate::decision::retry::RetryBudget;
 use crate::metrics::Metrics;
 use crate::ports::{ModelEngine, PlainService};
-use crate::settings::Settings;
+use crate::settings::{LimitSettings, Settings};
 use crate::types::{InstanceId, RequestId};
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -77,6 +78,8 @@
     pub admission: Arc<AdmissionGate>,
     /// Gate for requests suspected of crashing servers.
     pub suspects: SuspectGate,
+    /// Memory that callers make the node hold.
+    pub caller_memory: Arc<CallerMemory>,
     /// Whether the node drains; it then reports that it is not ready.
     pub is_draining: AtomicBool,
     executor: Weak<Executor<'static>>,
@@ -90,7 +93,16 @@
     pub fn new(dependencies: TrafficDependencies) -> Self {
         let TrafficDependencies { shared, engines, services, control_events, executor } =
             dependencies;
+        let LimitSettings { memory_mb, max_descriptors, .. } = shared.settings.limits;
+        let memory_bytes = match memory_mb {
+            0 => DEFAULT_MEMORY_BYTES,
+            megabytes => megabytes << 20,
+        };
+        let max_descriptors = (max_descriptors > 0).then_some(max_descriptors);
+        let limits = limits_of_node(memory_bytes, max_descriptors);
+        let metrics = shared.metrics.caller_memory.clone();
         Self {
+            caller_memory: CallerMemory::new(limits, metrics),
             instance: shared.instance,
             settings: shared.settings,
             snapshot: shared.snapshot,
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -3,11 +3,11 @@
 use super::handlers::{health, metrics, models, service_call, text_generation};
 use super::reply::failure_reply;
 use super::{Failure, FailureCode, TrafficContext};
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::http_server::Reply;
 use crate::logging::Quoted;
 use crate::traffic::generation_request::Endpoint;
 use http::{Method, Request};
-use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// Prefix of the paths of plain services.
@@ -25,7 +25,7 @@
 }
 
 /// Runs the handler for `request`; counts, logs and encodes its failure, if any.
-pub async fn dispatch(context: Arc<TrafficContext>, request: Request<Incoming>) -> Reply {
+pub async fn dispatch(context: Arc<TrafficContext>, request: Request<CallerBody>) -> Reply {
     let failure_context = Arc::clone(&context);
     let result = match find_route(request.method(), request.uri().path()) {
         Ok(Route::Generation(endpoint)) => {
--- a/src/traffic/failure.rs
+++ b/src/traffic/failure.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The node has no memory for the body.
+    NoRoom,
     /// The node has not received a document yet.
     NotReady,
     /// No backend server can take the request.
@@ -63,9 +65,11 @@
             Self::InvalidJson | Self::InvalidRequest | Self::InvalidKey => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoServer | Self::PowerWithdrawn | Self::ClaimUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoRoom
+            | Self::NotReady
+            | Self::NoServer
+            | Self::PowerWithdrawn
+            | Self::ClaimUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::RateLimited | Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::PoisonRequest => StatusCode::UNPROCESSABLE_ENTITY,
             Self::UpstreamFailed | Self::AnswerTooLarge => StatusCode::BAD_GATEWAY,
--- a/src/traffic/handlers/service_call.rs
+++ b/src/traffic/handlers/service_call.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services, which are HTTP services other than the model engines.
 
 use super::claimed_call::{self, ClaimScope};
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::http_server::Reply;
 use crate::decision::retry::{self, FailedAttempt, RetryDecision};
 use crate::document::{Service, ServiceServer};
@@ -11,7 +12,6 @@
 use crate::traffic::{Failure, FailureCode, TrafficContext, body};
 use crate::types::{Delivery, PeerError, RequestId};
 use http::{HeaderMap, Method, Request, Response};
-use hyper::body::Incoming;
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
 /// Forwards a call to `/services/{name}/...` to a server of the service.
 pub async fn handle(
     context: &TrafficContext,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Reply, Failure> {
     let arrived_at = Instant::now();
     let snapshot = context.snapshot.load_full();
@@ -42,7 +42,7 @@
     })?;
     let limits = context.settings.limits;
     let read_deadline = arrived_at + Duration::from_millis(limits.read_timeout_ms);
-    let body = body::read(incoming, limits.body_bytes, read_deadline).await?;
+    let (body, _room) = body::read(context, incoming, read_deadline).await?;
     let id = context.new_request_id();
     let call = ServiceCall {
         method: parts.method,
--- a/src/traffic/handlers/text_generation.rs
+++ b/src/traffic/handlers/text_generation.rs
@@ -1,5 +1,7 @@
 //! Model requests: chat completions and completions, streamed or in one response.
 
+use crate::adapters::caller_body::CallerBody;
+use crate::adapters::caller_memory::Room;
 use crate::adapters::http_server::Reply;
 use crate::control::Snapshot;
 use crate::decision::poison::Suspicion;
@@ -12,7 +14,6 @@
 use bytes::Bytes;
 use futures_lite::stream;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -24,14 +25,14 @@
 pub async fn handle(
     context: Arc<TrafficContext>,
     endpoint: Endpoint,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Reply, Failure> {
     let arrived_at = Instant::now();
     let limits = context.settings.limits;
     let (parts, incoming) = request.into_parts();
     let workspace = authenticate(&parts.headers, &context.snapshot.load())?;
     let read_deadline = arrived_at + Duration::from_millis(limits.read_timeout_ms);
-    let body = body::read(incoming, limits.body_bytes, read_deadline).await?;
+    let (body, room) = body::read(&context, incoming, read_deadline).await?;
     let raw = RawGenerationRequest {
         id: context.new_request_id(),
         endpoint,
@@ -45,7 +46,7 @@
     let is_suspect = check_poison(&request, &snapshot)?;
     let permit = admit(&context, &request, &snapshot).await?;
     let generation = Generation::new(context, request, is_suspect).await;
-    let mut running = RunningRequest { generation, _permit: permit };
+    let mut running = RunningRequest { generation, _permit: permit, _room: room };
     let first = running.generation.next_item().await?;
     if running.generation.request().is_streamed {
         return Ok(stream_reply(running, first));
@@ -57,6 +58,7 @@
 struct RunningRequest {
     generation: Generation,
     _permit: AdmissionPermit,
+    _room: Room,
 }
 
 /// Refuses a request known to crash servers; returns whether it is a suspect.
@@ -157,7 +159,7 @@
     first: AnswerItem,
     limit_bytes: usize,
 ) -> Result<Reply, Failure> {
-    let RunningRequest { mut generation, _permit } = running;
+    let RunningRequest { mut generation, _permit, _room } = running;
     let mut text = String::new();
     let mut finish_reason = Value::Null;
     let mut item = first;
--- a/tests/relay/buffer_budget.rs
+++ b/tests/relay/buffer_budget.rs
@@ -1,16 +1,19 @@
 //! One budget for all buffers of a node: who waits, who is given up, and who gets on.
 
 use super::fixture::ms;
-use coriandertide::decision::relay::buffer_budget::{
-    BufferBudget, BufferId, Growth, UNCOUNTED_BYTES,
+use coriandertide::decision::caller_memory::{
+    BufferId, CONNECTION_BYTES, CallerMemory, CallerMemoryLimits, ConnectionState, Growth,
+    REQUEST_BYTES, UNCOUNTED_BYTES,
 };
 use std::time::Instant;
 
 const MIB: usize = 1024 * 1024;
 
 /// Fills buffers of a budget of 20 MiB with 4 MiB each.
-fn full_budget(now: Instant) -> (BufferBudget, Vec<BufferId>) {
-    let mut budget = BufferBudget::new(20 * MIB);
+fn full_budget(now: Instant) -> (CallerMemory, Vec<BufferId>) {
+    let limits =
+        CallerMemoryLimits { total_bytes: 40 * MIB, large_bytes: 20 * MIB, connections: 8 };
+    let mut budget = CallerMemory::new(limits);
     let ids: Vec<BufferId> = (0..5).map(|_| budget.open()).collect();
     for id in &ids {
         assert_eq!(budget.resize(*id, 4 * MIB, now), Growth::Granted);
@@ -90,3 +93,63 @@
     let waiting = budget.open();
     assert_eq!(budget.resize(waiting, 4 * MIB, now + ms(3_400)), Growth::Granted);
 }
+
+/// Guards against connections without a number, and against closing one that is in use for a new one.
+#[test]
+fn a_new_connection_takes_the_place_of_the_one_without_a_request_for_longest() {
+    let now = Instant::now();
+    let (mut memory, _) = full_budget(now);
+    let ids: Vec<_> = (0..8).map(|n| memory.open_connection(now + ms(n)).unwrap()).collect();
+    let at = now + ms(150);
+    assert_eq!(memory.open_connection(at), None);
+    memory.change_connection(ids[0], ConnectionState::Serving, at);
+    memory.change_connection(ids[1], ConnectionState::Closing, at);
+    assert_eq!(memory.give_up_connection(at), Some((ids[2], ConnectionState::Idle)));
+    assert!(memory.open_connection(at).is_some());
+    let served = |memory: &mut CallerMemory, id| {
+        memory.change_connection(id, ConnectionState::Serving, at);
+        memory.record_blocked(id, true, at);
+    };
+    ids[3..].iter().for_each(|id| served(&mut memory, *id));
+    assert_eq!(memory.give_up_connection(at + ms(90)), None);
+    assert_eq!(memory.give_up_connection(at + ms(110)), Some((ids[1], ConnectionState::Closing)));
+    memory.record_blocked(ids[4], false, at + ms(110));
+    let blocked: Vec<_> =
+        std::iter::from_fn(|| memory.give_up_connection(at + ms(2_000))).collect();
+    assert!(blocked.iter().all(|(id, _)| *id != ids[0] && *id != ids[4]), "{blocked:?}");
+    assert_eq!(memory.connections(), 2);
+}
+
+/// Guards against requests and connections whose sum takes more than the memory for callers.
+#[test]
+fn requests_and_connections_have_one_limit_with_large_buffers() {
+    let now = Instant::now();
+    let (mut memory, _) = full_budget(now);
+    for _ in 0..8 {
+        assert!(memory.open_connection(now).is_some());
+    }
+    let requests = std::iter::from_fn(|| {
+        let id = memory.open();
+        (memory.begin_request(id, now) == Growth::Granted).then_some(id)
+    });
+    let requests: Vec<BufferId> = requests.collect();
+    assert_eq!(requests.len(), (20 * MIB - 8 * CONNECTION_BYTES) / REQUEST_BYTES);
+    // What makes no progress gives its room back.
+    assert_eq!(memory.give_up_one(now + ms(300)).map(|id| requests.contains(&id)), Some(false));
+    requests.iter().for_each(|id| memory.close(*id));
+    assert_eq!(memory.total_bytes(), 20 * MIB + 8 * CONNECTION_BYTES);
+}
+
+/// Guards against a default that an ordinary number of callers meets.
+#[test]
+fn limits_follow_from_memory_and_descriptors() {
+    let limits_of = |(memory_mb, descriptors)| {
+        let limits = CallerMemoryLimits::of_node(memory_mb * MIB, descriptors);
+        let CallerMemoryLimits { total_bytes, large_bytes, connections } = limits;
+        format!("{memory_mb} MB, {descriptors}: {total_bytes} {large_bytes} {connections}")
+    };
+    let nodes = [(32, 4_100), (48, 4_100), (64, 4_100), (88, 4_100), (110, 4_200), (256, 4_100)];
+    let few_descriptors = [(48, 200), (4_096, 4_100)];
+    let limits: Vec<String> = nodes.into_iter().chain(few_descriptors).map(limits_of).collect();
+    insta::assert_snapshot!(limits.join("\n"));
+}
--- a/tests/whole_path/panics.rs
+++ b/tests/whole_path/panics.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use coriandertide::adapters::caller_memory::CallerMemory;
 use coriandertide::adapters::http_client;
 use coriandertide::adapters::http_server::{self, Handler, ListenerLimits};
 use coriandertide::daemon::threads::{catch_panic, spawn_traffic};
@@ -36,9 +37,10 @@
     });
     let (stop_sender, stop_signal) = async_channel::bounded(1);
     let limits = Arc::new(ArcSwap::from_pointee(LIMITS));
+    let memory = CallerMemory::of_connections(8);
     let weak = Arc::downgrade(&executor);
     executor
-        .spawn(http_server::serve(listener, weak, handler, limits, stop_signal.clone()))
+        .spawn(http_server::serve(listener, weak, handler, limits, memory, stop_signal.clone()))
         .detach();
     let thread = spawn_traffic("traffic".into(), Arc::clone(&executor), stop_signal).unwrap();
     for _ in 0..3 {
