fix(traffic): the first node kind holds no more for a crowd than its account

What callers saw: a crowd before the first node kind ended its process. Bodies were collected up to their limit with no account of their sum, connections were accepted without a bound, and the HTTP library copied each body for its server.

Answers of services are read as a whole before they count: an open row in docs/design/caller_memory.md.

--- a/src/adapters/http_client.rs
+++ b/src/adapters/http_client.rs
@@ -5,6 +5,7 @@
 
 use super::deadline::timeout_at;
 use super::guarded_stream::GuardedStream;
+use super::piecewise_body::PiecewiseBody;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
 use bytes::{Bytes, BytesMut};
 use futures_lite::future::poll_fn;
@@ -24,8 +25,11 @@
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum read buffer of a connection, and so the maximum of a response's head.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Future that performs the I/O of a connection.
-type Driver = Pin<Box<Connection<FuturesIo<GuardedStream>, Full<Bytes>>>>;
+type Driver = Pin<Box<Connection<FuturesIo<GuardedStream>, PiecewiseBody>>>;
 
 /// Response whose body is still being received.
 pub struct Exchange {
@@ -46,11 +50,13 @@
 ) -> PeerResult<Exchange> {
     let peer = address.to_smolstr();
     let stream = connect(address, &peer, deadline).await?;
-    let (mut sender, connection) = http1::handshake(FuturesIo::new(GuardedStream::new(stream)))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(FuturesIo::new(GuardedStream::new(stream)))
         .await
         .map_err(|error| PeerError::new(Step::Connect, peer.clone(), Delivery::NotSent, error))?;
     let mut driver: Option<Driver> = Some(Box::pin(connection));
-    let mut response = Box::pin(sender.send_request(request));
+    let mut response = Box::pin(sender.send_request(request.map(PiecewiseBody::from)));
     let head = poll_fn(|cx| {
         drive(&mut driver, cx);
         response.as_mut().poll(cx)
--- a/src/traffic/handlers/service_call.rs
+++ b/src/traffic/handlers/service_call.rs
@@ -2,16 +2,17 @@
 
 use super::claimed_call::{self, ClaimScope};
 use crate::adapters::caller_body::CallerBody;
+use crate::adapters::caller_memory::UnreadBody;
 use crate::adapters::http_server::Reply;
 use crate::decision::retry::{self, FailedAttempt, RetryDecision};
 use crate::document::{Service, ServiceServer};
 use crate::ports::{ServiceCall, ServiceResponse};
 use crate::traffic::authenticate::authenticate;
 use crate::traffic::generation_request::not_ready;
-use crate::traffic::reply::full_body;
 use crate::traffic::{Failure, FailureCode, TrafficContext, body};
-use crate::types::{Delivery, PeerError, RequestId};
+use crate::types::{Delivery, NoRoom, PeerError, RequestId};
 use http::{HeaderMap, Method, Request, Response};
+use http_body_util::BodyExt;
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
@@ -58,7 +59,7 @@
     } else {
         call_with_retries(context, &servers, &call, deadline).await
     }?;
-    Ok(service_reply(response))
+    service_reply(context, response, deadline).await
 }
 
 /// Splits a request target into the service name and the path and query sent to the service.
@@ -191,13 +192,24 @@
         .retry_at(Instant::now() + RETRY_DELAY)
 }
 
-fn service_reply(response: ServiceResponse) -> Reply {
-    let mut reply = Response::new(full_body(response.body));
+/// Returns the reply, whose body keeps its room until the caller has taken it.
+async fn service_reply(
+    context: &TrafficContext,
+    response: ServiceResponse,
+    deadline: Instant,
+) -> Result<Reply, Failure> {
+    let mut room = context.caller_memory.open();
+    room.resize(response.body.len(), deadline).await.map_err(|NoRoom| {
+        let message = "the call was run, the node has no memory for its answer";
+        Failure::outcome_unknown(FailureCode::UpstreamFailed, message)
+    })?;
+    room.complete();
+    let mut reply = Response::new(UnreadBody::new(response.body, room).boxed_unsync());
     *reply.status_mut() = response.status;
     for name in FORWARDED_RESPONSE_HEADERS {
         if let Some(value) = response.headers.get(name) {
             reply.headers_mut().insert(name, value.clone());
         }
     }
-    reply
+    Ok(reply)
 }
