fix(callers): the account follows from what a node does not need for itself

The account is now 60% of the memory beyond 24 MB: 550 connections at 110 MB, 409 at 88 MB, 153 at 48 MB.

--- a/src/decision/caller_memory.rs
+++ b/src/decision/caller_memory.rs
@@ -23,8 +23,13 @@
 /// themselves.
 pub const REQUEST_BYTES: usize = 64 * 1024;
 
-/// Part of a node's memory that callers may take, and parts of that.
-const MEMORY_SHARE: usize = 3;
+/// Memory of a node that is not for callers: its own state, and connections to servers, store and nodes.
+const OWN_BYTES: usize = 24 * 1024 * 1024;
+
+/// Part of the rest that callers may take, in percent; the allocator needs some beside what is counted.
+const MEMORY_PERCENT: usize = 60;
+
+/// Parts of what callers may take: one half for large buffers, one for connections.
 const LARGE_BUFFERS_SHARE: usize = 2;
 const CONNECTIONS_SHARE: usize = 2;
 
@@ -70,7 +75,7 @@
 impl CallerMemoryLimits {
     /// Returns the limits of a node with `memory_bytes` and `max_descriptors`.
     pub fn of_node(memory_bytes: usize, max_descriptors: usize) -> Self {
-        let share_bytes = memory_bytes / MEMORY_SHARE;
+        let share_bytes = memory_bytes.saturating_sub(OWN_BYTES) / 100 * MEMORY_PERCENT;
         let large_bytes = share_bytes / LARGE_BUFFERS_SHARE;
         let large_bytes = large_bytes.clamp(MIN_LARGE_BYTES, MAX_LARGE_BYTES);
         let total_bytes = share_bytes.max(large_bytes + MIN_SMALL_BYTES);
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -16,7 +16,8 @@
     /// Maximum bytes of a service's response body, or of the text of a model answer that is not
     /// streamed.
     pub answer_bytes: usize,
-    /// Megabytes that the process may use, 0 for 256; callers may make the node hold two fifths of them.
+    /// Megabytes that the process may use, 0 for 256; callers may make the node hold 60% of what is beyond
+    /// 24.
     pub memory_mb: usize,
     /// Sockets and files that the process may open, 0 for what the system allows; connections of callers
     /// take half of them at most.
