fix(callers): an answer that is still read keeps its connection

What callers saw, where a node had no room for more connections: the end of an answer cut off after 0.1 s. The HTTP library drops the body of an answer once it has copied its last piece, and the connection then counted as idle though up to 32 KB were still on their way to a slow caller. Found by reading. A connection whose caller is blocked now has the 2 s of unread answers in each state. buffer_budget::an_answer_that_is_still_read_keeps_its_connection failed before.

--- a/src/decision/caller_memory.rs
+++ b/src/decision/caller_memory.rs
@@ -117,10 +117,13 @@
 impl Connection {
     /// Returns when the connection may be given up for others, `None` while it is served.
     fn expendable_at(&self) -> Option<Instant> {
-        let blocked = self.blocked_since.map(|since| since + UNREAD_TIME);
+        // The end of an answer may be on its way after its request has ended.
+        if let Some(since) = self.blocked_since {
+            return Some(since + UNREAD_TIME);
+        }
         match self.state {
             ConnectionState::Idle | ConnectionState::Closing => Some(self.since + IDLE_TIME),
-            ConnectionState::Serving => blocked,
+            ConnectionState::Serving => None,
         }
     }
 }
--- a/tests/relay/buffer_budget.rs
+++ b/tests/relay/buffer_budget.rs
@@ -153,3 +153,16 @@
     let limits: Vec<String> = nodes.into_iter().chain(few_descriptors).map(limits_of).collect();
     insta::assert_snapshot!(limits.join("\n"));
 }
+
+/// Guards against a connection that is closed for others while its caller still reads the end of an answer.
+#[test]
+fn an_answer_that_is_still_read_keeps_its_connection() {
+    let now = Instant::now();
+    let (mut memory, _) = full_budget(now);
+    let id = memory.open_connection(now).unwrap();
+    memory.record_blocked(id, true, now);
+    memory.change_connection(id, ConnectionState::Idle, now);
+    assert_eq!(memory.give_up_connection(now + ms(1_900)), None);
+    memory.record_blocked(id, false, now + ms(1_900));
+    assert_eq!(memory.give_up_connection(now + ms(1_900)), Some((id, ConnectionState::Idle)));
+}
