fix(callers): connections without requests make room for a large body at once

Found by reading. As many as make room are closed at once, and a buffer is given up where they do not suffice. buffer_budget::connections_without_requests_make_room_for_a_large_body_at_once failed before.

--- a/src/adapters/caller_memory/mod.rs
+++ b/src/adapters/caller_memory/mod.rs
@@ -188,10 +188,13 @@
         growth
     }
 
-    /// Gives up a connection if that makes room for `bytes`, or else a buffer.
+    /// Gives up as many connections as make room for `bytes`; a buffer if they do not, or if it is large
+    /// buffers that take the room.
     fn make_room(&self, bytes: usize) {
         let mut state = self.lock();
-        if state.account.has_room(bytes) || !self.give_up_connection(&mut state) {
+        let had_room = state.account.has_room(bytes);
+        while !state.account.has_room(bytes) && self.give_up_connection(&mut state) {}
+        if had_room || !state.account.has_room(bytes) {
             self.give_up_buffer(&mut state);
         }
     }
--- a/tests/relay/buffer_budget.rs
+++ b/tests/relay/buffer_budget.rs
@@ -1,6 +1,7 @@
 //! One budget for all buffers of a node: who waits, who is given up, and who gets on.
 
 use super::fixture::ms;
+use coriandertide::adapters::caller_memory::{self, CallerMemoryMetrics};
 use coriandertide::decision::caller_memory::{
     BufferId, CONNECTION_BYTES, CallerMemory, CallerMemoryLimits, ConnectionState, Growth,
     REQUEST_BYTES, UNCOUNTED_BYTES,
@@ -166,3 +167,18 @@
     memory.record_blocked(id, false, now + ms(1_900));
     assert_eq!(memory.give_up_connection(now + ms(1_900)), Some((id, ConnectionState::Idle)));
 }
+
+/// Guards against a large body that is refused though connections without a request hold its room.
+#[test]
+fn connections_without_requests_make_room_for_a_large_body_at_once() {
+    let limits =
+        CallerMemoryLimits { total_bytes: 8 * MIB, large_bytes: 8 * MIB, connections: 100 };
+    let memory = caller_memory::CallerMemory::new(limits, CallerMemoryMetrics::default());
+    let slots: Vec<_> = (0..100).map(|_| smol::block_on(memory.admit()).unwrap()).collect();
+    std::thread::sleep(ms(150));
+    let mut room = memory.open();
+    // Closing them one by one, 20 ms apart, would take 1.2 s.
+    let deadline = Instant::now() + ms(400);
+    assert!(smol::block_on(room.resize(6 * MIB, deadline)).is_ok());
+    drop(slots);
+}
