test(crowds): one set of crowds, settings and bounds for both node kinds

The two crowd tests had the same constants and the same final checks. They are in coriandertide_standins::crowd now, with the values as they were: 48 MB, 1,200 descriptors of which a quarter stays free, 1,500 callers, 4 s, bodies of 1 MB.

--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -2,6 +2,7 @@
 //! nothing, or keep connections open.
 
 use crate::runtime;
+use crate::watched_process::Peak;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::TcpStream;
 use smol::{Task, Timer};
@@ -34,6 +35,34 @@
 /// Time after which a caller whose connection was closed opens a new one.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 
+/// Memory of a process that a crowd comes to.
+pub const MEMORY_MB: usize = 48;
+/// Descriptors of such a process.
+pub const MAX_DESCRIPTORS: usize = 1_200;
+
+/// Descriptors that callers may take; the others are for servers, the store and other nodes.
+pub const MAX_OPEN_DESCRIPTORS: usize = MAX_DESCRIPTORS * 3 / 4;
+
+/// Largest body that such a process allows.
+pub const MAX_BODY_BYTES: usize = 1_000_000;
+
+/// Callers of a crowd.
+pub const CALLERS: usize = 1_500;
+
+/// Time for which the callers come again.
+pub const CROWD_TIME: Duration = Duration::from_secs(4);
+
+/// Asserts that a process has stayed within its memory, and has left descriptors.
+///
+/// # Panics
+///
+/// It has not.
+pub fn assert_within_bounds(peak: Peak) {
+    let held_bytes = peak.resident_bytes + peak.unread_bytes;
+    assert!(held_bytes <= MEMORY_MB << 20, "{held_bytes} bytes held of {MEMORY_MB} MB: {peak:?}");
+    assert!(peak.descriptors <= MAX_OPEN_DESCRIPTORS, "{} descriptors open", peak.descriptors);
+}
+
 /// What each caller of a crowd does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -61,26 +90,23 @@
     UnreadAnswers,
 }
 
-/// Callers that behave alike.
+/// [`CALLERS`] that behave alike, each with one connection at a time.
 pub struct Crowd {
     /// What they do.
     pub behaviour: Behaviour,
-    /// Number of callers, each with one connection at a time.
-    pub callers: usize,
     /// Listener that they connect to.
     pub address: SocketAddr,
-    /// Largest body that a request may have, in bytes.
-    pub max_body_bytes: usize,
     /// Returns the request line and headers of a request, each with its line end, without the headers that
     /// tell the length of the body.
     pub head: fn() -> String,
 }
 
 impl Crowd {
-    /// Lets all callers run until `deadline`; callers whose connections are closed come again.
-    pub fn run(self, deadline: Instant) {
+    /// Lets all callers run for [`CROWD_TIME`]; callers whose connections are closed come again.
+    pub fn run(self) {
+        let deadline = Instant::now() + CROWD_TIME;
         let crowd = Arc::new(self);
-        let callers: Vec<Task<()>> = (0..crowd.callers)
+        let callers: Vec<Task<()>> = (0..CALLERS)
             .map(|_| {
                 let crowd = Arc::clone(&crowd);
                 runtime::spawn(async move {
@@ -118,18 +144,18 @@
     }
 
     async fn send(&self, stream: &mut TcpStream) -> io::Result<()> {
-        let most_bytes = self.max_body_bytes - MISSING_BYTES;
+        let most_bytes = MAX_BODY_BYTES - MISSING_BYTES;
         match self.behaviour {
             Behaviour::WholeBody => {
-                self.send_head(stream, Some(self.max_body_bytes)).await?;
-                send_bytes(stream, self.max_body_bytes, WRITE_BYTES, None).await
+                self.send_head(stream, Some(MAX_BODY_BYTES)).await?;
+                send_bytes(stream, MAX_BODY_BYTES, WRITE_BYTES, None).await
             }
             Behaviour::UnfinishedBody => {
-                self.send_head(stream, Some(self.max_body_bytes)).await?;
+                self.send_head(stream, Some(MAX_BODY_BYTES)).await?;
                 send_bytes(stream, most_bytes, WRITE_BYTES, None).await
             }
             Behaviour::UnfinishedPieces => {
-                self.send_head(stream, Some(self.max_body_bytes)).await?;
+                self.send_head(stream, Some(MAX_BODY_BYTES)).await?;
                 send_bytes(stream, most_bytes, PIECE_BYTES, Some(PIECE_PERIOD)).await
             }
             Behaviour::UnfinishedLargeChunks => {
@@ -141,13 +167,13 @@
                 send_chunks(stream, most_bytes, 1).await
             }
             Behaviour::AnnouncedOversize => {
-                let bytes = self.max_body_bytes * OVERSIZE_FACTOR;
+                let bytes = MAX_BODY_BYTES * OVERSIZE_FACTOR;
                 self.send_head(stream, Some(bytes)).await?;
                 send_bytes(stream, bytes, WRITE_BYTES, None).await
             }
             Behaviour::UnannouncedOversize => {
                 self.send_head(stream, None).await?;
-                send_chunks(stream, self.max_body_bytes * OVERSIZE_FACTOR, PIECE_BYTES).await
+                send_chunks(stream, MAX_BODY_BYTES * OVERSIZE_FACTOR, PIECE_BYTES).await
             }
             Behaviour::UnfinishedSmallBody => {
                 self.send_head(stream, Some(SMALL_BODY_BYTES)).await?;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -11,6 +11,9 @@
 mod site;
 
 use caller::{call, get, post};
+use coriandertide_standins::crowd::{
+    MAX_BODY_BYTES, MAX_DESCRIPTORS, MEMORY_MB, assert_within_bounds,
+};
 use coriandertide_standins::{Behaviour, Crowd, WatchedProcess, free_port};
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -20,20 +23,6 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Memory and descriptors of the node.
-const MEMORY_MB: usize = 48;
-const MAX_DESCRIPTORS: usize = 1_200;
-
-/// Descriptors that callers may take; the others are for servers, the log and other nodes.
-const MAX_OPEN_DESCRIPTORS: usize = MAX_DESCRIPTORS * 3 / 4;
-
-/// Largest body that the settings allow.
-const MAX_BODY_BYTES: usize = 1_000_000;
-
-/// Callers of a crowd, and the time for which they come again.
-const CALLERS: usize = 1_500;
-const CROWD_TIME: Duration = Duration::from_secs(4);
-
 /// Time in which an ordinary call must be answered afterwards.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -101,16 +90,14 @@
     wait_until_answered(callers, largest);
     let crowd = Crowd {
         behaviour,
-        callers: CALLERS,
         address: match listener {
             Listener::Callers => callers,
             Listener::Admin => admin,
             Listener::Partners => partners,
         },
-        max_body_bytes: MAX_BODY_BYTES,
         head,
     };
-    crowd.run(Instant::now() + CROWD_TIME);
+    crowd.run();
     let is_alive = process.is_alive();
     let peak = process.peak();
     println!("{behaviour:?} at {listener:?}: {peak:?}");
@@ -119,9 +106,7 @@
     wait_until_answered(callers, largest);
     wait_until_answered(admin, || get("/metrics"));
     drop(std::fs::remove_file(&file));
-    let held_bytes = peak.resident_bytes + peak.unread_bytes;
-    assert!(held_bytes <= MEMORY_MB << 20, "{held_bytes} bytes held of {MEMORY_MB} MB: {peak:?}");
-    assert!(peak.descriptors <= MAX_OPEN_DESCRIPTORS, "{} descriptors open", peak.descriptors);
+    assert_within_bounds(peak);
 }
 
 /// Guards against a daemon that holds a large body for each of many callers.
