refactor(callers): one handshake within a slot, and listeners that tell what they close

Three listeners of nodes wrote the same wait for a slot (two of them the same handshake): ConnectionSlot::unless_given_up and links::accept_unproven serve all. begin_request returns its buffer, as open_connection does. The accounts of readiness, metrics, other nodes, partner links and the administration API had no metric: what they close counts in given_up_connections, and the log line names the listener; so does a caller that still sends a second after its refusal.

--- a/src/adapters/caller_memory/buffered.rs
+++ b/src/adapters/caller_memory/buffered.rs
@@ -37,7 +37,7 @@
 impl BufferedBody {
     /// Returns an empty buffer of an answer.
     pub fn new(memory: &Arc<CallerMemory>) -> Self {
-        Self { data: Vec::new(), unrecorded_bytes: 0, room: memory.open() }
+        Self::in_room(memory.open())
     }
 
     /// Returns an empty buffer of a new request; waits until there is room.
@@ -46,8 +46,11 @@
     ///
     /// There was no room until `deadline`.
     pub async fn of_request(memory: &Arc<CallerMemory>, deadline: Instant) -> Result<Self, NoRoom> {
-        let room = memory.open_request(deadline).await?;
-        Ok(Self { data: Vec::new(), unrecorded_bytes: 0, room })
+        Ok(Self::in_room(memory.open_request(deadline).await?))
+    }
+
+    fn in_room(room: Room) -> Self {
+        Self { data: Vec::new(), unrecorded_bytes: 0, room }
     }
 
     /// Returns the number of bytes.
--- a/src/adapters/caller_memory/connection.rs
+++ b/src/adapters/caller_memory/connection.rs
@@ -3,9 +3,10 @@
 use super::{CallerMemory, RETRY_PERIOD, State};
 use crate::decision::caller_memory::{CONNECTION_BYTES, ConnectionId, ConnectionState};
 use async_channel::Receiver;
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 use smol::Timer;
 use std::convert::Infallible;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,14 +33,16 @@
 }
 
 impl GivenUpConnections {
-    fn record(&mut self, reason: &str, open: usize, now: Instant) {
+    fn record(&mut self, listener: &str, reason: &str, open: usize, now: Instant) {
         self.count += 1;
         if self.logged_at.is_some_and(|at| now < at + LOG_PERIOD) {
             return;
         }
         self.logged_at = Some(now);
         let count = std::mem::take(&mut self.count);
-        log::warn!("event=connections_given_up count={count} last={reason} open={open}");
+        log::warn!(
+            "event=connections_given_up listener={listener} count={count} last={reason} open={open}"
+        );
     }
 }
 
@@ -58,7 +61,7 @@
                 continue;
             }
             if Instant::now() >= deadline {
-                self.record_refused();
+                self.record_given_up(&mut self.lock(), "new", Instant::now());
                 return None;
             }
             Timer::after(RETRY_PERIOD).await;
@@ -90,18 +93,15 @@
         let now = Instant::now();
         let Some((id, waited_for)) = state.account.give_up_connection(now) else { return false };
         state.open.remove(&id);
-        self.metrics.given_up_connections.inc();
-        let open = state.account.connections();
-        state.given_up_connections.record(&waited_for.to_string(), open, now);
+        self.record_given_up(state, waited_for.into(), now);
         self.observe(state);
         true
     }
 
-    fn record_refused(&self) {
-        let mut state = self.lock();
+    fn record_given_up(&self, state: &mut State, reason: &str, now: Instant) {
         self.metrics.given_up_connections.inc();
         let open = state.account.connections();
-        state.given_up_connections.record("new", open, Instant::now());
+        state.given_up_connections.record(self.listener, reason, open, now);
     }
 }
 
@@ -122,9 +122,19 @@
         self.memory.lock().account.record_blocked(self.id, is_blocked, Instant::now());
     }
 
-    /// Returns once the connection was given up.
-    pub async fn given_up(&self) {
-        let _closed = self.given_up.recv().await;
+    /// Records that the caller did not stop sending in time, so that its connection is reset.
+    pub fn record_reset(&self) {
+        self.memory.record_given_up(&mut self.memory.lock(), "still_sending", Instant::now());
+    }
+
+    /// Returns the output of `future`, `None` if the connection is given up first.
+    pub async fn unless_given_up<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let output = async { Some(future.await) };
+        let given_up = async {
+            let _closed = self.given_up.recv().await;
+            None
+        };
+        output.or(given_up).await
     }
 
     fn change(&self, state: ConnectionState) {
--- a/src/adapters/caller_memory/mod.rs
+++ b/src/adapters/caller_memory/mod.rs
@@ -97,6 +97,8 @@
 /// Memory of the callers of a node, or of one of its listeners.
 #[derive(Debug)]
 pub struct CallerMemory {
+    /// Name of the listener in log lines.
+    listener: &'static str,
     state: Mutex<State>,
     metrics: CallerMemoryMetrics,
 }
@@ -121,17 +123,32 @@
 }
 
 impl CallerMemory {
-    /// Returns an empty account.
+    /// Returns an empty account of the callers of a node.
     pub fn new(limits: CallerMemoryLimits, metrics: CallerMemoryMetrics) -> Arc<Self> {
+        Self::of_listener("callers", limits, metrics)
+    }
+
+    /// Returns the account of another listener, which takes `connections` and no bodies. Those that it
+    /// gives up count in `metrics` of the node; the rest of the metrics is of callers.
+    pub fn of_connections(
+        listener: &'static str,
+        connections: usize,
+        metrics: &CallerMemoryMetrics,
+    ) -> Arc<Self> {
+        let given_up_connections = metrics.given_up_connections.clone();
+        let metrics = CallerMemoryMetrics { given_up_connections, ..Default::default() };
+        Self::of_listener(listener, CallerMemoryLimits::of_connections(connections), metrics)
+    }
+
+    fn of_listener(
+        listener: &'static str,
+        limits: CallerMemoryLimits,
+        metrics: CallerMemoryMetrics,
+    ) -> Arc<Self> {
         let (open, unread, given_up_connections) = Default::default();
         let account = account::CallerMemory::new(limits);
         let state = State { account, open, unread, given_up_connections };
-        Arc::new(Self { state: Mutex::new(state), metrics })
-    }
-
-    /// Returns the account of a listener that takes `connections` and no bodies, without metrics.
-    pub fn of_connections(connections: usize) -> Arc<Self> {
-        Self::new(CallerMemoryLimits::of_connections(connections), CallerMemoryMetrics::default())
+        Arc::new(Self { listener, state: Mutex::new(state), metrics })
     }
 
     /// Returns the room of a new buffer, which is empty.
@@ -160,10 +177,7 @@
 
     fn begin_request(self: &Arc<Self>) -> Option<Room> {
         let mut state = self.lock();
-        let id = state.account.open();
-        if state.account.begin_request(id, Instant::now()) == Growth::Full {
-            return None;
-        }
+        let id = state.account.begin_request(Instant::now())?;
         let (open, given_up) = async_channel::bounded(1);
         state.open.insert(id, open);
         self.observe(&state);
--- a/src/adapters/http_server.rs
+++ b/src/adapters/http_server.rs
@@ -163,16 +163,17 @@
 ) {
     let slot = Arc::new(slot);
     let served = async {
-        if must_close_slowly(&stream, &slot, handler, limits, drain).await {
+        let may_still_send = serve_requests(&stream, &slot, handler, limits, drain).await;
+        if may_still_send {
             slot.begin_closing();
-            discard_unread(&stream).await;
+            discard_unread(&stream, &slot).await;
         }
     };
-    served.or(slot.given_up()).await;
+    slot.unless_given_up(served).await;
 }
 
-/// Serves a connection until it ends; returns whether its caller may still be sending.
-async fn must_close_slowly(
+/// Serves the requests of a connection until it ends; returns whether its caller may still be sending.
+async fn serve_requests(
     stream: &TcpStream,
     slot: &Arc<ConnectionSlot>,
     handler: Handler,
@@ -236,7 +237,7 @@
 
 /// Reads what a caller still sends after its refusal, for a while: closing a connection with unread bytes
 /// resets it, and the caller could not read the refusal.
-async fn discard_unread(stream: &TcpStream) {
+async fn discard_unread(stream: &TcpStream, slot: &ConnectionSlot) {
     if let Err(error) = stream.shutdown(Shutdown::Write) {
         log::debug!("event=shutdown_failed error=\"{error}\"");
         return;
@@ -248,11 +249,14 @@
         while discarded_bytes < MAX_DISCARDED_BYTES {
             match reader.read(&mut buffer).await {
                 Ok(bytes) if bytes > 0 => discarded_bytes += bytes,
-                Ok(_) | Err(_) => return,
+                // The caller has stopped, or its connection is lost: there is nobody to tell.
+                Ok(_) | Err(_) => return true,
             }
         }
+        false
     };
-    if timeout_at(Instant::now() + CLOSING_TIMEOUT, discard).await.is_err() {
-        log::debug!("event=caller_still_sends");
+    let has_stopped = timeout_at(Instant::now() + CLOSING_TIMEOUT, discard).await;
+    if !has_stopped.unwrap_or(false) {
+        slot.record_reset();
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -296,7 +296,8 @@
     let handler: Handler =
         Arc::new(move |request| Box::pin(admin::server::dispatch(Arc::clone(&context), request)));
     let limits = server_limits(settings);
-    let memory = CallerMemory::of_connections(MAX_ADMIN_CONNECTIONS);
+    let metrics = &traffic.metrics.caller_memory;
+    let memory = CallerMemory::of_connections("admin", MAX_ADMIN_CONNECTIONS, metrics);
     let weak = Arc::downgrade(executor);
     let server = http_server::serve(listener, weak, handler, limits, memory, drain_signal);
     executor.spawn(server).detach();
--- a/src/decision/caller_memory.rs
+++ b/src/decision/caller_memory.rs
@@ -11,7 +11,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use strum::Display;
+use strum::IntoStaticStr;
 
 /// Bytes that a buffer may hold without counting by itself.
 pub const UNCOUNTED_BYTES: usize = 32 * 1024;
@@ -95,7 +95,7 @@
 }
 
 /// What a connection waits for.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum ConnectionState {
     /// For a request.
@@ -202,11 +202,10 @@
         if self.connections.len() >= self.limits.connections || !self.has_room(CONNECTION_BYTES) {
             return None;
         }
-        self.next_id += 1;
-        let connection =
-            Connection { state: ConnectionState::Idle, since: now, blocked_since: None };
-        self.connections.insert(self.next_id, connection);
-        Some(self.next_id)
+        let id = self.open();
+        let state = ConnectionState::Idle;
+        self.connections.insert(id, Connection { state, since: now, blocked_since: None });
+        Some(id)
     }
 
     /// Records what a connection waits for from now on.
@@ -251,14 +250,15 @@
         self.next_id
     }
 
-    /// Counts a request to which the new buffer `id` belongs, if there is room for it.
-    pub fn begin_request(&mut self, id: BufferId, now: Instant) -> Growth {
-        if self.buffers.contains_key(&id) || !self.has_room(REQUEST_BYTES) {
-            return Growth::Full;
+    /// Counts a request and returns the number of its buffer, `None` if there is no room.
+    pub fn begin_request(&mut self, now: Instant) -> Option<BufferId> {
+        if !self.has_room(REQUEST_BYTES) {
+            return None;
         }
+        let id = self.open();
         self.requests_bytes += REQUEST_BYTES;
         self.buffers.insert(id, Buffer::filling(0, REQUEST_BYTES, now));
-        Growth::Granted
+        Some(id)
     }
 
     /// Sets the size of a buffer, if there is room for it.
--- a/src/links/connection.rs
+++ b/src/links/connection.rs
@@ -3,6 +3,7 @@
 use super::handshake::{Challenge, Identity, LINK_PROTOCOL_VERSION, Proof, Side, fresh_nonce};
 use super::message::{DecodedMessage, PartnerMessage};
 use super::{MAX_HANDSHAKE_MESSAGE_BYTES, MAX_MESSAGE_BYTES};
+use crate::adapters::caller_memory::ConnectionSlot;
 use crate::adapters::deadline::timeout_at;
 use crate::decision::membership::MemberRecord;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
@@ -73,6 +74,26 @@
     link_result(peer, Step::ReadHead, opened.map_err(Into::into).flatten())
 }
 
+/// Accepts a link on a TCP connection that has `slot` until its peer has proved its key. Logs why there is
+/// no link.
+pub async fn accept_unproven(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    identity: &Identity,
+) -> Option<Link> {
+    match slot.unless_given_up(accept(stream, identity)).await {
+        Some(Ok(link)) => Some(link),
+        Some(Err(error)) => {
+            log::warn!("event=link_refused {error}");
+            None
+        }
+        None => {
+            log::debug!("event=link_refused reason=too_many_handshakes");
+            None
+        }
+    }
+}
+
 fn link_result(peer: SmolStr, step: Step, result: anyhow::Result<Link>) -> PeerResult<Link> {
     result.map_err(|error| PeerError::new(step, peer, Delivery::NotSent, error))
 }
--- a/src/relay/control/partner_links.rs
+++ b/src/relay/control/partner_links.rs
@@ -4,9 +4,8 @@
 use crate::adapters::caller_memory::CallerMemory;
 use crate::adapters::http_server;
 use crate::decision::membership::MemberStatus;
-use crate::links::{Identity, Link};
+use crate::links::{Identity, Link, MAX_UNPROVEN_CONNECTIONS, accept_unproven};
 use crate::relay::RelayContext;
-use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -17,9 +16,6 @@
 /// Maximum messages that wait to be sent over a link.
 const MAX_QUEUED_MESSAGES: usize = 64;
 
-/// Maximum connections that have not proved their key.
-const MAX_UNPROVEN_CONNECTIONS: usize = 32;
-
 /// Accepts and runs partner links until the thread stops.
 pub(super) async fn accept_links(
     context: Arc<RelayContext>,
@@ -27,7 +23,8 @@
     listener: TcpListener,
 ) {
     let executor = smol::LocalExecutor::new();
-    let unproven = CallerMemory::of_connections(MAX_UNPROVEN_CONNECTIONS);
+    let metrics = &context.metrics.caller_memory;
+    let unproven = CallerMemory::of_connections("partners", MAX_UNPROVEN_CONNECTIONS, metrics);
     let accept = async {
         loop {
             let (stream, slot) = http_server::accept(&listener, &unproven).await;
@@ -39,17 +36,8 @@
             let (context, identity) = (Arc::clone(&context), Rc::clone(&identity));
             let task = async move {
                 let own_identity = identity.borrow().clone();
-                let accepted = async { Some(crate::links::accept(stream, &own_identity).await) };
-                let given_up = async {
-                    slot.given_up().await;
-                    None
-                };
-                let accepted = accepted.or(given_up).await;
-                drop(slot);
-                match accepted {
-                    Some(Ok(link)) => run_link(&context, link, false).await,
-                    Some(Err(error)) => log::warn!("event=link_refused {error}"),
-                    None => log::debug!("event=link_refused reason=too_many_handshakes"),
+                if let Some(link) = accept_unproven(stream, slot, &own_identity).await {
+                    run_link(&context, link, false).await;
                 }
             };
             executor.spawn(task).detach();
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -301,8 +301,11 @@
     stop_signal: Receiver<Infallible>,
 ) {
     let limits = Arc::new(ArcSwap::from_pointee(MONITORING_LIMITS));
-    let readiness_memory = CallerMemory::of_connections(MAX_MONITORING_CONNECTIONS);
-    let metrics_memory = CallerMemory::of_connections(MAX_MONITORING_CONNECTIONS);
+    let memory_of = |listener| {
+        let metrics = &context.metrics.caller_memory;
+        CallerMemory::of_connections(listener, MAX_MONITORING_CONNECTIONS, metrics)
+    };
+    let (readiness_memory, metrics_memory) = (memory_of("readiness"), memory_of("metrics"));
     let shared = Arc::clone(context);
     let answer_readiness: Handler = Arc::new(move |request| {
         let reply = readiness_reply(&shared, &request);
--- a/src/relay/peers/listener.rs
+++ b/src/relay/peers/listener.rs
@@ -4,9 +4,9 @@
 use crate::adapters::caller_memory::{CallerMemory, ConnectionSlot};
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::http_server::{self, Handler, ListenerLimits};
+use crate::links::MAX_UNPROVEN_CONNECTIONS;
 use crate::links::node_connection::authenticate_listener;
 use crate::relay::RelayContext;
-use anyhow::anyhow;
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use smol::Executor;
@@ -18,9 +18,6 @@
 /// Time in which a connection must be authenticated.
 const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum connections that have not proved their key.
-const MAX_UNPROVEN_CONNECTIONS: usize = 32;
-
 /// Limits of a connection: what callers send is in the bodies.
 const LIMITS: ListenerLimits = ListenerLimits { head_bytes: 8 * 1024, head_timeout_ms: 60_000 };
 
@@ -31,8 +28,9 @@
     executor: Weak<Executor<'static>>,
     drain: Receiver<Infallible>,
 ) {
-    let unproven = CallerMemory::of_connections(MAX_UNPROVEN_CONNECTIONS);
-    let proven = CallerMemory::of_connections(usize::MAX);
+    let metrics = &context.metrics.caller_memory;
+    let unproven = CallerMemory::of_connections("peers", MAX_UNPROVEN_CONNECTIONS, metrics);
+    let proven = CallerMemory::of_connections("peers", usize::MAX, metrics);
     loop {
         let accepted = async { Some(http_server::accept(&listener, &unproven).await) };
         let stopped = async {
@@ -54,13 +52,10 @@
     drain: Receiver<Infallible>,
 ) {
     let deadline = Instant::now() + AUTHENTICATION_TIMEOUT;
-    let given_up = async {
-        slot.given_up().await;
-        Err(anyhow!("closed for another connection"))
-    };
-    let authenticated = authenticate_listener(&mut stream, &context.identity).or(given_up);
-    let authenticated = timeout_at(deadline, authenticated).await.map_err(anyhow::Error::from);
-    if let Err(error) = authenticated.flatten() {
+    let authenticated = authenticate_listener(&mut stream, &context.identity);
+    let authenticated = slot.unless_given_up(timeout_at(deadline, authenticated)).await;
+    let Some(authenticated) = authenticated else { return };
+    if let Err(error) = authenticated.map_err(anyhow::Error::from).flatten() {
         log::warn!("event=node_connection_refused error=\"{error:#}\"");
         return;
     }
--- a/tests/relay/buffer_budget.rs
+++ b/tests/relay/buffer_budget.rs
@@ -129,10 +129,7 @@
     for _ in 0..8 {
         assert!(memory.open_connection(now).is_some());
     }
-    let requests = std::iter::from_fn(|| {
-        let id = memory.open();
-        (memory.begin_request(id, now) == Growth::Granted).then_some(id)
-    });
+    let requests = std::iter::from_fn(|| memory.begin_request(now));
     let requests: Vec<BufferId> = requests.collect();
     assert_eq!(requests.len(), (20 * MIB - 8 * CONNECTION_BYTES) / REQUEST_BYTES);
     // What makes no progress gives its room back.
--- a/tests/whole_path/panics.rs
+++ b/tests/whole_path/panics.rs
@@ -2,7 +2,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use coriandertide::adapters::caller_memory::CallerMemory;
+use coriandertide::adapters::caller_memory::{CallerMemory, CallerMemoryMetrics};
 use coriandertide::adapters::http_client;
 use coriandertide::adapters::http_server::{self, Handler, ListenerLimits};
 use coriandertide::daemon::threads::{catch_panic, spawn_traffic};
@@ -37,7 +37,7 @@
     });
     let (stop_sender, stop_signal) = async_channel::bounded(1);
     let limits = Arc::new(ArcSwap::from_pointee(LIMITS));
-    let memory = CallerMemory::of_connections(8);
+    let memory = CallerMemory::of_connections("test", 8, &CallerMemoryMetrics::default());
     let weak = Arc::downgrade(&executor);
     executor
         .spawn(http_server::serve(listener, weak, handler, limits, memory, stop_signal.clone()))
