--- a/review/standins-3/src/cases/mod.rs
+++ b/review/standins-3/src/cases/mod.rs
@@ -2,7 +2,8 @@
 
 mod many_parts;
 mod open_wall;
-mod renewed_server;
+mod restored_store;
+mod taken_stream;
 mod wide_heads;
 
 use crate::record::Record;
@@ -31,8 +32,9 @@
     let outcome = match case {
         "many_parts" => many_parts::run(&setting),
         "wide_heads" => wide_heads::run(&setting),
-        "renewed_server" => renewed_server::run(&setting),
+        "taken_stream" => taken_stream::run(&setting),
         "open_wall" => open_wall::run(&setting),
+        "restored_store" => restored_store::run(&setting),
         _ => Outcome::NotRun,
     };
     record.result(&format!("outcome: {outcome:?}"));
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -35,6 +35,7 @@
     starts: AtomicU64,
     heartbeats: AtomicU64,
     is_up: AtomicBool,
+    is_listed: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     run: Run,
 }
@@ -65,6 +66,7 @@
             starts: AtomicU64::new(0),
             heartbeats: AtomicU64::new(0),
             is_up: AtomicBool::new(false),
+            is_listed: AtomicBool::new(true),
             connections: Mutex::default(),
             run,
         });
@@ -94,6 +96,13 @@
         self.record.line(&format!("server {} crashed", self.id));
     }
 
+    /// Leaves without a word: its entry is removed, and it serves on.
+    pub fn leave(&self) {
+        self.is_listed.store(false, Ordering::SeqCst);
+        self.store.put("keyed.servers", &self.id, "");
+        self.record.line(&format!("the entry of server {} is removed", self.id));
+    }
+
     /// Starts again under the id and the address that it had.
     pub fn restart(self: &Arc<Self>, software: &str) {
         *self.software.lock().expect("lock") = software.to_owned();
@@ -147,6 +156,9 @@
     }
 
     fn register(&self) {
+        if !self.is_listed.load(Ordering::SeqCst) {
+            return;
+        }
         let sequence = self.heartbeats.fetch_add(1, Ordering::SeqCst) + 1;
         let models = self.models();
         let entry = format!(
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,9 +12,14 @@
 /// Period at which a read that waits looks whether the store is down.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// Records of topics.
+pub type Topics = BTreeMap<String, Vec<Vec<u8>>>;
+
 pub struct Store {
     pub address: SocketAddr,
-    topics: Mutex<BTreeMap<String, Vec<Vec<u8>>>>,
+    topics: Mutex<Topics>,
+    /// Rises with each return from a copy.
+    era: AtomicU64,
     changed: Condvar,
     is_down: AtomicBool,
 }
@@ -25,6 +30,7 @@
         let store = Arc::new(Self {
             address: listener.local_addr().expect("a bound listener"),
             topics: Mutex::default(),
+            era: AtomicU64::new(0),
             changed: Condvar::new(),
             is_down: AtomicBool::new(false),
         });
@@ -38,6 +44,25 @@
         store
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> Topics {
+        self.topics.lock().expect("lock").clone()
+    }
+
+    /// Goes on from a copy: what was written since is gone. The operator writes again at once what it had
+    /// written; the servers do so with their next heartbeat.
+    pub fn restore(&self, copy: Topics) {
+        let mut topics = self.topics.lock().expect("lock");
+        let newest = topics.get("keyed.op").and_then(|records| records.last()).cloned();
+        *topics = copy;
+        if let Some(newest) = newest {
+            topics.entry("keyed.op".to_owned()).or_default().push(newest);
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        drop(topics);
+        self.changed.notify_all();
+    }
+
     /// Whether calls get 503, which means that nothing was done.
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::SeqCst);
@@ -62,7 +87,8 @@
         let mut reader = BufReader::new(stream);
         while let Ok(request) = read_request(&mut reader) {
             let (status, body) = self.answer(&request);
-            let headers = [("Content-Type", "application/json")];
+            let era = self.era.load(Ordering::SeqCst).to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             if writer.write_all(&encode_response(status, &headers, &body)).is_err() {
                 return;
             }
@@ -115,6 +141,9 @@
                 return (503, Vec::new());
             }
             let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+            if records.len() < from {
+                return (410, br#"{"First":0}"#.to_vec());
+            }
             if records.len() > from || Instant::now() >= until {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&0_u64.to_be_bytes());
