--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -30,7 +30,8 @@
 
     /// Writes a line in any case.
     pub fn result(&self, text: &str) {
-        println!("{text}");
+        // Nobody may be reading.
+        let _printed = writeln!(std::io::stdout(), "{text}");
         self.write(&mut self.file.lock().expect("lock"), text);
     }
 
