fix(streams): a listing of a restored store proves nothing before its era is confirmed

Callers of a service whose second software version had come and gone got streams joined of two versions (ORDER): the store came back from a copy of before the second version, all nodes were killed meanwhile, and the new ones took the version that was left for the only one.

Cause: 'listed in the present era of the store' said nothing of the records. Only nodes that had lived through a restore knew that some may be missing; the first era that a new node meets was the newest one that it knew.

A listing now counts as proof only in a confirmed era: a record beside the versions names the era, written after all live nodes have said which versions may have open streams, one of them knows all, and these are recorded; or 60 s after the era is known. Since the record names its era, a copy brings back none that counts. versions_recorded is replaced by recorded_versions, which names its era, so that a partner behind a restore tells of nothing that the store lacks.

--- a/src/control/partners.rs
+++ b/src/control/partners.rs
@@ -68,7 +68,7 @@
             | PartnerMessage::RecordsRequest(_)
             | PartnerMessage::Records(_)
             | PartnerMessage::RelayLoad(_)
-            | PartnerMessage::VersionsRecorded(_)
+            | PartnerMessage::RecordedVersions(_)
             | PartnerMessage::Rollout(_) => {
                 log::debug!("event=relay_message_ignored peer={peer}");
             }
--- a/src/decision/relay/streams/origin_messages.rs
+++ b/src/decision/relay/streams/origin_messages.rs
@@ -2,6 +2,7 @@
 
 use crate::types::{RequestId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
+use smol_str::format_smolstr;
 use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -13,6 +14,19 @@
     xxh3_64(request.as_bytes())
 }
 
+/// Begin of the name that stands for the software version of a stream whose server is not certain.
+const UNPROVEN_PREFIX: &str = "unproven-";
+
+/// Returns what stands for the software version of the stream that `request` began, if it is not certain.
+pub fn unproven_software(request: &RequestId) -> SoftwareVersion {
+    format_smolstr!("{UNPROVEN_PREFIX}{request}")
+}
+
+/// Whether `software` may stand for a version that is not certain.
+pub(super) fn may_be_unproven(software: &SoftwareVersion) -> bool {
+    software.starts_with(UNPROVEN_PREFIX)
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamOrigin {
--- a/src/decision/relay/streams/origin_search.rs
+++ b/src/decision/relay/streams/origin_search.rs
@@ -16,6 +16,19 @@
     Only(SoftwareVersion),
 }
 
+/// What the records say of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RecordsState {
+    /// They have not been listed since the search began.
+    Unlisted,
+    /// They name no version.
+    Empty,
+    /// They may lack a version, since the store was restored.
+    Unconfirmed,
+    /// They name all versions of which streams may be open.
+    Confirmed,
+}
+
 /// Search for the origin of a stream.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
@@ -24,9 +37,7 @@
     known: KnownOrigin,
     /// Versions of the service, by its servers and the records.
     versions: Vec<SoftwareVersion>,
-    /// Whether the service has a version in the records, which were listed since the search began; `None`
-    /// before that.
-    is_recorded: Option<bool>,
+    records: RecordsState,
     unanswered: Vec<SocketAddr>,
     answers: usize,
     /// Whether two nodes know different origins.
@@ -41,7 +52,7 @@
             service,
             known: KnownOrigin::Unknown,
             versions: Vec::new(),
-            is_recorded: None,
+            records: RecordsState::Unlisted,
             unanswered,
             answers: 0,
             has_contradiction: false,
@@ -68,8 +79,12 @@
         self.add_versions(origins.versions(&self.service, now));
         let listed = origins.recorded_versions().listed_since(&self.service, self.began_at);
         if let Some(listed) = listed {
-            self.is_recorded = Some(!listed.is_empty());
-            self.add_versions(listed);
+            self.records = match (listed.versions.is_empty(), listed.is_proof) {
+                (true, _) => RecordsState::Empty,
+                (false, true) => RecordsState::Confirmed,
+                (false, false) => RecordsState::Unconfirmed,
+            };
+            self.add_versions(listed.versions);
         }
         if let (KnownOrigin::Unknown, Some(stream)) = (&self.known, stream) {
             self.known = origins.known(stream, now);
@@ -78,18 +93,18 @@
 
     /// Whether a listing of the records decides where the stream goes on.
     pub fn needs_listing(&self) -> bool {
-        self.may_be_only() && self.is_recorded.is_none()
+        self.may_be_only() && self.records == RecordsState::Unlisted
     }
 
     /// Whether the service has no version in the records.
     pub fn lacks_record(&self) -> bool {
-        self.may_be_only() && self.is_recorded == Some(false)
+        self.may_be_only() && self.records == RecordsState::Empty
     }
 
     /// Waits for another listing, since a version has been recorded meanwhile.
     pub fn expect_listing(&mut self, now: Instant) {
         self.began_at = now;
-        self.is_recorded = None;
+        self.records = RecordsState::Unlisted;
     }
 
     fn may_be_only(&self) -> bool {
@@ -121,7 +136,7 @@
 
     /// Returns whether more answers cannot change the result.
     pub fn is_over(&self) -> bool {
-        let is_only = self.may_be_only() && self.is_recorded == Some(true);
+        let is_only = self.may_be_only() && self.records == RecordsState::Confirmed;
         self.known != KnownOrigin::Unknown || self.unanswered.is_empty() || is_only
     }
 
@@ -132,7 +147,7 @@
             KnownOrigin::Ambiguous => None,
             KnownOrigin::Origin(origin) if origin.service != self.service => None,
             KnownOrigin::Origin(origin) => Some(FoundVersion::Known(origin.software.clone())),
-            KnownOrigin::Unknown if self.is_recorded != Some(true) => None,
+            KnownOrigin::Unknown if self.records != RecordsState::Confirmed => None,
             KnownOrigin::Unknown => match self.versions.as_slice() {
                 [only] => Some(FoundVersion::Only(only.clone())),
                 _ => None,
--- a/src/decision/relay/streams/origins.rs
+++ b/src/decision/relay/streams/origins.rs
@@ -14,14 +14,17 @@
 //! so that it stays known while nodes are stopped and started in turn. A stopping node owns no streams
 //! any more, but answers for those that it knows until it has stopped.
 
-use super::origin_messages::{KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin};
+use super::origin_messages::{
+    KnownOrigin, OriginAnswer, OriginRecord, StreamKey, StreamOrigin, may_be_unproven,
+};
 use super::origin_search::OriginSearch;
 use super::owners::{ASKED_NODES, OWNERS, node_hash, ranked_nodes};
 use super::recorded_versions::RecordedVersions;
+use super::store_era::{EraAnswer, EraKnowledge, KnownEra};
 use super::version_records::{ServiceVersion, VersionListing};
 use crate::decision::relay::peer_node::PeerNode;
-use crate::types::{InstanceId, ServiceId, SoftwareVersion};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use crate::types::{InstanceId, ServiceId, SoftwareVersion, StoreEra};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -57,6 +60,7 @@
     /// Until when this node may have the first version of a service recorded for a stream that is taken up:
     /// none can have begun before the first start of the site. `None` if it may not.
     first_records_until: Option<Instant>,
+    era: EraKnowledge,
     recorded_versions: RecordedVersions,
     streams: HashMap<StreamKey, KnownStream>,
     /// When a server of each version of a service was last seen.
@@ -78,6 +82,7 @@
     pub fn new(is_first_start: bool, now: Instant) -> Self {
         Self {
             first_records_until: is_first_start.then(|| now + MAX_STREAM_LIFETIME),
+            era: EraKnowledge::new(is_first_start, now),
             recorded_versions: RecordedVersions::default(),
             streams: HashMap::new(),
             versions: BTreeMap::new(),
@@ -154,16 +159,87 @@
 
     /// Applies a listing of the record store that was requested at `requested_at`.
     pub fn apply_listing(&mut self, listing: &VersionListing, requested_at: Instant, now: Instant) {
+        self.observe_era(listing.era(), now);
+        if listing.is_era_confirmed() {
+            self.era.confirm(listing.era());
+        }
+        // Before the first start of the site there were no streams.
+        let is_proof = self.is_era_confirmed() && listing.is_era_confirmed()
+            || self.first_records_until.is_some_and(|until| now < until);
         for version in &listing.recorded() {
             self.add_recorded_version(version, now);
         }
-        self.recorded_versions.set_listed(listing, requested_at);
+        self.era.apply_listing(listing.copies.keys(), is_proof, now);
+        self.recorded_versions.set_listed(listing, is_proof, requested_at);
+    }
+
+    /// Records that the store is in `era`. After a restore, forgets what it may lack; returns whether it was
+    /// restored.
+    pub fn observe_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        let is_restored = self.era.observe(era, now);
+        if is_restored {
+            self.recorded_versions.clear();
+            self.first_records_until = None;
+        }
+        is_restored
+    }
+
+    /// Returns the newest known era of the store, `None` before its first answer.
+    pub(super) fn known_era(&self) -> Option<KnownEra> {
+        self.era.known()
+    }
+
+    /// Whether the store is known to hold all versions of which streams may be open.
+    pub fn is_era_confirmed(&self) -> bool {
+        self.era.known().is_some_and(|known| known.is_confirmed)
+    }
+
+    /// Records that all versions of before an era are recorded in it; returns whether that is news of the
+    /// present one.
+    pub fn confirm_era(&mut self, era: StoreEra) -> bool {
+        self.era.confirm(era)
+    }
+
+    /// Records that this node may have missed versions that came and went.
+    pub fn record_gap(&mut self, now: Instant) {
+        self.era.record_gap(now);
+    }
+
+    /// Whether this node knows all versions of which streams may be open.
+    pub(super) fn is_complete(&self, now: Instant) -> bool {
+        self.era.is_complete(now)
+    }
+
+    /// Returns the versions of which streams may be open, as far as this node knows.
+    pub(super) fn open_versions(&self, now: Instant) -> BTreeSet<ServiceVersion> {
+        let mut versions: BTreeSet<ServiceVersion> = self.era.listed(now).cloned().collect();
+        for service in self.versions.keys() {
+            let seen = self.versions(service, now).into_iter();
+            let service = service.clone();
+            versions
+                .extend(seen.map(|software| ServiceVersion { service: service.clone(), software }));
+        }
+        for known in self.streams.values().filter(|known| now < known.expires_at) {
+            let Some(StreamOrigin { service, software }) = known.origin.clone() else { continue };
+            // Servers of a proven version have been seen, here or by the node that told of the stream.
+            if !may_be_unproven(&software) {
+                versions.insert(ServiceVersion { service, software });
+            }
+        }
+        versions
+    }
+
+    /// Answers a node that confirms an era and has recorded the versions with the hashes `known`.
+    pub fn answer_era(&self, known: &[u64], now: Instant) -> EraAnswer {
+        let mut versions: Vec<ServiceVersion> = self.open_versions(now).into_iter().collect();
+        versions.retain(|version| !known.contains(&version.key_hash()));
+        let era = self.era.known().map(|known| known.era);
+        EraAnswer { era, versions, is_complete: self.era.is_complete(now) }
     }
 
-    /// Forgets what a restored store may lack.
-    pub fn observe_restore(&mut self) {
-        self.recorded_versions.clear();
-        self.first_records_until = None;
+    /// Returns the addresses of the other nodes that carry streams.
+    pub(super) fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.nodes.iter().chain(&self.stopping_nodes).map(|node| node.address)
     }
 
     /// Whether this node may have the first version of a service recorded for a stream that is taken up.
@@ -279,6 +355,7 @@
         }
         self.versions.retain(|_, versions| !versions.is_empty());
         self.recorded_versions.remove_expired(now);
+        self.era.remove_expired(now);
     }
 
     /// Returns the number of remembered streams.
--- a/src/decision/relay/streams/recorded_versions.rs
+++ b/src/decision/relay/streams/recorded_versions.rs
@@ -22,6 +22,17 @@
 struct Listed {
     requested_at: Instant,
     versions: BTreeMap<ServiceId, Vec<SoftwareVersion>>,
+    /// Whether it names all versions of which streams may be open.
+    is_proof: bool,
+}
+
+/// Versions of a service in a listing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct ListedVersions {
+    /// Versions.
+    pub(super) versions: Vec<SoftwareVersion>,
+    /// Whether the service has had no others.
+    pub(super) is_proof: bool,
 }
 
 /// Recorded versions, and the services that lack one.
@@ -83,8 +94,14 @@
         self.listed = None;
     }
 
-    /// Sets what the store held at some moment after `requested_at`.
-    pub(super) fn set_listed(&mut self, listing: &VersionListing, requested_at: Instant) {
+    /// Sets what the store held at some moment after `requested_at`; `is_proof` if no other version can have
+    /// had a stream that is still open.
+    pub(super) fn set_listed(
+        &mut self,
+        listing: &VersionListing,
+        is_proof: bool,
+        requested_at: Instant,
+    ) {
         let mut versions: BTreeMap<ServiceId, Vec<SoftwareVersion>> = BTreeMap::new();
         for (service, versions) in &mut self.versions {
             versions.retain(|software, _| listing.contains(service, software));
@@ -92,7 +109,7 @@
         for ServiceVersion { service, software } in listing.copies.keys() {
             versions.entry(service.clone()).or_default().push(software.clone());
         }
-        self.listed = Some(Listed { requested_at, versions });
+        self.listed = Some(Listed { requested_at, versions, is_proof });
     }
 
     /// Returns the versions of a service that the store held at some moment since `since`, `None` if that is
@@ -101,9 +118,10 @@
         &self,
         service: &ServiceId,
         since: Instant,
-    ) -> Option<Vec<SoftwareVersion>> {
+    ) -> Option<ListedVersions> {
         let listed = self.listed.as_ref().filter(|listed| listed.requested_at >= since)?;
-        Some(listed.versions.get(service).cloned().unwrap_or_default())
+        let versions = listed.versions.get(service).cloned().unwrap_or_default();
+        Some(ListedVersions { versions, is_proof: listed.is_proof })
     }
 
     /// Requests a listing that begins at `since` or later.
--- a/src/decision/relay/streams/version_records.rs
+++ b/src/decision/relay/streams/version_records.rs
@@ -4,10 +4,13 @@
 //! A version stays recorded until none of its streams can be resumed any more. Records carry no
 //! times: a node that removes one has observed for long enough itself.
 
+use super::era_confirmation::EraConfirmation;
 use super::origins::{MAX_STREAM_LIFETIME, StreamOrigins};
-use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion, StoreEra};
+use super::store_era::{EraAnswer, FIRST_ERA};
+use crate::types::{InstanceId, LogPosition, ServiceId, SoftwareVersion, StoreEra, log_position};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -43,7 +46,7 @@
 const WANTED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Software version of a service.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ServiceVersion {
     /// Service.
     pub service: ServiceId,
@@ -70,6 +73,8 @@
 pub struct PartitionListing {
     /// Versions, with the positions of their records.
     pub versions: BTreeMap<ServiceVersion, LogPosition>,
+    /// Newest era that was confirmed here, `None` if none was.
+    pub confirmed_era: Option<StoreEra>,
     /// Position of the next record.
     pub end: LogPosition,
 }
@@ -81,14 +86,20 @@
     pub copies: BTreeMap<ServiceVersion, Vec<(usize, LogPosition)>>,
     /// Position of the next record of each partition, `None` for one that did not answer.
     pub ends: [Option<LogPosition>; VERSION_PARTITIONS],
+    /// Newest era that was confirmed in one of the partitions, which is done after all versions are recorded in
+    /// a majority; `None` if none was.
+    pub confirmed_era: Option<StoreEra>,
 }
 
 impl From<[Option<PartitionListing>; VERSION_PARTITIONS]> for VersionListing {
     fn from(partitions: [Option<PartitionListing>; VERSION_PARTITIONS]) -> Self {
         let mut listing = Self::default();
         for (index, partition) in partitions.into_iter().enumerate() {
-            let Some(PartitionListing { versions, end }) = partition else { continue };
+            let Some(PartitionListing { versions, confirmed_era, end }) = partition else {
+                continue;
+            };
             listing.ends[index] = Some(end);
+            listing.confirmed_era = listing.confirmed_era.max(confirmed_era);
             for (version, position) in versions {
                 listing.copies.entry(version).or_default().push((index, position));
             }
@@ -104,6 +115,16 @@
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Returns the era of the store, in which all partitions answered.
+    pub fn era(&self) -> StoreEra {
+        self.ends.iter().flatten().copied().map(log_position::era).max().unwrap_or_default()
+    }
+
+    /// Whether all versions of before the era are known to be recorded in it.
+    pub fn is_era_confirmed(&self) -> bool {
+        self.era() == FIRST_ERA || self.confirmed_era == Some(self.era())
+    }
+
     /// Whether a partition has the record of a version.
     pub(super) fn contains(&self, service: &ServiceId, software: &SoftwareVersion) -> bool {
         let version = ServiceVersion { service: service.clone(), software: software.clone() };
@@ -117,7 +138,7 @@
     }
 }
 
-/// Call to the record store.
+/// Call to the record store or to other nodes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionCall {
     /// List the recorded versions.
@@ -131,9 +152,20 @@
         /// Ends of the partitions in the listing.
         ends: [LogPosition; VERSION_PARTITIONS],
     },
+    /// Record that all versions of before an era are recorded in it.
+    ConfirmEra(StoreEra),
+    /// Ask other nodes of which versions they may know open streams.
+    AskNodes {
+        /// Era that is to be confirmed.
+        era: StoreEra,
+        /// Hashes of the versions that are recorded.
+        known: Vec<u64>,
+        /// Nodes.
+        nodes: Vec<SocketAddr>,
+    },
 }
 
-/// Outcome of a call that the store has answered.
+/// Outcome of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionOutcome {
     /// The recorded versions.
@@ -156,14 +188,30 @@
     Removed(ServiceVersion),
     /// A record was written since the listing; nothing was removed.
     Conflict,
+    /// The era `confirmed` is recorded as confirmed.
+    EraConfirmed {
+        /// Confirmed era.
+        confirmed: StoreEra,
+        /// Era of the store.
+        era: StoreEra,
+    },
+    /// What some of the asked nodes have answered.
+    NodesAnswered {
+        /// Era that is to be confirmed.
+        asked_era: StoreEra,
+        /// Answers, with the addresses of the nodes.
+        answers: Vec<(SocketAddr, EraAnswer)>,
+    },
 }
 
 impl VersionOutcome {
     /// Returns the era in which the store answered, `None` if that does not matter.
     pub fn era(&self) -> Option<StoreEra> {
         match self {
-            Self::Listed { era, .. } | Self::Added { era, .. } => Some(*era),
-            Self::Removed(_) | Self::Conflict => None,
+            Self::Listed { era, .. } | Self::Added { era, .. } | Self::EraConfirmed { era, .. } => {
+                Some(*era)
+            }
+            Self::Removed(_) | Self::Conflict | Self::NodesAnswered { .. } => None,
         }
     }
 }
@@ -203,6 +251,8 @@
     pending_until: Option<Instant>,
     /// When the last call failed, `None` if it did not.
     failed_at: Option<Instant>,
+    /// Progress towards the confirmation of the present era.
+    confirmation: EraConfirmation,
 }
 
 impl VersionRecords {
@@ -217,6 +267,7 @@
             unused: BTreeMap::new(),
             pending_until: None,
             failed_at: None,
+            confirmation: EraConfirmation::default(),
         }
     }
 
@@ -244,17 +295,24 @@
     pub fn apply(&mut self, outcome: VersionOutcome, origins: &StreamOrigins, now: Instant) {
         self.pending_until = None;
         self.failed_at = None;
-        self.listing = None;
+        let listing = self.listing.take();
         match outcome {
             VersionOutcome::Listed { listing, .. } => {
                 self.needs_listing = false;
+                self.confirmation.apply_listing(&listing);
                 self.update_unused(&listing, origins, now);
                 self.listing = Some(listing);
             }
             VersionOutcome::Removed(version) => {
+                self.confirmation.remove_recorded(&version);
                 self.unused.remove(&version);
             }
-            VersionOutcome::Added { .. } | VersionOutcome::Conflict => {}
+            VersionOutcome::Added { version, .. } => self.confirmation.add_recorded(version),
+            VersionOutcome::NodesAnswered { asked_era, answers } => {
+                self.confirmation.apply_answers(asked_era, answers);
+                self.listing = listing;
+            }
+            VersionOutcome::Conflict | VersionOutcome::EraConfirmed { .. } => {}
         }
     }
 
@@ -285,11 +343,17 @@
 
     /// Begins anew, since a restored store may lack some records, or some were removed in a suspension.
     pub fn restart(&mut self) {
+        self.confirmation = EraConfirmation::default();
         self.needs_listing = true;
         self.listing = None;
         self.unused.clear();
     }
 
+    /// Lists the records again, if this node is one of those that list them at their start.
+    pub fn list_again(&mut self) {
+        self.needs_listing = true;
+    }
+
     fn needed_call(
         &mut self,
         origins: &StreamOrigins,
@@ -316,6 +380,14 @@
         if !is_settled {
             return None;
         }
+        let unconfirmed = origins.known_era().filter(|known| !known.is_confirmed);
+        if let Some(known) = unconfirmed {
+            let rank = origins.rank(&self.instance, WATCHER_SEED);
+            let call = self.confirmation.next_call(known, rank, origins, services, now);
+            if call.is_some() {
+                return call;
+            }
+        }
         let is_watcher = origins.rank(&self.instance, WATCHER_SEED) < WATCHERS;
         if self.needs_listing && is_watcher || self.is_untold(origins, &unrecorded, now) {
             return Some(VersionCall::List);
--- a/src/links/datagram.rs
+++ b/src/links/datagram.rs
@@ -4,8 +4,8 @@
 use super::handshake::hmac_sha256;
 use crate::decision::relay::gateways::ReachAnswer;
 use crate::decision::relay::quota::{QuotaAnswer, QuotaCorrection, QuotaQuery};
-use crate::decision::relay::streams::{OriginAnswer, OriginRecord, StreamKey};
-use crate::types::{ServiceId, WorkspaceId};
+use crate::decision::relay::streams::{EraAnswer, OriginAnswer, OriginRecord, StreamKey};
+use crate::types::{ServiceId, StoreEra, WorkspaceId};
 use anyhow::{Context, ensure};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -62,6 +62,22 @@
     ReachQuery(Vec<ServiceId>),
     /// Answer to it.
     ReachAnswer(ReachAnswer),
+    /// Asks of which versions the receiver may know open streams, to confirm an era of the store.
+    EraQuery {
+        /// Number of the query, unique at its sender.
+        number: u64,
+        /// Era.
+        era: StoreEra,
+        /// Hashes of the versions that the sender has found in the store.
+        known: Vec<u64>,
+    },
+    /// Answer to it.
+    EraAnswer {
+        /// Number of the query.
+        number: u64,
+        /// Answer.
+        answer: EraAnswer,
+    },
 }
 
 impl Datagram {
--- a/src/links/message.rs
+++ b/src/links/message.rs
@@ -11,7 +11,7 @@
 use crate::decision::relay::replica::{RecordsRequest, TopicDelta};
 use crate::decision::relay::streams::ServiceVersion;
 use crate::decision::relay::{BrittleNotice, LimitNotice, RecordTopic};
-use crate::types::{LogOffset, LogPosition, ModelId, ServerId, WeightsRevision};
+use crate::types::{LogOffset, LogPosition, ModelId, ServerId, StoreEra, WeightsRevision};
 use bytes::Bytes;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
@@ -69,7 +69,18 @@
     /// State of a rollout of weights.
     Rollout(RolloutNotice),
     /// Software versions of services that the record store holds, new or all that the sender knows.
-    VersionsRecorded(Vec<ServiceVersion>),
+    RecordedVersions(RecordedVersionsNotice),
+}
+
+/// Software versions of services that the record store holds in an era.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecordedVersionsNotice {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Versions.
+    pub versions: Vec<ServiceVersion>,
+    /// Whether all versions of before the era are recorded in it.
+    pub is_era_confirmed: bool,
 }
 
 /// How far a node knows a topic of keyed records.
--- a/src/ports/coordination_store.rs
+++ b/src/ports/coordination_store.rs
@@ -87,6 +87,9 @@
     async fn add_version(&self, partition: usize, version: &ServiceVersion)
     -> PeerResult<StoreEra>;
 
+    /// Records in `partition` that all versions of before `era` are recorded in it; returns the era of the store.
+    async fn confirm_era(&self, partition: usize, era: StoreEra) -> PeerResult<StoreEra>;
+
     /// Removes the record of a software version from `partition` if the last record there is still the one
     /// before `listed_end`; returns whether it did.
     async fn remove_version(
--- a/src/relay/control/follow.rs
+++ b/src/relay/control/follow.rs
@@ -227,7 +227,11 @@
     pub(super) fn observe_era(&mut self, era: StoreEra, now: Instant) {
         let known = self.store_era.replace(era.max(self.store_era.unwrap_or(era)));
         self.rollout.observe_era(era, now);
-        let Some(known) = known else { return };
+        self.context.origins().observe_era(era, now);
+        let Some(known) = known else {
+            log::info!("event=store_era_known era={era}");
+            return;
+        };
         if era < known {
             log::info!("event=store_answer_outdated era={era} known_era={known}");
         }
@@ -236,7 +240,6 @@
         }
         log::warn!("event=store_restored era={era} known_era={known}");
         self.version_records.restart();
-        self.context.origins().observe_restore();
         let (context, node) = (Arc::clone(&self.context), self.announced_node.clone());
         let delay = MAX_REANNOUNCE_DELAY.mul_f64(fastrand::f64());
         self.spawn(async move {
--- a/src/relay/control/mod.rs
+++ b/src/relay/control/mod.rs
@@ -29,7 +29,7 @@
 use crate::links::LinkEnd;
 use crate::links::connection::ReceivedMessage;
 use crate::ports::{AnnouncedNode, ReplaceOutcome};
-use crate::types::{Incarnation, LogPosition, ModelId, PeerResult, ServerId};
+use crate::types::{Incarnation, LogPosition, ModelId, PeerResult, ServerId, StoreEra};
 use async_channel::Sender;
 use bytes::Bytes;
 use std::net::SocketAddr;
@@ -168,6 +168,8 @@
         /// Address of the server.
         address: SocketAddr,
     },
+    /// Another node knows an era of the store.
+    EraLearned(StoreEra),
     /// Streams wait for a listing of the software versions, or for the record of one.
     VersionsWanted,
     /// The node is stopping; it still carries requests.
--- a/src/relay/control/partners/mod.rs
+++ b/src/relay/control/partners/mod.rs
@@ -27,9 +27,6 @@
 /// Maximum strikes in a message.
 const MAX_MESSAGE_STRIKES: usize = 1_000;
 
-/// Maximum recorded versions in a message.
-const MAX_MESSAGE_VERSIONS: usize = 1_000;
-
 /// Maximum limits of servers in a message.
 const MAX_MESSAGE_LIMITS: usize = 1_000;
 
@@ -206,9 +203,8 @@
         for batch in limits.chunks(MAX_MESSAGE_LIMITS) {
             self.partners.send(&instance, &PartnerMessage::Limits(batch.to_vec()));
         }
-        let versions = self.context.origins().recorded_versions_in_service(now);
-        for batch in versions.chunks(MAX_MESSAGE_VERSIONS) {
-            self.partners.send(&instance, &PartnerMessage::VersionsRecorded(batch.to_vec()));
+        for notice in self.recorded_versions_notices(now) {
+            self.partners.send(&instance, &PartnerMessage::RecordedVersions(notice));
         }
     }
 
@@ -236,8 +232,8 @@
                 self.receive_records(&peer, *delta, received.bytes, now);
             }
             PartnerMessage::RelayLoad(load) => self.apply_load(&peer, &load, now),
-            PartnerMessage::VersionsRecorded(versions) => {
-                self.receive_versions(&peer, &versions, now)
+            PartnerMessage::RecordedVersions(notice) => {
+                self.receive_recorded_versions(&peer, notice, now)
             }
             PartnerMessage::Rollout(notice) => self.receive_rollout_notice(&peer, notice, now),
             other => log::debug!("event=message_ignored peer={peer} kind={}", other.kind()),
--- a/src/relay/control/state.rs
+++ b/src/relay/control/state.rs
@@ -30,6 +30,9 @@
 /// Period of ticks, which do the periodic work.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Delay of a tick after which a version may have come and gone unseen.
+const MIN_STALL: Duration = Duration::from_millis(1_000);
+
 /// Period of ticks while a rollout is needed or under way; on a tree of nodes, only of the
 /// coordinator.
 const ROLLOUT_TICK_PERIOD: Duration = Duration::from_millis(25);
@@ -137,6 +140,7 @@
         let Some(event) = received.or(tick).await else { return };
         let now = Instant::now();
         state.handle_suspension();
+        state.handle_stall(now.saturating_duration_since(next_tick_at), now);
         match event {
             Some(event) => state.guard("control_event", |state| state.handle(event, now)),
             None => {
@@ -239,6 +243,7 @@
                     }
                 });
             }
+            RelayControlEvent::EraLearned(era) => self.observe_era(era, now),
             RelayControlEvent::VersionsWanted => self.tick_version_records(now),
             RelayControlEvent::NodeStopping => self.announce_stop(now),
             RelayControlEvent::NodeStopped => self.leave_partners(now),
@@ -322,6 +327,16 @@
         }
     }
 
+    /// Records that this node stood still for `stall`, and may have missed what came and went.
+    fn handle_stall(&mut self, stall: Duration, now: Instant) {
+        if stall < MIN_STALL {
+            return;
+        }
+        log::warn!("event=stalled stall_ms={}", stall.as_millis());
+        self.context.origins().record_gap(now);
+        self.version_records.list_again();
+    }
+
     /// Drops the lease if the machine was suspended, since its deadline may have passed meanwhile, and
     /// ages what the monotonic clock has kept young.
     fn handle_suspension(&mut self) {
@@ -332,7 +347,10 @@
         self.context.fleet().record_suspension(gap);
         self.context.quotas().restart(self.context.quota_clock.now());
         // Records that this node relied on may have been removed meanwhile.
-        self.context.origins().recorded_versions_mut().clear();
+        let mut origins = self.context.origins();
+        origins.recorded_versions_mut().clear();
+        origins.record_gap(Instant::now());
+        drop(origins);
         self.version_records.restart();
     }
 }
--- a/src/relay/control/version_calls.rs
+++ b/src/relay/control/version_calls.rs
@@ -1,12 +1,15 @@
-//! Calls to the partitions of the record store that keep the software versions of services. All are called
-//! at once, and a majority decides, so that the outage of one stops nothing.
+//! Calls to the partitions of the record store that keep the software versions of services, and to other nodes.
+//! All partitions are called at once, and a majority decides, so that the outage of one stops nothing.
 
 use super::follow::count_call;
+use crate::adapters::deadline::timeout_at;
 use crate::decision::relay::streams::{
-    PartitionListing, ServiceVersion, VERSION_MAJORITY, VERSION_PARTITIONS, VersionCall,
+    EraAnswer, PartitionListing, ServiceVersion, VERSION_MAJORITY, VERSION_PARTITIONS, VersionCall,
     VersionListing, VersionOutcome,
 };
+use crate::links::Datagram;
 use crate::relay::RelayContext;
+use crate::relay::peers::queries;
 use crate::types::{Delivery, LogPosition, PeerError, PeerResult, Step, StoreEra, log_position};
 use anyhow::anyhow;
 use futures_lite::{FutureExt, future};
@@ -14,11 +17,15 @@
 use futures_util::stream::FuturesUnordered;
 use smol::Timer;
 use smol_str::SmolStr;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Time for which the other partitions are waited for once a majority has succeeded.
 const STRAGGLER_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time in which other nodes must answer: several round trips between availability zones.
+const ANSWER_PERIOD: Duration = Duration::from_millis(100);
+
 /// Outcomes of calls to all partitions, `None` where a call failed or has not ended.
 type Outcomes<T> = [Option<T>; VERSION_PARTITIONS];
 
@@ -43,7 +50,44 @@
             Ok(VersionOutcome::Added { version, era })
         }
         VersionCall::Remove { version, ends } => remove(context, version, ends).await,
+        VersionCall::ConfirmEra(confirmed) => {
+            let confirm = |partition| confirm_era(context, partition, confirmed);
+            let era = common_era(call_majority(confirm).await?.into_iter().flatten())?;
+            Ok(VersionOutcome::EraConfirmed { confirmed, era })
+        }
+        VersionCall::AskNodes { era, known, nodes } => {
+            let answers = ask_nodes(context, era, known, &nodes).await;
+            Ok(VersionOutcome::NodesAnswered { asked_era: era, answers })
+        }
+    }
+}
+
+/// Asks nodes of which versions they may know open streams; returns the answers of those that answer in time.
+async fn ask_nodes(
+    context: &RelayContext,
+    era: StoreEra,
+    known: Vec<u64>,
+    nodes: &[SocketAddr],
+) -> Vec<(SocketAddr, EraAnswer)> {
+    let number = queries::next_query_number(context);
+    let waiting = context.peer_queries.eras.begin(number, nodes.len());
+    queries::send(context, &Datagram::EraQuery { number, era, known }, nodes);
+    let deadline = Instant::now() + ANSWER_PERIOD;
+    let mut answers = Vec::new();
+    while answers.len() < nodes.len() {
+        let Ok(Ok(answer)) = timeout_at(deadline, waiting.answers.recv()).await else { break };
+        answers.push(answer);
     }
+    answers
+}
+
+async fn confirm_era(
+    context: &RelayContext,
+    partition: usize,
+    confirmed: StoreEra,
+) -> PeerResult<StoreEra> {
+    count_call(context, "confirm_era");
+    context.ports.store.confirm_era(partition, confirmed).await
 }
 
 async fn list(context: &RelayContext) -> PeerResult<(VersionListing, StoreEra)> {
--- a/src/relay/control/versions.rs
+++ b/src/relay/control/versions.rs
@@ -6,10 +6,14 @@
 use super::version_calls::make_call;
 use crate::decision::relay::streams::{ServiceVersion, VersionOutcome};
 use crate::links::PartnerMessage;
+use crate::links::message::RecordedVersionsNotice;
 use crate::types::{InstanceId, PeerResult};
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Maximum recorded versions in a message.
+const MAX_MESSAGE_VERSIONS: usize = 1_000;
+
 impl ControlState {
     /// Makes the next call that is needed, if any.
     pub(super) fn tick_version_records(&mut self, now: Instant) {
@@ -44,7 +48,12 @@
         }
         match &outcome {
             VersionOutcome::Listed { listing, requested_at, .. } => {
-                log::info!("event=versions_listed versions={}", listing.copies.len());
+                log::info!(
+                    "event=versions_listed versions={} era={} confirmed_era={}",
+                    listing.copies.len(),
+                    listing.era(),
+                    listing.confirmed_era.map_or_else(|| "none".to_owned(), |era| era.to_string())
+                );
                 self.context.origins().apply_listing(listing, *requested_at, now);
             }
             VersionOutcome::Added { version, .. } => {
@@ -54,7 +63,7 @@
                     version.software
                 );
                 self.context.origins().add_recorded_version(version, now);
-                self.broadcast(None, &PartnerMessage::VersionsRecorded(vec![version.clone()]));
+                self.broadcast_recorded_versions(None, vec![version.clone()]);
             }
             VersionOutcome::Removed(version) => {
                 log::info!(
@@ -65,6 +74,22 @@
                 self.context.origins().recorded_versions_mut().remove(version);
             }
             VersionOutcome::Conflict => log::info!("event=version_kept reason=written_since"),
+            VersionOutcome::EraConfirmed { confirmed, era } => {
+                log::info!("event=store_era_confirmed era={confirmed} store_era={era}");
+                if confirmed == era && self.context.origins().confirm_era(*era) {
+                    self.broadcast_recorded_versions(None, Vec::new());
+                }
+            }
+            VersionOutcome::NodesAnswered { asked_era, answers } => log::info!(
+                "event=versions_asked era={asked_era} answers={} outdated={} complete={} versions={}",
+                answers.len(),
+                answers
+                    .iter()
+                    .filter(|(_, answer)| answer.era.is_none_or(|e| e < *asked_era))
+                    .count(),
+                answers.iter().filter(|(_, answer)| answer.is_complete).count(),
+                answers.iter().map(|(_, answer)| answer.versions.len()).sum::<usize>()
+            ),
         }
         self.context.origins().recorded_versions_mut().record_answer();
         self.version_records.apply(outcome, &self.context.origins(), now);
@@ -72,14 +97,51 @@
         self.tick_version_records(now);
     }
 
-    /// Learns from a partner which versions the record store holds.
-    pub(super) fn receive_versions(
+    /// Tells all partners but `source` of versions that the record store holds in the present era, and whether it
+    /// is confirmed.
+    fn broadcast_recorded_versions(
         &self,
+        source: Option<&InstanceId>,
+        versions: Vec<ServiceVersion>,
+    ) {
+        let Some(era) = self.store_era else { return };
+        let is_era_confirmed = self.context.origins().is_era_confirmed();
+        let notice = RecordedVersionsNotice { era, versions, is_era_confirmed };
+        self.broadcast(source, &PartnerMessage::RecordedVersions(notice));
+    }
+
+    /// Returns what a new partner is told of the versions that the record store holds.
+    pub(super) fn recorded_versions_notices(&self, now: Instant) -> Vec<RecordedVersionsNotice> {
+        let Some(era) = self.store_era else { return Vec::new() };
+        let origins = self.context.origins();
+        let is_era_confirmed = origins.is_era_confirmed();
+        let versions = origins.recorded_versions_in_service(now);
+        let batches = versions.chunks(MAX_MESSAGE_VERSIONS);
+        let notice = |batch: &[ServiceVersion]| RecordedVersionsNotice {
+            era,
+            versions: batch.to_vec(),
+            is_era_confirmed,
+        };
+        batches.map(notice).collect()
+    }
+
+    /// Learns from a partner which versions the record store holds. In a later era it may lack them.
+    pub(super) fn receive_recorded_versions(
+        &mut self,
         peer: &InstanceId,
-        versions: &[ServiceVersion],
+        notice: RecordedVersionsNotice,
         now: Instant,
     ) {
-        for version in versions {
+        let RecordedVersionsNotice { era, versions, is_era_confirmed } = notice;
+        self.observe_era(era, now);
+        if self.store_era != Some(era) {
+            log::info!(
+                "event=versions_outdated era={era} known_era={:?} source={peer}",
+                self.store_era
+            );
+            return;
+        }
+        for version in &versions {
             if self.context.origins().add_recorded_version(version, now) {
                 log::info!(
                     "event=version_known service={} software={} source={peer}",
@@ -88,5 +150,9 @@
                 );
             }
         }
+        if is_era_confirmed && self.context.origins().confirm_era(era) {
+            log::info!("event=store_era_known_confirmed era={era} source={peer}");
+            self.broadcast_recorded_versions(Some(peer), Vec::new());
+        }
     }
 }
--- a/src/relay/peers/queries.rs
+++ b/src/relay/peers/queries.rs
@@ -4,9 +4,10 @@
 use crate::adapters::datagram_socket::DatagramSocket;
 use crate::daemon::threads::catch_panic;
 use crate::decision::relay::quota::{QuotaAnswer, QuotaQuery};
-use crate::decision::relay::streams::OriginAnswer;
+use crate::decision::relay::streams::{EraAnswer, OriginAnswer};
 use crate::links::Datagram;
 use crate::links::datagram::MAX_DATAGRAM_BYTES;
+use crate::relay::control::RelayControlEvent;
 use crate::relay::{RelayContext, quota};
 use async_channel::{Receiver, Sender};
 use smol::Timer;
@@ -78,12 +79,19 @@
     pub origins: WaitingQueries<OriginAnswer>,
     /// Queries for grants of quotas.
     pub quotas: WaitingQueries<QuotaAnswer>,
+    /// Queries for the versions of open streams after a restore of the store.
+    pub eras: WaitingQueries<EraAnswer>,
 }
 
 impl PeerQueries {
     /// Returns the state of a node without queries.
     pub fn new(socket: DatagramSocket) -> Self {
-        Self { socket, origins: WaitingQueries::default(), quotas: WaitingQueries::default() }
+        Self {
+            socket,
+            origins: WaitingQueries::default(),
+            quotas: WaitingQueries::default(),
+            eras: WaitingQueries::default(),
+        }
     }
 
     /// Returns the address at which this node takes datagrams, and requests of other nodes.
@@ -143,6 +151,19 @@
                 log::debug!("event=datagram_ignored peer={sender} reason=query_ended");
             }
         }
+        Datagram::EraQuery { number, era, known } => {
+            let answer = context.origins().answer_era(&known, now);
+            if answer.era.is_none_or(|own_era| own_era < era) {
+                // The sender asks again.
+                context.notify_control(RelayControlEvent::EraLearned(era));
+            }
+            send(context, &Datagram::EraAnswer { number, answer }, &[sender]);
+        }
+        Datagram::EraAnswer { number, answer } => {
+            if context.peer_queries.eras.deliver(number, (sender, answer)).is_some() {
+                log::debug!("event=datagram_ignored peer={sender} reason=query_ended");
+            }
+        }
         Datagram::QuotaQuery { number, query } => {
             let answer = context.quotas().answer_other(&query, context.quota_clock.now());
             let QuotaQuery { workspace, units, .. } = query;
--- a/src/relay/stream/mod.rs
+++ b/src/relay/stream/mod.rs
@@ -12,6 +12,7 @@
 use crate::adapters::deadline::timeout_at;
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::{BodyAborted, Reply};
+use crate::decision::relay::streams::unproven_software;
 use crate::decision::relay::{EventSplitter, Failover, FailoverStep, RetrySafety};
 use crate::relay::RelayContext;
 use crate::relay::answer::Answer;
@@ -30,7 +31,7 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -103,7 +104,7 @@
     let is_event_stream = is_event_stream(&headers);
     let retry_safety = request.route.retry_safety;
     let software = received.in_flight.proven_software();
-    let software = software.unwrap_or_else(|| format_smolstr!("unproven-{}", request.id));
+    let software = software.unwrap_or_else(|| unproven_software(&request.id));
     if request.is_forwarded() {
         // The node that sent the request binds its caller's stream to this version.
         attempts.software = Some(software.clone());
--- a/src/relay/stream/received.rs
+++ b/src/relay/stream/received.rs
@@ -4,11 +4,11 @@
 use crate::adapters::framing::Framing;
 use crate::adapters::http_server::BodyAborted;
 use crate::decision::relay::event_splitter::EventTooLong;
+use crate::decision::relay::streams::unproven_software;
 use crate::relay::stream_origin;
 use crate::types::{Delivery, PeerError, PeerResult, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
-use smol_str::format_smolstr;
 use std::time::Instant;
 
 /// Bytes of an unfinished event from which a stream makes progress: events of models are shorter.
@@ -124,7 +124,7 @@
         let is_proven = proven.is_some();
         let software = proven.unwrap_or_else(|| {
             log::info!("event=software_unproven request={} {}", self.request.id, answer.in_flight);
-            format_smolstr!("unproven-{}", self.request.id)
+            unproven_software(&self.request.id)
         });
         if self.is_resumable {
             stream_origin::record_origin(&self.context, &self.request, &software);
