fix(relay): requests whose prompt cannot be read carry a salt of their own

Requests of an isolated workspace and of others that lack readable token counts, or name no readable model, shared KV cache (WALL): they went out without a salt, and an absent one is one text that all share.

Cause: the salt, and the priority, belonged to the prompt that could be read. Each run at a service that may have a model now carries both; without a prompt the salt is of the request alone, since neither its workspaces nor its weights can be told.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -18,12 +18,12 @@
 use crate::decision::relay::server::Server;
 use crate::metrics::labels::ReasonLabels;
 use crate::ports::ForwardHead;
-use crate::types::{Delivery, Incarnation, PeerError, Step};
+use crate::types::{Delivery, Incarnation, PeerError, RequestId, ServiceId, Step};
 use anyhow::anyhow;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -161,14 +161,19 @@
 ) -> Request<Full<Bytes>> {
     let PlannedRun { choice, authorization } = run;
     let prompt = choice.prompt.as_ref();
+    let is_for_model = prompt.is_some() || may_have_model(context, &request.service);
+    let cache_salt = match prompt {
+        Some(prompt) => Some(prompt.cache_salt.clone()),
+        None => is_for_model.then(|| unshared_salt(&request.id)),
+    };
     let head = ForwardHead {
         server: choice.server.clone(),
         remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX).max(1),
         workspace: authorization.workspace_name().cloned(),
         strips_api_key: authorization.strips_api_key,
-        priority: prompt.map(|_| request.priority(authorization)),
+        priority: is_for_model.then(|| request.priority(authorization)),
         weights: prompt.map(|prompt| prompt.weights),
-        cache_salt: prompt.map(|prompt| prompt.cache_salt.clone()),
+        cache_salt,
         fetch_from: prompt.and_then(|prompt| prompt.fetch_from),
         save_to: prompt.and_then(|prompt| prompt.save_to),
         last_event_id,
@@ -181,6 +186,20 @@
     outgoing
 }
 
+/// Whether a service may have a model, and keep the parts of prompts: any that is not known to have none.
+fn may_have_model(context: &RelayContext, service: &ServiceId) -> bool {
+    let configuration = context.configuration.load();
+    let service =
+        configuration.as_ref().and_then(|configuration| configuration.services.get(service));
+    service.is_none_or(|service| service.engine.is_some())
+}
+
+/// Returns the salt of a request whose prompt could not be read. It shares no cache: which workspaces and
+/// weights it would share it with is not known.
+fn unshared_salt(request: &RequestId) -> SmolStr {
+    format_smolstr!("request/{request}")
+}
+
 /// Returns the error of an attempt whose server took its last request for now since it was chosen.
 fn limit_reached(request: &RelayedRequest, choice: &Choice) -> PeerError {
     log::info!("event=limit_reached request={} server={}", request.id, choice.server);
