--- a/src/decision/poison/evidence.rs
+++ b/src/decision/poison/evidence.rs
@@ -10,7 +10,7 @@
 use super::proof::Proof;
 use crate::types::{Incarnation, InstanceId, ServerId};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 use strum::Display;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -118,8 +118,9 @@
     /// Returns how to treat a request with `keys`.
     pub fn treatment(&self, keys: &[SuspectKey], now: Instant) -> Treatment {
         let (mut refused_until, mut waits_until) = (None, None);
-        for key in keys {
-            match self.strikes.proof(*key, keys, None, now) {
+        let others = self.strikes.others(keys, now);
+        for (key, others) in keys.iter().zip(others.iter().cycle()) {
+            match self.strikes.proof(*key, others, None, now) {
                 Proof::Conclusive => {
                     let until = self.strikes.refused_until(*key, now);
                     // After its time one node tries the key.
@@ -139,6 +140,17 @@
         }
     }
 
+    /// Returns those of `keys` that are refused because of their own strikes.
+    pub fn refused(&self, keys: &[SuspectKey], now: Instant) -> BTreeSet<SuspectKey> {
+        let is_over = |key: &SuspectKey| {
+            let until = self.strikes.refused_until(*key, now);
+            until.is_none_or(|until| now >= until) && self.is_trial_node(*key)
+        };
+        let mut refused = self.strikes.conclusive(keys, now);
+        refused.retain(|key| !is_over(key));
+        refused
+    }
+
     /// Returns the strikes that a crash of `server` gives to the keys of a request which it was
     /// answering.
     ///
@@ -235,8 +247,10 @@
     ) -> Vec<RankedKey> {
         let of_request: Vec<SuspectKey> = keys.iter().map(|sent| sent.key).collect();
         let crash = (server.clone(), incarnation);
+        let others = self.strikes.others(&of_request, now);
         let is_refused = |sent: &&RankedKey| {
-            self.strikes.proof(sent.key, &of_request, Some(&crash), now) == Proof::Conclusive
+            let proof = others.as_ref().map(|o| self.strikes.proof(sent.key, o, Some(&crash), now));
+            proof == Some(Proof::Conclusive)
         };
         let refused: Vec<RankedKey> = keys.iter().filter(is_refused).copied().collect();
         if !refused.is_empty() {
--- a/src/decision/poison/proof.rs
+++ b/src/decision/poison/proof.rs
@@ -7,6 +7,7 @@
 
 use super::evidence::{REFUSAL_RANK, SuspectKey};
 use super::key_strikes::{Crash, KeyStrikes, RecordedStrike};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -37,20 +38,76 @@
     strikes: Vec<&'a RecordedStrike>,
 }
 
-impl Rival<'_> {
-    fn explains(&self, crash: &Crash) -> bool {
-        self.strikes.iter().any(|strike| strike.crash == *crash)
+/// Keys that requests with some keys do not have, by the crashes that they may explain. Only requests with all of
+/// their keys are refused, so that others explain crashes as well.
+pub(super) struct OtherKeys<'a> {
+    strikes: &'a KeyStrikes,
+    excluded: HashSet<SuspectKey>,
+    /// Number of keys by the number of their live strikes, for each crash.
+    by_crash: HashMap<&'a Crash, HashMap<usize, usize>>,
+    now: Instant,
+}
+
+impl<'a> OtherKeys<'a> {
+    fn new(strikes: &'a KeyStrikes, excluded: HashSet<SuspectKey>, now: Instant) -> Self {
+        let mut others = Self { strikes, excluded, by_crash: HashMap::new(), now };
+        let mut by_crash: HashMap<&Crash, HashMap<usize, usize>> = HashMap::new();
+        for rival in strikes.keys().filter_map(|key| others.rival(key)) {
+            for strike in &rival.strikes {
+                let by_count = by_crash.entry(&strike.crash).or_default();
+                *by_count.entry(rival.strikes.len()).or_default() += 1;
+            }
+        }
+        others.by_crash = by_crash;
+        others
+    }
+
+    /// Returns a key with its strikes if it is another one, and may explain crashes.
+    fn rival(&self, key: SuspectKey) -> Option<Rival<'a>> {
+        if self.excluded.contains(&key) {
+            return None;
+        }
+        let strikes: Vec<&RecordedStrike> = self.strikes.live(key, self.now).collect();
+        reaches_refusal(&strikes).then_some(Rival { key, strikes })
+    }
+
+    /// Whether a key with more than `count` strikes explains a crash.
+    fn stronger_explains(&self, crash: &Crash, count: usize) -> bool {
+        let by_count = self.by_crash.get(crash);
+        by_count.is_some_and(|by_count| by_count.keys().any(|other| *other > count))
+    }
+
+    /// Whether a key with `count` strikes explains a crash of `key`, which has as many.
+    fn tied_explains(&self, crash: &Crash, count: usize, key: SuspectKey) -> bool {
+        let tied = self.by_crash.get(crash).and_then(|by_count| by_count.get(&count));
+        let own = usize::from(!self.excluded.contains(&key));
+        tied.is_some_and(|tied| *tied > own)
+    }
+
+    /// Returns the keys with as many strikes as `key` that explain one of the crashes.
+    fn tied(&self, key: SuspectKey, count: usize, crashes: &[&Crash]) -> Vec<Rival<'a>> {
+        let keys = self.strikes.keys().filter(|other| *other != key);
+        let rivals = keys.filter_map(|other| self.rival(other));
+        let explains =
+            |rival: &Rival<'_>| rival.strikes.iter().any(|one| crashes.contains(&&one.crash));
+        rivals.filter(|rival| rival.strikes.len() == count && explains(rival)).collect()
     }
 }
 
 impl KeyStrikes {
-    /// Returns what the strikes of `key` prove against requests with all of `keys`, without that of
-    /// the crash `except`. Rivals are keys that such a request does not have, since only requests
-    /// with all of `keys` are refused.
+    /// Returns the keys that requests with `keys` do not have, `None` if none of `keys` has strikes enough for a
+    /// refusal.
+    pub(super) fn others(&self, keys: &[SuspectKey], now: Instant) -> Option<OtherKeys<'_>> {
+        let is_relevant = keys.iter().any(|key| self.rank(*key, now) >= REFUSAL_RANK);
+        is_relevant.then(|| OtherKeys::new(self, keys.iter().copied().collect(), now))
+    }
+
+    /// Returns what the strikes of `key` prove against requests that lack the `others`, without that of the crash
+    /// `except`.
     pub(super) fn proof(
         &self,
         key: SuspectKey,
-        keys: &[SuspectKey],
+        others: &OtherKeys<'_>,
         except: Option<&Crash>,
         now: Instant,
     ) -> Proof {
@@ -58,37 +115,36 @@
         if !reaches_refusal(&own) {
             return Proof::None;
         }
-        let (stronger, tied): (Vec<Rival<'_>>, Vec<Rival<'_>>) = self
-            .rivals(&own, keys, now)
-            .into_iter()
-            .partition(|rival| rival.strikes.len() > own.len());
         let mut unexplained: Vec<&Crash> = own.iter().map(|strike| &strike.crash).collect();
         unexplained.retain(|crash| Some(*crash) != except);
-        unexplained.retain(|crash| !stronger.iter().any(|rival| rival.explains(crash)));
+        unexplained.retain(|crash| !others.stronger_explains(crash, own.len()));
         if unexplained.len() < REFUSAL_RANK as usize {
             return Proof::None;
         }
-        let is_own_only = |crash: &&&Crash| !tied.iter().any(|rival| rival.explains(crash));
+        let is_own_only = |crash: &&&Crash| !others.tied_explains(crash, own.len(), key);
         if unexplained.iter().filter(is_own_only).count() >= REFUSAL_RANK as usize {
             return Proof::Conclusive;
         }
-        let tied: Vec<Rival<'_>> = tied
-            .into_iter()
-            .filter(|rival| unexplained.iter().any(|crash| rival.explains(crash)))
-            .collect();
+        let tied = others.tied(key, own.len(), &unexplained);
         Proof::Tied { next_turn_at: next_turn(key, &own, &tied, now) }
     }
 
-    /// Returns the keys, other than `keys`, that have at least as many crashes as `own` and share one.
-    fn rivals(&self, own: &[&RecordedStrike], keys: &[SuspectKey], now: Instant) -> Vec<Rival<'_>> {
-        let is_shared =
-            |strike: &&RecordedStrike| own.iter().any(|shared| shared.crash == strike.crash);
-        self.keys()
-            .filter(|other| !keys.contains(other))
-            .map(|other| Rival { key: other, strikes: self.live(other, now).collect() })
-            .filter(|rival| rival.strikes.len() >= own.len() && reaches_refusal(&rival.strikes))
-            .filter(|rival| rival.strikes.iter().any(is_shared))
-            .collect()
+    /// Returns those of `keys` whose own strikes prove that each of them has caused crashes.
+    pub(super) fn conclusive(&self, keys: &[SuspectKey], now: Instant) -> BTreeSet<SuspectKey> {
+        let is_relevant = keys.iter().any(|key| self.rank(*key, now) >= REFUSAL_RANK);
+        if !is_relevant {
+            return BTreeSet::new();
+        }
+        let others = OtherKeys::new(self, HashSet::new(), now);
+        let is_conclusive = |key: &SuspectKey| {
+            let own: Vec<&RecordedStrike> = self.live(*key, now).collect();
+            let is_own_only = |strike: &&&RecordedStrike| {
+                !others.stronger_explains(&strike.crash, own.len())
+                    && !others.tied_explains(&strike.crash, own.len(), *key)
+            };
+            reaches_refusal(&own) && own.iter().filter(is_own_only).count() >= REFUSAL_RANK as usize
+        };
+        keys.iter().copied().filter(is_conclusive).collect()
     }
 }
 
--- a/src/relay/control/crashes.rs
+++ b/src/relay/control/crashes.rs
@@ -3,7 +3,7 @@
 use super::state::ControlState;
 use super::{CutExchange, RelayControlEvent};
 use crate::adapters::deadline::timeout_at;
-use crate::decision::poison::{KeyStrike, Strike, Treatment};
+use crate::decision::poison::{KeyStrike, Strike, SuspectKey};
 use crate::links::PartnerMessage;
 use crate::relay::RelayContext;
 use crate::relay::peers::reach;
@@ -129,13 +129,13 @@
         now: Instant,
     ) {
         let mut evidence = self.context.crash_evidence();
+        let keys: Vec<SuspectKey> = strikes.iter().map(|strike| strike.key).collect();
+        let refused_before = evidence.refused(&keys, now);
         let mut new_strikes = Vec::new();
         for strike in strikes {
-            let was_refused = is_refused(evidence.treatment(&[strike.key], now));
             if !evidence.add(strike.clone(), now) {
                 continue;
             }
-            let is_refused = is_refused(evidence.treatment(&[strike.key], now));
             log::info!(
                 "event=key_strike key={:016x} server={} incarnation={} rank={} is_cleared={} source={}",
                 strike.key,
@@ -145,13 +145,16 @@
                 strike.is_cleared,
                 source.map_or("own", |source| source.as_str())
             );
-            if is_refused != was_refused {
-                let event = if is_refused { "key_refused" } else { "key_readmitted" };
-                log::warn!("event={event} key={:016x} server={}", strike.key, strike.server);
-            }
             new_strikes.push(strike);
         }
+        let refused = evidence.refused(&keys, now);
         drop(evidence);
+        for key in refused.difference(&refused_before) {
+            log::warn!("event=key_refused key={key:016x}");
+        }
+        for key in refused_before.difference(&refused) {
+            log::warn!("event=key_readmitted key={key:016x}");
+        }
         self.context.metrics.key_strikes.inc_by(new_strikes.len() as u64);
         if !new_strikes.is_empty() {
             self.broadcast(source, &PartnerMessage::KeyStrikes(new_strikes));
@@ -181,10 +184,6 @@
     }
 }
 
-fn is_refused(treatment: Treatment) -> bool {
-    matches!(treatment, Treatment::Refused { .. })
-}
-
 /// Checks whether a server crashed: nothing listens at its address, and it is not this node that has
 /// lost its links.
 async fn confirm_crash(context: Arc<RelayContext>, run: ServerRun, address: SocketAddr) {
--- a/tests/relay/crash_evidence.rs
+++ b/tests/relay/crash_evidence.rs
@@ -353,3 +353,25 @@
     node.end_probe(&probe);
     assert!(node.try_begin_probe(&[BAD_PART], now));
 }
+
+/// Guards against work that is cubic in the keys of a request: the test then runs for minutes.
+#[test]
+fn crashes_of_requests_with_many_keys_are_judged() {
+    const KEYS: u64 = 2_647;
+    let now = Instant::now();
+    let mut evidence = CrashEvidence::default();
+    let keys: Vec<SuspectKey> = (100..100 + KEYS).collect();
+    for server in 1..=8 {
+        let ranked = evidence.ranked(&keys, now);
+        let server_id = format_smolstr!("s{server}");
+        for strike in evidence.strikes_of_crash(&server_id, server, &ranked, now) {
+            evidence.add(strike, now);
+        }
+    }
+    let all = evidence.refused(&keys, now);
+    let treatment = evidence.treatment(&keys, now);
+    // Requests with all keys are refused; a single key has others that explain its crashes as well.
+    assert!(matches!(treatment, Treatment::Refused { .. }), "{treatment:?}");
+    assert!(all.is_empty());
+    assert_eq!(evidence.treatment(&[1], now), Treatment::Normal);
+}
