fix(relay): a stream that has not begun waits for the crash check of its server, and keeps its version for other nodes

Both are as before now. crashes, endless_answers and error_in_stream pass before and after; none tells the two apart.

--- a/src/relay/stream/failover.rs
+++ b/src/relay/stream/failover.rs
@@ -113,6 +113,7 @@
         let now = Instant::now();
         self.failover.record_failed_answer(now);
         self.record_failed_candidate(now);
+        self.failover.record_crash_check(now);
         None
     }
 
@@ -323,6 +324,10 @@
         let is_event_stream = is_event_stream(&head.headers);
         self.is_resumable &= is_event_stream;
         self.splitter.take_if(|_| !is_event_stream);
+        if self.request.is_forwarded() {
+            // The node that sent the request binds its caller's stream to this version.
+            self.attempts.software = Some(head.software.clone());
+        }
         self.head = Some(head);
         self.answer = Some(answer);
     }
